--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Development commands. Each one makes the virtual environment that it needs.
+VENV := .venv
+PY := $(VENV)/bin/python
+ARGS ?=
+
+.PHONY: run test lint docs bench-relay bench-settings bench-policy slopes explore capacity
+
+$(VENV)/.ready: pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $@
+
+run: $(VENV)/.ready
+	$(PY) -m reachlink.testing.fleet $(ARGS)
+
+test: $(VENV)/.ready
+	$(PY) -m pytest $(ARGS)
+
+lint: $(VENV)/.ready
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+docs: $(VENV)/.ready
+	$(VENV)/bin/sphinx-build -W -q -b html docs docs/_build
+
+bench-relay bench-settings bench-policy slopes: $(VENV)/.ready
+	$(PY) -m benchmarks.$(subst -,_,$@) $(ARGS)
+
+capacity: $(VENV)/.ready
+	$(PY) -m benchmarks.capacity_page $(ARGS)
+
+explore: $(VENV)/.ready
+	REACHLINK_SCHEDULES=50000 $(PY) -m pytest reachlink/agreement $(ARGS)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with their committed results."""
--- /dev/null
+++ b/reachlink/agreement/__init__.py
@@ -0,0 +1,57 @@
+"""The replicated log: election, quorum, snapshots, membership change, storage."""
+
+from reachlink.agreement._core import Core
+from reachlink.agreement._files import Files
+from reachlink.agreement._log import Log
+from reachlink.agreement._messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    EntryKind,
+    Member,
+    Message,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from reachlink.agreement._service import ReplicaService, StateMachine
+from reachlink.agreement._state import Effects, ReplicaState, Role, Timing
+from reachlink.agreement._storage import Identity, Loaded, Storage
+from reachlink.agreement.exceptions import (
+    AgreementError,
+    CorruptLogError,
+    MembershipChangeError,
+    NotLeaderError,
+    ProposalLostError,
+    StorageError,
+)
+
+__all__ = [
+    "AgreementError",
+    "AppendReply",
+    "AppendRequest",
+    "Core",
+    "CorruptLogError",
+    "Effects",
+    "Entry",
+    "EntryKind",
+    "Files",
+    "Identity",
+    "Loaded",
+    "Log",
+    "Member",
+    "MembershipChangeError",
+    "Message",
+    "NotLeaderError",
+    "ProposalLostError",
+    "ReplicaService",
+    "ReplicaState",
+    "Role",
+    "SnapshotRequest",
+    "StateMachine",
+    "Storage",
+    "StorageError",
+    "Timing",
+    "VoteReply",
+    "VoteRequest",
+]
--- /dev/null
+++ b/reachlink/agreement/_election.py
@@ -0,0 +1,173 @@
+"""Elections with pre-vote, leader stickiness and check-quorum; pure.
+
+References
+----------
+.. [1] D. Ongaro, "Consensus: Bridging Theory and Practice", 2014, sections
+   3.4 (election), 4.2.3 (disruptive servers), 6.4 (leases) and 9.6 (pre-vote).
+"""
+
+from reachlink.agreement._messages import VoteReply, VoteRequest
+from reachlink.agreement._state import Progress, ReplicaState, Role
+
+
+def reset_election_timer(state: ReplicaState, now: float) -> None:
+    """Wait a fresh random time before the next election."""
+    timing = state.timing
+    wait = state.random.uniform(timing.election_min_s, timing.election_max_s)
+    state.election_due = now + wait
+
+
+def follow(state: ReplicaState, term: int, leader: str, now: float) -> None:
+    """Become a follower, in a newer term if `term` is newer."""
+    if term > state.term:
+        state.term = term
+        state.voted_for = ""
+        state.effects.hard_state = True
+    state.role = Role.FOLLOWER
+    state.leader = leader
+    state.votes.clear()
+    state.progress.clear()
+    reset_election_timer(state, now)
+
+
+def hear_leader(state: ReplicaState, term: int, leader: str, now: float) -> None:
+    """A valid message of the leader of this term, or of a newer one, came."""
+    if term > state.term or state.role is not Role.FOLLOWER or state.leader != leader:
+        follow(state, term, leader, now)
+    state.heard_leader_at = now
+    reset_election_timer(state, now)
+
+
+def on_election_due(state: ReplicaState, now: float) -> None:
+    """The election time-out ran out: ask whether an election could be won."""
+    reset_election_timer(state, now)
+    if not state.is_voter:
+        return
+    state.role = Role.TRIAL
+    state.leader = ""
+    _ask_votes(state, now, state.term + 1, trial=True)
+
+
+def on_vote_request(state: ReplicaState, request: VoteRequest, now: float) -> None:
+    """Grant a vote, or say whether one would be granted."""
+    granted = _may_vote(state, request, now)
+    if not request.trial and not _hears_leader(state, now) and request.term > state.term:
+        follow(state, request.term, "", now)
+    if granted and not request.trial:
+        state.voted_for = request.candidate
+        state.effects.hard_state = True
+        reset_election_timer(state, now)
+    term = request.term if granted else state.term
+    state.send(request.candidate, VoteReply(term, granted, request.trial))
+
+
+def on_vote_reply(state: ReplicaState, sender: str, reply: VoteReply, now: float) -> None:
+    """Count a vote."""
+    if reply.term > state.term and not (reply.trial and reply.granted):
+        follow(state, reply.term, "", now)
+        return
+    wanted = Role.TRIAL if reply.trial else Role.CANDIDATE
+    wanted_term = state.term + 1 if reply.trial else state.term
+    if state.role is not wanted or reply.term != wanted_term or not reply.granted:
+        return
+    state.votes.add(sender)
+    _count_votes(state, now)
+
+
+def check_quorum(state: ReplicaState, now: float) -> None:
+    """Step down where no majority was heard for an election time-out."""
+    heard = [p.heard_at for node, p in state.progress.items() if node in state.voters]
+    alive = sum(1 for at in heard if now - at < state.timing.election_max_s)
+    alive += 1 if state.is_voter else 0
+    if alive < state.quorum():
+        follow(state, state.term, "", now)
+
+
+def lease_until(state: ReplicaState) -> float:
+    """Return until when no other replica can have been elected.
+
+    A majority that acknowledged a message sent at time t grants no vote
+    before t plus the shortest election time-out, by its own clocks; the
+    drift bound is taken off.
+    """
+    if state.role is not Role.LEADER:
+        return float("-inf")
+    acked = [p.acked_sent_at for node, p in state.progress.items() if node in state.voters]
+    if state.is_voter:
+        acked.append(float("inf"))
+    acked.sort(reverse=True)
+    needed = state.quorum()
+    if len(acked) < needed:
+        return float("-inf")
+    return acked[needed - 1] + state.timing.election_min_s * (1 - state.timing.drift)
+
+
+def _hears_leader(state: ReplicaState, now: float) -> bool:
+    if state.role is Role.LEADER:
+        return True
+    return now - state.heard_leader_at < state.timing.election_min_s
+
+
+def _may_vote(state: ReplicaState, request: VoteRequest, now: float) -> bool:
+    if _hears_leader(state, now) or request.term < state.term:
+        return False
+    mine = (state.log.last_term, state.log.last_index)
+    if (request.last_term, request.last_index) < mine:
+        return False
+    if request.trial:
+        return request.term > state.term
+    free = request.term > state.term or state.voted_for in ("", request.candidate)
+    return free
+
+
+def _ask_votes(state: ReplicaState, now: float, term: int, trial: bool) -> None:
+    state.votes = {state.node_id}
+    log = state.log
+    request = VoteRequest(term, state.node_id, log.last_index, log.last_term, trial)
+    for node in state.voters:
+        if node != state.node_id:
+            state.send(node, request)
+    _count_votes(state, now)
+
+
+def _count_votes(state: ReplicaState, now: float) -> None:
+    if len(state.votes & set(state.voters)) < state.quorum():
+        return
+    if state.role is Role.TRIAL:
+        _become_candidate(state, now)
+    elif state.role is Role.CANDIDATE:
+        _become_leader(state, now)
+
+
+def _become_candidate(state: ReplicaState, now: float) -> None:
+    state.role = Role.CANDIDATE
+    state.term += 1
+    state.voted_for = state.node_id
+    state.effects.hard_state = True
+    _ask_votes(state, now, state.term, trial=False)
+
+
+def _become_leader(state: ReplicaState, now: float) -> None:
+    state.role = Role.LEADER
+    state.leader = state.node_id
+    state.votes.clear()
+    after = state.log.last_index + 1
+    state.term_start_index = after
+    state.progress = {
+        member.node_id: Progress(after, heard_at=now)
+        for member in state.members
+        if member.node_id != state.node_id
+    }
+    state.heartbeat_due = now
+
+
+__all__ = [
+    "check_quorum",
+    "follow",
+    "hear_leader",
+    "lease_until",
+    "on_election_due",
+    "on_vote_reply",
+    "on_vote_request",
+    "reset_election_timer",
+]
--- /dev/null
+++ b/reachlink/conftest.py
@@ -0,0 +1,57 @@
+"""Fixtures that several subpackages share."""
+
+import asyncio
+from collections.abc import Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from reachlink.testing._batch import EngineParameters
+from reachlink.testing._fleet import Fleet
+from reachlink.testing._scenario import Scenario
+from reachlink.testing.fleet import DEFAULT
+
+
+class Runner:
+    """Runs coroutines of synchronous test steps on one loop."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+
+    def __call__(self, work: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(work)
+
+    def start(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+        return self.loop.create_task(work)
+
+
+@pytest.fixture(scope="session")
+def run() -> Iterator[Runner]:
+    runner = Runner()
+    yield runner
+    runner.loop.close()
+
+
+def small_scenario() -> Scenario:
+    """Return the first deployment's scenario with slower engines, easier to interrupt."""
+    scenario = msgspec.json.decode(DEFAULT.read_bytes(), type=Scenario)
+    engine = EngineParameters(step_base_ms=12.0, median_output_tokens=400.0, output_sigma=0.3)
+    return msgspec.structs.replace(scenario, engine=engine, balancer_delay_s=0.3)
+
+
+@pytest.fixture(scope="session")
+def shared_fleet(run: Runner, tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    folder: Path = tmp_path_factory.mktemp("fleet")
+    fleet = Fleet(small_scenario(), folder)
+    run(fleet.__aenter__())
+    yield fleet
+    run(fleet.close())
+
+
+@pytest.fixture
+def fleet(run: Runner, shared_fleet: Fleet) -> Iterator[Fleet]:
+    """The shared fleet, put in order again after each test."""
+    yield shared_fleet
+    run(shared_fleet.restore())
--- /dev/null
+++ b/reachlink/control/__init__.py
@@ -0,0 +1,65 @@
+"""The control daemon, and the client side of what it offers."""
+
+from reachlink.control._audit import check_chain
+from reachlink.control._client import ControlClient
+from reachlink.control._commands import (
+    AuditRecord,
+    ChangeRecord,
+    ClaimCommand,
+    ClaimResult,
+    ClaimStatus,
+    Command,
+    CompleteCommand,
+    EditCommand,
+    EditResult,
+    EditStatus,
+    FenceCommand,
+    FenceResult,
+    NoteCommand,
+    StoredAnswer,
+)
+from reachlink.control._config import ControlConfig
+from reachlink.control._daemon import ControlDaemon, found_cluster, founding_id
+from reachlink.control._machine import ControlMachine
+from reachlink.control._main import main
+from reachlink.control._operator_http import OperatorHandlers
+from reachlink.control._protocol import StatusAnswer, StatusRequest, WatchRequest
+from reachlink.control.exceptions import (
+    ControlError,
+    ControlUnavailableError,
+    OperatorError,
+    OutcomeUnknownError,
+)
+
+__all__ = [
+    "AuditRecord",
+    "ChangeRecord",
+    "ClaimCommand",
+    "ClaimResult",
+    "ClaimStatus",
+    "Command",
+    "CompleteCommand",
+    "ControlClient",
+    "ControlConfig",
+    "ControlDaemon",
+    "ControlError",
+    "ControlMachine",
+    "ControlUnavailableError",
+    "EditCommand",
+    "EditResult",
+    "EditStatus",
+    "FenceCommand",
+    "FenceResult",
+    "NoteCommand",
+    "OperatorError",
+    "OperatorHandlers",
+    "OutcomeUnknownError",
+    "StatusAnswer",
+    "StatusRequest",
+    "StoredAnswer",
+    "WatchRequest",
+    "check_chain",
+    "found_cluster",
+    "founding_id",
+    "main",
+]
--- /dev/null
+++ b/reachlink/control/__main__.py
@@ -0,0 +1,5 @@
+"""Allows ``python -m reachlink.control``."""
+
+from reachlink.control import main
+
+main()
--- /dev/null
+++ b/reachlink/control/_daemon.py
@@ -0,0 +1,151 @@
+"""The control daemon: one replica of the log and its interfaces."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from reachlink.agreement import Identity, Member, ReplicaService, Storage, StorageError
+from reachlink.control._client import ControlClient
+from reachlink.control._config import ControlConfig
+from reachlink.control._machine import ControlMachine
+from reachlink.control._operator_http import OperatorHandlers
+from reachlink.control._protocol import CHANNEL_CONTROL, CHANNEL_LOG
+from reachlink.control._server import ControlServer
+from reachlink.kernel import SystemClock
+from reachlink.messaging import Bus
+from reachlink.telemetry import Metrics, get_logger
+
+_SEPARATOR = "@"
+
+
+class ControlDaemon:
+    """One control instance.
+
+    Parameters
+    ----------
+    config : ControlConfig
+        Configuration of the process.
+    """
+
+    def __init__(self, config: ControlConfig) -> None:
+        self._config = config
+        self._log = get_logger()
+        self._clock = SystemClock()
+        self._storage = Storage(config.folder)
+        identity = self._storage.identity(config.name)
+        loaded = self._storage.load()
+        if loaded.snapshot is None:
+            loaded.log.snapshot_members = list(identity.founding)
+        self._identity = identity
+        sender = f"{identity.node_id}{_SEPARATOR}{config.bus_address}"
+        self._bus = Bus(sender, config.cluster_secret.encode(), config.routes)
+        self._machine = ControlMachine()
+        self._service = ReplicaService(
+            identity.node_id,
+            self._storage,
+            loaded,
+            self._machine,
+            lambda address, payload: self._bus.send(address, CHANNEL_LOG, payload),
+            self._clock,
+            on_applied=lambda: self._server.on_applied(),
+        )
+        self._server = ControlServer(
+            self._service, self._machine, self._storage, self._bus, self._clock
+        )
+        self._metrics = Metrics("control", config.name, config.availability_zone)
+        self._runner: web.AppRunner | None = None
+        self._work: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Open sockets and start the replica."""
+        self._bus.handle(CHANNEL_LOG, self._on_log)
+        self._bus.handle(CHANNEL_CONTROL, self._server.handle)
+        self._bus.bind(self._config.bus_address)
+        self._work = asyncio.create_task(self._run())
+        client = ControlClient(self._bus, [self._config.bus_address])
+        handlers = OperatorHandlers(
+            client, lambda: self._machine.tree, self._config.bootstrap_key_hash
+        )
+        app = web.Application()
+        app.add_routes(handlers.routes())
+        app.add_routes([web.get("/healthz", self._health), web.get("/metrics", self._page)])
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._config.host, self._config.port).start()
+        self._log.info(
+            "control_started",
+            node_id=self._identity.node_id,
+            members=len(self._service.core.state.members),
+        )
+
+    async def drain(self) -> None:
+        """Nothing to finish: what is not on disk was not promised."""
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._work is not None:
+            self._work.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._work
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._bus.close()
+        self._storage.close()
+        self._metrics.close()
+
+    async def _run(self) -> None:
+        try:
+            await self._service.run()
+        except StorageError as error:
+            # Going on could break promises made on what the disk holds.
+            self._log.error("disk_failed", reason=str(error))
+            raise SystemExit(1) from error
+
+    async def _on_log(self, sender: str, body: bytes) -> None:
+        node_id, _, address = sender.partition(_SEPARATOR)
+        self._service.receive(node_id, address, body)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        state = self._service.core.state
+        return web.json_response(
+            {"node_id": state.node_id, "role": state.role.value, "leader": state.leader}
+        )
+
+    async def _page(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._metrics.page(), content_type="text/plain")
+
+
+def found_cluster(config: ControlConfig, cluster: str, members: list[Member]) -> Identity:
+    """Write the identity of a founding member into an empty data folder.
+
+    Parameters
+    ----------
+    config : ControlConfig
+        Its configuration.
+    cluster : str
+        Name of the cluster.
+    members : list of Member
+        The founding members; this one's node id is its name with ``-0``.
+
+    Raises
+    ------
+    StorageError
+        If the folder holds an identity already.
+    """
+    if (config.folder / "identity.json").exists():
+        raise StorageError(f"{config.folder} already belongs to a control instance")
+    storage = Storage(config.folder)
+    identity = Identity(cluster, founding_id(config.name), members)
+    storage.found(identity)
+    storage.close()
+    return identity
+
+
+def founding_id(name: str) -> str:
+    """Return the node id of a founding member.
+
+    Replicas with a later disk get a random one, so that no identity is used
+    twice.
+    """
+    return f"{name}-0"
--- /dev/null
+++ b/reachlink/control/_operator_http.py
@@ -0,0 +1,263 @@
+"""The operators' HTTP interface, the same at entry and control instances."""
+
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from functools import wraps
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from reachlink.control._client import ControlClient
+from reachlink.control._commands import EditCommand, EditResult, EditStatus
+from reachlink.control._protocol import (
+    AuditAnswer,
+    AuditRequest,
+    MembersAnswer,
+    MembersRequest,
+    Request,
+    StatusAnswer,
+    StatusRequest,
+)
+from reachlink.control.exceptions import (
+    ControlUnavailableError,
+    OperatorError,
+    OutcomeUnknownError,
+)
+from reachlink.messaging import MessagingError
+from reachlink.settings import Change, SettingsTree, UnknownPathError, hash_key, to_document
+
+EDIT_TIMEOUT_S = 8.0
+STATUS_TIMEOUT_S = 1.0
+MAX_AUDIT = 1000
+MAX_EDIT_BYTES = 8 << 20
+
+_Handler = Callable[..., Awaitable[web.StreamResponse]]
+
+
+class EditBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``PATCH /v1/settings``.
+
+    ``base_revision`` may be given by ``If-Match`` instead.
+    """
+
+    changes: list[Change]
+    edit_id: str = ""
+    base_revision: int | None = None
+
+
+class MembersBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /v1/members``."""
+
+    action: str
+    node_id: str
+    address: str = ""
+    availability_zone: str = ""
+
+
+def _answering(handler: _Handler) -> _Handler:
+    """Turn this layer's errors into responses."""
+
+    @wraps(handler)
+    async def wrapped(self: Any, request: web.Request) -> web.StreamResponse:
+        try:
+            return await handler(self, request)
+        except OperatorError as error:
+            return _error(error)
+        except UnknownPathError as error:
+            return _error(OperatorError(400, "unknown_path", str(error)))
+        except msgspec.DecodeError as error:
+            return _error(OperatorError(400, "invalid_body", str(error)))
+        except ControlUnavailableError as error:
+            return _error(OperatorError(503, "control_unavailable", str(error)))
+        except OutcomeUnknownError as error:
+            return _error(OperatorError(504, "outcome_unknown", str(error)))
+
+    return wrapped
+
+
+class OperatorHandlers:
+    """Handlers of settings, audit trail, status and membership.
+
+    Parameters
+    ----------
+    control : ControlClient
+        For what the control instances decide.
+    tree : callable
+        Returns the settings in force at this instance.
+    bootstrap_key_hash : str
+        Hash of the key that acts as an operator until the settings name one.
+    """
+
+    def __init__(
+        self, control: ControlClient, tree: Callable[[], SettingsTree], bootstrap_key_hash: str
+    ) -> None:
+        self._control = control
+        self._tree = tree
+        self._bootstrap = bootstrap_key_hash
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that these handlers serve."""
+        return [
+            web.get("/v1/settings", self.show),
+            web.patch("/v1/settings", self.edit),
+            web.get("/v1/settings/explain", self.explain),
+            web.get("/v1/audit", self.audit),
+            web.get("/v1/status", self.status),
+            web.post("/v1/members", self.members),
+        ]
+
+    def authorize(self, request: web.Request, write: bool) -> str:
+        """Return the operator whose key a request carries.
+
+        Raises
+        ------
+        OperatorError
+            If the key is unknown or may not do this.
+        """
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        key_hash = hash_key(key.strip()) if scheme.lower() == "bearer" else ""
+        operators = self._tree().operators
+        if key_hash in operators:
+            name, role = operators[key_hash]
+            if write and role != "operator":
+                raise OperatorError(403, "forbidden", f"{name} may only read")
+            return name
+        no_operator = all(role != "operator" for _, role in operators.values())
+        if key_hash and key_hash == self._bootstrap and no_operator:
+            return "bootstrap"
+        raise OperatorError(401, "invalid_key", "the operator key is not known")
+
+    @_answering
+    async def show(self, request: web.Request) -> web.StreamResponse:
+        """Return the settings in force here, nested or flat."""
+        self.authorize(request, write=False)
+        tree = self._tree()
+        flat = request.query.get("form") == "flat"
+        values = dict(tree.values) if flat else to_document(tree.values)
+        body = {"revision": tree.revision, "settings": values}
+        return _reply(body, headers={"ETag": f'"{tree.revision}"'})
+
+    @_answering
+    async def edit(self, request: web.Request) -> web.StreamResponse:
+        """Have an edit accepted by quorum."""
+        author = self.authorize(request, write=True)
+        raw = await request.content.read(MAX_EDIT_BYTES + 1)
+        while not request.content.at_eof() and len(raw) <= MAX_EDIT_BYTES:
+            raw += await request.content.read(MAX_EDIT_BYTES + 1 - len(raw))
+        if len(raw) > MAX_EDIT_BYTES:
+            raise OperatorError(413, "body_too_large", "the edit is too large")
+        body = msgspec.json.decode(raw, type=EditBody)
+        command = EditCommand(
+            edit_id=body.edit_id or uuid.uuid4().hex,
+            base_revision=_base_revision(request, body),
+            changes=body.changes,
+            author=author,
+            source=request.remote or "",
+            at=time.time(),
+        )
+        result = await self._control.propose(command, EDIT_TIMEOUT_S)
+        assert isinstance(result, EditResult)
+        return _edit_response(command.edit_id, result)
+
+    @_answering
+    async def explain(self, request: web.Request) -> web.StreamResponse:
+        """Return what is in force at a path and where it comes from."""
+        self.authorize(request, write=False)
+        path = request.query.get("path", "")
+        origin = self._tree().explain_path(path)
+        return _reply({"path": path, "value": origin.value, "from": origin.path})
+
+    @_answering
+    async def audit(self, request: web.Request) -> web.StreamResponse:
+        """Return part of the audit trail."""
+        self.authorize(request, write=False)
+        since = _number(request, "since", 0)
+        limit = min(MAX_AUDIT, _number(request, "limit", 100))
+        answer = await self._control.request(AuditRequest(since, limit), EDIT_TIMEOUT_S)
+        assert isinstance(answer, AuditAnswer)
+        return _reply({"records": answer.records})
+
+    @_answering
+    async def status(self, request: web.Request) -> web.StreamResponse:
+        """Return what each control instance knows, and who lags."""
+        self.authorize(request, write=False)
+        controls: dict[str, object] = {}
+        newest = self._tree().revision
+        for address in self._control.addresses:
+            controls[address] = answer = await self._status_of(address)
+            if isinstance(answer, StatusAnswer):
+                newest = max(newest, answer.revision)
+        return _reply({"revision": newest, "controls": controls})
+
+    @_answering
+    async def members(self, request: web.Request) -> web.StreamResponse:
+        """Add, promote or remove a replica of the log."""
+        author = self.authorize(request, write=True)
+        body = msgspec.json.decode(await request.read(), type=MembersBody)
+        change = MembersRequest(
+            body.action,
+            body.node_id,
+            body.address,
+            body.availability_zone,
+            author,
+            request.remote or "",
+        )
+        answer = await self._ask_once(change)
+        assert isinstance(answer, MembersAnswer)
+        return _reply({"members": answer.members})
+
+    async def _ask_once(self, change: Request) -> object:
+        # A membership change is not repeated blindly: the operator looks first.
+        return await self._control.request(change, EDIT_TIMEOUT_S)
+
+    async def _status_of(self, address: str) -> object:
+        try:
+            return await self._control.ask(address, StatusRequest(), STATUS_TIMEOUT_S)
+        except MessagingError as error:
+            return {"unreachable": f"{type(error).__name__}: {error}"}
+
+
+def _base_revision(request: web.Request, body: EditBody) -> int:
+    if body.base_revision is not None:
+        return body.base_revision
+    tag = request.headers.get("If-Match", "").strip('"')
+    if not tag.isdecimal():
+        raise OperatorError(
+            428, "base_revision_missing", "name base_revision, or send If-Match with the ETag"
+        )
+    return int(tag)
+
+
+def _edit_response(edit_id: str, result: EditResult) -> web.Response:
+    statuses = {EditStatus.ACCEPTED: 200, EditStatus.CONFLICT: 409, EditStatus.INVALID: 422}
+    body = {
+        "edit_id": edit_id,
+        "status": result.status.value,
+        "revision": result.revision,
+        "problems": result.problems,
+        "winner": result.winner,
+    }
+    return _reply(body, statuses[result.status], {"ETag": f'"{result.revision}"'})
+
+
+def _number(request: web.Request, name: str, default: int) -> int:
+    text = request.query.get(name, str(default))
+    if not text.isdecimal():
+        raise OperatorError(400, "invalid_query", f"{name} must be a whole number")
+    return int(text)
+
+
+def _reply(body: Any, status: int = 200, headers: Any = None) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body),
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def _error(error: OperatorError) -> web.Response:
+    detail = {"code": error.code, "message": error.message, **error.details}
+    return _reply({"error": detail}, error.status)
--- /dev/null
+++ b/reachlink/control/_protocol.py
@@ -0,0 +1,144 @@
+"""Requests that control instances answer over the bus, and their answers."""
+
+import msgspec
+
+from reachlink.agreement import Member
+from reachlink.control._commands import AuditRecord, Command, Result
+from reachlink.membership import SettingsAnswer
+
+CHANNEL_LOG = "log"
+CHANNEL_CONTROL = "control"
+
+
+class ProposeRequest(msgspec.Struct, tag="propose", frozen=True):
+    """Add a command to the log; `forwarded` by another control instance."""
+
+    command: Command
+    forwarded: bool = False
+
+
+class WatchRequest(msgspec.Struct, tag="watch", frozen=True):
+    """Ask for settings newer than `revision`, waiting up to `wait_s` for them.
+
+    With `fresh` the answer covers everything accepted before the request.
+    """
+
+    instance: str
+    revision: int
+    wait_s: float
+    fresh: bool = False
+
+
+class BarrierRequest(msgspec.Struct, tag="barrier", frozen=True):
+    """Ask the leader for an index that covers everything committed so far."""
+
+
+class AuditRequest(msgspec.Struct, tag="audit", frozen=True):
+    """Ask for audit records after a sequence number."""
+
+    since: int
+    limit: int
+
+
+class MembersRequest(msgspec.Struct, tag="members", frozen=True):
+    """Add, promote or remove one replica of the log."""
+
+    action: str
+    node_id: str
+    address: str = ""
+    availability_zone: str = ""
+    author: str = ""
+    source: str = ""
+    forwarded: bool = False
+
+
+class StatusRequest(msgspec.Struct, tag="status", frozen=True):
+    """Ask what this control instance knows of the log and of the daemons."""
+
+
+Request = (
+    ProposeRequest | WatchRequest | BarrierRequest | AuditRequest | MembersRequest | StatusRequest
+)
+
+
+class ProposeAnswer(msgspec.Struct, tag="proposed", frozen=True):
+    """Result of a command that was committed and applied."""
+
+    result: Result
+
+
+class RefusedAnswer(msgspec.Struct, tag="refused", frozen=True):
+    """Nothing was done; `leader` is the address to ask, if known."""
+
+    reason: str
+    leader: str = ""
+
+
+class LostAnswer(msgspec.Struct, tag="lost", frozen=True):
+    """It may have been done or not."""
+
+    reason: str
+
+
+class BarrierAnswer(msgspec.Struct, tag="barred", frozen=True):
+    """Index that covers everything committed before the request."""
+
+    index: int
+
+
+class AuditAnswer(msgspec.Struct, tag="audited", frozen=True):
+    """Part of the audit trail."""
+
+    records: list[AuditRecord]
+
+
+class ReplicaStatus(msgspec.Struct, frozen=True):
+    """A replica of the log as the leader, or it itself, sees it."""
+
+    node_id: str
+    address: str
+    availability_zone: str
+    voting: bool
+    match_index: int
+    silent_s: float
+
+
+class WatcherStatus(msgspec.Struct, frozen=True):
+    """A daemon that watches the settings, with its revision in force."""
+
+    instance: str
+    revision: int
+    silent_s: float
+
+
+class StatusAnswer(msgspec.Struct, tag="state", frozen=True):
+    """What one control instance knows."""
+
+    node_id: str
+    role: str
+    term: int
+    leader: str
+    commit: int
+    applied: int
+    revision: int
+    disk_bytes: int
+    replicas: list[ReplicaStatus]
+    watchers: list[WatcherStatus]
+
+
+class MembersAnswer(msgspec.Struct, tag="changed", frozen=True):
+    """The membership after a change."""
+
+    members: list[Member]
+
+
+Answer = (
+    ProposeAnswer
+    | RefusedAnswer
+    | LostAnswer
+    | SettingsAnswer
+    | BarrierAnswer
+    | AuditAnswer
+    | StatusAnswer
+    | MembersAnswer
+)
--- /dev/null
+++ b/reachlink/control/_server.py
@@ -0,0 +1,283 @@
+"""Answers the requests of `_protocol` from one replica of the log."""
+
+import asyncio
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from reachlink.agreement import (
+    AgreementError,
+    Member,
+    MembershipChangeError,
+    NotLeaderError,
+    ProposalLostError,
+    ReplicaService,
+    Storage,
+)
+from reachlink.control._commands import NoteCommand
+from reachlink.control._machine import ControlMachine
+from reachlink.control._protocol import (
+    CHANNEL_CONTROL,
+    Answer,
+    AuditAnswer,
+    AuditRequest,
+    BarrierAnswer,
+    BarrierRequest,
+    LostAnswer,
+    MembersAnswer,
+    MembersRequest,
+    ProposeAnswer,
+    ProposeRequest,
+    RefusedAnswer,
+    ReplicaStatus,
+    Request,
+    StatusAnswer,
+    StatusRequest,
+    WatcherStatus,
+    WatchRequest,
+)
+from reachlink.kernel import Clock
+from reachlink.membership import SettingsAnswer
+from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
+
+FORWARD_TIMEOUT_S = 3.0
+BARRIER_TIMEOUT_S = 1.5
+MEMBERS_TIMEOUT_S = 5.0
+WATCHER_FORGOTTEN_S = 60.0
+
+
+@dataclass(slots=True)
+class _Watcher:
+    revision: int
+    seen_at: float
+
+
+class ControlServer:
+    """Serves entry daemons, operators and the other control instances.
+
+    Parameters
+    ----------
+    service : ReplicaService
+        The replica of the log.
+    machine : ControlMachine
+        Its state.
+    storage : Storage
+        Its data folder.
+    bus : Bus
+        For forwarding to the leader.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        service: ReplicaService,
+        machine: ControlMachine,
+        storage: Storage,
+        bus: Bus,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._machine = machine
+        self._storage = storage
+        self._bus = bus
+        self._clock = clock
+        self._watchers: dict[str, _Watcher] = {}
+        self._changed = asyncio.Event()
+
+    async def handle(self, sender: str, body: bytes) -> bytes:
+        """Answer one request from the bus."""
+        return encode(await self.answer(decode(body, Request)))  # type: ignore[arg-type]
+
+    @singledispatchmethod
+    async def answer(self, request: Request) -> Answer:
+        """Answer one request.
+
+        Parameters
+        ----------
+        request : Request
+            Any of the request types.
+
+        Returns
+        -------
+        Answer
+            Its answer, or `RefusedAnswer` or `LostAnswer`.
+        """
+        raise TypeError(f"unknown request {type(request).__name__}")
+
+    @answer.register
+    async def _(self, request: ProposeRequest) -> Answer:
+        if not self._service.core.is_leader and not request.forwarded:
+            return await self._forward(ProposeRequest(request.command, forwarded=True))
+        try:
+            return ProposeAnswer(await self._service.propose(encode(request.command)))
+        except NotLeaderError as error:
+            return RefusedAnswer(str(error), self._leader_address())
+        except ProposalLostError as error:
+            return LostAnswer(str(error))
+
+    @answer.register
+    async def _(self, request: WatchRequest) -> Answer:
+        now = self._clock.monotonic()
+        self._watchers[request.instance] = _Watcher(request.revision, now)
+        fresh = request.fresh and await self._catch_up()
+        deadline = now + request.wait_s
+        while self._machine.tree.revision <= request.revision:
+            left = deadline - self._clock.monotonic()
+            if left <= 0 or not await self._wait_change(left):
+                break
+        return self._settings_since(request.revision, fresh)
+
+    @answer.register
+    async def _(self, request: BarrierRequest) -> Answer:
+        try:
+            return BarrierAnswer(await self._service.barrier(BARRIER_TIMEOUT_S))
+        except NotLeaderError as error:
+            return RefusedAnswer(str(error), self._leader_address())
+
+    @answer.register
+    async def _(self, request: AuditRequest) -> Answer:
+        return AuditAnswer(self._machine.audit.since(request.since, request.limit))
+
+    @answer.register
+    async def _(self, request: MembersRequest) -> Answer:
+        if not self._service.core.is_leader and not request.forwarded:
+            return await self._forward(_forwarded(request))
+        try:
+            return await self._change_members(request)
+        except ProposalLostError as error:
+            return LostAnswer(str(error))
+        except AgreementError as error:
+            return RefusedAnswer(str(error), self._leader_address())
+
+    @answer.register
+    async def _(self, request: StatusRequest) -> Answer:
+        state = self._service.core.state
+        return StatusAnswer(
+            node_id=state.node_id,
+            role=state.role.value,
+            term=state.term,
+            leader=state.leader,
+            commit=state.commit,
+            applied=self._service.applied,
+            revision=self._machine.tree.revision,
+            disk_bytes=self._storage.size_bytes(),
+            replicas=self._replica_statuses(),
+            watchers=self._watcher_statuses(),
+        )
+
+    def on_applied(self) -> None:
+        """Wake every watcher: the state may have changed."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _wait_change(self, timeout_s: float) -> bool:
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _forward(self, request: Request) -> Answer:
+        address = self._leader_address()
+        if not address:
+            return RefusedAnswer("there is no leader now")
+        try:
+            raw = await self._bus.call(address, CHANNEL_CONTROL, encode(request), FORWARD_TIMEOUT_S)
+            return decode(raw, Answer)  # type: ignore[arg-type]
+        except PeerUnreachableError as error:
+            return RefusedAnswer(f"the leader cannot be reached: {error}")
+        except MessagingError as error:
+            return LostAnswer(f"the leader did not answer: {error}")
+
+    async def _catch_up(self) -> bool:
+        """Apply everything committed before now; return whether that was possible."""
+        if self._service.core.is_leader:
+            answer = await self.answer(BarrierRequest())
+        else:
+            answer = await self._forward(BarrierRequest())
+        if not isinstance(answer, BarrierAnswer):
+            return False
+        return await self._service.wait_applied(answer.index, BARRIER_TIMEOUT_S)
+
+    def _settings_since(self, revision: int, fresh: bool) -> SettingsAnswer:
+        tree = self._machine.tree
+        if tree.revision <= revision:
+            return SettingsAnswer(tree.revision, fresh)
+        deltas = self._machine.deltas_since(revision)
+        if deltas is not None:
+            return SettingsAnswer(tree.revision, fresh, deltas)
+        return SettingsAnswer(tree.revision, fresh, values=dict(tree.values))
+
+    async def _change_members(self, request: MembersRequest) -> Answer:
+        members = _changed(self._service.core.state.members, request)
+        detail = f"{request.action} {request.node_id} {request.address}".strip()
+        note = NoteCommand("members", request.author, request.source, detail, self._clock.wall())
+        await self._service.propose(encode(note))
+        await self._service.change_members(members, MEMBERS_TIMEOUT_S)
+        return MembersAnswer(members)
+
+    def _leader_address(self) -> str:
+        state = self._service.core.state
+        found = [m.address for m in state.members if m.node_id == state.leader]
+        return found[0] if found else ""
+
+    def _replica_statuses(self) -> list[ReplicaStatus]:
+        state = self._service.core.state
+        now = self._clock.monotonic()
+        statuses: list[ReplicaStatus] = []
+        for member in state.members:
+            progress = state.progress.get(member.node_id)
+            own = member.node_id == state.node_id
+            match = state.log.last_index if own else progress.match_index if progress else -1
+            silent = 0.0 if own else now - progress.heard_at if progress else -1.0
+            statuses.append(
+                ReplicaStatus(
+                    member.node_id,
+                    member.address,
+                    member.availability_zone,
+                    member.voting,
+                    match,
+                    min(silent, 1e9),
+                )
+            )
+        return statuses
+
+    def _watcher_statuses(self) -> list[WatcherStatus]:
+        now = self._clock.monotonic()
+        for name, watcher in list(self._watchers.items()):
+            if now - watcher.seen_at > WATCHER_FORGOTTEN_S:
+                del self._watchers[name]
+        return [
+            WatcherStatus(name, watcher.revision, now - watcher.seen_at)
+            for name, watcher in sorted(self._watchers.items())
+        ]
+
+
+def _forwarded(request: MembersRequest) -> MembersRequest:
+    return MembersRequest(
+        request.action,
+        request.node_id,
+        request.address,
+        request.availability_zone,
+        request.author,
+        request.source,
+        forwarded=True,
+    )
+
+
+def _changed(members: list[Member], request: MembersRequest) -> list[Member]:
+    """Return the membership after adding, promoting or removing one replica."""
+    others = [m for m in members if m.node_id != request.node_id]
+    held = next((m for m in members if m.node_id == request.node_id), None)
+    if request.action == "add":
+        if held is not None:
+            raise MembershipChangeError(f"{request.node_id} is a member already")
+        added = Member(request.node_id, request.address, request.availability_zone, False)
+        return [*others, added]
+    if held is None:
+        raise MembershipChangeError(f"{request.node_id} is not a member")
+    if request.action == "remove":
+        return others
+    if request.action == "promote":
+        return [*others, Member(held.node_id, held.address, held.availability_zone, True)]
+    raise MembershipChangeError(f"unknown action {request.action!r}: use add, promote or remove")
--- /dev/null
+++ b/reachlink/delivery/_stream.py
@@ -0,0 +1,174 @@
+"""The delivery state machine of one answer; pure.
+
+Events of the upstream go in, steps for the shell come out. Whatever the
+order, repetition or loss of events, each token is forwarded once, in order,
+and all tokens come from one generation.
+
+References
+----------
+.. [1] HTML Living Standard, "Server-sent events", for ``Last-Event-ID``.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from reachlink.delivery._outcomes import Outcome
+from reachlink.upstreams import TokenEvent
+
+
+@dataclass(slots=True, frozen=True)
+class Forward:
+    """Pass these events on to the caller."""
+
+    events: Sequence[TokenEvent]
+
+
+@dataclass(slots=True, frozen=True)
+class Finish:
+    """The answer is whole."""
+
+
+@dataclass(slots=True, frozen=True)
+class Resume:
+    """Ask the engine for the generation from `offset` on."""
+
+    generation: str
+    offset: int
+
+
+@dataclass(slots=True, frozen=True)
+class Regenerate:
+    """Drop what is buffered and dispatch the request anew, elsewhere."""
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """End the answer with an error."""
+
+    outcome: Outcome
+    reason: str
+
+
+Step = Forward | Finish | Resume | Regenerate | Fail
+
+
+@dataclass(slots=True)
+class Delivery:
+    """State of one answer.
+
+    Parameters
+    ----------
+    request_id : str
+        The request that every event must name.
+    repeatable : bool
+        Whether the request may run more than once.
+    buffered : bool
+        Whether the caller wants a whole answer, so that nothing reaches it
+        before the end and the generation may be replaced until then.
+    max_resumes : int
+        How often a link may be resumed without a new token in between.
+    """
+
+    request_id: str
+    repeatable: bool
+    buffered: bool = False
+    max_resumes: int = 4
+    generation: str = ""
+    next_offset: int = 0
+    finished: bool = False
+    forwarded: int = 0
+    repeats: int = 0
+    foreign: int = 0
+    gaps: int = 0
+    last_break: str = ""
+    _resumes: int = field(default=0)
+
+    def bind(self, generation: str) -> None:
+        """Take every further event from this generation only."""
+        self.generation = generation
+        self._resumes = 0
+
+    def start_at(self, generation: str, offset: int) -> None:
+        """Continue an answer of which the caller has the events before `offset`."""
+        self.bind(generation)
+        self.next_offset = offset
+        self.forwarded = offset
+
+    @property
+    def fruitless_resumes(self) -> int:
+        """How often the link was resumed since the last new token."""
+        return self._resumes
+
+    def on_events(self, events: Sequence[TokenEvent]) -> list[Step]:
+        """Take a batch of events as it came.
+
+        Returns
+        -------
+        list of Step
+            `Forward` with the events that continue the answer, and `Finish`
+            after the final one, or `Resume` where events are missing.
+        """
+        ready: list[TokenEvent] = []
+        gap = False
+        for event in events:
+            if self.finished or not self._is_own(event):
+                continue
+            if event.offset < self.next_offset:
+                self.repeats += 1
+            elif event.offset > self.next_offset:
+                gap = True
+                break
+            else:
+                ready.append(event)
+                self.next_offset += 1
+                self.finished = event.final
+        return self._after(ready, gap)
+
+    def on_broken(self, reason: str) -> list[Step]:
+        """The link stalled, broke, or ended early."""
+        self.last_break = reason
+        if self.finished:
+            return []
+        if not self.generation:
+            return [self._lost(reason)]
+        self._resumes += 1
+        if self._resumes > self.max_resumes:
+            return [self._lost(reason)]
+        return [Resume(self.generation, self.next_offset)]
+
+    def on_generation_lost(self, reason: str) -> list[Step]:
+        """The engine that held the generation is gone or has dropped it."""
+        self.last_break = reason
+        if self.finished:
+            return []
+        return [self._lost(reason)]
+
+    def _is_own(self, event: TokenEvent) -> bool:
+        if event.generation == self.generation and event.request_id == self.request_id:
+            return True
+        self.foreign += 1
+        return False
+
+    def _after(self, ready: list[TokenEvent], gap: bool) -> list[Step]:
+        steps: list[Step] = []
+        if ready:
+            self._resumes = 0
+            self.forwarded += len(ready)
+            steps.append(Forward(ready))
+        if self.finished:
+            steps.append(Finish())
+        elif gap:
+            self.gaps += 1
+            steps.extend(self.on_broken("events are missing"))
+        return steps
+
+    def _lost(self, reason: str) -> Step:
+        untouched = self.buffered or self.forwarded == 0
+        if self.repeatable and untouched:
+            self.generation = ""
+            self.next_offset = 0
+            self.forwarded = 0
+            self._resumes = 0
+            return Regenerate()
+        outcome = Outcome.RAN if self.forwarded else Outcome.UNKNOWN
+        return Fail(outcome, reason)
--- /dev/null
+++ b/reachlink/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Allows ``python -m reachlink.entry``."""
+
+from reachlink.entry import main
+
+main()
--- /dev/null
+++ b/reachlink/entry/_answers.py
@@ -0,0 +1,379 @@
+"""Drives one generation from placement to the end of its answer."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from reachlink.delivery import (
+    Delivery,
+    Fail,
+    Finish,
+    Forward,
+    Outcome,
+    Position,
+    Regenerate,
+    Resume,
+    StallDetector,
+    Step,
+)
+from reachlink.entry._dispatcher import Ticket
+from reachlink.entry._node import EntryNode
+from reachlink.entry.exceptions import RequestError
+from reachlink.limits import backoff_s
+from reachlink.membership import LeavingSource
+from reachlink.settings import ServiceInfo, ServicePolicy
+from reachlink.upstreams import (
+    EngineAdapter,
+    GenerationRequest,
+    GenerationUnknownError,
+    Replica,
+    TokenEvent,
+    TokenStream,
+    UpstreamBrokenError,
+    UpstreamError,
+    UpstreamRefusedError,
+    UpstreamUnreachableError,
+)
+
+MAX_ATTEMPTS = 4
+RESUME_TIMEOUT_S = 3.0
+RESUME_PAUSE_S = 0.2
+
+
+class Sink(Protocol):
+    """Where the events of an answer go."""
+
+    async def begin(self, position: Position) -> None:
+        """The answer comes from this generation; called again for a new one."""
+
+    async def forward(self, events: Sequence[TokenEvent]) -> None:
+        """Take the next events."""
+
+    async def restart(self) -> None:
+        """Drop what was taken: another generation begins."""
+
+
+@dataclass(slots=True)
+class AnswerJob:
+    """All that stays the same over the attempts of one request."""
+
+    request_id: str
+    service: ServiceInfo
+    policy: ServicePolicy
+    workspace: str
+    ticket: Ticket
+    request: GenerationRequest
+    repeatable: bool
+    buffered: bool
+    started_at: float = field(default_factory=time.monotonic)
+
+
+class _LostError(Exception):
+    """The generation cannot be continued."""
+
+
+class AnswerRun:
+    """One answer, over as many attempts as it takes.
+
+    Parameters
+    ----------
+    node : EntryNode
+        The entry instance.
+    job : AnswerJob
+        The request.
+    sink : Sink
+        Where events go.
+    """
+
+    def __init__(self, node: EntryNode, job: AnswerJob, sink: Sink) -> None:
+        self._node = node
+        self._job = job
+        self._sink = sink
+        self._adapter: EngineAdapter = node.adapter(job.service.adapter)
+        self._delivery = Delivery(job.request_id, job.repeatable, job.buffered)
+        self._replica: Replica | None = None
+        self._rhythm = StallDetector()
+
+    @property
+    def job(self) -> AnswerJob:
+        """The request."""
+        return self._job
+
+    @property
+    def delivery(self) -> Delivery:
+        """State of the answer."""
+        return self._delivery
+
+    async def run(self) -> None:
+        """Deliver a new answer.
+
+        Raises
+        ------
+        RequestError
+            If it cannot be delivered whole.
+        """
+        try:
+            for attempt in range(1, MAX_ATTEMPTS + 1):
+                stream = await self._dispatch(attempt)
+                if stream is None:
+                    continue
+                if await self._deliver(stream):
+                    return
+                await self._before_retry(attempt, "the generation was lost")
+            raise RequestError(502, "upstream_failed", "every attempt failed", self._outcome(), 1.0)
+        finally:
+            self._leave()
+
+    async def resume(self, position: Position, replica: Replica) -> None:
+        """Continue an answer that the caller has up to a position.
+
+        Raises
+        ------
+        RequestError
+            If the rest cannot be delivered.
+        """
+        self._replica = replica
+        self._delivery.start_at(position.generation, position.offset + 1)
+        ticket = self._job.ticket
+        ticket.flight = self._node.ledger.place(ticket.key, replica.name, 0)
+        try:
+            await self._sink.begin(position)
+            if not await self._follow(await self._reopen_or_fail()):
+                raise RequestError(502, "upstream_failed", "the answer is lost", Outcome.RAN)
+        finally:
+            self._leave()
+
+    async def _reopen_or_fail(self) -> TokenStream:
+        try:
+            return await self._reopen(self._delivery.next_offset)
+        except _LostError as error:
+            raise RequestError(
+                410, "answer_lost", f"the rest is not available: {error}", Outcome.RAN
+            ) from error
+
+    async def _dispatch(self, attempt: int) -> TokenStream | None:
+        """Place and dispatch; None where the request did not run and may try again."""
+        job = self._job
+        replica = await self._place()
+        if attempt == 1:
+            self._node.budget(job.service.upstream).on_first_attempt(job.policy.retry_share)
+        health = self._node.ledger.replica(replica.name).health
+        try:
+            stream = await self._adapter.open(replica, job.request)
+        except UpstreamUnreachableError as error:
+            health.on_failure(time.monotonic(), self._node.random)
+            await self._not_run(attempt, str(error))
+            return None
+        except UpstreamRefusedError as error:
+            self._note_refusal(replica, error)
+            await self._not_run(attempt, error.message)
+            return None
+        except UpstreamBrokenError as error:
+            health.on_failure(time.monotonic(), self._node.random)
+            return await self._after_broken_dispatch(attempt, replica, str(error))
+        self._delivery.bind(stream.generation)
+        await self._sink.begin(self._position())
+        return stream
+
+    async def _place(self) -> Replica:
+        job, node = self._job, self._node
+        self._leave()
+        decision = await node.dispatcher(job.service).place(job.ticket)
+        node.explain(job.request_id, decision)
+        replica = node.directory.find(decision.replica)
+        if replica is None or not node.directory.may_get_work(decision.replica):
+            raise RequestError(503, "no_replica", "the chosen replica left", Outcome.NOT_RUN, 0.5)
+        self._replica = replica
+        node.ledger.replica(replica.name).cache.stored(job.ticket.blocks)
+        return replica
+
+    def _note_refusal(self, replica: Replica, error: UpstreamRefusedError) -> None:
+        if error.leaving:
+            self._node.directory.mark_leaving(replica.name, LeavingSource.REFUSAL, time.monotonic())
+        if error.final:
+            raise RequestError(error.status, error.code, error.message, Outcome.NOT_RUN)
+
+    async def _not_run(self, attempt: int, reason: str) -> None:
+        """The attempt did not run: try elsewhere within the budget."""
+        await self._before_retry(attempt, reason)
+
+    async def _before_retry(self, attempt: int, reason: str) -> None:
+        replica, job = self._replica, self._job
+        self._leave()
+        if replica is not None:
+            job.ticket.excluded.add(replica.name)
+        if attempt >= MAX_ATTEMPTS or not self._node.budget(job.service.upstream).take():
+            raise RequestError(502, "upstream_failed", reason, self._outcome(), 1.0)
+        self._node.metrics.retries.add(1, {"service": job.service.name})
+        await asyncio.sleep(backoff_s(attempt, self._node.random))
+
+    def _outcome(self) -> Outcome:
+        """Return what is known of earlier attempts: none of them ran, or one may have."""
+        return Outcome.UNKNOWN if self._delivery.generation else Outcome.NOT_RUN
+
+    async def _after_broken_dispatch(
+        self, attempt: int, replica: Replica, reason: str
+    ) -> TokenStream | None:
+        """The request may run: look for its generation before anything else."""
+        with contextlib.suppress(UpstreamError):
+            info = await self._adapter.find(replica, self._job.request_id)
+            self._delivery.bind(info.generation)
+            await self._sink.begin(self._position())
+            return await self._adapter.resume(replica, info.generation, 0)
+        if not self._job.repeatable:
+            raise RequestError(502, "upstream_broken", reason, Outcome.UNKNOWN)
+        await self._before_retry(attempt, reason)
+        return None
+
+    async def _deliver(self, stream: TokenStream) -> bool:
+        """Follow a new generation; False where it must be generated anew."""
+        done = await self._follow(stream)
+        if not done:
+            await self._sink.restart()
+        return done
+
+    async def _follow(self, stream: TokenStream) -> bool:
+        """Carry out the steps of the delivery until its end."""
+        while True:
+            generation = self._delivery.generation
+            try:
+                steps = await self._read(stream)
+            finally:
+                # Also when the caller is gone: an open link keeps its generation.
+                stream.close()
+            step = steps[-1]
+            self._log_step(step)
+            if isinstance(step, Finish):
+                self._succeed()
+                return True
+            while isinstance(step, Resume):
+                try:
+                    stream = await self._reopen(step.offset)
+                    break
+                except _LostError as error:
+                    step = self._delivery.on_generation_lost(str(error))[0]
+            if isinstance(step, Regenerate):
+                self._count_failure()
+                self._cancel_later(generation)
+                return False
+            if isinstance(step, Fail):
+                self._count_failure()
+                raise RequestError(502, "stream_lost", step.reason, step.outcome)
+
+    def _log_step(self, step: Step) -> None:
+        if isinstance(step, Finish):
+            return
+        self._node.log.info(
+            "stream_interrupted",
+            request_id=self._job.request_id,
+            replica=self._replica.name if self._replica else "",
+            step=type(step).__name__.lower(),
+            reason=self._delivery.last_break,
+            offset=self._delivery.next_offset,
+        )
+
+    async def _read(self, stream: TokenStream) -> list[Step]:
+        """Read until a step other than `Forward` is due."""
+        batches = stream.batches()
+        self._rhythm.start(time.monotonic())
+        while True:
+            try:
+                async with asyncio.timeout(self._rhythm.patience_s()):
+                    events = await anext(batches)
+            except TimeoutError:
+                return self._delivery.on_broken("the stream stalled")
+            except StopAsyncIteration:
+                return self._delivery.on_broken("the stream ended early")
+            except UpstreamBrokenError as error:
+                return self._delivery.on_broken(str(error))
+            self._rhythm.on_batch(time.monotonic())
+            steps = self._delivery.on_events(events)
+            for step in steps:
+                if isinstance(step, Forward):
+                    await self._forward(step.events)
+            if steps and not isinstance(steps[-1], Forward):
+                return steps
+
+    async def _forward(self, events: Sequence[TokenEvent]) -> None:
+        delivery, flight = self._delivery, self._job.ticket.flight
+        if flight is not None:
+            if flight.tokens == 0:
+                wait = time.monotonic() - self._job.started_at
+                self._node.metrics.first_token.record(wait, {"service": self._job.service.name})
+            self._node.ledger.advance(flight, delivery.next_offset - int(delivery.finished))
+        await self._sink.forward(events)
+
+    async def _reopen(self, offset: int) -> TokenStream:
+        """Resume the generation; retry while its engine may still have it."""
+        replica = self._replica
+        assert replica is not None
+        self._node.metrics.resumes.add(1, {"service": self._job.service.name})
+        last = "unknown"
+        # The first resume goes out at once; an engine that gives nothing gets time.
+        await asyncio.sleep(RESUME_PAUSE_S * (self._delivery.fruitless_resumes - 1))
+        for attempt in range(1, self._delivery.max_resumes + 1):
+            try:
+                async with asyncio.timeout(RESUME_TIMEOUT_S):
+                    return await self._adapter.resume(replica, self._delivery.generation, offset)
+            except GenerationUnknownError as error:
+                raise _LostError("the engine dropped the generation") from error
+            except (UpstreamError, TimeoutError) as error:
+                last = str(error) or type(error).__name__
+            self._node.ledger.replica(replica.name).health.on_failure(
+                time.monotonic(), self._node.random
+            )
+            await asyncio.sleep(RESUME_PAUSE_S * attempt)
+        raise _LostError(f"the engine cannot be reached: {last}")
+
+    def _position(self) -> Position:
+        assert self._replica is not None
+        job = self._job
+        return Position(
+            job.service.name,
+            job.workspace,
+            self._replica.name,
+            self._delivery.generation,
+            job.request_id,
+            0,
+        )
+
+    def _succeed(self) -> None:
+        assert self._replica is not None
+        self._node.ledger.replica(self._replica.name).health.on_success(time.monotonic())
+        self._release(ended=True)
+
+    def _cancel_later(self, generation: str) -> None:
+        """Free the memory of a generation that another one replaces."""
+        replica = self._replica
+        if replica is not None and generation:
+            self._node.spawn(self._cancel(replica, generation))
+
+    async def _cancel(self, replica: Replica, generation: str) -> None:
+        with contextlib.suppress(UpstreamError):
+            await self._adapter.cancel(replica, generation, if_detached=True)
+
+    def _count_failure(self) -> None:
+        if self._replica is not None:
+            health = self._node.ledger.replica(self._replica.name).health
+            health.on_failure(time.monotonic(), self._node.random)
+
+    def _leave(self) -> None:
+        self._release(ended=False)
+
+    def _release(self, ended: bool) -> None:
+        """Count the generation out, and let waiting requests have its room."""
+        flight, self._job.ticket.flight = self._job.ticket.flight, None
+        if flight is not None:
+            self._node.ledger.finish(flight, ended)
+            self._node.pump()
+
+    async def abandon(self) -> None:
+        """The caller is gone: cancel the generation after the grace to reconnect."""
+        replica, generation = self._replica, self._delivery.generation
+        if replica is None or not generation or self._delivery.finished:
+            return
+        await asyncio.sleep(0.0 if self._node.draining else self._job.policy.grace_s)
+        await self._cancel(replica, generation)
--- /dev/null
+++ b/reachlink/entry/_chat.py
@@ -0,0 +1,283 @@
+"""Generations for callers: new, streamed or whole, and resumed."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from reachlink.delivery import Outcome, Position
+from reachlink.entry._admission import Admission
+from reachlink.entry._answers import AnswerJob, AnswerRun
+from reachlink.entry._chat_models import (
+    CHAT_PATH,
+    TEXT_PATH,
+    GenerationBody,
+    parse_body,
+    upstream_body,
+    whole_answer,
+)
+from reachlink.entry._claims import ClaimedKey
+from reachlink.entry._dispatcher import Ticket
+from reachlink.entry._http import (
+    MAX_BODY_BYTES,
+    REQUEST_HEADER,
+    json_response,
+    read_body,
+    require_workspace,
+)
+from reachlink.entry._node import EntryNode
+from reachlink.entry._sinks import BufferSink, StreamSink
+from reachlink.entry.exceptions import RequestError
+from reachlink.lengths import LengthKey
+from reachlink.placement import MemoryProfile, PlacementRequest
+from reachlink.settings import ServiceInfo, ServiceKind, ServicePolicy
+from reachlink.upstreams import GenerationRequest, digest_prompt
+
+EVENT_ID_HEADER = "Last-Event-ID"
+REPEATABLE_HEADER = "Reachlink-Repeatable"
+
+
+class ChatHandlers:
+    """Handlers of the OpenAI-compatible endpoints.
+
+    Parameters
+    ----------
+    node : EntryNode
+        The entry instance.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that these handlers serve."""
+        return [
+            web.post(CHAT_PATH, self.generate),
+            web.post(TEXT_PATH, self.generate),
+            web.get("/v1/models", self.models),
+            web.get("/v1/generations/{id}", self.resume),
+        ]
+
+    async def models(self, request: web.Request) -> web.Response:
+        """List the models."""
+        require_workspace(self._node, request)
+        services = self._node.tree.services.values()
+        data = [
+            {"id": service.model, "object": "model", "owned_by": "reachlink"}
+            for service in services
+            if service.kind is ServiceKind.MODEL
+        ]
+        return json_response({"object": "list", "data": data})
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Stream the rest of an answer."""
+        workspace = require_workspace(self._node, request)
+        position = self._node.positions.decode(request.match_info["id"])
+        return await self._resume(request, workspace, position)
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Run a generation, or go on with one that the caller has lost."""
+        node = self._node
+        workspace = require_workspace(node, request)
+        last_event = request.headers.get(EVENT_ID_HEADER)
+        if last_event:
+            position = node.positions.decode(last_event)
+            return await self._resume(request, workspace, position)
+        raw = await read_body(request, MAX_BODY_BYTES)
+        body = parse_body(raw, request.path)
+        service = self._service_of(body.model)
+        policy = node.tree.policy(service.name, workspace, node.zone)
+        if len(raw) > policy.body_bytes:
+            raise RequestError(
+                413, "body_too_large", f"limit is {policy.body_bytes} bytes", param="body"
+            )
+        job = self._job(request, service, policy, workspace, raw, body)
+        claim = ClaimedKey.from_request(node, request, job.repeatable, workspace, raw, policy)
+        with Admission(node, service.name, workspace, policy) as admission:
+            if claim is not None:
+                stored = await claim.claim()
+                if stored is not None:
+                    return stored
+            return await self._run(request, job, admission, claim, body)
+
+    def _service_of(self, model: str) -> ServiceInfo:
+        for service in self._node.tree.services.values():
+            if service.kind is ServiceKind.MODEL and model in (service.model, *service.versions):
+                return service
+        raise RequestError(404, "model_not_found", f"there is no model {model!r}", param="model")
+
+    def _job(
+        self,
+        request: web.Request,
+        service: ServiceInfo,
+        policy: ServicePolicy,
+        workspace: str,
+        raw: bytes,
+        body: GenerationBody,
+    ) -> AnswerJob:
+        node = self._node
+        digest = digest_prompt(body.prompt_text())
+        if digest.tokens > policy.prompt_tokens:
+            message = f"{digest.tokens} tokens, the limit is {policy.prompt_tokens}"
+            raise RequestError(413, "prompt_too_long", message, param="messages")
+        key = LengthKey(service.name, workspace)
+        repeatable = is_repeatable(request, policy)
+        ticket = Ticket(
+            key=key,
+            request=PlacementRequest(
+                profile=node.ledger.profile_of(key, digest.tokens),
+                prompt_tokens=digest.tokens,
+                expected_tokens=node.ledger.expected_tokens(key),
+                link_cost_ms=policy.link_cost_ms,
+                spill=policy.spill,
+            ),
+            blocks=digest.blocks,
+            workspace=workspace,
+            priority=policy.priority,
+            weight=policy.weight,
+            queue_length=policy.queue_length,
+            service_queue_length=node.tree.policy(service.name, "", node.zone).queue_length,
+            deadline=time.monotonic() + policy.queue_wait_s,
+            version=body.model,
+        )
+        return AnswerJob(
+            request_id=request["request_id"],
+            service=service,
+            policy=policy,
+            workspace=workspace,
+            ticket=ticket,
+            request=GenerationRequest(
+                request["request_id"],
+                request.path,
+                upstream_body(raw, body.model, policy.priority),
+            ),
+            repeatable=repeatable,
+            buffered=not body.stream,
+        )
+
+    async def _run(
+        self,
+        request: web.Request,
+        job: AnswerJob,
+        admission: Admission,
+        claim: ClaimedKey | None,
+        body: GenerationBody,
+    ) -> web.StreamResponse:
+        if body.stream:
+            sink = StreamSink(request, job.request_id, self._node.positions)
+            run = AnswerRun(self._node, job, sink)
+            return await self._stream(run, sink, admission, claim, run.run())
+        buffer = BufferSink()
+        run = AnswerRun(self._node, job, buffer)
+        outcome = Outcome.UNKNOWN
+        try:
+            await run.run()
+            outcome = Outcome.RAN
+        except RequestError as error:
+            outcome = error.outcome
+            raise
+        except (asyncio.CancelledError, ConnectionError):
+            self._node.spawn(run.abandon())
+            raise
+        finally:
+            admission.tokens = run.delivery.next_offset
+            self._count(job, outcome, run)
+            if claim is not None:
+                claim.complete_later(outcome, None)
+        answer = whole_answer(job.request_id, body.model, request.path, buffer.events)
+        return json_response(answer, headers={REQUEST_HEADER: job.request_id})
+
+    async def _stream(
+        self,
+        run: AnswerRun,
+        sink: StreamSink,
+        admission: Admission,
+        claim: ClaimedKey | None,
+        work: object,
+    ) -> web.StreamResponse:
+        outcome = Outcome.UNKNOWN
+        try:
+            await work  # type: ignore[misc]
+            outcome = Outcome.RAN
+        except RequestError as error:
+            outcome = error.outcome
+            if sink.response is None:
+                raise
+            await sink.fail(error)
+        except (asyncio.CancelledError, ConnectionError):
+            self._node.spawn(run.abandon())
+            raise
+        finally:
+            admission.tokens = run.delivery.next_offset
+            self._count(run.job, outcome, run)
+            if claim is not None:
+                claim.complete_later(outcome, None)
+        assert sink.response is not None
+        return sink.response
+
+    def _count(self, job: AnswerJob, outcome: Outcome, run: AnswerRun) -> None:
+        metrics, delivery = self._node.metrics, run.delivery
+        labels = {"service": job.service.name}
+        metrics.requests.add(1, {**labels, "outcome": outcome.value})
+        metrics.tokens.add(delivery.next_offset, labels)
+        if delivery.repeats:
+            metrics.repeats.add(delivery.repeats, labels)
+        if delivery.foreign:
+            metrics.foreign.add(delivery.foreign, labels)
+
+    async def _resume(
+        self, request: web.Request, workspace: str, position: Position
+    ) -> web.StreamResponse:
+        node = self._node
+        if position.workspace != workspace:
+            raise RequestError(403, "foreign_event_id", "the event id is another workspace's")
+        service = node.tree.services.get(position.service)
+        replica = node.directory.find(position.replica)
+        if service is None or replica is None:
+            raise RequestError(410, "answer_lost", "its upstream is gone", Outcome.RAN)
+        policy = node.tree.policy(service.name, workspace, node.zone)
+        job = self._resumed_job(service, policy, workspace, position)
+        sink = StreamSink(request, position.request_id, node.positions)
+        run = AnswerRun(node, job, sink)
+        with Admission(node, service.name, workspace, policy, counted=False) as admission:
+            return await self._stream(run, sink, admission, None, run.resume(position, replica))
+
+    def _resumed_job(
+        self, service: ServiceInfo, policy: ServicePolicy, workspace: str, position: Position
+    ) -> AnswerJob:
+        ticket = Ticket(
+            key=LengthKey(service.name, workspace),
+            request=PlacementRequest(MemoryProfile(), 0, 0.0),
+            blocks=(),
+            workspace=workspace,
+            priority=policy.priority,
+            weight=policy.weight,
+            queue_length=0,
+            service_queue_length=0,
+            deadline=0.0,
+        )
+        return AnswerJob(
+            request_id=position.request_id,
+            service=service,
+            policy=policy,
+            workspace=workspace,
+            ticket=ticket,
+            request=GenerationRequest(position.request_id, "", b""),
+            repeatable=False,
+            buffered=False,
+        )
+
+
+def is_repeatable(request: web.Request, policy: ServicePolicy) -> bool:
+    """Return whether a request may run more than once.
+
+    Raises
+    ------
+    RequestError
+        If the header has another value than ``yes`` or ``no``.
+    """
+    said = request.headers.get(REPEATABLE_HEADER, "").lower()
+    if said not in ("", "yes", "no"):
+        raise RequestError(400, "invalid_header", "use yes or no", param=REPEATABLE_HEADER)
+    # A caller can forbid repetition, but not allow what the settings forbid.
+    return policy.repeatable and said != "no"
--- /dev/null
+++ b/reachlink/entry/_config.py
@@ -0,0 +1,47 @@
+"""Configuration file of an entry daemon."""
+
+import msgspec
+
+
+class PeerConfig(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """Another entry instance."""
+
+    name: str
+    address: str
+    availability_zone: str
+
+
+class PlatformSource(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """Where the platform's list is."""
+
+    adapter: str = "http-json"
+    url: str
+    interval_s: float = 1.0
+
+
+class EntryConfig(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """What an entry daemon must know before it has any settings.
+
+    Addresses are ``host:port``. ``routes`` maps addresses to those to use in
+    their place. ``bootstrap_key_hash`` is the SHA-256 of a key that acts as an
+    operator until the settings name one.
+    """
+
+    name: str
+    availability_zone: str
+    host: str = "127.0.0.1"
+    port: int
+    bus_address: str
+    cluster_secret: str
+    controls: list[str]
+    peers: list[PeerConfig] = []
+    platform: PlatformSource
+    routes: dict[str, str] = {}
+    bootstrap_key_hash: str = ""
+    policy: str = "forecast"
+    balancer_delay_s: float = 2.0
+    digest_interval_s: float = 1.0
+    report_interval_s: float = 0.5
+    cache_interval_s: float = 2.0
+    explain_sample: float = 0.01
+    otlp_endpoint: str = ""
--- /dev/null
+++ b/reachlink/entry/_daemon.py
@@ -0,0 +1,220 @@
+"""The entry daemon: HTTP for callers and operators, and the background work."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from reachlink.control import OperatorHandlers
+from reachlink.entry._chat import ChatHandlers
+from reachlink.entry._config import EntryConfig
+from reachlink.entry._digests import Digest
+from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
+from reachlink.entry._http import error_middleware, json_response
+from reachlink.entry._node import EntryNode
+from reachlink.entry._plain import PlainHandlers
+from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
+from reachlink.messaging import decode, encode
+from reachlink.upstreams import EngineAdapter, LoadReport, Replica, UpstreamError
+
+CHANNEL_DIGEST = "digest"
+DRAIN_POLL_S = 0.05
+MAX_HEADER_BYTES = 16 << 10
+
+
+class EntryDaemon:
+    """One entry instance.
+
+    Parameters
+    ----------
+    config : EntryConfig
+        Configuration of the process.
+    """
+
+    def __init__(self, config: EntryConfig) -> None:
+        self._config = config
+        self._node = EntryNode(config)
+        self._follower = SettingsFollower(self._node)
+        self._platform = PLATFORMS.get(config.platform.adapter)(self._platform_url())
+        self._runner: web.AppRunner | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open sockets and start background work."""
+        node, config = self._node, self._config
+        node.bus.handle(CHANNEL_DIGEST, self._on_digest)
+        node.bus.handle(CHANNEL_SETTINGS, self._follower.answer_peer)
+        node.bus.bind(config.bus_address)
+        self._tasks = [
+            asyncio.create_task(self._follower.run()),
+            self._every(config.platform.interval_s, self._read_platform),
+            self._every(config.digest_interval_s, self._send_digests),
+            self._every(config.report_interval_s, self._read_reports),
+            self._every(config.cache_interval_s, self._read_caches),
+        ]
+        self._runner = web.AppRunner(
+            self._app(),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, config.host, config.port).start()
+        node.log.info("entry_started", address=f"{config.host}:{config.port}")
+
+    async def drain(self) -> None:
+        """Say not ready, let the balancer notice, and finish what runs."""
+        node = self._node
+        node.draining = True
+        node.log.info("draining", running=node.running_requests)
+        await asyncio.sleep(self._config.balancer_delay_s)
+        while node.running_requests or node.tasks:
+            await asyncio.sleep(DRAIN_POLL_S)
+        node.log.info("drained")
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        node = self._node
+        if node.running_requests:
+            node.log.warning("requests_cut", count=node.running_requests)
+        for task in self._tasks:
+            task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await node.client.close()
+        await self._platform.close()
+        node.bus.close()
+        node.metrics.close()
+
+    def _app(self) -> web.Application:
+        node = self._node
+        app = web.Application(middlewares=[error_middleware(node)])
+        operators = OperatorHandlers(
+            node.control, lambda: node.tree, self._config.bootstrap_key_hash
+        )
+        app.add_routes(
+            [
+                web.get("/healthz", self._health),
+                web.get("/readyz", self._readiness),
+                web.get("/metrics", self._metrics_page),
+                web.get("/v1/explain/{request_id}", self._explain),
+            ]
+        )
+        app.add_routes(ChatHandlers(node).routes())
+        app.add_routes(operators.routes())
+        # Last: it takes every path that nothing else has.
+        app.add_routes(PlainHandlers(node).routes())
+        return app
+
+    def _platform_url(self) -> str:
+        url = self._config.platform.url
+        for address, route in self._config.routes.items():
+            url = url.replace(f"//{address}/", f"//{route}/")
+        return url
+
+    def _every(self, interval_s: float, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        async def repeat() -> None:
+            while True:
+                started = time.monotonic()
+                await work()
+                passed = time.monotonic() - started
+                await asyncio.sleep(max(0.0, interval_s - passed))
+
+        return asyncio.create_task(repeat())
+
+    async def _read_platform(self) -> None:
+        node = self._node
+        try:
+            listed = await self._platform.instances()
+        except PlatformUnavailableError as error:
+            node.log.warning("platform_list_unavailable", reason=str(error))
+            return
+        node.directory.update(listed, time.monotonic())
+        node.ledger.forget({r.name for r in node.directory.all()})
+        node.pump()
+
+    async def _send_digests(self) -> None:
+        node = self._node
+        for name in node.drop_old_digests():
+            node.log.info("peer_silent", peer=name)
+        body = encode(node.digest())
+        for peer in self._config.peers:
+            node.bus.send(peer.address, CHANNEL_DIGEST, body)
+
+    async def _on_digest(self, sender: str, body: bytes) -> None:
+        digest = decode(body, Digest)
+        self._node.take_digest(digest)
+        if digest.revision > self._node.tree.revision:
+            addresses = [p.address for p in self._config.peers if p.name == digest.instance]
+            for address in addresses:
+                await self._follower.catch_up_from(address)
+
+    async def _read_reports(self) -> None:
+        await asyncio.gather(*(self._read_report(r) for r in self._node.directory.all()))
+        self._node.pump()
+
+    async def _read_report(self, replica: Replica) -> None:
+        node = self._node
+        adapter = self._adapter_of(replica)
+        if adapter is None:
+            return
+        try:
+            report: LoadReport = await adapter.load(replica)
+        except UpstreamError:
+            return
+        state = node.ledger.replica(replica.name)
+        # A report that stands still says nothing new, however often it is read.
+        if report.sequence != state.report.sequence or not report.sequence:
+            state.report, state.report_at = report, time.monotonic()
+        if report.leaving and node.directory.mark_leaving(
+            replica.name, LeavingSource.REPORT, time.monotonic()
+        ):
+            node.log.info("upstream_leaving", replica=replica.name, source="report")
+
+    async def _read_caches(self) -> None:
+        await asyncio.gather(*(self._read_cache(r) for r in self._node.directory.all()))
+
+    async def _read_cache(self, replica: Replica) -> None:
+        adapter = self._adapter_of(replica)
+        if not isinstance(adapter, EngineAdapter):
+            return
+        index = self._node.ledger.replica(replica.name).cache
+        with contextlib.suppress(UpstreamError):
+            for change in await adapter.cache_changes(replica, index.sequence):
+                index.sequence = max(index.sequence, change.sequence)
+                if change.stored:
+                    index.stored([change.block])
+                else:
+                    index.evicted(change.block)
+
+    def _adapter_of(self, replica: Replica):  # type: ignore[no-untyped-def]
+        for service in self._node.tree.services.values():
+            if service.upstream == replica.upstream:
+                return self._node.adapter(service.adapter)
+        return None
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return json_response(
+            {"instance": self._config.name, "running": self._node.running_requests}
+        )
+
+    async def _readiness(self, request: web.Request) -> web.Response:
+        node = self._node
+        if node.draining:
+            return json_response({"ready": False, "reason": "draining"}, 503)
+        if not node.ready:
+            return json_response({"ready": False, "reason": node.not_ready_reason}, 503)
+        return json_response({"ready": True, "revision": node.tree.revision})
+
+    async def _metrics_page(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._node.metrics.page(), content_type="text/plain")
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        request_id = request.match_info["request_id"]
+        decision = self._node.explained.get(request_id)
+        if decision is None:
+            return json_response({"error": {"message": "this instance has no such decision"}}, 404)
+        return json_response(decision)
--- /dev/null
+++ b/reachlink/entry/_digests.py
@@ -0,0 +1,99 @@
+"""What entry instances tell each other about once a second; pure."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from reachlink.placement import MemoryProfile
+
+# A digest this old says nothing any more: its sender is dead or cut off.
+DIGEST_LIFETIME_S = 4.0
+
+
+class ReplicaLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What one entry instance has placed on one replica, in whole tokens."""
+
+    replica: str
+    count: int
+    mean: list[int]
+    deviation: list[int]
+
+    @classmethod
+    def of_profile(cls, replica: str, profile: MemoryProfile) -> "ReplicaLoad":
+        """Return the rounded form of a profile."""
+        mean = [round(value) for value in profile.mean]
+        deviation = [round(value**0.5) for value in profile.variance]
+        return cls(replica, round(profile.count), mean, deviation)
+
+    def profile(self) -> MemoryProfile:
+        """Return the profile that this stands for."""
+        mean = [float(value) for value in self.mean]
+        variance = [float(value) ** 2 for value in self.deviation]
+        return MemoryProfile(mean, variance, float(self.count))
+
+
+class Digest(msgspec.Struct, array_like=True, frozen=True):
+    """State of one entry instance.
+
+    ``demands`` are those of limited workspaces, ``ready`` tells whether the
+    instance serves.
+    """
+
+    instance: str
+    availability_zone: str
+    revision: int
+    ready: bool
+    loads: list[ReplicaLoad]
+    demands: dict[str, float]
+
+
+@dataclass(slots=True)
+class _Held:
+    digest: Digest
+    at: float
+
+
+class DigestBook:
+    """The latest digest of each other entry instance."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, _Held] = {}
+
+    def take(self, digest: Digest, now: float) -> None:
+        """Take a digest that just arrived."""
+        self._held[digest.instance] = _Held(digest, now)
+
+    def drop_old(self, now: float) -> list[str]:
+        """Forget silent instances and return their names."""
+        silent = [n for n, h in self._held.items() if now - h.at > DIGEST_LIFETIME_S]
+        for name in silent:
+            del self._held[name]
+        return silent
+
+    def instances(self) -> int:
+        """Return how many entry instances are alive, this one included."""
+        return len(self._held) + 1
+
+    def digests(self) -> list[Digest]:
+        """Return the digests of all live instances."""
+        return [held.digest for held in self._held.values()]
+
+    def newest_revision(self) -> int:
+        """Return the newest settings revision that any instance has told of."""
+        return max((h.digest.revision for h in self._held.values()), default=0)
+
+    def others_load(self) -> dict[str, MemoryProfile]:
+        """Return the sum of what the others have placed, by replica."""
+        loads: dict[str, MemoryProfile] = {}
+        for held in self._held.values():
+            for load in held.digest.loads:
+                loads.setdefault(load.replica, MemoryProfile()).add(load.profile())
+        return loads
+
+    def others_demand(self) -> dict[str, float]:
+        """Return the sum of what the others see, by limited workspace."""
+        demands: dict[str, float] = {}
+        for held in self._held.values():
+            for key, demand in held.digest.demands.items():
+                demands[key] = demands.get(key, 0.0) + demand
+        return demands
--- /dev/null
+++ b/reachlink/entry/_http.py
@@ -0,0 +1,138 @@
+"""What all HTTP handlers of the entry daemon share: errors, keys, bodies."""
+
+import asyncio
+import math
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from reachlink.control import ControlUnavailableError, OutcomeUnknownError
+from reachlink.delivery import InvalidPositionError, Outcome
+from reachlink.entry._node import EntryNode
+from reachlink.entry.exceptions import RequestError
+from reachlink.settings import hash_key
+
+REQUEST_HEADER = "X-Request-Id"
+BODY_TIMEOUT_S = 30.0
+# Hard bound before a workspace is known; settings may say less.
+MAX_BODY_BYTES = 16 << 20
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def json_response(body: Any, status: int = 200, headers: Any = None) -> web.Response:
+    """Return a JSON response."""
+    return web.Response(
+        body=msgspec.json.encode(body),
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def error_body(error: RequestError, request_id: str) -> dict[str, Any]:
+    """Return an error in the shape that OpenAI-compatible clients read."""
+    detail: dict[str, Any] = {
+        "message": error.message,
+        "type": "invalid_request_error" if error.status < 429 else "server_error",
+        "code": error.code,
+        "param": error.param,
+        "outcome": error.outcome.value,
+        "request_id": request_id,
+    }
+    if error.retry_after_s is not None:
+        detail["retry_after"] = round(error.retry_after_s, 3)
+    return {"error": detail}
+
+
+def error_response(error: RequestError, request_id: str) -> web.Response:
+    """Return an error response."""
+    headers = {REQUEST_HEADER: request_id}
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    return json_response(error_body(error, request_id), error.status, headers)
+
+
+def error_middleware(node: EntryNode) -> Any:
+    """Return the middleware that names requests and turns errors into responses."""
+
+    @web.middleware
+    async def middleware(request: web.Request, handler: Handler) -> web.StreamResponse:
+        request_id = f"req-{uuid.uuid4().hex}"
+        request["request_id"] = request_id
+        node.running_requests += 1
+        try:
+            return await handler(request)
+        except RequestError as error:
+            return error_response(error, request_id)
+        except web.HTTPException as error:
+            code = (error.reason or "error").lower().replace(" ", "_")
+            wrapped = RequestError(error.status, code, error.text or error.reason or "")
+            return error_response(wrapped, request_id)
+        except InvalidPositionError as error:
+            return error_response(
+                RequestError(400, "invalid_event_id", str(error), param="Last-Event-ID"),
+                request_id,
+            )
+        except ControlUnavailableError as error:
+            wrapped = RequestError(503, "control_unavailable", str(error), retry_after_s=1.0)
+            return error_response(wrapped, request_id)
+        except OutcomeUnknownError as error:
+            wrapped = RequestError(
+                504, "outcome_unknown", str(error), Outcome.UNKNOWN, retry_after_s=1.0
+            )
+            return error_response(wrapped, request_id)
+        finally:
+            node.running_requests -= 1
+
+    return middleware
+
+
+def bearer_key(request: web.Request) -> str:
+    """Return the bearer key of a request, or an empty string."""
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def require_workspace(node: EntryNode, request: web.Request) -> str:
+    """Return the workspace whose key a request carries.
+
+    Raises
+    ------
+    RequestError
+        If this instance does not serve now, or the key is nobody's.
+    """
+    if not node.ready:
+        raise RequestError(503, "not_ready", node.not_ready_reason, retry_after_s=1.0)
+    workspace = node.tree.workspace_by_key.get(hash_key(bearer_key(request)))
+    if workspace is None:
+        raise RequestError(401, "invalid_key", "the bearer key is not known", param="Authorization")
+    return workspace
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Read a body within its size limit and the time for slow senders.
+
+    Raises
+    ------
+    RequestError
+        If it is too large or comes too slowly.
+    """
+    too_large = RequestError(
+        413, "body_too_large", f"the body is larger than {limit} bytes", param="body"
+    )
+    if (request.content_length or 0) > limit:
+        raise too_large
+    body = bytearray()
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            while piece := await request.content.readany():
+                body += piece
+                if len(body) > limit:
+                    raise too_large
+    except TimeoutError as error:
+        raise RequestError(408, "body_too_slow", "the body came too slowly") from error
+    return bytes(body)
--- /dev/null
+++ b/reachlink/entry/_node.py
@@ -0,0 +1,202 @@
+"""The parts of an entry instance and how they are joined."""
+
+import asyncio
+import time
+from collections import OrderedDict
+from collections.abc import Coroutine, Sequence
+from random import Random
+from typing import Any
+
+from reachlink.control import ControlClient
+from reachlink.delivery import PositionCodec
+from reachlink.entry._config import EntryConfig
+from reachlink.entry._digests import Digest, DigestBook, ReplicaLoad
+from reachlink.entry._dispatcher import Dispatcher, Ticket
+from reachlink.entry._ledger import Ledger
+from reachlink.lengths import LengthEstimator
+from reachlink.limits import QuotaBook, RetryBudget
+from reachlink.membership import ReplicaDirectory, SettingsHolder
+from reachlink.messaging import Bus
+from reachlink.placement import POLICIES, Candidate, Decision, allowances
+from reachlink.settings import ServiceInfo, SettingsTree
+from reachlink.telemetry import Metrics, get_logger
+from reachlink.upstreams import ADAPTERS, HttpClient, Replica
+
+EXPLAINED_DECISIONS = 2048
+
+
+class EntryNode:
+    """State of one entry instance, shared by its HTTP handlers and background work.
+
+    Parameters
+    ----------
+    config : EntryConfig
+        Configuration of the process.
+    """
+
+    def __init__(self, config: EntryConfig) -> None:
+        self.config = config
+        self.log = get_logger()
+        self.random = Random()
+        self.settings = SettingsHolder()
+        self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
+        self.control = ControlClient(self.bus, config.controls)
+        self.directory = ReplicaDirectory(config.routes)
+        self.lengths = LengthEstimator()
+        self.ledger = Ledger(self.lengths)
+        self.digests = DigestBook()
+        self.quotas = QuotaBook()
+        self.positions = PositionCodec(config.cluster_secret.encode())
+        self.client = HttpClient()
+        self.metrics = EntryMetrics(config)
+        self.ready = False
+        self.running_requests = 0
+        self.not_ready_reason = "starting: no settings yet"
+        self.draining = False
+        self.explained: OrderedDict[str, Decision] = OrderedDict()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._adapters: dict[str, Any] = {}
+        self._dispatchers: dict[str, Dispatcher] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._others: dict[str, Any] = {}
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Settings in force here."""
+        return self.settings.tree
+
+    @property
+    def zone(self) -> str:
+        """This instance's availability zone."""
+        return self.config.availability_zone
+
+    def adapter(self, name: str) -> Any:
+        """Return the upstream adapter registered under a name."""
+        if name not in self._adapters:
+            self._adapters[name] = ADAPTERS.get(name)(self.client)
+        return self._adapters[name]
+
+    def dispatcher(self, service: ServiceInfo) -> Dispatcher:
+        """Return the queue of a service's upstream."""
+        found = self._dispatchers.get(service.upstream)
+        if found is None:
+            upstream = service.upstream
+            found = self._dispatchers[upstream] = Dispatcher(
+                POLICIES.get(self.config.policy)(),
+                lambda ticket: self._candidates(upstream, ticket),
+                self._reserve,
+                self.random,
+                time.monotonic,
+            )
+        return found
+
+    def budget(self, upstream: str) -> RetryBudget:
+        """Return the retry budget of an upstream."""
+        return self._budgets.setdefault(upstream, RetryBudget())
+
+    def pump(self) -> None:
+        """Look through every queue."""
+        for dispatcher in self._dispatchers.values():
+            if dispatcher.waiting:
+                dispatcher.pump()
+
+    def take_digest(self, digest: Digest) -> None:
+        """Take what another entry instance tells."""
+        self.digests.take(digest, time.monotonic())
+        self._others = self.digests.others_load()
+        self.pump()
+
+    def drop_old_digests(self) -> list[str]:
+        """Forget silent instances and return their names."""
+        silent = self.digests.drop_old(time.monotonic())
+        if silent:
+            self._others = self.digests.others_load()
+        return silent
+
+    def digest(self) -> Digest:
+        """Return what this instance tells the others."""
+        now = time.monotonic()
+        loads = [
+            ReplicaLoad.of_profile(replica.name, self.ledger.own_profile(replica.name, now))
+            for replica in self.directory.all()
+            if self.ledger.replica(replica.name).in_flight
+        ]
+        demands = {key: round(value, 1) for key, value in self.quotas.demands(now).items()}
+        return Digest(self.config.name, self.zone, self.tree.revision, self.ready, loads, demands)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something in the background until it is done."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def explain(self, request_id: str, decision: Decision) -> None:
+        """Remember a decision for operators, and log a sample."""
+        self.explained[request_id] = decision
+        if len(self.explained) > EXPLAINED_DECISIONS:
+            self.explained.popitem(last=False)
+        if self.random.random() < self.config.explain_sample:
+            scores = " ".join(f"{n}:{share:.2f}:{ms:.0f}" for n, share, ms in decision.scores)
+            self.log.info(
+                "placed",
+                request_id=request_id,
+                replica=decision.replica,
+                reason=decision.reason,
+                scores=scores,
+            )
+
+    def _candidates(self, upstream: str, ticket: Ticket) -> Sequence[Candidate]:
+        now = time.monotonic()
+        live = [r for r in self.directory.live(upstream) if self._fits(r, ticket)]
+        healths = {r.name: self.ledger.replica(r.name).health for r in live}
+        allowed = allowances(healths, now)
+        return [
+            self.ledger.candidate(
+                replica,
+                self.zone,
+                self._others.get(replica.name),
+                allowed[replica.name],
+                ticket.blocks,
+                now,
+            )
+            for replica in live
+            if allowed[replica.name] > 0.0
+        ]
+
+    def _reserve(self, ticket: Ticket, replica: str) -> None:
+        ticket.flight = self.ledger.place(ticket.key, replica, ticket.request.prompt_tokens)
+
+    def _fits(self, replica: Replica, ticket: Ticket) -> bool:
+        if replica.name in ticket.excluded:
+            return False
+        if not ticket.version:
+            return True
+        models = self.ledger.replica(replica.name).report.models
+        return not models or ticket.version in models
+
+
+class EntryMetrics:
+    """Instruments of an entry instance."""
+
+    def __init__(self, config: EntryConfig) -> None:
+        self._metrics = Metrics(
+            "entry", config.name, config.availability_zone, config.otlp_endpoint
+        )
+        make = self._metrics.counter
+        self.requests = make("reachlink_requests", "1", "Requests by service and outcome.")
+        self.tokens = make("reachlink_tokens", "1", "Tokens passed on to callers.")
+        self.repeats = make("reachlink_repeated_events", "1", "Repeated events dropped.")
+        self.foreign = make("reachlink_foreign_events", "1", "Foreign events refused.")
+        self.resumes = make("reachlink_resumes", "1", "Streams resumed after a break.")
+        self.retries = make("reachlink_retries", "1", "Requests dispatched again.")
+        self.first_token = self._metrics.histogram(
+            "reachlink_first_token", "s", "Time from request to first token."
+        )
+
+    def page(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return self._metrics.page()
+
+    def close(self) -> None:
+        """Export what is pending and stop."""
+        self._metrics.close()
--- /dev/null
+++ b/reachlink/entry/_plain.py
@@ -0,0 +1,188 @@
+"""Calls of plain services."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from reachlink.control import StoredAnswer
+from reachlink.delivery import Outcome
+from reachlink.entry._admission import Admission
+from reachlink.entry._chat import is_repeatable
+from reachlink.entry._claims import ClaimedKey
+from reachlink.entry._dispatcher import no_replica
+from reachlink.entry._http import MAX_BODY_BYTES, REQUEST_HEADER, read_body, require_workspace
+from reachlink.entry._node import EntryNode
+from reachlink.entry.exceptions import RequestError
+from reachlink.lengths import LengthKey
+from reachlink.limits import backoff_s
+from reachlink.membership import LeavingSource
+from reachlink.placement import allowances
+from reachlink.settings import ServiceInfo, ServiceKind, ServicePolicy
+from reachlink.upstreams import (
+    CallRequest,
+    CallResponse,
+    Replica,
+    ServiceAdapter,
+    UpstreamBrokenError,
+    UpstreamRefusedError,
+    UpstreamUnreachableError,
+)
+
+MAX_ATTEMPTS = 4
+CALL_TIMEOUT_S = 30.0
+RECORD_TIMEOUT_S = 1.0
+_FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Idempotency-Key")
+
+
+class PlainHandlers:
+    """Handlers of everything under the paths of plain services.
+
+    Parameters
+    ----------
+    node : EntryNode
+        The entry instance.
+    """
+
+    def __init__(self, node: EntryNode) -> None:
+        self._node = node
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that these handlers serve."""
+        return [web.route("*", "/{path:.*}", self.call)]
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Pass a call on and give its answer back."""
+        node = self._node
+        service = self._service_of(request.path)
+        workspace = require_workspace(node, request)
+        policy = node.tree.policy(service.name, workspace, node.zone)
+        body = await read_body(request, min(MAX_BODY_BYTES, policy.body_bytes))
+        repeatable = is_repeatable(request, policy)
+        claim = ClaimedKey.from_request(node, request, repeatable, workspace, body, policy)
+        with Admission(node, service.name, workspace, policy):
+            if claim is not None:
+                stored = await claim.claim()
+                if stored is not None:
+                    return stored
+            answer = await self._call(request, service, policy, repeatable, body, claim)
+        return web.Response(
+            body=answer.body,
+            status=answer.status,
+            headers={"Content-Type": answer.content_type, REQUEST_HEADER: request["request_id"]},
+        )
+
+    def _service_of(self, path: str) -> ServiceInfo:
+        if not self._node.ready:
+            raise RequestError(503, "not_ready", self._node.not_ready_reason, retry_after_s=1.0)
+        for service in self._node.tree.services.values():
+            under = path == service.path or path.startswith(f"{service.path}/")
+            if service.kind is ServiceKind.PLAIN and under:
+                return service
+        raise RequestError(404, "not_found", f"nothing is served at {path}")
+
+    async def _call(
+        self,
+        request: web.Request,
+        service: ServiceInfo,
+        policy: ServicePolicy,
+        repeatable: bool,
+        body: bytes,
+        claim: ClaimedKey | None,
+    ) -> CallResponse:
+        headers = {n: request.headers[n] for n in _FORWARDED_HEADERS if n in request.headers}
+        call = CallRequest(request["request_id"], request.method, request.path_qs, headers, body)
+        outcome = Outcome.UNKNOWN
+        answer: CallResponse | None = None
+        try:
+            answer = await self._attempts(service, policy, repeatable, call)
+            outcome = Outcome.RAN
+            return answer
+        except RequestError as error:
+            outcome = error.outcome
+            raise
+        finally:
+            labels = {"service": service.name, "outcome": outcome.value}
+            self._node.metrics.requests.add(1, labels)
+            if claim is not None:
+                await self._record(claim, outcome, answer)
+
+    async def _record(
+        self, claim: ClaimedKey, outcome: Outcome, answer: CallResponse | None
+    ) -> None:
+        """Store the answer; a slow quorum does not hold the caller up for long."""
+        stored = StoredAnswer(answer.status, answer.content_type, answer.body) if answer else None
+        task = asyncio.ensure_future(claim.complete(outcome, stored, CALL_TIMEOUT_S))
+        self._node.tasks.add(task)
+        task.add_done_callback(self._node.tasks.discard)
+        await asyncio.wait({task}, timeout=RECORD_TIMEOUT_S)
+
+    async def _attempts(
+        self, service: ServiceInfo, policy: ServicePolicy, repeatable: bool, call: CallRequest
+    ) -> CallResponse:
+        node = self._node
+        excluded: set[str] = set()
+        budget = node.budget(service.upstream)
+        budget.on_first_attempt(policy.retry_share)
+        outcome = Outcome.NOT_RUN
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            replica = self._choose(service, excluded, outcome)
+            try:
+                return await self._attempt(service, replica, call)
+            except UpstreamBrokenError as error:
+                outcome, reason = Outcome.UNKNOWN, str(error)
+                if not repeatable:
+                    raise RequestError(502, "upstream_broken", reason, outcome) from error
+            except (UpstreamUnreachableError, UpstreamRefusedError) as error:
+                reason = str(error)
+            excluded.add(replica.name)
+            if not budget.take():
+                break
+            node.metrics.retries.add(1, {"service": service.name})
+            await asyncio.sleep(backoff_s(attempt, node.random))
+        raise RequestError(502, "upstream_failed", reason, outcome, 1.0)
+
+    async def _attempt(
+        self, service: ServiceInfo, replica: Replica, call: CallRequest
+    ) -> CallResponse:
+        node = self._node
+        adapter: ServiceAdapter = node.adapter(service.adapter)
+        health = node.ledger.replica(replica.name).health
+        flight = node.ledger.place(LengthKey(service.name), replica.name, 0)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await adapter.call(replica, call)
+            health.on_success(time.monotonic())
+            return answer
+        except UpstreamRefusedError as error:
+            if error.leaving:
+                node.directory.mark_leaving(replica.name, LeavingSource.REFUSAL, time.monotonic())
+            raise
+        except TimeoutError as error:
+            health.on_failure(time.monotonic(), node.random)
+            raise UpstreamBrokenError("no answer in time") from error
+        except (UpstreamBrokenError, UpstreamUnreachableError):
+            health.on_failure(time.monotonic(), node.random)
+            raise
+        finally:
+            node.ledger.finish(flight, ended=False)
+
+    def _choose(self, service: ServiceInfo, excluded: set[str], outcome: Outcome) -> Replica:
+        """Return the live replica with the fewest calls from here, this zone's first."""
+        node = self._node
+        live = [r for r in node.directory.live(service.upstream) if r.name not in excluded]
+        healths = {r.name: node.ledger.replica(r.name).health for r in live}
+        allowed = allowances(healths, time.monotonic())
+        usable = [r for r in live if allowed[r.name] > 0.0]
+        if not usable:
+            error = no_replica()
+            error.outcome = outcome
+            raise error
+        return min(
+            usable,
+            key=lambda r: (
+                len(node.ledger.replica(r.name).in_flight),
+                r.availability_zone != node.zone,
+                node.random.random(),
+            ),
+        )
--- /dev/null
+++ b/reachlink/kernel/__init__.py
@@ -0,0 +1,18 @@
+"""Registries, clocks, process lifecycle and the root of all errors."""
+
+from reachlink.kernel._clock import Clock, SystemClock
+from reachlink.kernel._config import load_config
+from reachlink.kernel._lifecycle import run_daemon
+from reachlink.kernel._registry import Registry
+from reachlink.kernel.exceptions import ConfigError, ReachlinkError, UnknownPluginError
+
+__all__ = [
+    "Clock",
+    "ConfigError",
+    "ReachlinkError",
+    "Registry",
+    "SystemClock",
+    "UnknownPluginError",
+    "load_config",
+    "run_daemon",
+]
--- /dev/null
+++ b/reachlink/kernel/_lifecycle.py
@@ -0,0 +1,67 @@
+"""Start, planned stop and forced stop of a daemon."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import aiomisc
+
+
+class Daemon(Protocol):
+    """What `run_daemon` drives."""
+
+    async def start(self) -> None:
+        """Open sockets and start background work."""
+
+    async def drain(self) -> None:
+        """Stop taking new work and wait until running work has finished."""
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+
+
+def run_daemon(make: Callable[[], Daemon]) -> int:
+    """Run one daemon until a signal ends it.
+
+    The first SIGTERM or SIGINT starts a planned stop: `drain`, then `stop`.
+    A second one skips the rest of `drain`.
+
+    Parameters
+    ----------
+    make : callable
+        Builds the daemon inside the running event loop.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a planned stop, 1 after a forced one.
+    """
+    with aiomisc.entrypoint(log_config=False, pool_size=1) as loop:
+        return loop.run_until_complete(_serve(make))
+
+
+async def _serve(make: Callable[[], Daemon]) -> int:
+    daemon = make()
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await daemon.start()
+    await signals.get()
+    forced = await _first_done(daemon.drain(), signals.get())
+    await daemon.stop()
+    return 1 if forced else 0
+
+
+async def _first_done(work: Awaitable[None], interrupt: Awaitable[int]) -> bool:
+    """Return whether `interrupt` came before `work` had finished."""
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(interrupt)
+    done, pending = await asyncio.wait({working, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    if working in done:
+        working.result()
+        return False
+    return True
--- /dev/null
+++ b/reachlink/kernel/exceptions.py
@@ -0,0 +1,15 @@
+"""Root of the error classes; each layer derives its own from here."""
+
+__all__ = ["ConfigError", "ReachlinkError", "UnknownPluginError"]
+
+
+class ReachlinkError(Exception):
+    """Base class of every error raised by reachlink."""
+
+
+class ConfigError(ReachlinkError):
+    """A process configuration file is missing, malformed or inconsistent."""
+
+
+class UnknownPluginError(ReachlinkError):
+    """A registry has no plug-in under the requested name."""
--- /dev/null
+++ b/reachlink/lengths/_estimator.py
@@ -0,0 +1,157 @@
+"""Online estimation of answer lengths with censored observations.
+
+For each key the number of answers that reached a length bucket and the
+number that ended in it are counted, which gives the hazard of each bucket as
+in the Kaplan-Meier estimator [1]_: an answer that is still growing, or was
+cut off, counts for the buckets that it has passed and not for those ahead.
+Counts fade with each observation, so that drift is followed. Where a key has
+few observations its hazards shrink towards those of its parent.
+
+References
+----------
+.. [1] E. L. Kaplan, P. Meier, "Nonparametric estimation from incomplete
+   observations", J. Amer. Statist. Assoc. 53 (1958).
+"""
+
+from __future__ import annotations
+
+from array import array
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from reachlink.lengths._buckets import BUCKET_COUNT, bucket_of
+from reachlink.lengths._survival import SurvivalCurve
+
+# Each bucket ends this share of the answers that reach it, until told otherwise.
+PRIOR_HAZARD = 0.12
+PRIOR_STRENGTH = 6.0
+PARENT_STRENGTH = 10.0
+FADE = 0.997
+MAX_KEYS = 2048
+REFRESH_OBSERVATIONS = 8
+
+
+@dataclass(slots=True, frozen=True)
+class LengthKey:
+    """What lengths are learned for; an empty workspace stands for all of them."""
+
+    service: str
+    workspace: str = ""
+
+    def parent(self) -> LengthKey | None:
+        """Return the key to fall back to."""
+        if self.workspace:
+            return LengthKey(self.service)
+        return LengthKey("") if self.service else None
+
+
+def _zeros() -> array[float]:
+    return array("d", bytes(8 * BUCKET_COUNT))
+
+
+@dataclass(slots=True)
+class _Counts:
+    reached: array[float] = field(default_factory=_zeros)
+    ended: array[float] = field(default_factory=_zeros)
+    observations: int = 0
+    curve: SurvivalCurve | None = None
+    curve_at: int = -1
+
+
+class LengthEstimator:
+    """Learned lengths of all keys.
+
+    Parameters
+    ----------
+    max_keys : int
+        Bound on the number of keys held; the least recently used go first.
+
+    Examples
+    --------
+    >>> lengths = LengthEstimator()
+    >>> key = LengthKey("chat", "w1")
+    >>> for _ in range(100):
+    ...     lengths.observe(key, 0, 40, ended=True)
+    >>> lengths.curve(key).longer_than(64) < 0.1
+    True
+    """
+
+    def __init__(self, max_keys: int = MAX_KEYS) -> None:
+        self._max_keys = max_keys
+        self._counts: OrderedDict[LengthKey, _Counts] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    def observe(self, key: LengthKey, seen: int, tokens: int, ended: bool) -> None:
+        """Take what became of an answer since it was last reported.
+
+        Parameters
+        ----------
+        key : LengthKey
+            Where the answer belongs; its parents learn as well.
+        seen : int
+            Tokens at the last report; 0 for a new answer.
+        tokens : int
+            Tokens now.
+        ended : bool
+            Whether the answer ended by itself at this length.
+        """
+        level: LengthKey | None = key
+        while level is not None:
+            self._observe_one(level, seen, tokens, ended)
+            level = level.parent()
+
+    def curve(self, key: LengthKey) -> SurvivalCurve:
+        """Return the survival curve of a key, or of its parents where it is new."""
+        counts = self._counts.get(key)
+        if counts is None:
+            parent = key.parent()
+            return self.curve(parent) if parent else SurvivalCurve([PRIOR_HAZARD] * BUCKET_COUNT)
+        self._counts.move_to_end(key)
+        stale = counts.observations - counts.curve_at >= REFRESH_OBSERVATIONS
+        if counts.curve is None or stale:
+            counts.curve = SurvivalCurve(self._hazards(key))
+            counts.curve_at = counts.observations
+        return counts.curve
+
+    def _observe_one(self, key: LengthKey, seen: int, tokens: int, ended: bool) -> None:
+        counts = self._held(key)
+        last = bucket_of(tokens)
+        # A bucket counts as reached from the moment that the answer enters it.
+        first = bucket_of(seen) + 1 if seen else 0
+        for bucket in range(first, last + 1):
+            counts.reached[bucket] += 1.0
+        if ended:
+            counts.ended[last] += 1.0
+            counts.observations += 1
+            _fade(counts)
+
+    def _held(self, key: LengthKey) -> _Counts:
+        counts = self._counts.get(key)
+        if counts is None:
+            counts = self._counts[key] = _Counts()
+            if len(self._counts) > self._max_keys:
+                self._counts.popitem(last=False)
+        self._counts.move_to_end(key)
+        return counts
+
+    def _hazards(self, key: LengthKey) -> list[float]:
+        parent = key.parent()
+        if parent is None:
+            base, strength = [PRIOR_HAZARD] * BUCKET_COUNT, PRIOR_STRENGTH
+        else:
+            base, strength = self._hazards(parent), PARENT_STRENGTH
+        counts = self._counts.get(key)
+        if counts is None:
+            return base
+        return [
+            (ended + strength * prior) / (reached + strength)
+            for ended, reached, prior in zip(counts.ended, counts.reached, base, strict=True)
+        ]
+
+
+def _fade(counts: _Counts) -> None:
+    for bucket in range(BUCKET_COUNT):
+        counts.reached[bucket] *= FADE
+        counts.ended[bucket] *= FADE
--- /dev/null
+++ b/reachlink/lengths/_survival.py
@@ -0,0 +1,55 @@
+"""Survival curves of answer lengths."""
+
+from collections.abc import Sequence
+
+from reachlink.lengths._buckets import BUCKET_COUNT, bucket_of, bucket_start, bucket_width
+
+_LEAST = 1e-9
+
+
+class SurvivalCurve:
+    """Probability that an answer is longer than a given length.
+
+    Parameters
+    ----------
+    hazards : sequence of float, shape (BUCKET_COUNT,)
+        Probability to end in each bucket for an answer that reaches it.
+
+    Notes
+    -----
+    Within a bucket the curve is linear.
+    """
+
+    __slots__ = ("_survival",)
+
+    def __init__(self, hazards: Sequence[float]) -> None:
+        survival = [1.0]
+        for hazard in hazards:
+            survival.append(max(_LEAST, survival[-1] * (1.0 - hazard)))
+        self._survival = survival
+
+    def longer_than(self, length: int) -> float:
+        """Return the probability that an answer has more than `length` tokens."""
+        bucket = bucket_of(length)
+        start = self._survival[bucket]
+        end = self._survival[bucket + 1]
+        share = (length - bucket_start(bucket)) / bucket_width(bucket)
+        return start + (end - start) * min(1.0, share)
+
+    def still_running(self, tokens: int, more: int) -> float:
+        """Return the probability of `more` tokens after `tokens` that are out."""
+        return self.longer_than(tokens + more) / max(_LEAST, self.longer_than(tokens))
+
+    def expected_more(self, tokens: int) -> float:
+        """Return the expected number of tokens after `tokens` that are out."""
+        first = bucket_of(tokens)
+        alive = max(_LEAST, self.longer_than(tokens))
+        total = 0.0
+        left = alive
+        position = tokens
+        for bucket in range(first, BUCKET_COUNT):
+            end = bucket_start(bucket) + bucket_width(bucket)
+            right = self._survival[bucket + 1]
+            total += (end - position) * (left + right) / 2
+            position, left = end, right
+        return total / alive
--- /dev/null
+++ b/reachlink/limits/_quotas.py
@@ -0,0 +1,173 @@
+"""Limits of workspaces, shared among entry instances by demand; pure.
+
+Each instance tells the others, in the digest that it sends anyway, how much
+of each limited workspace's traffic it sees. The share of an instance is the
+limit times its part of the whole demand, with a small floor for an instance
+that sees none yet. All instances compute the same shares from the same
+demands; they disagree for as long as a digest is under way, which bounds the
+error: see ``docs/design/limits.md``.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+FLOOR_SHARE = 0.1
+DEMAND_HALF_LIFE_S = 3.0
+BURST_S = 1.0
+
+
+class RefusalReason(Enum):
+    """Which limit stood in the way."""
+
+    CONCURRENT = "concurrent requests"
+    REQUESTS = "requests per second"
+    TOKENS = "tokens per second"
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """A refusal with the time after which a retry may succeed, in seconds."""
+
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaLimits:
+    """Limits in force for one workspace in one service; 0 for none."""
+
+    concurrent: int = 0
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+
+    @property
+    def any(self) -> bool:
+        """Whether there is a limit at all."""
+        return bool(self.concurrent or self.requests_per_s or self.tokens_per_s)
+
+
+@dataclass(slots=True)
+class _Usage:
+    running: int = 0
+    demand: float = 0.0
+    demand_at: float = 0.0
+    # A new bucket is full: `_refill` cuts it to its size.
+    requests: float = float("inf")
+    tokens: float = float("inf")
+    refilled_at: float = 0.0
+
+
+def fair_share(own: float, others: float, instances: int) -> float:
+    """Return this instance's share of a limit.
+
+    Parameters
+    ----------
+    own, others : float
+        Demand seen here, and by all other instances.
+    instances : int
+        Instances that share the limit, this one included.
+
+    Returns
+    -------
+    float
+        Between 0 and 1; the shares of all instances sum to 1 when they know
+        each other's demand.
+    """
+    if instances <= 1:
+        return 1.0
+    floor = FLOOR_SHARE / instances
+    total = own + others
+    if total <= 0:
+        return 1.0 / instances
+    return floor + (1.0 - FLOOR_SHARE) * own / total
+
+
+class QuotaBook:
+    """Usage of all limited workspaces in one entry instance."""
+
+    def __init__(self) -> None:
+        self._usage: dict[str, _Usage] = {}
+
+    def demands(self, now: float) -> dict[str, float]:
+        """Return the demand seen here for each limited workspace."""
+        for key in [k for k, u in self._usage.items() if _is_idle(u, now)]:
+            del self._usage[key]
+        return {key: _decayed(usage, now) for key, usage in self._usage.items()}
+
+    def admit(
+        self,
+        key: str,
+        limits: QuotaLimits,
+        others: Mapping[str, float],
+        instances: int,
+        now: float,
+    ) -> Refusal | None:
+        """Count a request in, or say which limit stands in the way.
+
+        Parameters
+        ----------
+        key : str
+            Service and workspace.
+        limits : QuotaLimits
+            Limits in force over all instances.
+        others : mapping of str to float
+            Demand that the other instances see, by key.
+        instances : int
+            Instances that share the limit.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Refusal or None
+            None where the request is admitted; `release` must follow.
+        """
+        if not limits.any:
+            return None
+        usage = self._usage.setdefault(key, _Usage(refilled_at=now, demand_at=now))
+        usage.demand = _decayed(usage, now) + 1.0
+        usage.demand_at = now
+        share = fair_share(usage.demand, others.get(key, 0.0), instances)
+        _refill(usage, limits, share, now)
+        refusal = _check(usage, limits, share)
+        if refusal is None:
+            usage.running += 1
+            usage.requests -= 1.0
+        return refusal
+
+    def release(self, key: str, tokens: int) -> None:
+        """Count a request out that produced this many tokens."""
+        usage = self._usage.get(key)
+        if usage is not None:
+            usage.running = max(0, usage.running - 1)
+            usage.tokens -= tokens
+
+
+def _decayed(usage: _Usage, now: float) -> float:
+    return usage.demand * 0.5 ** ((now - usage.demand_at) / DEMAND_HALF_LIFE_S)
+
+
+def _is_idle(usage: _Usage, now: float) -> bool:
+    return usage.running == 0 and now - usage.demand_at > 10 * DEMAND_HALF_LIFE_S
+
+
+def _refill(usage: _Usage, limits: QuotaLimits, share: float, now: float) -> None:
+    passed = now - usage.refilled_at
+    usage.refilled_at = now
+    # A bucket holds a whole request at least, or a small share would never admit one.
+    most = max(1.0, limits.requests_per_s * share * BURST_S)
+    usage.requests = min(most, usage.requests + limits.requests_per_s * share * passed)
+    most = limits.tokens_per_s * share * BURST_S
+    usage.tokens = min(most, usage.tokens + limits.tokens_per_s * share * passed)
+
+
+def _check(usage: _Usage, limits: QuotaLimits, share: float) -> Refusal | None:
+    if limits.concurrent and usage.running >= max(1, int(limits.concurrent * share + 0.5)):
+        return Refusal(RefusalReason.CONCURRENT, 1.0)
+    if limits.requests_per_s and usage.requests < 1.0:
+        missing = 1.0 - usage.requests
+        return Refusal(RefusalReason.REQUESTS, missing / (limits.requests_per_s * share))
+    if limits.tokens_per_s and usage.tokens < 0.0:
+        return Refusal(RefusalReason.TOKENS, -usage.tokens / (limits.tokens_per_s * share))
+    return None
--- /dev/null
+++ b/reachlink/limits/_retries.py
@@ -0,0 +1,38 @@
+"""Retry budgets and backoff.
+
+References
+----------
+.. [1] M. Brooker, "Exponential backoff and jitter", 2015, for full jitter.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 2.0
+MAX_SAVED = 20.0
+EARNED_AT_START = 3.0
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Retries allowed as a share of first attempts, for one upstream."""
+
+    saved: float = EARNED_AT_START
+
+    def on_first_attempt(self, share: float) -> None:
+        """A request was dispatched for the first time."""
+        self.saved = min(MAX_SAVED, self.saved + share)
+
+    def take(self) -> bool:
+        """Return whether a retry is allowed, and count it."""
+        if self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        return True
+
+
+def backoff_s(attempt: int, random: Random) -> float:
+    """Return a wait before retry number `attempt` (from 1), in seconds, with full jitter."""
+    longest = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (attempt - 1))
+    return random.uniform(0.0, longest)
--- /dev/null
+++ b/reachlink/membership/_directory.py
@@ -0,0 +1,104 @@
+"""Which upstream instances exist and may get new work; pure.
+
+An instance that leaves is noticed from whatever says so first: the platform's
+list, its load report, or its refusal. The platform's list lags, so its ``live``
+does not take back what was heard since.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from reachlink.membership._platform import InstanceState, ListedInstance
+from reachlink.upstreams import Replica
+
+# A mark that no list confirms was a mistake, or its instance has come back.
+UNCONFIRMED_MARK_S = 30.0
+
+
+class LeavingSource(Enum):
+    """What told that an instance is leaving."""
+
+    LIST = "platform list"
+    REPORT = "load report"
+    REFUSAL = "refusal"
+
+
+@dataclass(slots=True)
+class _Entry:
+    replica: Replica
+    listed: InstanceState
+    marked: LeavingSource | None = None
+    marked_at: float = 0.0
+    gone: bool = False
+
+
+class ReplicaDirectory:
+    """All known upstream instances.
+
+    Parameters
+    ----------
+    routes : mapping of str to str, optional
+        Addresses to use in place of listed ones.
+    """
+
+    def __init__(self, routes: Mapping[str, str] | None = None) -> None:
+        self._routes = dict(routes or {})
+        self._entries: dict[str, _Entry] = {}
+
+    def update(self, listed: Iterable[ListedInstance], now: float) -> None:
+        """Take a new copy of the platform's list."""
+        names: set[str] = set()
+        for instance in listed:
+            names.add(instance.name)
+            self._update_one(instance, now)
+        for name, entry in self._entries.items():
+            entry.gone = name not in names
+
+    def mark_leaving(self, name: str, source: LeavingSource, now: float) -> bool:
+        """Note that an instance is leaving; return whether that is news."""
+        entry = self._entries.get(name)
+        if entry is None or entry.marked is not None:
+            return False
+        entry.marked, entry.marked_at = source, now
+        return True
+
+    def may_get_work(self, name: str) -> bool:
+        """Return whether an instance may get new work, to be asked at dispatch."""
+        entry = self._entries.get(name)
+        return entry is not None and _is_live(entry)
+
+    def live(self, upstream: str) -> list[Replica]:
+        """Return the instances of an upstream that may get new work."""
+        return [
+            entry.replica
+            for entry in self._entries.values()
+            if entry.replica.upstream == upstream and _is_live(entry)
+        ]
+
+    def find(self, name: str) -> Replica | None:
+        """Return an instance by name, leaving or not."""
+        entry = self._entries.get(name)
+        return entry.replica if entry else None
+
+    def all(self) -> list[Replica]:
+        """Return every instance that the platform's latest list has."""
+        return [entry.replica for entry in self._entries.values() if not entry.gone]
+
+    def _update_one(self, instance: ListedInstance, now: float) -> None:
+        address = self._routes.get(instance.address, instance.address)
+        replica = Replica(instance.name, instance.upstream, instance.availability_zone, address)
+        entry = self._entries.get(instance.name)
+        if entry is None:
+            self._entries[instance.name] = _Entry(replica, instance.state)
+            return
+        came_back = entry.gone or entry.listed is InstanceState.LEAVING
+        unconfirmed = entry.marked is not None and now - entry.marked_at > UNCONFIRMED_MARK_S
+        if instance.state is InstanceState.LIVE and (came_back or unconfirmed):
+            entry.marked = None
+        entry.replica = replica
+        entry.listed = instance.state
+
+
+def _is_live(entry: _Entry) -> bool:
+    return entry.listed is InstanceState.LIVE and entry.marked is None and not entry.gone
--- /dev/null
+++ b/reachlink/membership/_platform.py
@@ -0,0 +1,47 @@
+"""Interface to the platform's list of live and leaving instances."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from reachlink.kernel import Registry
+
+
+class InstanceState(Enum):
+    """State of an instance in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(slots=True, frozen=True)
+class ListedInstance:
+    """One upstream instance in the platform's list."""
+
+    name: str
+    upstream: str
+    availability_zone: str
+    address: str
+    state: InstanceState = InstanceState.LIVE
+
+
+class PlatformAdapter(ABC):
+    """Reads one kind of platform list."""
+
+    @abstractmethod
+    async def instances(self) -> list[ListedInstance]:
+        """Return the list as the platform shows it now, which may lag.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If it cannot be read.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close connections."""
+
+
+PLATFORMS: Registry[Any] = Registry("platform adapter")
--- /dev/null
+++ b/reachlink/membership/exceptions.py
@@ -0,0 +1,13 @@
+"""Errors of the membership layer."""
+
+from reachlink.kernel import ReachlinkError
+
+__all__ = ["MembershipError", "PlatformUnavailableError"]
+
+
+class MembershipError(ReachlinkError):
+    """Base class of the errors of this layer."""
+
+
+class PlatformUnavailableError(MembershipError):
+    """The platform's list cannot be read now; the last one stays in use."""
--- /dev/null
+++ b/reachlink/messaging/__init__.py
@@ -0,0 +1,21 @@
+"""Messages between reachlink's own processes, over ZeroMQ."""
+
+from reachlink.messaging._bus import Bus, Handler
+from reachlink.messaging._codec import decode, encode
+from reachlink.messaging.exceptions import (
+    CallFailedError,
+    CallTimeoutError,
+    MessagingError,
+    PeerUnreachableError,
+)
+
+__all__ = [
+    "Bus",
+    "CallFailedError",
+    "CallTimeoutError",
+    "Handler",
+    "MessagingError",
+    "PeerUnreachableError",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/reachlink/messaging/_bus.py
@@ -0,0 +1,280 @@
+"""One-way messages and calls between processes.
+
+Every process binds one ROUTER socket and opens one DEALER socket for each
+address that it talks to. Sockets are read in bulk when their descriptor
+becomes readable: waking the loop once for each message costs several times
+the message itself.
+
+Both ends prove that they know the cluster's secret: the key pair of the
+CURVE mechanism is derived from it, and traffic is encrypted.
+"""
+
+import asyncio
+import hashlib
+import itertools
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import msgspec
+import zmq
+from zmq.utils import z85
+
+from reachlink.messaging.exceptions import (
+    CallFailedError,
+    CallTimeoutError,
+    MessagingError,
+    PeerUnreachableError,
+)
+
+Handler = Callable[[str, bytes], Awaitable[bytes | None]]
+"""Takes the sender's name and a body; returns the answer to a call."""
+
+HIGH_WATER = 1000
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+CONNECT_POLL_S = 0.02
+MAX_MESSAGE_BYTES = 64 << 20
+
+
+class Kind(IntEnum):
+    """What a frame is."""
+
+    SEND = 0
+    CALL = 1
+    ANSWER = 2
+    FAILURE = 3
+
+
+class _Header(msgspec.Struct, array_like=True):
+    sender: str
+    kind: Kind
+    channel: str
+    number: int
+
+
+_encode_header = msgspec.msgpack.Encoder().encode
+_decode_header = msgspec.msgpack.Decoder(_Header).decode
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Counters of one bus; bytes without the framing of the transport."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+
+
+@dataclass(slots=True)
+class _Socket:
+    socket: zmq.Socket[bytes]
+    descriptor: int
+    calls: dict[int, asyncio.Future[bytes]] = field(default_factory=dict)
+
+
+class Bus:
+    """Endpoint of one process.
+
+    Parameters
+    ----------
+    name : str
+        Name that receivers see as the sender.
+    secret : bytes
+        Secret of the cluster.
+    routes : mapping of str to str, optional
+        Addresses to connect to in place of others, as behind a translating
+        gateway.
+    """
+
+    def __init__(self, name: str, secret: bytes, routes: Mapping[str, str] | None = None) -> None:
+        self._name = name
+        self._routes = dict(routes or {})
+        self._secret_key = z85.encode(hashlib.sha256(secret).digest())
+        self._public_key = zmq.curve_public(self._secret_key)
+        self._context = zmq.Context()
+        self._loop = asyncio.get_running_loop()
+        self._handlers: dict[str, Handler] = {}
+        self._peers: dict[str, _Socket] = {}
+        self._router: _Socket | None = None
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.traffic = Traffic()
+
+    def handle(self, channel: str, handler: Handler) -> None:
+        """Give every message on `channel` to `handler`."""
+        self._handlers[channel] = handler
+
+    def bind(self, address: str) -> None:
+        """Listen on ``host:port``.
+
+        Raises
+        ------
+        MessagingError
+            If the address cannot be bound.
+        """
+        socket = self._make(zmq.ROUTER)
+        socket.curve_server = True
+        try:
+            socket.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            raise MessagingError(f"cannot listen on {address}: {error}") from error
+        self._router = self._watch(socket)
+
+    def send(self, address: str, channel: str, body: bytes) -> bool:
+        """Send a one-way message; return whether it could be handed over."""
+        return self._put(self._peer(address), Kind.SEND, channel, 0, body)
+
+    async def call(self, address: str, channel: str, body: bytes, timeout_s: float) -> bytes:
+        """Send a call and return its answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            Nothing was sent.
+        CallTimeoutError
+            No answer came in time.
+        CallFailedError
+            The peer's handler failed.
+        """
+        peer = self._peer(address)
+        number = next(self._numbers)
+        future: asyncio.Future[bytes] = self._loop.create_future()
+        deadline = self._loop.time() + timeout_s
+        while not self._put(peer, Kind.CALL, channel, number, body):
+            if self._loop.time() > deadline:
+                raise PeerUnreachableError(address)
+            await asyncio.sleep(CONNECT_POLL_S)
+        peer.calls[number] = future
+        try:
+            return await asyncio.wait_for(future, max(0.0, deadline - self._loop.time()))
+        except TimeoutError as error:
+            raise CallTimeoutError(f"{channel} at {address}") from error
+        finally:
+            peer.calls.pop(number, None)
+
+    def forget(self, address: str) -> None:
+        """Close the connection to an address that is not used any more."""
+        peer = self._peers.pop(address, None)
+        if peer is not None:
+            self._close(peer)
+
+    def close(self) -> None:
+        """Close every socket."""
+        for task in self._tasks:
+            task.cancel()
+        for peer in self._peers.values():
+            self._close(peer)
+        self._peers.clear()
+        if self._router is not None:
+            self._close(self._router)
+        self._context.term()
+
+    def _make(self, kind: int) -> zmq.Socket[bytes]:
+        socket: zmq.Socket[bytes] = self._context.socket(kind)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.curve_secretkey = self._secret_key
+        socket.curve_publickey = self._public_key
+        return socket
+
+    def _peer(self, address: str) -> _Socket:
+        peer = self._peers.get(address)
+        if peer is None:
+            socket = self._make(zmq.DEALER)
+            # Without this, messages to a dead peer pile up and arrive stale.
+            socket.setsockopt(zmq.IMMEDIATE, 1)
+            socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            socket.curve_serverkey = self._public_key
+            socket.connect(f"tcp://{self._routes.get(address, address)}")
+            peer = self._peers[address] = self._watch(socket)
+        return peer
+
+    def _watch(self, socket: zmq.Socket[bytes]) -> _Socket:
+        watched = _Socket(socket, socket.getsockopt(zmq.FD))  # type: ignore[arg-type]
+        self._loop.add_reader(watched.descriptor, self._read_all, watched)
+        return watched
+
+    def _close(self, watched: _Socket) -> None:
+        self._loop.remove_reader(watched.descriptor)
+        watched.socket.close(linger=0)
+        for call in watched.calls.values():
+            call.cancel()
+
+    def _put(
+        self,
+        watched: _Socket,
+        kind: Kind,
+        channel: str,
+        number: int,
+        body: bytes,
+        to: bytes | None = None,
+    ) -> bool:
+        header = _encode_header(_Header(self._name, kind, channel, number))
+        frames = [header, body] if to is None else [to, header, body]
+        try:
+            watched.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.traffic.dropped += 1
+            return False
+        self.traffic.sent += 1
+        self.traffic.sent_bytes += len(header) + len(body)
+        # Sending may consume the edge that tells of received messages.
+        self._loop.call_soon(self._read_all, watched)
+        return True
+
+    def _read_all(self, watched: _Socket) -> None:
+        while not watched.socket.closed:
+            try:
+                frames = watched.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._read_one(watched, frames)
+
+    def _read_one(self, watched: _Socket, frames: list[bytes]) -> None:
+        *route, raw, body = frames
+        self.traffic.received += 1
+        self.traffic.received_bytes += len(raw) + len(body)
+        try:
+            header = _decode_header(raw)
+        except msgspec.DecodeError:
+            self.traffic.dropped += 1
+            return
+        if header.kind in (Kind.ANSWER, Kind.FAILURE):
+            _resolve(watched.calls.pop(header.number, None), header.kind, body)
+            return
+        to = route[0] if route else None
+        task = self._loop.create_task(self._run(watched, header, body, to))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, watched: _Socket, header: _Header, body: bytes, to: bytes | None) -> None:
+        handler = self._handlers.get(header.channel)
+        kind = Kind.ANSWER
+        answer: bytes | None
+        try:
+            if handler is None:
+                raise CallFailedError(f"nothing handles {header.channel!r}")
+            answer = await handler(header.sender, body)
+        except Exception as error:  # noqa: BLE001 - every failure must reach the caller
+            kind, answer = Kind.FAILURE, f"{type(error).__name__}: {error}".encode()
+        if header.kind is Kind.CALL and not watched.socket.closed:
+            self._put(watched, kind, "", header.number, answer or b"", to)
+
+
+def _resolve(call: asyncio.Future[bytes] | None, kind: Kind, body: bytes) -> None:
+    if call is None or call.done():
+        return
+    if kind is Kind.ANSWER:
+        call.set_result(body)
+    else:
+        call.set_exception(CallFailedError(body.decode(errors="replace")))
--- /dev/null
+++ b/reachlink/placement/__init__.py
@@ -0,0 +1,31 @@
+"""Where and when a request runs: memory forecast, candidate choice, health."""
+
+from reachlink.placement import _baselines, _forecast  # noqa: F401  (register themselves)
+from reachlink.placement._cache_index import CacheIndex
+from reachlink.placement._forecast import ForecastPolicy
+from reachlink.placement._health import Health, HealthState, allowances
+from reachlink.placement._policies import (
+    POLICIES,
+    Candidate,
+    Decision,
+    PlacementPolicy,
+    PlacementRequest,
+    Verdict,
+)
+from reachlink.placement._profiles import HORIZONS, MemoryProfile
+
+__all__ = [
+    "HORIZONS",
+    "POLICIES",
+    "CacheIndex",
+    "Candidate",
+    "Decision",
+    "ForecastPolicy",
+    "Health",
+    "HealthState",
+    "MemoryProfile",
+    "PlacementPolicy",
+    "PlacementRequest",
+    "Verdict",
+    "allowances",
+]
--- /dev/null
+++ b/reachlink/placement/_baselines.py
@@ -0,0 +1,68 @@
+"""Policies to measure against.
+
+References
+----------
+.. [1] M. Mitzenmacher, "The power of two choices in randomized load
+   balancing", IEEE TPDS 12 (2001).
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from reachlink.placement._policies import (
+    POLICIES,
+    Candidate,
+    Decision,
+    PlacementPolicy,
+    PlacementRequest,
+    Verdict,
+)
+
+_NONE = Decision(Verdict.NONE_ALIVE, reason="no live replica")
+
+
+@POLICIES.register("round-robin")
+class RoundRobinPolicy(PlacementPolicy):
+    """Each replica in turn."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], random: Random
+    ) -> Decision:
+        """Return the next replica."""
+        if not candidates:
+            return _NONE
+        ordered = sorted(candidates, key=lambda c: c.name)
+        self._next += 1
+        return Decision(Verdict.PLACE, ordered[self._next % len(ordered)].name, "next in turn")
+
+
+@POLICIES.register("least-in-flight")
+class LeastInFlightPolicy(PlacementPolicy):
+    """The replica with the fewest requests in flight from this instance."""
+
+    def choose(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], random: Random
+    ) -> Decision:
+        """Return the least used replica, ties broken at random."""
+        if not candidates:
+            return _NONE
+        best = min(candidates, key=lambda c: (c.own_in_flight, random.random()))
+        return Decision(Verdict.PLACE, best.name, "fewest in flight here")
+
+
+@POLICIES.register("power-of-two")
+class PowerOfTwoPolicy(PlacementPolicy):
+    """The better of two random replicas by their lagging reports."""
+
+    def choose(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], random: Random
+    ) -> Decision:
+        """Return the replica with fewer requests running and waiting."""
+        if not candidates:
+            return _NONE
+        pair = random.sample(list(candidates), min(2, len(candidates)))
+        best = min(pair, key=lambda c: c.reported_running + c.reported_waiting)
+        return Decision(Verdict.PLACE, best.name, "better of two by report")
--- /dev/null
+++ b/reachlink/placement/_forecast.py
@@ -0,0 +1,129 @@
+"""The policy in use: admission by forecast memory peak, choice by forecast cost."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from reachlink.placement._policies import (
+    POLICIES,
+    Candidate,
+    Decision,
+    PlacementPolicy,
+    PlacementRequest,
+    Verdict,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class ForecastParameters:
+    """Constants of the policy.
+
+    Attributes
+    ----------
+    deviations : float
+        Standard deviations on top of the forecast mean.
+    fill : float
+        Share of a replica's memory that forecasts may fill.
+    prefill_token_ms : float
+        Cost of a prompt token that no prefix cache holds.
+    scaling_share : float
+        Share of a decoding step's duration that grows with the batch.
+    report_trust_s : float
+        Age at which a load report counts for nothing.
+    near_ms : float
+        Candidates within this cost of the best one are chosen at random, so
+        that instances that decide at once do not all choose the same.
+    """
+
+    deviations: float = 1.0
+    fill: float = 0.97
+    prefill_token_ms: float = 0.02
+    scaling_share: float = 0.6
+    report_trust_s: float = 5.0
+    near_ms: float = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class _Score:
+    candidate: Candidate
+    peak_share: float
+    cost_ms: float
+
+
+class ForecastPolicy(PlacementPolicy):
+    """Place where the forecast peak fits and the answer ends soonest; else wait.
+
+    Parameters
+    ----------
+    parameters : ForecastParameters, optional
+        Constants.
+    """
+
+    def __init__(self, parameters: ForecastParameters | None = None) -> None:
+        self._parameters = parameters or ForecastParameters()
+
+    def choose(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], random: Random
+    ) -> Decision:
+        """Return the cheapest replica with room, or `Verdict.WAIT`."""
+        allowed = [c for c in candidates if c.local or request.spill]
+        if not allowed:
+            return Decision(Verdict.NONE_ALIVE, reason="no live replica")
+        scores = [self._score(request, c) for c in allowed]
+        shown = tuple((s.candidate.name, s.peak_share, s.cost_ms) for s in scores)
+        open_scores = [s for s in scores if self._has_room(s)]
+        if not open_scores:
+            return Decision(Verdict.WAIT, reason="no replica has room", scores=shown)
+        best = min(s.cost_ms for s in open_scores)
+        near = [s for s in open_scores if s.cost_ms <= best + self._parameters.near_ms]
+        chosen = random.choice(near)
+        return Decision(Verdict.PLACE, chosen.candidate.name, "lowest cost with room", shown)
+
+    def _score(self, request: PlacementRequest, candidate: Candidate) -> _Score:
+        return _Score(
+            candidate, self._peak_share(request, candidate), self._cost_ms(request, candidate)
+        )
+
+    def _peak_share(self, request: PlacementRequest, candidate: Candidate) -> float:
+        if not candidate.capacity_tokens:
+            return 0.0
+        peak = candidate.known.peak_with(request.profile, self._parameters.deviations)
+        return (peak + self._unexplained(candidate)) / candidate.capacity_tokens
+
+    def _unexplained(self, candidate: Candidate) -> float:
+        """Return reported memory that no known generation accounts for, aged."""
+        trust = max(0.0, 1.0 - candidate.report_age_s / self._parameters.report_trust_s)
+        return trust * max(0.0, candidate.reported_used_tokens - candidate.known.mean[0])
+
+    def _has_room(self, score: _Score) -> bool:
+        candidate = score.candidate
+        if candidate.running < 1:
+            # An idle replica takes any one request: waiting would gain nothing.
+            return True
+        if candidate.max_batch and candidate.running >= candidate.max_batch * candidate.allowance:
+            return False
+        return score.peak_share <= self._parameters.fill * candidate.allowance
+
+    def _cost_ms(self, request: PlacementRequest, candidate: Candidate) -> float:
+        p = self._parameters
+        uncached = max(0, request.prompt_tokens - candidate.cached_tokens)
+        cost = uncached * p.prefill_token_ms
+        cost += request.expected_tokens * self._step_ms(candidate)
+        if not candidate.local:
+            cost += request.link_cost_ms
+        return cost
+
+    def _step_ms(self, candidate: Candidate) -> float:
+        """Return the reported step, scaled from the reported to the known batch."""
+        share = self._parameters.scaling_share
+        reported = max(1.0, candidate.reported_running)
+        ratio = (candidate.running + 1.0) / reported if candidate.step_ms else 1.0
+        if not candidate.step_ms:
+            return candidate.running + 1.0
+        return candidate.step_ms * (1.0 - share + share * ratio)
+
+
+@POLICIES.register("forecast")
+def make_forecast_policy() -> PlacementPolicy:
+    """Return the policy with its usual constants."""
+    return ForecastPolicy()
--- /dev/null
+++ b/reachlink/placement/_health.py
@@ -0,0 +1,80 @@
+"""Replicas that fail are taken out and let back in gradually; pure."""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+FAILURES_TO_EJECT = 2
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+RECOVERY_S = 8.0
+LEAST_ALLOWANCE = 0.1
+MAX_EJECTED_SHARE = 0.5
+
+
+class HealthState(Enum):
+    """How far a replica is trusted."""
+
+    GOOD = "good"
+    EJECTED = "ejected"
+    RECOVERING = "recovering"
+
+
+@dataclass(slots=True)
+class Health:
+    """Trust in one replica; times are monotonic seconds."""
+
+    state: HealthState = HealthState.GOOD
+    failures: int = 0
+    ejections: int = 0
+    until: float = 0.0
+    since: float = 0.0
+
+    def on_failure(self, now: float, random: Random) -> None:
+        """A dispatch failed, a stream stalled or broke."""
+        self.failures += 1
+        if self.state is HealthState.RECOVERING or self.failures >= FAILURES_TO_EJECT:
+            self._eject(now, random)
+
+    def on_success(self, now: float) -> None:
+        """The replica delivered."""
+        self.failures = 0
+        if self.state is HealthState.RECOVERING and now - self.since >= RECOVERY_S:
+            self.state = HealthState.GOOD
+            self.ejections = 0
+
+    def allowance(self, now: float) -> float:
+        """Return the share of its usual load that the replica may get."""
+        if self.state is HealthState.EJECTED and now >= self.until:
+            self.state = HealthState.RECOVERING
+            self.since = now
+        if self.state is HealthState.GOOD:
+            return 1.0
+        if self.state is HealthState.EJECTED:
+            return 0.0
+        grown = LEAST_ALLOWANCE + (1.0 - LEAST_ALLOWANCE) * (now - self.since) / RECOVERY_S
+        return min(1.0, grown)
+
+    def _eject(self, now: float, random: Random) -> None:
+        if self.state is HealthState.EJECTED:
+            return
+        longest = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2.0**self.ejections)
+        self.state = HealthState.EJECTED
+        self.ejections += 1
+        self.failures = 0
+        # Jitter keeps replicas that failed together from coming back together.
+        self.until = now + random.uniform(longest / 2, longest)
+
+
+def allowances(healths: dict[str, Health], now: float) -> dict[str, float]:
+    """Return the allowance of each replica, never ejecting most of them at once.
+
+    Where more than `MAX_EJECTED_SHARE` of the replicas are out, the cause is
+    likely shared (a network, a dependency) and taking more out would only
+    put the load onto the rest: then the ejected ones are used sparingly.
+    """
+    found = {name: health.allowance(now) for name, health in healths.items()}
+    out = sum(1 for value in found.values() if value == 0.0)
+    if out <= MAX_EJECTED_SHARE * len(found):
+        return found
+    return {name: max(value, LEAST_ALLOWANCE) for name, value in found.items()}
--- /dev/null
+++ b/reachlink/placement/_profiles.py
@@ -0,0 +1,101 @@
+"""Forecast of the KV memory that generations will hold, as an additive vector.
+
+The profile of one generation is, for a few horizons counted in decoding
+steps, the mean and the variance of the memory that it will hold then: its
+prompt and output so far plus the steps in between, if it still runs. The
+profile of a replica is the sum over its generations, wherever they came
+from, so that entry instances exchange sums and not lists. Its largest value
+over the horizons forecasts the memory peak.
+
+References
+----------
+.. [1] R. Gong et al., "Past-Future Scheduler for LLM Serving under SLA
+   Guarantees", ASPLOS 2025: admission by the forecast peak of memory over
+   the running batch, from the distribution of past output lengths.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from reachlink.lengths import SurvivalCurve
+
+HORIZONS = (0, 24, 64, 160, 384, 900, 2048, 5120)
+
+
+def _zeros() -> list[float]:
+    return [0.0] * len(HORIZONS)
+
+
+@dataclass(slots=True)
+class MemoryProfile:
+    """Sum of forecasts.
+
+    Attributes
+    ----------
+    mean : list of float, shape (len(HORIZONS),)
+        Expected memory in tokens at each horizon.
+    variance : list of float, shape (len(HORIZONS),)
+        Its variance in tokens squared.
+    count : float
+        Generations in the sum.
+    """
+
+    mean: list[float] = field(default_factory=_zeros)
+    variance: list[float] = field(default_factory=_zeros)
+    count: float = 0.0
+
+    @classmethod
+    def of_generation(
+        cls, curve: SurvivalCurve, prompt_tokens: int, tokens: int
+    ) -> "MemoryProfile":
+        """Return the profile of one generation.
+
+        Parameters
+        ----------
+        curve : SurvivalCurve
+            Lengths of answers like it.
+        prompt_tokens, tokens : int
+            Size of its prompt, and of its output so far.
+        """
+        alive = max(1e-9, curve.longer_than(tokens))
+        mean: list[float] = []
+        variance: list[float] = []
+        for horizon in HORIZONS:
+            chance = curve.longer_than(tokens + horizon) / alive
+            held = prompt_tokens + tokens + horizon
+            mean.append(chance * held)
+            variance.append(chance * (1.0 - chance) * held * held)
+        return cls(mean, variance, 1.0)
+
+    def add(self, other: "MemoryProfile") -> None:
+        """Add another profile to this one."""
+        for i in range(len(HORIZONS)):
+            self.mean[i] += other.mean[i]
+            self.variance[i] += other.variance[i]
+        self.count += other.count
+
+    def peak_with(self, other: "MemoryProfile", deviations: float) -> float:
+        """Return the forecast peak of both together, in tokens.
+
+        Parameters
+        ----------
+        other : MemoryProfile
+            Profile to put on top.
+        deviations : float
+            How many standard deviations to add to the mean.
+        """
+        peak = 0.0
+        for i in range(len(HORIZONS)):
+            spread = math.sqrt(self.variance[i] + other.variance[i])
+            value = self.mean[i] + other.mean[i] + deviations * spread
+            peak = max(peak, value)
+        return peak
+
+    @staticmethod
+    def total(profiles: Iterable["MemoryProfile"]) -> "MemoryProfile":
+        """Return the sum of profiles."""
+        result = MemoryProfile()
+        for profile in profiles:
+            result.add(profile)
+        return result
--- /dev/null
+++ b/reachlink/settings/_edits.py
@@ -0,0 +1,35 @@
+"""Changes to settings."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+
+class Change(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One value set or unset.
+
+    Attributes
+    ----------
+    path : str
+        Dotted path of the setting.
+    value : object
+        New value; unused with `unset`.
+    unset : bool
+        Whether the value is taken away, so that the inherited one counts.
+    """
+
+    path: str
+    value: Any = None
+    unset: bool = False
+
+
+def diff_values(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[Change]:
+    """Return the changes that turn one set of values into another, by path."""
+    changes: list[Change] = []
+    for path in sorted(old.keys() | new.keys()):
+        if path not in new:
+            changes.append(Change(path, unset=True))
+        elif path not in old or old[path] != new[path]:
+            changes.append(Change(path, new[path]))
+    return changes
--- /dev/null
+++ b/reachlink/settings/_paths.py
@@ -0,0 +1,114 @@
+"""Paths in the tree, such as ``services.explain.workspaces.w1.limits.concurrent``."""
+
+import difflib
+import re
+from dataclasses import dataclass
+from enum import Enum
+
+from reachlink.settings._schema import SETTINGS, Setting
+from reachlink.settings.exceptions import UnknownPathError
+
+_NAME = re.compile(r"[^\W_][\w-]{0,62}")
+
+
+class Scope(Enum):
+    """Level of the tree at which a value stands."""
+
+    DEFAULTS = "defaults"
+    SITE = "sites.{site}"
+    SERVICE = "services.{service}"
+    SERVICE_SITE = "services.{service}.sites.{site}"
+    SERVICE_WORKSPACE = "services.{service}.workspaces.{workspace}"
+    SERVICE_WORKSPACE_SITE = "services.{service}.workspaces.{workspace}.sites.{site}"
+    WORKSPACE = "workspaces.{workspace}"
+    OPERATOR = "operators.{operator}"
+
+
+@dataclass(slots=True, frozen=True)
+class SettingPath:
+    """A parsed path.
+
+    Names that the scope lacks are empty.
+    """
+
+    scope: Scope
+    setting: Setting
+    service: str = ""
+    workspace: str = ""
+    site: str = ""
+    operator: str = ""
+
+    def __str__(self) -> str:
+        names = {
+            "service": self.service,
+            "workspace": self.workspace,
+            "site": self.site,
+            "operator": self.operator,
+        }
+        return f"{self.scope.value.format(**names)}.{self.setting.name}"
+
+
+_SCOPE_PARTS = [(scope, scope.value.split(".")) for scope in Scope]
+
+
+def parse_path(text: str) -> SettingPath:
+    """Parse a dotted path.
+
+    Parameters
+    ----------
+    text : str
+        Path to a single setting.
+
+    Returns
+    -------
+    SettingPath
+        The scope, the names in it, and the setting.
+
+    Raises
+    ------
+    UnknownPathError
+        If no such path can exist.
+    """
+    parts = text.split(".")
+    # The longest scope first: a shorter one also matches the start of its paths.
+    for scope, pattern in sorted(_SCOPE_PARTS, key=lambda item: -len(item[1])):
+        names = _match(pattern, parts)
+        if names is not None:
+            return _finish(text, scope, names, ".".join(parts[len(pattern) :]))
+    raise UnknownPathError(f"{text!r} is not a path to a setting{_hint(parts[0])}")
+
+
+def _match(pattern: list[str], parts: list[str]) -> dict[str, str] | None:
+    if len(parts) <= len(pattern):
+        return None
+    names: dict[str, str] = {}
+    for expected, part in zip(pattern, parts, strict=False):
+        if expected.startswith("{"):
+            names[expected[1:-1]] = part
+        elif expected != part:
+            return None
+    return names
+
+
+def _finish(text: str, scope: Scope, names: dict[str, str], leaf: str) -> SettingPath:
+    for kind, name in names.items():
+        if not _NAME.fullmatch(name):
+            raise UnknownPathError(f"{text!r}: {name!r} is not a valid name of a {kind}")
+    setting = SETTINGS.get(leaf)
+    if setting is None:
+        near = difflib.get_close_matches(leaf, _allowed_in(scope), n=1)
+        hint = f"; did you mean {near[0]!r}?" if near else ""
+        raise UnknownPathError(f"{text!r}: there is no setting {leaf!r}{hint}")
+    if scope.name not in setting.scopes:
+        places = ", ".join(sorted(setting.scopes)).lower()
+        raise UnknownPathError(f"{text!r}: {leaf!r} cannot stand here, only in: {places}")
+    return SettingPath(scope, setting, **names)
+
+
+def _allowed_in(scope: Scope) -> list[str]:
+    return [name for name, setting in SETTINGS.items() if scope.name in setting.scopes]
+
+
+def _hint(first: str) -> str:
+    near = difflib.get_close_matches(first, {parts[0] for _, parts in _SCOPE_PARTS}, n=1)
+    return f"; did you mean {near[0]!r}?" if near and near[0] != first else ""
--- /dev/null
+++ b/reachlink/telemetry/_logs.py
@@ -0,0 +1,37 @@
+"""One key=value line for each event, on standard error."""
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+_KEY_ORDER = ["timestamp", "level", "event", "instance", "availability_zone"]
+
+
+def configure_logs(**context: str) -> None:
+    """Set up logging for this process.
+
+    Parameters
+    ----------
+    **context : str
+        Keys that every line of this process carries, such as its instance.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=_KEY_ORDER, drop_missing=True),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(**context)
+
+
+def get_logger() -> Any:
+    """Return a logger whose methods take an event name and keys."""
+    return structlog.get_logger()
--- /dev/null
+++ b/reachlink/testing/service.py
@@ -0,0 +1,94 @@
+"""Stand-in for a plain service that records each call it ran, as a process."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+
+from reachlink.kernel import load_config
+from reachlink.testing._config import ServiceConfig
+from reachlink.testing.engine import refusal, reply
+
+
+class PlainService:
+    """Runs any call by recording it, after a fixed delay.
+
+    The body may hold ``{"fail": "after"}`` to close the connection once the
+    call has run.
+    """
+
+    def __init__(self, config: ServiceConfig) -> None:
+        self._config = config
+        self._calls: list[dict[str, str]] = []
+        self._running = 0
+        self._leaving = False
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=8 << 20)
+        app.add_routes(
+            [
+                web.get("/calls", self._list),
+                web.get("/v1/load", self._load),
+                web.post("/leave", self._leave),
+                web.get("/healthz", self._health),
+                web.route("*", "/{path:.*}", self._run),
+            ]
+        )
+        return app
+
+    async def _run(self, request: web.Request) -> web.Response:
+        if self._leaving:
+            return refusal(503, "leaving", "this instance is leaving")
+        body = await request.text()
+        self._calls.append(
+            {
+                "request_id": request.headers.get("X-Request-Id", ""),
+                "key": request.headers.get("Idempotency-Key", ""),
+                "method": request.method,
+                "path": request.path,
+                "body": body,
+            }
+        )
+        self._running += 1
+        try:
+            await asyncio.sleep(self._config.delay_s)
+        finally:
+            self._running -= 1
+        if '"fail": "after"' in body and request.transport is not None:
+            request.transport.abort()
+        number = len(self._calls)
+        return reply({"accepted": True, "by": self._config.name, "number": number})
+
+    async def _list(self, request: web.Request) -> web.Response:
+        return reply(self._calls)
+
+    async def _load(self, request: web.Request) -> web.Response:
+        return reply({"running": self._running, "leaving": self._leaving})
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        self._leaving = True
+        return reply({})
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return reply({})
+
+
+def main() -> None:
+    """Run one plain service until a signal ends it."""
+    config = load_config(Path(sys.argv[sys.argv.index("--config") + 1]), ServiceConfig)
+    uvloop.install()
+    web.run_app(
+        PlainService(config).app(),
+        host=config.host,
+        port=config.port,
+        print=None,
+        access_log=None,
+        loop=asyncio.new_event_loop(),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/reachlink/upstreams/_chat_engine.py
@@ -0,0 +1,221 @@
+"""Adapter to engines with the OpenAI-compatible protocol and resumable streams."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from reachlink.upstreams._base import (
+    ADAPTERS,
+    CacheChange,
+    EngineAdapter,
+    GenerationInfo,
+    GenerationRequest,
+    LoadReport,
+    OrderRequest,
+    OrderStatus,
+    Replica,
+    TokenEvent,
+    TokenStream,
+)
+from reachlink.upstreams._http import MAX_LINE_BYTES, HttpClient, raise_refusal
+from reachlink.upstreams.exceptions import GenerationUnknownError, UpstreamBrokenError
+
+GENERATION_HEADER = "X-Generation-Id"
+REQUEST_HEADER = "X-Request-Id"
+_DATA = b"data: "
+_DONE = b"[DONE]"
+_NOT_FOUND = 404
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    """The fields of an event that delivery checks; the rest passes unread."""
+
+    id: str
+    generation: str
+    offset: int
+    choices: list[_Choice] = []
+
+
+class _CacheEvent(msgspec.Struct):
+    sequence: int
+    kind: str
+    block: int
+
+
+_decode_chunk = msgspec.json.Decoder(_Chunk).decode
+_decode_report = msgspec.json.Decoder(LoadReport).decode
+_decode_info = msgspec.json.Decoder(GenerationInfo).decode
+_decode_cache = msgspec.json.Decoder(list[_CacheEvent]).decode
+_decode_order = msgspec.json.Decoder(OrderStatus).decode
+_decode_orders = msgspec.json.Decoder(list[OrderStatus]).decode
+
+
+class ChatEngineStream(TokenStream):
+    """Server-sent events of one generation.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Response with status 200 and an unread body.
+    generation : str
+        Identifier from the response's header.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, generation: str) -> None:
+        self._response = response
+        self._generation = generation
+        self._rest = b""
+        self._ended = False
+
+    @property
+    def generation(self) -> str:
+        """The generation's identifier at its engine."""
+        return self._generation
+
+    async def batches(self) -> AsyncIterator[list[TokenEvent]]:
+        """Yield the events of each piece of the body that arrives."""
+        content = self._response.content
+        try:
+            while not self._ended:
+                piece = await content.readany()
+                if not piece:
+                    raise UpstreamBrokenError("the stream ended early")
+                events = self._parse(piece)
+                if events:
+                    yield events
+        except (aiohttp.ClientError, OSError) as error:
+            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
+        except msgspec.DecodeError as error:
+            raise UpstreamBrokenError(f"unreadable event: {error}") from error
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._response.close()
+
+    def _parse(self, piece: bytes) -> list[TokenEvent]:
+        *records, self._rest = (self._rest + piece).split(b"\n\n")
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise UpstreamBrokenError("an event is too long")
+        events: list[TokenEvent] = []
+        for record in records:
+            if not record.startswith(_DATA):
+                continue
+            data = record[len(_DATA) :]
+            if data == _DONE:
+                self._ended = True
+                break
+            events.append(_read_event(data))
+        return events
+
+
+def _read_event(data: bytes) -> TokenEvent:
+    chunk = _decode_chunk(data)
+    final = bool(chunk.choices) and chunk.choices[0].finish_reason is not None
+    return TokenEvent(chunk.id, chunk.generation, chunk.offset, final, data)
+
+
+@ADAPTERS.register("chat-engine")
+class ChatEngineAdapter(EngineAdapter):
+    """Engines that resume and cancel streams over HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Shared client of the process.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def open(self, replica: Replica, request: GenerationRequest) -> TokenStream:
+        """Dispatch a request and return its stream."""
+        headers = {REQUEST_HEADER: request.request_id, "Content-Type": "application/json"}
+        url = f"http://{replica.address}{request.path}"
+        response = await self._client.dispatch("POST", url, headers, request.body)
+        if response.status != 200:
+            await raise_refusal(response)
+        return _stream(response)
+
+    async def resume(self, replica: Replica, generation: str, offset: int) -> TokenStream:
+        """Return the stream of a generation from an offset on."""
+        url = _url(replica, f"generations/{generation}/events?offset={offset}")
+        response = await self._client.dispatch("GET", url, {}, b"")
+        if response.status == _NOT_FOUND:
+            response.release()
+            raise GenerationUnknownError(generation)
+        if response.status != 200:
+            await raise_refusal(response)
+        return _stream(response)
+
+    async def find(self, replica: Replica, request_id: str) -> GenerationInfo:
+        """Return the generation that serves a request."""
+        return await self._info(_url(replica, f"generations?request_id={request_id}"))
+
+    async def describe(self, replica: Replica, generation: str) -> GenerationInfo:
+        """Return what the engine knows of a generation."""
+        return await self._info(_url(replica, f"generations/{generation}"))
+
+    async def _info(self, url: str) -> GenerationInfo:
+        async with self._client.control("GET", url) as response:
+            if response.status == _NOT_FOUND:
+                raise GenerationUnknownError(url)
+            response.raise_for_status()
+            return _decode_info(await response.read())
+
+    async def cancel(self, replica: Replica, generation: str, if_detached: bool) -> None:
+        """End a generation and free its memory."""
+        query = "?if_detached=1" if if_detached else ""
+        url = _url(replica, f"generations/{generation}{query}")
+        async with self._client.control("DELETE", url) as response:
+            await response.read()
+
+    async def load(self, replica: Replica) -> LoadReport:
+        """Return the latest load report."""
+        return await read_load(self._client, replica)
+
+    async def cache_changes(self, replica: Replica, since: int) -> list[CacheChange]:
+        """Return cache events after a sequence number."""
+        url = _url(replica, f"cache_events?since={since}")
+        async with self._client.control("GET", url) as response:
+            response.raise_for_status()
+            events = _decode_cache(await response.read())
+        return [CacheChange(e.sequence, e.kind == "stored", e.block) for e in events]
+
+    async def order(self, replica: Replica, order: OrderRequest) -> OrderStatus:
+        """Give an order, or repeat it under the same identifier."""
+        body = msgspec.json.encode(order)
+        async with self._client.control("POST", _url(replica, "orders"), body) as response:
+            return _decode_order(await response.read())
+
+    async def orders(self, replica: Replica) -> list[OrderStatus]:
+        """Return the orders that the engine knows."""
+        async with self._client.control("GET", _url(replica, "orders")) as response:
+            response.raise_for_status()
+            return _decode_orders(await response.read())
+
+
+async def read_load(client: HttpClient, replica: Replica) -> LoadReport:
+    """Read a load report in the protocol's JSON form."""
+    async with client.control("GET", _url(replica, "load")) as response:
+        response.raise_for_status()
+        try:
+            return _decode_report(await response.read())
+        except msgspec.DecodeError as error:
+            raise UpstreamBrokenError(f"unreadable load report: {error}") from error
+
+
+def _url(replica: Replica, rest: str) -> str:
+    return f"http://{replica.address}/v1/{rest}"
+
+
+def _stream(response: aiohttp.ClientResponse) -> ChatEngineStream:
+    generation = response.headers.get(GENERATION_HEADER, "")
+    if not generation:
+        response.close()
+        raise UpstreamBrokenError("the engine named no generation")
+    return ChatEngineStream(response, generation)
--- /dev/null
+++ b/reachlink/upstreams/_http.py
@@ -0,0 +1,142 @@
+"""The HTTP client side, shared by the adapters."""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+
+import aiohttp
+import msgspec
+
+from reachlink.upstreams.exceptions import (
+    UpstreamBrokenError,
+    UpstreamRefusedError,
+    UpstreamUnreachableError,
+)
+
+CONNECT_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 2.0
+MAX_ERROR_BYTES = 64 << 10
+MAX_LINE_BYTES = 1 << 20
+
+# Statuses with which an upstream says that it did not run the request.
+REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
+
+
+class ErrorDetail(msgspec.Struct):
+    """The inner part of an error body."""
+
+    code: str | int | None = None
+    message: str = ""
+
+
+class ErrorBody(msgspec.Struct):
+    """An error in the shape that OpenAI-compatible servers use."""
+
+    error: ErrorDetail = msgspec.field(default_factory=ErrorDetail)
+
+
+class HttpClient:
+    """One session for all upstreams of a process.
+
+    Parameters
+    ----------
+    max_connections : int
+        Bound on open connections; 0 for none.
+    """
+
+    def __init__(self, max_connections: int = 0) -> None:
+        self._max_connections = max_connections
+        self._opened: aiohttp.ClientSession | None = None
+
+    @property
+    def _session(self) -> aiohttp.ClientSession:
+        if self._opened is None:
+            connector = aiohttp.TCPConnector(limit=self._max_connections, ttl_dns_cache=None)
+            timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+            self._opened = aiohttp.ClientSession(
+                connector=connector, timeout=timeout, auto_decompress=False
+            )
+        return self._opened
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._opened is not None:
+            await self._opened.close()
+
+    async def dispatch(
+        self, method: str, url: str, headers: Mapping[str, str], body: bytes
+    ) -> aiohttp.ClientResponse:
+        """Send a request at most once and return the response with its body unread.
+
+        Raises
+        ------
+        UpstreamUnreachableError
+            No connection could be made.
+        UpstreamBrokenError
+            The connection failed after the request was sent.
+        """
+        try:
+            return await self._session.request(
+                method,
+                url,
+                headers=dict(headers),
+                data=body,
+                allow_redirects=False,
+                middlewares=(SingleDispatch(),),
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UpstreamUnreachableError(str(error)) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
+
+    @asynccontextmanager
+    async def control(
+        self, method: str, url: str, body: bytes | None = None
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a small request whose repetition does no harm."""
+        try:
+            async with asyncio.timeout(CONTROL_TIMEOUT_S):
+                async with self._session.request(method, url, data=body) as response:
+                    yield response
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UpstreamUnreachableError(str(error)) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
+
+
+class SingleDispatch:
+    """Client middleware that lets a request go out once.
+
+    `aiohttp` sends requests of idempotent methods again by itself when a
+    kept-alive connection turns out dead. Whether that is safe is for the
+    retry policy to decide, never for the library.
+    """
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Pass the request on, or fail if it went out before."""
+        if self._sent:
+            raise UpstreamBrokenError("the connection broke after the request was sent")
+        self._sent = True
+        return await handler(request)
+
+
+async def raise_refusal(response: aiohttp.ClientResponse) -> None:
+    """Turn an error response to a dispatched request into this layer's errors."""
+    try:
+        raw = await response.content.read(MAX_ERROR_BYTES)
+        detail = msgspec.json.decode(raw, type=ErrorBody).error
+    except msgspec.DecodeError:
+        detail = ErrorDetail(message="the upstream's error could not be read")
+    except (aiohttp.ClientError, OSError) as error:
+        raise UpstreamBrokenError(str(error)) from error
+    finally:
+        response.release()
+    if response.status in REFUSED_STATUSES:
+        code = str(detail.code or response.status)
+        raise UpstreamRefusedError(response.status, code, detail.message)
+    raise UpstreamBrokenError(f"upstream failed with status {response.status}: {detail.message}")
--- /dev/null
+++ b/reachlink/upstreams/_plain_service.py
@@ -0,0 +1,58 @@
+"""Adapter to plain HTTP services, whose answers are passed on whole."""
+
+import aiohttp
+
+from reachlink.upstreams._base import (
+    ADAPTERS,
+    CallRequest,
+    CallResponse,
+    LoadReport,
+    Replica,
+    ServiceAdapter,
+)
+from reachlink.upstreams._chat_engine import REQUEST_HEADER, read_load
+from reachlink.upstreams._http import HttpClient, raise_refusal
+from reachlink.upstreams.exceptions import UpstreamBrokenError
+
+MAX_ANSWER_BYTES = 8 << 20
+_REFUSED = frozenset({429, 503})
+
+
+@ADAPTERS.register("plain-service")
+class PlainServiceAdapter(ServiceAdapter):
+    """Services that answer an HTTP request with a whole body.
+
+    Statuses 429 and 503 mean that the service did not run the call; every
+    other status is its answer.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def call(self, replica: Replica, request: CallRequest) -> CallResponse:
+        """Dispatch a call at most once and return its whole answer."""
+        headers = {**request.headers, REQUEST_HEADER: request.request_id}
+        url = f"http://{replica.address}{request.path}"
+        response = await self._client.dispatch(request.method, url, headers, request.body)
+        if response.status in _REFUSED:
+            await raise_refusal(response)
+        return await _read_answer(response)
+
+    async def load(self, replica: Replica) -> LoadReport:
+        """Return the latest load report."""
+        return await read_load(self._client, replica)
+
+
+async def _read_answer(response: aiohttp.ClientResponse) -> CallResponse:
+    try:
+        body = await response.content.read(MAX_ANSWER_BYTES + 1)
+        while not response.content.at_eof() and len(body) <= MAX_ANSWER_BYTES:
+            body += await response.content.read(MAX_ANSWER_BYTES + 1 - len(body))
+    except (aiohttp.ClientError, OSError) as error:
+        raise UpstreamBrokenError(str(error) or type(error).__name__) from error
+    finally:
+        response.release()
+    if len(body) > MAX_ANSWER_BYTES:
+        raise UpstreamBrokenError("the answer is too long")
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return CallResponse(response.status, content_type, body)
