Prove the replicated log under 2,000 seeded schedules

Cause: the log had no proof of its promises.

Change: a world of real cores and control machines under losses, one-way partitions, crashes before and after a sync, lost disks and membership changes; four deliberate mutants (votes or entries not synced, a quorum of one less, forgotten edit ids) show that the checks can fail.

Found and mended: (1) a leader accepted a membership whose majority was already lost: it now refuses a change whose new voters it has not heard; (2) a replica whose own removal was not committed never stood for election, although only its log could win: it stands as long as the committed membership has it.

The four mutants are caught within 600 schedules.

--- a/reachlink/agreement/_core.py
+++ b/reachlink/agreement/_core.py
@@ -197,6 +197,24 @@
         if not any(m.voting for m in members):
             raise MembershipChangeError("the last voter cannot be removed")
         self._check_caught_up(changed[0], old, new, now)
+        self._check_majority_alive(members, now)
+
+    def _check_majority_alive(self, members: Sequence[Member], now: float) -> None:
+        """Refuse a membership that could not decide anything, not even to undo itself."""
+        voters = [m.node_id for m in members if m.voting]
+        alive = [v for v in voters if self._heard_recently(v, now)]
+        if len(alive) <= len(voters) // 2:
+            raise MembershipChangeError("no majority of the new voters is reachable")
+
+    def _heard_recently(self, node: str, now: float) -> bool:
+        state = self._state
+        if node == state.node_id:
+            return True
+        progress = state.progress.get(node)
+        if progress is None:
+            return False
+        # Not `heard_at`, which a new leader presets to give everyone time.
+        return now - progress.acked_sent_at < state.timing.election_max_s
 
     def _check_caught_up(
         self, node: str, old: dict[str, Member], new: dict[str, Member], now: float
@@ -206,7 +224,7 @@
             return
         state = self._state
         progress = state.progress.get(node)
-        recent = progress is not None and now - progress.heard_at < state.timing.election_max_s
+        recent = self._heard_recently(node, now)
         if progress is None or not recent or progress.match_index < state.commit:
             raise MembershipChangeError(f"{node} has not caught up yet")
 
--- a/reachlink/agreement/_election.py
+++ b/reachlink/agreement/_election.py
@@ -41,7 +41,7 @@
 def on_election_due(state: ReplicaState, now: float) -> None:
     """The election time-out ran out: ask whether an election could be won."""
     reset_election_timer(state, now)
-    if not state.is_voter:
+    if not state.may_stand:
         return
     state.role = Role.TRIAL
     state.leader = ""
--- a/reachlink/agreement/_state.py
+++ b/reachlink/agreement/_state.py
@@ -105,6 +105,18 @@
         """Whether this replica votes."""
         return self.node_id in self.voters
 
+    @property
+    def may_stand(self) -> bool:
+        """Whether this replica may stand for election.
+
+        One whose removal is not committed may be the only one with a log that
+        can win, so it stands as long as the committed membership has it.
+        """
+        if self.is_voter:
+            return True
+        _, committed = self.log.members_at(self.commit)
+        return any(m.node_id == self.node_id and m.voting for m in committed)
+
     def quorum(self) -> int:
         """Return how many voters make a majority."""
         return len(self.voters) // 2 + 1
--- /dev/null
+++ b/reachlink/agreement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated log."""
--- /dev/null
+++ b/reachlink/agreement/tests/test_schedules.py
@@ -0,0 +1,104 @@
+"""The replicated log keeps its promises under seeded schedules, and the checks can fail."""
+
+import os
+
+import pytest
+
+from reachlink.agreement import Effects, Log, ReplicaState
+from reachlink.agreement.tests.world import BrokenPromiseError, Disk, World
+from reachlink.control import ControlMachine
+
+SCHEDULES = int(os.environ.get("REACHLINK_SCHEDULES", "2000"))
+STEPS = 400
+CHUNKS = 8
+MUTANT_SCHEDULES = 600
+
+
+def play(seed: int, world_class: type[World] = World) -> World:
+    world = world_class(seed, voters=3 if seed % 2 else 5)
+    world.run(STEPS)
+    world.heal_and_settle()
+    return world
+
+
+@pytest.mark.parametrize("chunk", range(CHUNKS))
+def test_promises_hold(chunk):
+    accepted = 0
+    for seed in range(chunk, SCHEDULES, CHUNKS):
+        try:
+            world = play(seed)
+        except BrokenPromiseError as error:
+            raise AssertionError(f"schedule {seed}: {error}") from error
+        accepted += len(world.results)
+    # Schedules in which nothing happens would prove nothing.
+    assert accepted > 3 * SCHEDULES // CHUNKS
+
+
+def first_broken(world_class: type[World] = World) -> str:
+    for seed in range(MUTANT_SCHEDULES):
+        try:
+            play(seed, world_class)
+        except BrokenPromiseError as error:
+            return str(error)
+        except (AssertionError, ValueError, IndexError) as error:
+            return f"{type(error).__name__}: {error}"
+    return ""
+
+
+class ForgetfulVoteDisk(Disk):
+    """Does not sync votes."""
+
+    def persist(self, effects: Effects, term: int, voted_for: str, core_log: Log) -> None:
+        super().persist(effects, self.term, self.voted_for, core_log)
+
+
+class ForgetfulEntryDisk(Disk):
+    """Syncs entries one step late."""
+
+    _late: list = []
+
+    def persist(self, effects: Effects, term: int, voted_for: str, core_log: Log) -> None:
+        if effects.append and not effects.cut_from and not effects.install:
+            self.term, self.voted_for = term, voted_for
+            return
+        super().persist(effects, term, voted_for, core_log)
+
+    def copy_log(self) -> Log:
+        return super().copy_log()
+
+
+class ForgetfulMachine(ControlMachine):
+    """Forgets the ids of edits when it is restored from a snapshot."""
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        self._edits.clear()
+
+
+def with_disk(disk: type[Disk]) -> type[World]:
+    class Mutant(World):
+        def make_disk(self) -> Disk:
+            return disk()
+
+    return Mutant
+
+
+def test_checks_catch_votes_that_are_not_synced():
+    assert "lead term" in first_broken(with_disk(ForgetfulVoteDisk))
+
+
+def test_checks_catch_entries_that_are_not_synced():
+    assert first_broken(with_disk(ForgetfulEntryDisk))
+
+
+def test_checks_catch_a_quorum_of_one_less(monkeypatch):
+    monkeypatch.setattr(ReplicaState, "quorum", lambda self: len(self.voters) // 2)
+    assert first_broken()
+
+
+def test_checks_catch_forgotten_edit_ids():
+    class Mutant(World):
+        def make_machine(self) -> ControlMachine:
+            return ForgetfulMachine()
+
+    assert "got" in first_broken(Mutant)
--- /dev/null
+++ b/reachlink/agreement/tests/test_storage.py
@@ -0,0 +1,154 @@
+"""What is on disk lasts; what is damaged is cut or refused, never guessed."""
+
+import errno
+from pathlib import Path
+
+import pytest
+
+from reachlink.agreement import (
+    CorruptLogError,
+    Effects,
+    Entry,
+    EntryKind,
+    Files,
+    Storage,
+    StorageError,
+)
+from reachlink.agreement._records import SnapshotRecord
+
+
+def command(index: int, term: int = 1) -> Entry:
+    return Entry(index, term, EntryKind.COMMAND, f"command {index}".encode())
+
+
+def filled(folder: Path, count: int) -> list[Entry]:
+    storage = Storage(folder)
+    storage.load()
+    entries = [command(i) for i in range(1, count + 1)]
+    for entry in entries:
+        storage.persist(Effects(hard_state=True, append=[entry]), 1, "n1")
+    storage.close()
+    return entries
+
+
+def segment(folder: Path) -> Path:
+    (path,) = folder.glob("log-*.bin")
+    return path
+
+
+def load(folder: Path):
+    storage = Storage(folder)
+    try:
+        return storage.load()
+    finally:
+        storage.close()
+
+
+def test_everything_synced_is_there_again(tmp_path):
+    entries = filled(tmp_path, 20)
+    loaded = load(tmp_path)
+    assert loaded.log.entries == entries
+    assert (loaded.term, loaded.voted_for) == (1, "n1")
+
+
+@pytest.mark.parametrize("lost", [1, 5, 12, 30])
+def test_torn_tail_is_cut_once(tmp_path, lost):
+    entries = filled(tmp_path, 5)
+    path = segment(tmp_path)
+    path.write_bytes(path.read_bytes()[:-lost])
+    first = load(tmp_path).log.entries
+    assert first == entries[: len(first)]
+    assert len(first) >= 4
+    assert load(tmp_path).log.entries == first
+
+
+def test_rotten_middle_stops_the_replica(tmp_path):
+    filled(tmp_path, 20)
+    path = segment(tmp_path)
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 0xFF
+    path.write_bytes(bytes(data))
+    with pytest.raises(CorruptLogError, match="damaged record at byte"):
+        load(tmp_path)
+
+
+def test_rotten_snapshot_stops_the_replica(tmp_path):
+    storage = Storage(tmp_path)
+    storage.load()
+    storage.save_snapshot(SnapshotRecord(3, 1, [], b"state"), 1, "", [command(4)])
+    storage.close()
+    path = tmp_path / "snapshot.bin"
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 0xFF
+    path.write_bytes(bytes(data))
+    with pytest.raises(CorruptLogError, match="snapshot"):
+        load(tmp_path)
+
+
+def test_snapshot_replaces_the_log_behind_it(tmp_path):
+    filled(tmp_path, 20)
+    storage = Storage(tmp_path)
+    storage.load()
+    storage.save_snapshot(SnapshotRecord(18, 1, [], b"state"), 2, "n2", [command(19), command(20)])
+    storage.close()
+    loaded = load(tmp_path)
+    assert loaded.snapshot == b"state"
+    assert loaded.log.snapshot_index == 18
+    assert [e.index for e in loaded.log.entries] == [19, 20]
+    assert (loaded.term, loaded.voted_for) == (2, "n2")
+
+
+def test_crash_between_snapshot_and_cut_is_harmless(tmp_path):
+    filled(tmp_path, 20)
+    old = segment(tmp_path)
+    kept = old.read_bytes()
+    storage = Storage(tmp_path)
+    storage.load()
+    storage.save_snapshot(SnapshotRecord(18, 1, [], b"state"), 1, "n1", [command(19)])
+    storage.close()
+    old.write_bytes(kept)
+    loaded = load(tmp_path)
+    assert loaded.log.snapshot_index == 18
+    assert loaded.log.entries[0] == command(19)
+
+
+class FullDisk(Files):
+    """Has room for a few bytes more."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        if len(data) > self.room:
+            super().write(descriptor, data[: self.room])
+            raise OSError(errno.ENOSPC, "No space left on device")
+        self.room -= len(data)
+        super().write(descriptor, data)
+
+
+def test_full_disk_is_told_and_loses_nothing_synced(tmp_path):
+    entries = filled(tmp_path, 5)
+    storage = Storage(tmp_path, FullDisk(20))
+    storage.load()
+    with pytest.raises(StorageError, match="No space left"):
+        storage.persist(Effects(append=[command(6)]), 1, "n1")
+    storage.close()
+    assert load(tmp_path).log.entries == entries
+
+
+def test_a_folder_serves_one_process(tmp_path):
+    storage = Storage(tmp_path)
+    with pytest.raises(StorageError):
+        Storage(tmp_path)
+    storage.close()
+
+
+def test_a_new_disk_gets_a_new_identity(tmp_path):
+    first = Storage(tmp_path / "a")
+    second = Storage(tmp_path / "b")
+    names = {first.identity("control-1").node_id, second.identity("control-1").node_id}
+    again = first.identity("control-1").node_id
+    first.close()
+    second.close()
+    assert len(names) == 2
+    assert again in names
--- /dev/null
+++ b/reachlink/agreement/tests/world.py
@@ -0,0 +1,356 @@
+"""Replicas under seeded schedules of losses, partitions, crashes and membership changes.
+
+The real `Core` and the real control machine run; the network, the disks and
+the time are drawn from a seeded generator. After each step the promises are
+checked.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+
+from reachlink.agreement import (
+    Core,
+    Effects,
+    Entry,
+    EntryKind,
+    Log,
+    Member,
+    MembershipChangeError,
+    Message,
+    NotLeaderError,
+    Timing,
+)
+from reachlink.agreement._messages import decode_members
+from reachlink.control import ControlMachine, EditCommand, EditResult, EditStatus
+from reachlink.messaging import encode
+from reachlink.settings import Change
+
+SNAPSHOT_EVERY = 12
+PATH = "defaults.limits.queue_length"
+
+
+class BrokenPromiseError(AssertionError):
+    """A promise of the replicated log was broken."""
+
+
+@dataclass
+class Disk:
+    """What one replica has synced."""
+
+    term: int = 0
+    voted_for: str = ""
+    log: Log = field(default_factory=Log)
+    snapshot: bytes | None = None
+
+    def persist(self, effects: Effects, term: int, voted_for: str, core_log: Log) -> None:
+        if effects.hard_state or effects.install:
+            self.term, self.voted_for = term, voted_for
+        if effects.install:
+            install = effects.install
+            self.snapshot = install.data
+            self.log.reset(install.index, install.index_term, install.members)
+            self.log.append(core_log.entries)
+            return
+        if effects.cut_from is not None:
+            self.log.cut_from(effects.cut_from)
+        self.log.append(effects.append)
+
+    def copy_log(self) -> Log:
+        log = self.log
+        return Log(
+            log.snapshot_index, log.snapshot_term, list(log.snapshot_members), list(log.entries)
+        )
+
+
+class Node:
+    """One replica, running or not."""
+
+    def __init__(self, world: "World", node_id: str, founding: list[Member]) -> None:
+        self.world = world
+        self.node_id = node_id
+        self.disk = world.make_disk()
+        self.disk.log.snapshot_members = founding
+        self.core: Core | None = None
+        self.machine: ControlMachine = world.make_machine()
+        self.applied = 0
+
+    def start(self) -> None:
+        world = self.world
+        self.machine = world.make_machine()
+        if self.disk.snapshot is not None:
+            self.machine.restore(self.disk.snapshot)
+        self.applied = self.disk.log.snapshot_index
+        self.core = Core(
+            self.node_id,
+            self.disk.copy_log(),
+            self.disk.term,
+            self.disk.voted_for,
+            Timing(),
+            Random(world.random.getrandbits(32)),
+            world.now,
+        )
+
+    def carry_out(self) -> None:
+        core, world = self.core, self.world
+        assert core is not None
+        effects = core.take_effects()
+        if world.random.random() < world.crash_rate:
+            # The disk has nothing of this step, or all of it; nothing was sent.
+            if world.random.random() < 0.5:
+                self._persist(effects)
+            self.core = None
+            return
+        self._persist(effects)
+        if effects.install:
+            self.machine.restore(effects.install.data)
+            self.applied = effects.install.index
+        for to, message in effects.messages:
+            world.network.append((self.node_id, to, message))
+        for to in effects.snapshot_to:
+            message = core.snapshot_message(self.disk.snapshot or b"", world.now)
+            world.network.append((self.node_id, to, message))
+        for entry in effects.committed:
+            self._apply(entry)
+        core.step_down_if_removed(world.now)
+        if self.applied - core.state.log.snapshot_index >= SNAPSHOT_EVERY:
+            self._compact()
+        world.note_leader(self)
+
+    def _persist(self, effects: Effects) -> None:
+        state = self.core.state
+        self.disk.persist(effects, state.term, state.voted_for, state.log)
+
+    def _apply(self, entry: Entry) -> None:
+        if entry.index != self.applied + 1:
+            raise BrokenPromiseError(f"{self.node_id} applies {entry.index} after {self.applied}")
+        self.world.note_committed(self, entry)
+        self.applied = entry.index
+        if entry.kind is EntryKind.COMMAND:
+            before = self.machine.tree.revision
+            result = self.machine.apply(entry.index, entry.term, entry.data)
+            if self.machine.tree.revision < before:
+                raise BrokenPromiseError("a revision went back")
+            self.world.note_result(entry, result)
+
+    def _compact(self) -> None:
+        core = self.core
+        snapshot = self.machine.snapshot()
+        core.compact(self.applied)
+        log = core.state.log
+        self.disk.snapshot = snapshot
+        self.disk.log = Log(
+            log.snapshot_index, log.snapshot_term, list(log.snapshot_members), list(log.entries)
+        )
+
+
+class World:
+    """Replicas, network and clients of one schedule."""
+
+    def __init__(self, seed: int, voters: int) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.crash_rate = 0.004
+        self.network: list[tuple[str, str, Message]] = []
+        self.blocked: set[tuple[str, str]] = set()
+        self.committed: dict[int, Entry] = {}
+        self.leaders: dict[int, str] = {}
+        self.results: dict[str, EditResult] = {}
+        self.edits: list[EditCommand] = []
+        self.lost_at = float("-inf")
+        founding = [Member(f"n{i}", "", "", True) for i in range(voters)]
+        self.names = voters
+        self.nodes = {m.node_id: Node(self, m.node_id, founding) for m in founding}
+        for node in self.nodes.values():
+            node.start()
+
+    def make_disk(self) -> Disk:
+        return Disk()
+
+    def make_machine(self) -> ControlMachine:
+        return ControlMachine()
+
+    def run(self, steps: int) -> None:
+        actions = [
+            (self.deliver_some, 60),
+            (self.pass_time, 25),
+            (self.client, 10),
+            (self.partition, 1),
+            (self.restart, 2),
+            (self.change_members, 2),
+            (self.lose_disk, 0.5),
+        ]
+        names, weights = zip(*actions, strict=True)
+        for action in self.random.choices(names, weights, k=steps):
+            action()
+
+    def heal_and_settle(self) -> None:
+        """Liveness: with everything up, an edit is accepted in bounded time."""
+        self.blocked.clear()
+        self.crash_rate = 0.0
+        for node in self.nodes.values():
+            if node.core is None:
+                node.start()
+        before = len([r for r in self.results.values() if r.status is EditStatus.ACCEPTED])
+        for _ in range(400):
+            self.pass_time(0.05)
+            self.client()
+            for _ in range(40):
+                self.deliver()
+            done = [r for r in self.results.values() if r.status is EditStatus.ACCEPTED]
+            if len(done) > before:
+                return
+        raise BrokenPromiseError("no edit is accepted although everything is up")
+
+    def running(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.core is not None]
+
+    def deliver_some(self) -> None:
+        for _ in range(self.random.randint(1, 8)):
+            self.deliver()
+
+    def deliver(self) -> None:
+        if not self.network:
+            return
+        # Mostly in order, with overtaking.
+        position = 0 if self.random.random() < 0.8 else self.random.randrange(len(self.network))
+        sender, to, message = self.network.pop(position)
+        fate = self.random.random()
+        if (sender, to) in self.blocked or fate < 0.03 or to not in self.nodes:
+            return
+        if fate < 0.06:
+            self.network.append((sender, to, message))
+        node = self.nodes[to]
+        if node.core is not None:
+            node.core.receive(sender, message, self.now)
+            node.carry_out()
+
+    def pass_time(self, most: float = 0.12) -> None:
+        self.now += self.random.uniform(0.0, most)
+        for node in self.running():
+            if node.core.next_due() <= self.now:
+                node.core.tick(self.now)
+                node.carry_out()
+
+    def client(self) -> None:
+        """An operator edits on what some replica shows, or resends an earlier edit."""
+        running = self.running()
+        if not running:
+            return
+        node = self.random.choice(running)
+        if self.edits and self.random.random() < 0.3:
+            command = self.random.choice(self.edits)
+        else:
+            number = len(self.edits)
+            change = Change(PATH, number)
+            base = node.machine.tree.revision
+            command = EditCommand(f"e{number}", base, [change], "op", "", float(number))
+            self.edits.append(command)
+        leaders = [n for n in running if n.core.is_leader]
+        for leader in leaders:
+            try:
+                leader.core.propose([encode(command)], self.now)
+            except NotLeaderError:
+                continue
+            leader.carry_out()
+
+    def partition(self) -> None:
+        self.blocked.clear()
+        if self.random.random() < 0.4:
+            return
+        one_way = self.random.random() < 0.4
+        side = {n for n in self.nodes if self.random.random() < 0.5}
+        for a in side:
+            for b in set(self.nodes) - side:
+                self.blocked.add((a, b))
+                if not one_way:
+                    self.blocked.add((b, a))
+
+    def restart(self) -> None:
+        node = self.random.choice(list(self.nodes.values()))
+        if node.core is None:
+            node.start()
+        elif self.random.random() < 0.3:
+            node.core = None
+
+    def change_members(self) -> None:
+        if self.now - self.lost_at < 2.0:
+            # A leader takes this long to notice that a replica is gone.
+            return
+        leaders = [n for n in self.running() if n.core.is_leader]
+        for leader in leaders:
+            members = self._changed(leader)
+            try:
+                leader.core.propose_members(members, self.now)
+            except (MembershipChangeError, NotLeaderError):
+                continue
+            leader.carry_out()
+
+    def _changed(self, leader: Node) -> list[Member]:
+        members = list(leader.core.state.members)
+        learners = [m for m in members if not m.voting]
+        voters = [m for m in members if m.voting]
+        if learners and self.random.random() < 0.7:
+            chosen = self.random.choice(learners)
+            rest = [m for m in members if m != chosen]
+            return [*rest, Member(chosen.node_id, "", "", True)]
+        if len(voters) > 3 and self.random.random() < 0.6:
+            gone = self.random.choice(voters)
+            return [m for m in members if m != gone]
+        if len(members) < 6:
+            return [*members, Member(self._new_node(), "", "", False)]
+        return members
+
+    def _new_node(self) -> str:
+        name = f"n{self.names}"
+        self.names += 1
+        self.nodes[name] = Node(self, name, [])
+        self.nodes[name].start()
+        return name
+
+    def lose_disk(self) -> None:
+        """A replica loses its disk for good, where every membership keeps a majority."""
+        victim = self.random.choice(list(self.nodes))
+        rest = set(self.nodes) - {victim}
+        logs = [node.disk.log for node in self.nodes.values()]
+        logs += [node.core.state.log for node in self.running()]
+        if all(self._keeps_majority(log, rest) for log in logs):
+            del self.nodes[victim]
+            self.lost_at = self.now
+
+    def _keeps_majority(self, log: Log, alive: set[str]) -> bool:
+        memberships = [log.snapshot_members]
+        memberships += [decode_members(e.data) for e in log.entries if e.kind is EntryKind.MEMBERS]
+        for members in memberships:
+            voters = [m.node_id for m in members if m.voting]
+            if len([v for v in voters if v in alive]) <= len(voters) // 2:
+                return not voters
+        return True
+
+    def note_leader(self, node: Node) -> None:
+        if node.core is None or not node.core.is_leader:
+            return
+        state = node.core.state
+        first = self.leaders.setdefault(state.term, node.node_id)
+        if first != node.node_id:
+            raise BrokenPromiseError(f"{first} and {node.node_id} both lead term {state.term}")
+
+    def note_committed(self, node: Node, entry: Entry) -> None:
+        first = self.committed.setdefault(entry.index, entry)
+        if first != entry:
+            raise BrokenPromiseError(
+                f"{node.node_id} commits another entry {entry.index}: {entry} after {first}"
+            )
+
+    def note_result(self, entry: Entry, result: object) -> None:
+        if not isinstance(result, EditResult):
+            return
+        edit_id = decode_edit_id(entry)
+        first = self.results.setdefault(edit_id, result)
+        if first != result:
+            raise BrokenPromiseError(f"edit {edit_id} got {result} after {first}")
+
+
+def decode_edit_id(entry: Entry) -> str:
+    return msgspec.msgpack.decode(entry.data, type=EditCommand).edit_id
--- /dev/null
+++ b/reachlink/limits/tests/test_limits.py
@@ -0,0 +1,110 @@
+"""Limits hold within their stated error; nothing starves; budgets hold."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reachlink.limits import FairQueue, QuotaBook, QuotaLimits, RetryBudget, Waiting, fair_share
+from reachlink.limits._fair_queue import AGING_S_PER_LEVEL
+
+
+@given(st.lists(st.floats(0, 1000), min_size=1, max_size=12))
+@settings(derandomize=True)
+def test_shares_sum_to_one(demands):
+    total = sum(demands)
+    shares = [fair_share(d, total - d, len(demands)) for d in demands]
+    assert abs(sum(shares) - 1.0) < 1e-6
+    assert all(share > 0 for share in shares)
+
+
+@given(
+    st.integers(1, 40),
+    st.lists(st.integers(0, 6), min_size=1, max_size=300),
+    st.integers(1, 8),
+)
+@settings(derandomize=True, deadline=None)
+def test_concurrent_limit_holds_over_instances(limit, arrivals, instances):
+    books = [QuotaBook() for _ in range(instances)]
+    limits = QuotaLimits(concurrent=limit)
+    running, now = 0, 0.0
+    for target in arrivals:
+        now += 0.01
+        number = target % instances
+        everyone: dict[str, float] = {}
+        for i, book in enumerate(books):
+            if i != number:
+                for key, value in book.demands(now).items():
+                    everyone[key] = everyone.get(key, 0.0) + value
+        if books[number].admit("k", limits, everyone, instances, now) is None:
+            running += 1
+    # The stated error: the rounding of each instance's share, at least one each.
+    assert running <= limit + instances
+
+
+def test_rate_limit_holds_and_tells_when_to_come_back():
+    book = QuotaBook()
+    limits = QuotaLimits(requests_per_s=10.0)
+    admitted, now = 0, 0.0
+    for _ in range(2000):
+        now += 0.005
+        refusal = book.admit("k", limits, {}, 1, now)
+        if refusal is None:
+            admitted += 1
+            book.release("k", 0)
+        else:
+            assert 0 < refusal.retry_after_s <= 0.1 + 1e-9
+    assert 95 <= admitted <= 115
+
+
+def make(workspace: str, priority: int = 5, weight: float = 1.0, since: float = 0.0):
+    return Waiting(object(), workspace, priority, weight, 100.0, since, 1e9)
+
+
+def test_a_large_workspace_does_not_starve_a_small_one():
+    queue: FairQueue[object] = FairQueue()
+    for _ in range(50):
+        queue.push(make("large"))
+    queue.push(make("small"))
+    order = [w.workspace for w in queue.ordered(0.0)]
+    assert order.index("small") <= 1
+
+
+def test_weights_share_the_service():
+    queue: FairQueue[object] = FairQueue()
+    for _ in range(60):
+        queue.push(make("heavy", weight=3.0))
+        queue.push(make("light", weight=1.0))
+    served = [w.workspace for w in queue.ordered(0.0)][:40]
+    assert 28 <= served.count("heavy") <= 32
+
+
+def test_aging_lets_the_lowest_priority_through():
+    queue: FairQueue[object] = FairQueue()
+    old = make("old", priority=0, since=0.0)
+    queue.push(old)
+    now = 9 * AGING_S_PER_LEVEL + 0.1
+    queue.push(make("new", priority=9, since=now))
+    assert queue.ordered(now)[0] is old
+
+
+@given(st.lists(st.booleans(), max_size=400))
+@settings(derandomize=True)
+def test_retries_stay_a_share_of_first_attempts(operations):
+    budget, first, retried = RetryBudget(), 0, 0
+    for retry in operations:
+        if retry:
+            retried += budget.take()
+        else:
+            budget.on_first_attempt(0.1)
+            first += 1
+    assert retried <= 3 + 0.1 * first + 1e-9
+
+
+def test_backoff_is_jittered_within_its_bound():
+    from reachlink.limits import backoff_s
+
+    random = Random(1)
+    waits = [backoff_s(3, random) for _ in range(200)]
+    assert all(0 <= w <= 0.2 for w in waits)
+    assert max(waits) - min(waits) > 0.1
--- /dev/null
+++ b/reachlink/membership/tests/test_membership.py
@@ -0,0 +1,79 @@
+"""The directory believes the first sign of leaving; settings never go back."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reachlink.membership import (
+    Delta,
+    InstanceState,
+    LeavingSource,
+    ListedInstance,
+    ReplicaDirectory,
+    SettingsAnswer,
+    SettingsHolder,
+)
+from reachlink.settings import Change
+
+
+def listed(state: InstanceState = InstanceState.LIVE) -> list[ListedInstance]:
+    return [ListedInstance("a", "up", "z1", "127.0.0.1:1", state)]
+
+
+def test_a_stale_list_does_not_take_back_a_refusal():
+    directory = ReplicaDirectory()
+    directory.update(listed(), 0.0)
+    assert directory.mark_leaving("a", LeavingSource.REFUSAL, 1.0)
+    directory.update(listed(), 2.0)
+    assert not directory.may_get_work("a")
+    directory.update(listed(InstanceState.LEAVING), 3.0)
+    directory.update(listed(), 9.0)
+    assert directory.may_get_work("a")
+
+
+def test_an_instance_that_left_is_still_found_for_its_generations():
+    directory = ReplicaDirectory()
+    directory.update(listed(), 0.0)
+    directory.update([], 1.0)
+    assert directory.live("up") == []
+    assert directory.find("a") is not None
+
+
+def test_routes_replace_addresses():
+    directory = ReplicaDirectory({"127.0.0.1:1": "127.0.0.1:9"})
+    directory.update(listed(), 0.0)
+    assert directory.live("up")[0].address == "127.0.0.1:9"
+
+
+def answer_to(revision: int, base: int, whole: bool) -> SettingsAnswer:
+    """Return what a source at `revision` says to one who has `base`."""
+    if whole or base > revision:
+        return SettingsAnswer(revision, False, values={"defaults.priority": revision % 10})
+    deltas = [
+        Delta(r, [Change("defaults.priority", r % 10)]) for r in range(base + 1, revision + 1)
+    ]
+    return SettingsAnswer(revision, False, deltas)
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.integers(1, 30), st.integers(0, 30), st.booleans()), max_size=40))
+def test_whatever_arrives_the_revision_only_grows_and_fits_its_values(answers):
+    holder = SettingsHolder()
+    for revision, base, whole in answers:
+        before = holder.tree.revision
+        grew = holder.take(answer_to(revision, base, whole))
+        after = holder.tree.revision
+        assert after == (revision if grew else before)
+        assert after >= before
+        if after:
+            assert holder.tree.values["defaults.priority"] == after % 10
+
+
+def test_a_holder_passes_on_deltas_or_the_whole():
+    source, reader = SettingsHolder(), SettingsHolder()
+    source.take(answer_to(5, 0, False))
+    assert source.since(3).values is None
+    reader.take(source.since(reader.tree.revision))
+    assert reader.tree.revision == 5
+    fresh = SettingsHolder()
+    fresh.take(SettingsAnswer(7, False, values={"defaults.priority": 7}))
+    assert fresh.since(2).values == {"defaults.priority": 7}
--- /dev/null
+++ b/reachlink/placement/tests/test_placement.py
@@ -0,0 +1,128 @@
+"""Choices of the placement policy, and health."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reachlink.lengths import SurvivalCurve
+from reachlink.lengths._buckets import BUCKET_COUNT
+from reachlink.placement import (
+    POLICIES,
+    Candidate,
+    ForecastPolicy,
+    Health,
+    HealthState,
+    MemoryProfile,
+    PlacementRequest,
+    Verdict,
+    allowances,
+)
+
+CURVE = SurvivalCurve([0.12] * BUCKET_COUNT)
+
+
+def profile(prompt: int = 100, tokens: int = 0, count: int = 1) -> MemoryProfile:
+    one = MemoryProfile.of_generation(CURVE, prompt, tokens)
+    return MemoryProfile.total([one] * count)
+
+
+def request(prompt: int = 100, **more) -> PlacementRequest:
+    return PlacementRequest(profile(prompt), prompt, CURVE.expected_more(0), **more)
+
+
+def candidate(name: str, running: int = 0, capacity: int = 16384, **more) -> Candidate:
+    known = profile(count=running) if running else MemoryProfile()
+    return Candidate(
+        name, capacity_tokens=capacity, max_batch=64, known=known, running=running, **more
+    )
+
+
+def choose(candidates, req=None, seed=1):
+    return ForecastPolicy().choose(req or request(), candidates, Random(seed))
+
+
+def test_the_emptier_replica_is_chosen():
+    decision = choose([candidate("a", 30, step_ms=14), candidate("b", 2, step_ms=9)])
+    assert decision.replica == "b"
+
+
+def test_a_full_memory_is_never_chosen_for_its_cache():
+    full = candidate("full", 40, capacity=6000, cached_tokens=100)
+    assert choose([full, candidate("empty")]).replica == "empty"
+
+
+def test_no_room_anywhere_waits():
+    assert choose([candidate("a", 40, capacity=6000)]).verdict is Verdict.WAIT
+
+
+def test_unknown_load_in_a_fresh_report_counts_and_ages():
+    reported = {"reported_used_tokens": 16000, "running": 1}
+    fresh = Candidate("a", capacity_tokens=16384, max_batch=64, report_age_s=0.0, **reported)
+    frozen = Candidate("a", capacity_tokens=16384, max_batch=64, report_age_s=60.0, **reported)
+    assert choose([fresh]).verdict is Verdict.WAIT
+    assert choose([frozen]).verdict is Verdict.PLACE
+
+
+def test_own_zone_first_and_spill_when_it_pays():
+    near = candidate("near", 3, step_ms=10, reported_running=3)
+    far = candidate("far", 3, local=False, step_ms=10, reported_running=3)
+    cost = request(link_cost_ms=50.0)
+    assert choose([near, far], cost).replica == "near"
+    busy = candidate("near", 12, step_ms=20, reported_running=12)
+    assert choose([busy, far], cost).replica == "far"
+    assert choose([busy, far], request(spill=False)).replica == "near"
+
+
+def test_equal_replicas_are_chosen_at_random():
+    replicas = [candidate(n) for n in "abcde"]
+    names = {choose(replicas, seed=s).replica for s in range(60)}
+    assert names == set("abcde")
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.integers(0, 80), min_size=1, max_size=8), st.integers(0, 10_000))
+def test_work_conserving_and_never_over_the_batch(running, seed):
+    candidates = [candidate(f"r{i}", n) for i, n in enumerate(running)]
+    decision = choose(candidates, seed=seed)
+    if 0 in running:
+        assert decision.verdict is Verdict.PLACE
+    if decision.verdict is Verdict.PLACE:
+        assert running[int(decision.replica[1:])] < 64
+
+
+@pytest.mark.parametrize("name", list(POLICIES))
+def test_every_policy_says_when_nothing_is_alive(name):
+    decision = POLICIES.get(name)().choose(request(), [], Random(1))
+    assert decision.verdict is Verdict.NONE_ALIVE
+
+
+def test_profile_of_a_sum_is_the_sum_of_profiles():
+    parts = [profile(10), profile(200, 50), profile(3000, 700)]
+    total = MemoryProfile.total(parts)
+    for i, value in enumerate(total.mean):
+        assert value == pytest.approx(sum(p.mean[i] for p in parts))
+    assert total.count == 3
+
+
+def test_health_ejects_and_lets_back_in_gradually():
+    health, random = Health(), Random(1)
+    health.on_failure(0.0, random)
+    assert health.allowance(0.0) == 1.0
+    health.on_failure(0.1, random)
+    assert health.allowance(0.1) == 0.0
+    assert 0 < health.allowance(2.0) < 0.2
+    assert health.state is HealthState.RECOVERING
+    assert 0.4 < health.allowance(6.0) < 1.0
+    health.on_success(11.0)
+    assert health.state is HealthState.GOOD
+
+
+def test_never_all_replicas_are_taken_out():
+    healths = {f"r{i}": Health() for i in range(4)}
+    random = Random(1)
+    for health in healths.values():
+        health.on_failure(0.0, random)
+        health.on_failure(0.0, random)
+    assert all(value > 0 for value in allowances(healths, 0.1).values())
