--- a/reachlink/agreement/_replication.py
+++ b/reachlink/agreement/_replication.py
@@ -91,7 +91,10 @@
         state.send(request.leader, AppendReply(state.term, False, 0, request.sent_at))
         return
     hear_leader(state, request.term, request.leader, now)
-    if request.index > state.commit:
+    if state.log.term_at(request.index) == request.index_term:
+        # The log has all of it and maybe more, which was acknowledged: keep it.
+        advance_commit(state, request.index)
+    elif request.index > state.commit:
         state.log.reset(request.index, request.index_term, request.members)
         state.commit = request.index
         state.refresh_members()
--- a/reachlink/agreement/tests/test_schedules.py
+++ b/reachlink/agreement/tests/test_schedules.py
@@ -45,6 +45,11 @@
     return ""
 
 
+def test_a_late_snapshot_keeps_acknowledged_entries():
+    """Found by schedule 29328: a snapshot behind the log's end dropped that end."""
+    play(29328)
+
+
 class ForgetfulVoteDisk(Disk):
     """Does not sync votes."""
 
@@ -55,17 +60,12 @@
 class ForgetfulEntryDisk(Disk):
     """Syncs entries one step late."""
 
-    _late: list = []
-
     def persist(self, effects: Effects, term: int, voted_for: str, core_log: Log) -> None:
         if effects.append and not effects.cut_from and not effects.install:
             self.term, self.voted_for = term, voted_for
             return
         super().persist(effects, term, voted_for, core_log)
 
-    def copy_log(self) -> Log:
-        return super().copy_log()
-
 
 class ForgetfulMachine(ControlMachine):
     """Forgets the ids of edits when it is restored from a snapshot."""
--- a/reachlink/agreement/tests/world.py
+++ b/reachlink/agreement/tests/world.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 import msgspec
 
@@ -72,7 +73,7 @@
         self.node_id = node_id
         self.disk = world.make_disk()
         self.disk.log.snapshot_members = founding
-        self.core: Core | None = None
+        self.core: Any = None
         self.machine: ControlMachine = world.make_machine()
         self.applied = 0
 
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from reachlink.control import OperatorHandlers
+from reachlink.control import OperatorError, OperatorHandlers
 from reachlink.entry._chat import ChatHandlers
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest
@@ -15,6 +15,7 @@
 from reachlink.entry._http import error_middleware, json_response
 from reachlink.entry._node import EntryNode
 from reachlink.entry._plain import PlainHandlers
+from reachlink.entry.exceptions import RequestError
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
 from reachlink.messaging import decode, encode
 from reachlink.upstreams import EngineAdapter, LoadReport, Replica, UpstreamError
@@ -38,6 +39,9 @@
         self._node = EntryNode(config)
         self._follower = SettingsFollower(self._node)
         self._platform = PLATFORMS.get(config.platform.adapter)(self._platform_url())
+        self._operators = OperatorHandlers(
+            self._node.control, lambda: self._node.tree, config.bootstrap_key_hash
+        )
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -92,9 +96,6 @@
     def _app(self) -> web.Application:
         node = self._node
         app = web.Application(middlewares=[error_middleware(node)])
-        operators = OperatorHandlers(
-            node.control, lambda: node.tree, self._config.bootstrap_key_hash
-        )
         app.add_routes(
             [
                 web.get("/healthz", self._health),
@@ -104,7 +105,7 @@
             ]
         )
         app.add_routes(ChatHandlers(node).routes())
-        app.add_routes(operators.routes())
+        app.add_routes(self._operators.routes())
         # Last: it takes every path that nothing else has.
         app.add_routes(PlainHandlers(node).routes())
         return app
@@ -213,6 +214,10 @@
         return web.Response(body=self._node.metrics.page(), content_type="text/plain")
 
     async def _explain(self, request: web.Request) -> web.Response:
+        try:
+            self._operators.authorize(request, write=False)
+        except OperatorError as error:
+            raise RequestError(error.status, error.code, error.message) from error
         request_id = request.match_info["request_id"]
         decision = self._node.explained.get(request_id)
         if decision is None:
