Tell peers of each placement at once, in place of guessing

Cause: the guess at unseen placements was right on average and too noisy for the start of a burst.

Change: a note of some 60 bytes to each peer for each placement; the next digest replaces the notes. The guess is removed.

--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -10,10 +10,10 @@
 from reachlink.control import OperatorError, OperatorHandlers
 from reachlink.entry._chat import ChatHandlers
 from reachlink.entry._config import EntryConfig
-from reachlink.entry._digests import Digest
+from reachlink.entry._digests import Digest, PlacementNote
 from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
 from reachlink.entry._http import error_middleware, json_response
-from reachlink.entry._node import EntryNode
+from reachlink.entry._node import CHANNEL_PLACED, EntryNode
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry.exceptions import RequestError
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
@@ -49,6 +49,7 @@
         """Open sockets and start background work."""
         node, config = self._node, self._config
         node.bus.handle(CHANNEL_DIGEST, self._on_digest)
+        node.bus.handle(CHANNEL_PLACED, self._on_placed)
         node.bus.handle(CHANNEL_SETTINGS, self._follower.answer_peer)
         node.bus.bind(config.bus_address)
         self._tasks = [
@@ -141,9 +142,10 @@
         node = self._node
         for name in node.drop_old_digests():
             node.log.info("peer_silent", peer=name)
-        body = encode(node.digest())
-        for peer in self._config.peers:
-            node.bus.send(peer.address, CHANNEL_DIGEST, body)
+        node.tell_peers(CHANNEL_DIGEST, encode(node.digest()))
+
+    async def _on_placed(self, sender: str, body: bytes) -> None:
+        self._node.take_note(decode(body, PlacementNote))
 
     async def _on_digest(self, sender: str, body: bytes) -> None:
         digest = decode(body, Digest)
--- a/reachlink/entry/_digests.py
+++ b/reachlink/entry/_digests.py
@@ -1,6 +1,6 @@
 """What entry instances tell each other about once a second; pure."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -47,10 +47,18 @@
     demands: dict[str, float]
 
 
+class PlacementNote(msgspec.Struct, array_like=True, frozen=True):
+    """One placement, told at once: a digest a second is too late for a burst."""
+
+    instance: str
+    load: ReplicaLoad
+
+
 @dataclass(slots=True)
 class _Held:
     digest: Digest
     at: float
+    notes: list[ReplicaLoad] = field(default_factory=list)
 
 
 class DigestBook:
@@ -63,6 +71,14 @@
         """Take a digest that just arrived."""
         self._held[digest.instance] = _Held(digest, now)
 
+    def take_note(self, note: PlacementNote) -> bool:
+        """Take a placement that its instance's next digest will include."""
+        held = self._held.get(note.instance)
+        if held is None:
+            return False
+        held.notes.append(note.load)
+        return True
+
     def drop_old(self, now: float) -> list[str]:
         """Forget silent instances and return their names."""
         silent = [n for n, h in self._held.items() if now - h.at > DIGEST_LIFETIME_S]
@@ -74,10 +90,6 @@
         """Return how many entry instances are alive, this one included."""
         return len(self._held) + 1
 
-    def heard_at(self) -> list[float]:
-        """Return when each live instance was last heard, in monotonic seconds."""
-        return [held.at for held in self._held.values()]
-
     def digests(self) -> list[Digest]:
         """Return the digests of all live instances."""
         return [held.digest for held in self._held.values()]
@@ -90,7 +102,7 @@
         """Return the sum of what the others have placed, by replica."""
         loads: dict[str, MemoryProfile] = {}
         for held in self._held.values():
-            for load in held.digest.loads:
+            for load in (*held.digest.loads, *held.notes):
                 loads.setdefault(load.replica, MemoryProfile()).add(load.profile())
         return loads
 
--- a/reachlink/entry/_ledger.py
+++ b/reachlink/entry/_ledger.py
@@ -1,6 +1,5 @@
 """Generations in flight from this instance, and what is known of each replica."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from reachlink.lengths import LengthEstimator, LengthKey
@@ -118,7 +117,7 @@
         self,
         replica: Replica,
         zone: str,
-        others: Iterable[MemoryProfile | None],
+        others: MemoryProfile | None,
         allowance: float,
         blocks: tuple[int, ...],
         now: float,
@@ -127,9 +126,8 @@
         state = self.replica(replica.name)
         report = state.report
         known = MemoryProfile.total([self.own_profile(replica.name, now)])
-        for other in others:
-            if other is not None:
-                known.add(other)
+        if others is not None:
+            known.add(others)
         age = now - state.report_at
         running = max(known.count, 0.0)
         return Candidate(
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -10,19 +10,18 @@
 from reachlink.control import ControlClient
 from reachlink.delivery import PositionCodec
 from reachlink.entry._config import EntryConfig
-from reachlink.entry._digests import Digest, DigestBook, ReplicaLoad
+from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
 from reachlink.entry._dispatcher import Dispatcher, Ticket
 from reachlink.entry._ledger import Ledger
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import QuotaBook, RetryBudget
 from reachlink.membership import ReplicaDirectory, SettingsHolder
-from reachlink.messaging import Bus
+from reachlink.messaging import Bus, encode
 from reachlink.placement import (
     POLICIES,
     Candidate,
     Decision,
     MemoryProfile,
-    UnseenLoad,
     allowances,
 )
 from reachlink.settings import ServiceInfo, SettingsTree
@@ -30,6 +29,7 @@
 from reachlink.upstreams import ADAPTERS, HttpClient, Replica
 
 EXPLAINED_DECISIONS = 2048
+CHANNEL_PLACED = "placed"
 
 
 class EntryNode:
@@ -66,7 +66,6 @@
         self._dispatchers: dict[str, Dispatcher] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._others: dict[str, MemoryProfile] = {}
-        self._unseen: dict[str, UnseenLoad] = {}
 
     @property
     def tree(self) -> SettingsTree:
@@ -92,7 +91,7 @@
             found = self._dispatchers[upstream] = Dispatcher(
                 POLICIES.get(self.config.policy)(),
                 lambda ticket: self._candidates(upstream, ticket),
-                lambda ticket, replica: self._reserve(upstream, ticket, replica),
+                self._reserve,
                 self.random,
                 time.monotonic,
             )
@@ -114,6 +113,17 @@
         self._others = self.digests.others_load()
         self.pump()
 
+    def take_note(self, note: PlacementNote) -> None:
+        """Take a placement that a peer tells of."""
+        if self.digests.take_note(note):
+            held = self._others.setdefault(note.load.replica, MemoryProfile())
+            held.add(note.load.profile())
+
+    def tell_peers(self, channel: str, body: bytes) -> None:
+        """Send a one-way message to every other entry instance."""
+        for peer in self.config.peers:
+            self.bus.send(peer.address, channel, body)
+
     def drop_old_digests(self) -> list[str]:
         """Forget silent instances and return their names."""
         silent = self.digests.drop_old(time.monotonic())
@@ -158,12 +168,11 @@
         live = [r for r in self.directory.live(upstream) if self._fits(r, ticket)]
         healths = {r.name: self.ledger.replica(r.name).health for r in live}
         allowed = allowances(healths, now)
-        unseen = self._unseen_load(upstream).per_replica(self.digests.heard_at(), len(live))
         return [
             self.ledger.candidate(
                 replica,
                 self.zone,
-                [unseen, self._others.get(replica.name)],
+                self._others.get(replica.name),
                 allowed[replica.name],
                 ticket.blocks,
                 now,
@@ -172,14 +181,12 @@
             if allowed[replica.name] > 0.0
         ]
 
-    def _unseen_load(self, upstream: str) -> UnseenLoad:
-        return self._unseen.setdefault(upstream, UnseenLoad())
-
-    def _reserve(self, upstream: str, ticket: Ticket, replica: str) -> None:
-        self._unseen_load(upstream).on_placed(ticket.request.profile, time.monotonic())
+    def _reserve(self, ticket: Ticket, replica: str) -> None:
         ticket.flight = self.ledger.place(
             ticket.key, replica, ticket.request.prompt_tokens, ticket.max_tokens
         )
+        load = ReplicaLoad.of_profile(replica, ticket.request.profile)
+        self.tell_peers(CHANNEL_PLACED, encode(PlacementNote(self.config.name, load)))
 
     def _fits(self, replica: Replica, ticket: Ticket) -> bool:
         if replica.name in ticket.excluded:
--- a/reachlink/placement/__init__.py
+++ b/reachlink/placement/__init__.py
@@ -13,7 +13,6 @@
     Verdict,
 )
 from reachlink.placement._profiles import HORIZONS, UNLIMITED, MemoryProfile
-from reachlink.placement._unseen import UnseenLoad
 
 __all__ = [
     "HORIZONS",
@@ -28,7 +27,6 @@
     "MemoryProfile",
     "PlacementPolicy",
     "PlacementRequest",
-    "UnseenLoad",
     "Verdict",
     "allowances",
 ]
