--- a/reachlink/placement/_forecast.py
+++ b/reachlink/placement/_forecast.py
@@ -36,7 +36,7 @@
     """
 
     deviations: float = 1.0
-    fill: float = 0.97
+    fill: float = 0.86
     prefill_token_ms: float = 0.02
     scaling_share: float = 0.6
     report_trust_s: float = 5.0
