Spread commits at once; shorter attempts of commands; slopes

Cause: followers learned of a commit with the next heartbeat, and a caller of a killed leader waited 2 s, or 3 s through a follower, before it tried another.

Change: a leader tells its followers of a commit at once; a command, which takes effect once, is sent again after 0.5 s, then 1.5 times longer each time.

--- a/reachlink/agreement/_replication.py
+++ b/reachlink/agreement/_replication.py
@@ -80,7 +80,12 @@
     if reply.index > progress.match_index:
         progress.match_index = reply.index
         progress.next_index = max(progress.next_index, reply.index + 1)
+        before = state.commit
         commit_by_quorum(state)
+        if state.commit > before:
+            # Followers serve watchers too: they need not wait for a heartbeat.
+            broadcast(state, now)
+            return
     if progress.next_index <= state.log.last_index:
         send_append(state, sender, now)
 
--- a/reachlink/agreement/_state.py
+++ b/reachlink/agreement/_state.py
@@ -33,7 +33,7 @@
 
     heartbeat_s: float = 0.15
     election_min_s: float = 0.6
-    election_max_s: float = 1.2
+    election_max_s: float = 1.0
     drift: float = 0.1
 
 
--- a/reachlink/control/_client.py
+++ b/reachlink/control/_client.py
@@ -15,7 +15,9 @@
 from reachlink.control.exceptions import ControlUnavailableError, OutcomeUnknownError
 from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
 
-ATTEMPT_TIMEOUT_S = 2.0
+# A command whose answer is lost is sent again: it takes effect once.
+FIRST_ATTEMPT_S = 0.5
+ATTEMPT_GROWTH = 1.5
 PAUSE_S = 0.1
 
 
@@ -82,10 +84,12 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
+        patience = FIRST_ATTEMPT_S if isinstance(request, ProposeRequest) else timeout_s
         maybe_done = False
         reason = "no control instance is configured"
         while self._addresses and loop.time() < deadline:
-            attempt = min(ATTEMPT_TIMEOUT_S, deadline - loop.time())
+            attempt = min(patience, deadline - loop.time())
+            patience *= ATTEMPT_GROWTH
             try:
                 answer = await self.ask(self._addresses[0], request, attempt)
             except PeerUnreachableError as error:
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -39,7 +39,7 @@
 from reachlink.membership import SettingsAnswer
 from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
 
-FORWARD_TIMEOUT_S = 3.0
+FORWARD_TIMEOUT_S = 0.4
 BARRIER_TIMEOUT_S = 1.5
 MEMBERS_TIMEOUT_S = 5.0
 WATCHER_FORGOTTEN_S = 60.0
