--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -317,7 +317,7 @@
             for streams in (8, 32, 64, 128):
                 way = await measure_cost(fleet, "entry", entry.address, process, streams, 250)
                 rate = streams * 1000 / 18.0
-                loads.append((round(rate), round(way.cpu_us_per_token * rate / 1e4, 2)))
+                loads.append((float(round(rate)), round(way.cpu_us_per_token * rate / 1e4, 2)))
                 memory.append((float(streams), way.rss_mb))
     return [
         fit("token load", "tokens/s", "% of a core", loads),
