Bound what grows: candidates, polls of replicas, checking of edits

Change: at most eight random candidates a decision, six of them of the own zone; the directory keeps its lists of live replicas; at most six reports and three caches are read in a round; parsed paths are remembered.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -25,12 +25,22 @@
 from benchmarks.bench_relay import scenario as relay_scenario
 from benchmarks.bench_settings import WATCH_S, LightDaemon, cpu_of, scenario
 from reachlink.control import ControlClient, ControlMachine, EditCommand
-from reachlink.entry import Digest, DigestBook, Ledger, ReplicaLoad
+from reachlink.entry import (
+    Digest,
+    DigestBook,
+    EntryConfig,
+    EntryNode,
+    PlatformSource,
+    ReplicaLoad,
+    Ticket,
+)
 from reachlink.lengths import LengthEstimator, LengthKey
+from reachlink.membership import ListedInstance
 from reachlink.messaging import Bus, encode
-from reachlink.placement import Candidate, ForecastPolicy, MemoryProfile, PlacementRequest
+from reachlink.placement import ForecastPolicy, MemoryProfile, PlacementRequest
 from reachlink.settings import Change, SettingsTree
 from reachlink.testing import Fleet
+from reachlink.upstreams import LoadReport
 
 RESULTS = Path(__file__).parent / "results" / "slopes.json"
 SPAN_S = 6.0
@@ -133,36 +143,48 @@
 
 
 def decision_cost() -> Slope:
-    """One placement decision against the candidates of a zone."""
-    lengths = LengthEstimator()
-    ledger = Ledger(lengths)
+    """One placement decision, with everything that it looks up, against the replicas."""
     key = LengthKey("chat", "w")
-    profile = ledger.profile_of(key, 200)
-    request = PlacementRequest(profile, 200, 300.0)
-    policy, random = ForecastPolicy(), Random(1)
     points = []
-    for count in (2, 5, 18, 36, 71, 142):
-        known = MemoryProfile.total([profile] * 10)
-        candidates = [
-            Candidate(
-                f"r{i}",
-                capacity_tokens=100_000,
-                max_batch=64,
-                known=known,
-                running=10,
-                reported_running=10,
-                report_age_s=0.5,
-                step_ms=12.0,
-            )
-            for i in range(count)
-        ]
+    for count in (2, 5, 12, 36, 71, 142):
+        node = make_node()
+        listed = [ListedInstance(f"r{i}", "chat", "one", f"127.0.0.1:{i}") for i in range(count)]
+        node.directory.update(listed, 0.0)
+        profile = node.ledger.profile_of(key, 200)
+        for instance in listed:
+            state = node.ledger.replica(instance.name)
+            state.report = LoadReport(1, 10, 0, 0, 5000, 100_000, 64, 12.0)
+            state.report_at = time.monotonic()
+        loads = [ReplicaLoad.of_profile(i.name, profile) for i in listed]
+        node.take_digest(Digest("e2", "one", 1, True, loads, {}))
+        ticket = Ticket(
+            key, PlacementRequest(profile, 200, 300.0), (1, 2, 3), "w", 5, 1.0, 10, 10, 1e12
+        )
+        policy, random = ForecastPolicy(), Random(1)
+        candidates = node.candidate_source("chat")
         runs = 300
         started = time.process_time()
         for _ in range(runs):
-            policy.choose(request, candidates, random)
+            policy.choose(ticket.request, candidates(ticket), random)
         used = 1e6 * (time.process_time() - started) / runs
+        node.bus.close()
         points.append((float(count), round(used, 2)))
-    return fit("decision", "candidates", "us", points)
+    return fit("decision", "replicas", "us", points)
+
+
+def make_node() -> EntryNode:
+    """Return an entry instance without sockets of its own."""
+    return EntryNode(
+        EntryConfig(
+            name="e1",
+            availability_zone="one",
+            port=1,
+            bus_address="",
+            cluster_secret="s",
+            controls=[],
+            platform=PlatformSource(url="http://127.0.0.1:1/"),
+        )
+    )
 
 
 def profile_cost() -> Slope:
@@ -325,7 +347,7 @@
     ]
 
 
-async def _collect() -> list[Slope]:
+async def _collect(short: bool) -> list[Slope]:
     found = [
         memory_per_workspace(),
         memory_per_length_key(),
@@ -336,6 +358,8 @@
         *snapshot_cost(),
         edit_cost(),
     ]
+    if short:
+        return found
     steps: list[Callable[[], Awaitable[Any]]] = [
         control_per_daemon,
         entry_per_replica,
@@ -349,11 +373,19 @@
 
 
 @app.default
-def run() -> None:
-    """Measure every slope and write the results file."""
+def run(*, short: bool = False) -> None:
+    """Measure every slope and write the results file.
+
+    Parameters
+    ----------
+    short : bool
+        Only the slopes that need no fleet; writes nothing.
+    """
     floor = floor_mb()
     print(f"floor: {floor:.1f} MB", flush=True)
-    slopes = asyncio.run(_collect())
+    slopes = asyncio.run(_collect(short))
+    if short:
+        return
     body = {"environment": describe(), "floor_mb": round(floor, 1), "slopes": slopes}
     RESULTS.parent.mkdir(exist_ok=True)
     RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(body), indent=1) + b"\n")
--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -6,6 +6,7 @@
 from reachlink.entry._dispatcher import Dispatcher, Ticket
 from reachlink.entry._ledger import InFlight, Ledger
 from reachlink.entry._main import main
+from reachlink.entry._node import EntryNode
 from reachlink.entry.exceptions import EntryError, RequestError
 
 __all__ = [
@@ -15,6 +16,7 @@
     "EntryConfig",
     "EntryDaemon",
     "EntryError",
+    "EntryNode",
     "InFlight",
     "Ledger",
     "PeerConfig",
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -22,6 +23,9 @@
 
 CHANNEL_DIGEST = "digest"
 DRAIN_POLL_S = 0.05
+# How many replicas are read in one round, whatever their number.
+MAX_REPORTS = 6
+MAX_CACHES = 3
 MAX_HEADER_BYTES = 16 << 10
 
 
@@ -44,6 +48,8 @@
         )
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._reports: deque[str] = deque()
+        self._caches: deque[str] = deque()
 
     async def start(self) -> None:
         """Open sockets and start background work."""
@@ -156,7 +162,9 @@
                 await self._follower.catch_up_from(address)
 
     async def _read_reports(self) -> None:
-        await asyncio.gather(*(self._read_report(r) for r in self._node.directory.all()))
+        await asyncio.gather(
+            *(self._read_report(r) for r in self._next(self._reports, MAX_REPORTS))
+        )
         self._node.pump()
 
     async def _read_report(self, replica: Replica) -> None:
@@ -178,7 +186,23 @@
             node.log.info("upstream_leaving", replica=replica.name, source="report")
 
     async def _read_caches(self) -> None:
-        await asyncio.gather(*(self._read_cache(r) for r in self._node.directory.all()))
+        await asyncio.gather(*(self._read_cache(r) for r in self._next(self._caches, MAX_CACHES)))
+
+    def _next(self, turn: deque[str], most: int) -> list[Replica]:
+        """Return the replicas whose turn it is, so that reading costs the same for any number."""
+        directory = self._node.directory
+        known = {r.name: r for r in directory.all()}
+        turn.extend(known.keys() - set(turn))
+        chosen: list[Replica] = []
+        for _ in range(len(turn)):
+            name = turn.popleft()
+            if name not in known:
+                continue
+            turn.append(name)
+            chosen.append(known[name])
+            if len(chosen) == most:
+                break
+        return chosen
 
     async def _read_cache(self, replica: Replica) -> None:
         adapter = self._adapter_of(replica)
--- a/reachlink/entry/_ledger.py
+++ b/reachlink/entry/_ledger.py
@@ -125,9 +125,9 @@
         """Return what placement needs to know of a replica."""
         state = self.replica(replica.name)
         report = state.report
-        known = MemoryProfile.total([self.own_profile(replica.name, now)])
+        known = self.own_profile(replica.name, now)
         if others is not None:
-            known.add(others)
+            known = known.plus(others)
         age = now - state.report_at
         running = max(known.count, 0.0)
         return Candidate(
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import OrderedDict
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from random import Random
 from typing import Any
 
@@ -29,6 +29,8 @@
 from reachlink.upstreams import ADAPTERS, HttpClient, Replica
 
 EXPLAINED_DECISIONS = 2048
+MAX_CANDIDATES = 8
+MAX_FAR_CANDIDATES = 2
 CHANNEL_PLACED = "placed"
 
 
@@ -66,6 +68,7 @@
         self._dispatchers: dict[str, Dispatcher] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._others: dict[str, MemoryProfile] = {}
+        self._split: dict[str, tuple[list[Replica], list[Replica], list[Replica]]] = {}
 
     @property
     def tree(self) -> SettingsTree:
@@ -90,13 +93,17 @@
             upstream = service.upstream
             found = self._dispatchers[upstream] = Dispatcher(
                 POLICIES.get(self.config.policy)(),
-                lambda ticket: self._candidates(upstream, ticket),
+                self.candidate_source(upstream),
                 self._reserve,
                 self.random,
                 time.monotonic,
             )
         return found
 
+    def candidate_source(self, upstream: str) -> Callable[[Ticket], Sequence[Candidate]]:
+        """Return what gives the replicas that a ticket may go to now."""
+        return lambda ticket: self._candidates(upstream, ticket)
+
     def budget(self, upstream: str) -> RetryBudget:
         """Return the retry budget of an upstream."""
         return self._budgets.setdefault(upstream, RetryBudget())
@@ -165,7 +172,10 @@
 
     def _candidates(self, upstream: str, ticket: Ticket) -> Sequence[Candidate]:
         now = time.monotonic()
-        live = [r for r in self.directory.live(upstream) if self._fits(r, ticket)]
+        every = self.directory.live(upstream)
+        live = [r for r in self._sampled(upstream, every) if self._fits(r, ticket)]
+        if not live:
+            live = [r for r in every if self._fits(r, ticket)][:MAX_CANDIDATES]
         healths = {r.name: self.ledger.replica(r.name).health for r in live}
         allowed = allowances(healths, now)
         return [
@@ -181,6 +191,30 @@
             if allowed[replica.name] > 0.0
         ]
 
+    def _sampled(self, upstream: str, live: list[Replica]) -> list[Replica]:
+        """Return some replicas of many, this zone's for the most part.
+
+        The best of a few random ones is nearly as good as the best of all
+        (Mitzenmacher 2001), and a decision's cost stays bounded.
+        """
+        if len(live) <= MAX_CANDIDATES:
+            return live
+        near, far = self._near_and_far(upstream, live)
+        room = MAX_CANDIDATES - min(len(far), MAX_FAR_CANDIDATES)
+        chosen = self.random.sample(near, min(len(near), room))
+        rest = MAX_CANDIDATES - len(chosen)
+        return chosen + self.random.sample(far, min(len(far), rest))
+
+    def _near_and_far(
+        self, upstream: str, live: list[Replica]
+    ) -> tuple[list[Replica], list[Replica]]:
+        known, near, far = self._split.get(upstream, ([], [], []))
+        if known is not live:
+            near = [r for r in live if r.availability_zone == self.zone]
+            far = [r for r in live if r.availability_zone != self.zone]
+            self._split[upstream] = (live, near, far)
+        return near, far
+
     def _reserve(self, ticket: Ticket, replica: str) -> None:
         ticket.flight = self.ledger.place(
             ticket.key, replica, ticket.request.prompt_tokens, ticket.max_tokens
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -45,6 +45,8 @@
     def __init__(self, routes: Mapping[str, str] | None = None) -> None:
         self._routes = dict(routes or {})
         self._entries: dict[str, _Entry] = {}
+        # Asked for with every decision, changed a few times an hour.
+        self._live: dict[str, list[Replica]] = {}
 
     def update(self, listed: Iterable[ListedInstance], now: float) -> None:
         """Take a new copy of the platform's list."""
@@ -54,6 +56,7 @@
             self._update_one(instance, now)
         for name, entry in self._entries.items():
             entry.gone = name not in names
+        self._live.clear()
 
     def mark_leaving(self, name: str, source: LeavingSource, now: float) -> bool:
         """Note that an instance is leaving; return whether that is news."""
@@ -61,6 +64,7 @@
         if entry is None or entry.marked is not None:
             return False
         entry.marked, entry.marked_at = source, now
+        self._live.clear()
         return True
 
     def may_get_work(self, name: str) -> bool:
@@ -70,11 +74,14 @@
 
     def live(self, upstream: str) -> list[Replica]:
         """Return the instances of an upstream that may get new work."""
-        return [
-            entry.replica
-            for entry in self._entries.values()
-            if entry.replica.upstream == upstream and _is_live(entry)
-        ]
+        found = self._live.get(upstream)
+        if found is None:
+            found = self._live[upstream] = [
+                entry.replica
+                for entry in self._entries.values()
+                if entry.replica.upstream == upstream and _is_live(entry)
+            ]
+        return found
 
     def find(self, name: str) -> Replica | None:
         """Return an instance by name, leaving or not."""
--- a/reachlink/placement/_profiles.py
+++ b/reachlink/placement/_profiles.py
@@ -78,12 +78,11 @@
         missing = [0.0] * (len(HORIZONS) - len(mean))
         return cls(mean + missing, variance + missing, 1.0)
 
-    def add(self, other: "MemoryProfile", times: float = 1.0) -> None:
-        """Add another profile to this one, so many times."""
-        for i in range(len(HORIZONS)):
-            self.mean[i] += times * other.mean[i]
-            self.variance[i] += times * other.variance[i]
-        self.count += times * other.count
+    def add(self, other: "MemoryProfile") -> None:
+        """Add another profile to this one."""
+        self.mean = [a + b for a, b in zip(self.mean, other.mean, strict=True)]
+        self.variance = [a + b for a, b in zip(self.variance, other.variance, strict=True)]
+        self.count += other.count
 
     def peak_with(self, other: "MemoryProfile", deviations: float) -> float:
         """Return the forecast peak of both together, in tokens.
@@ -95,12 +94,21 @@
         deviations : float
             How many standard deviations to add to the mean.
         """
-        peak = 0.0
-        for i in range(len(HORIZONS)):
-            spread = math.sqrt(self.variance[i] + other.variance[i])
-            value = self.mean[i] + other.mean[i] + deviations * spread
-            peak = max(peak, value)
-        return peak
+        sqrt = math.sqrt
+        return max(
+            mean + more + deviations * sqrt(variance + spread)
+            for mean, more, variance, spread in zip(
+                self.mean, other.mean, self.variance, other.variance, strict=True
+            )
+        )
+
+    def plus(self, other: "MemoryProfile") -> "MemoryProfile":
+        """Return the sum of both."""
+        return MemoryProfile(
+            [a + b for a, b in zip(self.mean, other.mean, strict=True)],
+            [a + b for a, b in zip(self.variance, other.variance, strict=True)],
+            self.count + other.count,
+        )
 
     @staticmethod
     def total(profiles: Iterable["MemoryProfile"]) -> "MemoryProfile":
--- a/reachlink/settings/_paths.py
+++ b/reachlink/settings/_paths.py
@@ -4,10 +4,13 @@
 import re
 from dataclasses import dataclass
 from enum import Enum
+from functools import lru_cache
 
 from reachlink.settings._schema import SETTINGS, Setting
 from reachlink.settings.exceptions import UnknownPathError
 
+PARSED_PATHS = 32_768
+
 _NAME = re.compile(r"[^\W_][\w-]{0,62}")
 
 
@@ -48,11 +51,15 @@
         return f"{self.scope.value.format(**names)}.{self.setting.name}"
 
 
-_SCOPE_PARTS = [(scope, scope.value.split(".")) for scope in Scope]
+# The longest scope first: a shorter one also matches the start of its paths.
+_SCOPE_PARTS = sorted(
+    ((scope, scope.value.split(".")) for scope in Scope), key=lambda item: -len(item[1])
+)
 
 
+@lru_cache(maxsize=PARSED_PATHS)
 def parse_path(text: str) -> SettingPath:
-    """Parse a dotted path.
+    """Parse a dotted path; results are remembered, since every edit checks them all.
 
     Parameters
     ----------
@@ -70,8 +77,7 @@
         If no such path can exist.
     """
     parts = text.split(".")
-    # The longest scope first: a shorter one also matches the start of its paths.
-    for scope, pattern in sorted(_SCOPE_PARTS, key=lambda item: -len(item[1])):
+    for scope, pattern in _SCOPE_PARTS:
         names = _match(pattern, parts)
         if names is not None:
             return _finish(text, scope, names, ".".join(parts[len(pattern) :]))
