--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import tracemalloc
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
@@ -24,7 +25,14 @@
 from benchmarks.bench_relay import measure_cost
 from benchmarks.bench_relay import scenario as relay_scenario
 from benchmarks.bench_settings import WATCH_S, LightDaemon, cpu_of, scenario
-from reachlink.control import ControlClient, ControlMachine, EditCommand
+from reachlink.control import (
+    ClaimCommand,
+    CompleteCommand,
+    ControlClient,
+    ControlMachine,
+    EditCommand,
+    StoredAnswer,
+)
 from reachlink.entry import (
     Digest,
     DigestBook,
@@ -79,15 +87,17 @@
 
 
 def memory_of(build: Callable[[], Any]) -> float:
-    """Return the resident memory that building something takes, in MB."""
-    process = psutil.Process()
-    gc.collect()
-    before = process.memory_info().rss
-    kept = build()
+    """Return the memory that building something allocates and keeps, in MB."""
     gc.collect()
-    after = process.memory_info().rss
-    del kept
-    return (after - before) / 2**20
+    tracemalloc.start()
+    try:
+        kept = build()
+        gc.collect()
+        held, _ = tracemalloc.get_traced_memory()
+        del kept
+        return held / 2**20
+    finally:
+        tracemalloc.stop()
 
 
 def floor_mb() -> float:
@@ -247,6 +257,29 @@
     ]
 
 
+def claim_cost() -> list[Slope]:
+    """Memory and snapshot size of claims that are kept, each with a short answer."""
+    memory, sizes = [], []
+    for count in (2000, 5000, 10000, 20000):
+        machine = ControlMachine()
+
+        def build(number: int = count, target: ControlMachine = machine) -> ControlMachine:
+            for i in range(number):
+                name = f"{i:032x}"
+                claim = ClaimCommand("w1", name, name * 2, name, "entry-1", 3600.0, 1.0)
+                target.claims.claim(claim, 1.0)
+                answer = StoredAnswer(200, "application/json", b"x" * 60)
+                target.claims.complete(CompleteCommand("w1", name, name, "ran", answer, 1.0))
+            return target
+
+        memory.append((float(count), round(memory_of(build), 3)))
+        sizes.append((float(count), round(len(machine.snapshot()) / 2**20, 3)))
+    return [
+        fit("claim memory", "claims kept", "MB", memory),
+        fit("claim snapshot", "claims kept", "MB", sizes),
+    ]
+
+
 def edit_cost() -> Slope:
     """Validating and applying one edit against the settings held."""
     points = []
@@ -357,6 +390,7 @@
         digest_cost(),
         *snapshot_cost(),
         edit_cost(),
+        *claim_cost(),
     ]
     if short:
         return found
--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -23,6 +23,9 @@
 from reachlink.telemetry import get_logger
 
 SNAPSHOT_ENTRIES = 400
+MAX_LOG_ENTRIES = 20_000
+# Framing of an entry on disk, besides its command.
+ENTRY_BYTES = 24
 POLL_S = 0.01
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -101,6 +104,7 @@
             clock.monotonic(),
         )
         self._snapshot = loaded.snapshot or b""
+        self._log_bytes = sum(len(e.data) + ENTRY_BYTES for e in loaded.log.entries)
         if loaded.snapshot is not None:
             machine.restore(loaded.snapshot)
         self._applied = loaded.log.snapshot_index
@@ -245,6 +249,7 @@
             self._applied = install.index
         elif effects.must_sync():
             self._storage.persist(effects, state.term, state.voted_for)
+            self._log_bytes += sum(len(e.data) + ENTRY_BYTES for e in effects.append)
         self._addresses.update((m.node_id, m.address) for m in state.members)
         for node, message in effects.messages:
             self._send_to(node, message)
@@ -279,7 +284,10 @@
 
     def _compact(self) -> None:
         log = self._core.state.log
-        if self._applied - log.snapshot_index < SNAPSHOT_ENTRIES:
+        entries = self._applied - log.snapshot_index
+        # A snapshot costs as much as it is large: the log may grow to its size first.
+        large = self._log_bytes >= len(self._snapshot)
+        if entries < SNAPSHOT_ENTRIES or not (large or entries >= MAX_LOG_ENTRIES):
             return
         self._snapshot = self._machine.snapshot()
         self._core.compact(self._applied)
@@ -288,6 +296,7 @@
         )
         state = self._core.state
         self._storage.save_snapshot(record, state.term, state.voted_for, log.entries)
+        self._log_bytes = 0
         self._log.info("snapshot_saved", index=self._applied, bytes=len(self._snapshot))
 
     def _note_role(self) -> None:
--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -20,6 +20,7 @@
     Step,
 )
 from reachlink.entry._dispatcher import Ticket
+from reachlink.entry._guardians import CarriedGeneration
 from reachlink.entry._node import EntryNode
 from reachlink.entry._stall_watch import StallWatch
 from reachlink.entry.exceptions import RequestError
@@ -141,6 +142,7 @@
         ticket = self._job.ticket
         ticket.flight = self._node.ledger.place(ticket.key, replica.name, 0)
         try:
+            self._carry()
             await self._sink.begin(position)
             if not await self._follow(await self._reopen_or_fail()):
                 raise RequestError(502, "upstream_failed", "the answer is lost", Outcome.RAN)
@@ -175,10 +177,25 @@
         except UpstreamBrokenError as error:
             health.on_failure(time.monotonic(), self._node.random)
             return await self._after_broken_dispatch(attempt, replica, str(error))
-        self._delivery.bind(stream.generation)
-        await self._sink.begin(self._position())
+        await self._bind(stream.generation)
         return stream
 
+    async def _bind(self, generation: str) -> None:
+        """The answer comes from this generation."""
+        self._delivery.bind(generation)
+        self._carry()
+        await self._sink.begin(self._position())
+
+    def _carry(self) -> None:
+        """Let the guardian know of the generation, in case this instance dies."""
+        job, replica = self._job, self._replica
+        assert replica is not None
+        self._node.carried.add(
+            CarriedGeneration(
+                self._delivery.generation, replica.name, job.service.name, job.policy.grace_s
+            )
+        )
+
     async def _place(self) -> Replica:
         job, node = self._job, self._node
         self._leave()
@@ -221,8 +238,7 @@
         """The request may run: look for its generation before anything else."""
         with contextlib.suppress(UpstreamError):
             info = await self._adapter.find(replica, self._job.request_id)
-            self._delivery.bind(info.generation)
-            await self._sink.begin(self._position())
+            await self._bind(info.generation)
             return await self._adapter.resume(replica, info.generation, 0)
         if not self._job.repeatable:
             raise RequestError(502, "upstream_broken", reason, Outcome.UNKNOWN)
@@ -248,6 +264,7 @@
             step = steps[-1]
             self._log_step(step)
             if isinstance(step, Finish):
+                self._node.carried.remove(generation)
                 self._succeed()
                 return True
             while isinstance(step, Resume):
@@ -258,10 +275,12 @@
                     step = self._delivery.on_generation_lost(str(error))[0]
             if isinstance(step, Regenerate):
                 self._count_failure()
-                self._cancel_later(generation)
+                self._drop(generation)
                 return False
             if isinstance(step, Fail):
                 self._count_failure()
+                # Not cancelled: its caller may come back for the rest until the grace is over.
+                self._node.spawn(self.abandon())
                 raise RequestError(502, "stream_lost", step.reason, step.outcome)
 
     def _log_step(self, step: Step) -> None:
@@ -352,6 +371,11 @@
         if replica is not None and generation:
             self._node.spawn(self._cancel(replica, generation))
 
+    def _drop(self, generation: str) -> None:
+        """A generation that failed is cancelled now, and by nobody later."""
+        self._cancel_later(generation)
+        self._node.carried.remove(generation)
+
     async def _cancel(self, replica: Replica, generation: str) -> None:
         with contextlib.suppress(UpstreamError):
             await self._adapter.cancel(replica, generation, if_detached=True)
@@ -378,3 +402,4 @@
             return
         await asyncio.sleep(0.0 if self._node.draining else self._job.policy.grace_s)
         await self._cancel(replica, generation)
+        self._node.carried.remove(generation)
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -13,8 +13,9 @@
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, PlacementNote
 from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
+from reachlink.entry._guardians import CarriedReport
 from reachlink.entry._http import error_middleware, json_response
-from reachlink.entry._node import CHANNEL_PLACED, EntryNode
+from reachlink.entry._node import CHANNEL_CARRIED, CHANNEL_PLACED, EntryNode
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry.exceptions import RequestError
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
@@ -56,6 +57,7 @@
         node, config = self._node, self._config
         node.bus.handle(CHANNEL_DIGEST, self._on_digest)
         node.bus.handle(CHANNEL_PLACED, self._on_placed)
+        node.bus.handle(CHANNEL_CARRIED, self._on_carried)
         node.bus.handle(CHANNEL_SETTINGS, self._follower.answer_peer)
         node.bus.bind(config.bus_address)
         self._tasks = [
@@ -146,13 +148,19 @@
 
     async def _send_digests(self) -> None:
         node = self._node
-        for name in node.drop_old_digests():
+        silent = node.drop_old_digests()
+        for name in silent:
             node.log.info("peer_silent", peer=name)
+        node.cancel_orphans(silent)
         node.tell_peers(CHANNEL_DIGEST, encode(node.digest()))
+        node.tell_guardian()
 
     async def _on_placed(self, sender: str, body: bytes) -> None:
         self._node.take_note(decode(body, PlacementNote))
 
+    async def _on_carried(self, sender: str, body: bytes) -> None:
+        self._node.wards.take(decode(body, CarriedReport))
+
     async def _on_digest(self, sender: str, body: bytes) -> None:
         digest = decode(body, Digest)
         self._node.take_digest(digest)
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -1,6 +1,7 @@
 """The parts of an entry instance and how they are joined."""
 
 import asyncio
+import contextlib
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine, Sequence
@@ -12,6 +13,12 @@
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
 from reachlink.entry._dispatcher import Dispatcher, Ticket
+from reachlink.entry._guardians import (
+    CarriedBook,
+    CarriedGeneration,
+    Wards,
+    choose_guardian,
+)
 from reachlink.entry._ledger import Ledger
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import QuotaBook, RetryBudget
@@ -26,12 +33,13 @@
 )
 from reachlink.settings import ServiceInfo, SettingsTree
 from reachlink.telemetry import Metrics, get_logger
-from reachlink.upstreams import ADAPTERS, HttpClient, Replica
+from reachlink.upstreams import ADAPTERS, HttpClient, Replica, UpstreamError
 
 EXPLAINED_DECISIONS = 2048
 MAX_CANDIDATES = 8
 MAX_FAR_CANDIDATES = 2
 CHANNEL_PLACED = "placed"
+CHANNEL_CARRIED = "carried"
 
 
 class EntryNode:
@@ -55,6 +63,8 @@
         self.ledger = Ledger(self.lengths)
         self.digests = DigestBook()
         self.quotas = QuotaBook()
+        self.carried = CarriedBook(config.name)
+        self.wards = Wards()
         self.positions = PositionCodec(config.cluster_secret.encode())
         self.client = HttpClient()
         self.metrics = EntryMetrics(config)
@@ -126,6 +136,32 @@
             held = self._others.setdefault(note.load.replica, MemoryProfile())
             held.add(note.load.profile())
 
+    def tell_guardian(self) -> None:
+        """Tell another instance which generations are carried here."""
+        alive = [(d.instance, d.availability_zone) for d in self.digests.digests()]
+        guardian = choose_guardian(self.config.name, self.zone, alive)
+        report = self.carried.report_to(guardian) if guardian else None
+        if report is None:
+            return
+        for peer in self.config.peers:
+            if peer.name == guardian:
+                self.bus.send(peer.address, CHANNEL_CARRIED, encode(report))
+
+    def cancel_orphans(self, silent: list[str]) -> None:
+        """Cancel, after the grace to reconnect, what silent wards carried."""
+        for orphan in self.wards.orphans(silent):
+            self.spawn(self._cancel_orphan(orphan))
+
+    async def _cancel_orphan(self, orphan: CarriedGeneration) -> None:
+        await asyncio.sleep(0.0 if self.draining else orphan.grace_s)
+        replica = self.directory.find(orphan.replica)
+        service = self.tree.services.get(orphan.service)
+        if replica is None or service is None:
+            return
+        self.log.info("orphan_cancelled", generation=orphan.generation, replica=orphan.replica)
+        with contextlib.suppress(UpstreamError):
+            await self.adapter(service.adapter).cancel(replica, orphan.generation, if_detached=True)
+
     def tell_peers(self, channel: str, body: bytes) -> None:
         """Send a one-way message to every other entry instance."""
         for peer in self.config.peers:
--- a/reachlink/entry/tests/answers.feature
+++ b/reachlink/entry/tests/answers.feature
@@ -43,6 +43,12 @@
     When a caller leaves mid-stream
     Then its generation is cancelled at the engine
 
+  Scenario: An entry instance dies and its caller does not come back
+    Given the grace to reconnect is 0.5 seconds
+    And every engine is slow
+    When a caller streams an answer through entry-2, which is killed mid-stream
+    Then its generation is cancelled at the engine
+
   Scenario: Planned stop under load
     When 8 callers stream through entry-2 and it is asked to stop
     Then all answers are whole and every token is what the engine generated
--- a/reachlink/entry/tests/test_answers.py
+++ b/reachlink/entry/tests/test_answers.py
@@ -66,6 +66,13 @@
             run(story.fleet.post(plan.name, "/faults", faults))
 
 
+@given("every engine is slow")
+def slow_engines(run, story):
+    for plan in story.fleet.layout.upstreams:
+        if plan.module == "engine":
+            run(story.fleet.post(plan.name, "/faults", {"slow_factor": 10.0}))
+
+
 @given(parsers.parse("the grace to reconnect is {seconds:f} seconds"))
 def set_grace(run, story, seconds):
     async def work():
