--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 capacity: $(VENV)/.ready
 	$(PY) -m benchmarks.capacity_page $(ARGS)
+	$(PY) -m benchmarks.settings_page $(ARGS)
 
 explore: $(VENV)/.ready
 	REACHLINK_SCHEDULES=50000 $(PY) -m pytest reachlink/agreement $(ARGS)
--- /dev/null
+++ b/reachlink/cli/tests/test_cli.py
@@ -0,0 +1,80 @@
+"""The command line against a running fleet."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+
+@pytest.fixture
+def reachlink(fleet):
+    addresses = [p.address for p in fleet.layout.entries]
+
+    def call(*words: str, key: str = fleet.layout.operator_key) -> subprocess.CompletedProcess:
+        return subprocess.run(
+            [sys.executable, "-c", "from reachlink.cli import main; main()", *words],
+            env={"REACHLINK_ADDRESS": ",".join(addresses), "REACHLINK_KEY": key, "PATH": ""},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    return call
+
+
+def test_set_explain_unset(reachlink):
+    path = "services.explain.sites.sal-en.priority"
+    assert reachlink("settings", "set", f"{path}=7").returncode == 0
+    explained = json.loads(reachlink("settings", "explain", path, "--json").stdout)
+    assert explained["value"] in (7, 5)
+    assert reachlink("settings", "unset", path).returncode == 0
+
+
+def test_invalid_value_names_the_path(reachlink):
+    done = reachlink("settings", "set", "defaults.priority=77")
+    assert done.returncode == 2
+    assert "defaults.priority" in done.stderr
+
+
+def test_unknown_path_gets_a_hint(reachlink):
+    done = reachlink("settings", "set", "defaults.prioriti=7")
+    assert done.returncode == 2
+    assert "did you mean 'priority'" in done.stderr
+
+
+def test_a_stale_base_is_a_conflict_that_shows_the_winner(reachlink):
+    first = json.loads(reachlink("settings", "set", "defaults.priority=4", "--json").stdout)
+    base = str(first["revision"] - 1)
+    done = reachlink("settings", "set", "defaults.priority=3", "--base", base)
+    assert done.returncode == 3
+    assert "defaults.priority = 4" in done.stderr
+    reachlink("settings", "unset", "defaults.priority")
+
+
+def test_a_resent_edit_takes_effect_once(reachlink):
+    body = json.loads(reachlink("settings", "get", "--json").stdout)
+    base = str(body["revision"])
+    words = ["settings", "set", "defaults.weight=2.5", "--base", base, "--edit-id", "cli-1"]
+    first, again = reachlink(*words, "--json"), reachlink(*words, "--json")
+    assert json.loads(first.stdout) == json.loads(again.stdout)
+    reachlink("settings", "unset", "defaults.weight")
+
+
+def test_export_applies_without_change(reachlink, tmp_path):
+    file = tmp_path / "settings.json"
+    file.write_text(reachlink("settings", "export").stdout)
+    assert reachlink("settings", "diff", str(file)).stdout == ""
+    assert "nothing would change" in reachlink("settings", "apply", str(file)).stdout
+
+
+def test_status_and_audit(reachlink):
+    assert "role=leader" in reachlink("status").stdout
+    assert "chain=whole" in reachlink("audit", "--check").stdout
+    assert reachlink("members", "list").stdout.count("voting=true") == 3
+
+
+def test_wrong_key_is_refused(reachlink):
+    done = reachlink("settings", "get", key="nobody")
+    assert done.returncode == 2
+    assert "invalid_key" in done.stderr
--- a/reachlink/entry/_admission.py
+++ b/reachlink/entry/_admission.py
@@ -63,7 +63,7 @@
             self._key,
             self._limits,
             digests.others_demand(),
-            digests.instances(),
+            digests.limit_instances(),
             time.monotonic(),
         )
         if refusal is not None:
--- a/reachlink/entry/_digests.py
+++ b/reachlink/entry/_digests.py
@@ -62,14 +62,26 @@
 
 
 class DigestBook:
-    """The latest digest of each other entry instance."""
+    """The latest digest of each other entry instance.
 
-    def __init__(self) -> None:
+    An availability zone whose instances all fall silent is taken for cut off,
+    not for dead: it keeps its part of the limits until it is heard again.
+
+    Parameters
+    ----------
+    zone : str
+        The own availability zone, which is never taken for cut off.
+    """
+
+    def __init__(self, zone: str = "") -> None:
+        self._zone = zone
         self._held: dict[str, _Held] = {}
+        self._cut: dict[str, list[Digest]] = {}
 
     def take(self, digest: Digest, now: float) -> None:
         """Take a digest that just arrived."""
         self._held[digest.instance] = _Held(digest, now)
+        self._cut.pop(digest.availability_zone, None)
 
     def take_note(self, note: PlacementNote) -> bool:
         """Take a placement that its instance's next digest will include."""
@@ -82,13 +94,17 @@
     def drop_old(self, now: float) -> list[str]:
         """Forget silent instances and return their names."""
         silent = [n for n, h in self._held.items() if now - h.at > DIGEST_LIFETIME_S]
-        for name in silent:
-            del self._held[name]
+        gone = [self._held.pop(name).digest for name in silent]
+        alive = {h.digest.availability_zone for h in self._held.values()} | {self._zone}
+        for digest in gone:
+            zone = digest.availability_zone
+            if zone not in alive:
+                self._cut.setdefault(zone, []).append(digest)
         return silent
 
-    def instances(self) -> int:
-        """Return how many entry instances are alive, this one included."""
-        return len(self._held) + 1
+    def limit_instances(self) -> int:
+        """Return how many entry instances share a limit, this one included."""
+        return len(self._held) + sum(len(cut) for cut in self._cut.values()) + 1
 
     def digests(self) -> list[Digest]:
         """Return the digests of all live instances."""
@@ -107,9 +123,10 @@
         return loads
 
     def others_demand(self) -> dict[str, float]:
-        """Return the sum of what the others see, by limited workspace."""
+        """Return the sum of what the others see or saw when cut off, by limited workspace."""
         demands: dict[str, float] = {}
-        for held in self._held.values():
-            for key, demand in held.digest.demands.items():
+        cut = [digest for digests in self._cut.values() for digest in digests]
+        for digest in (*self.digests(), *cut):
+            for key, demand in digest.demands.items():
                 demands[key] = demands.get(key, 0.0) + demand
         return demands
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -61,7 +61,7 @@
         self.directory = ReplicaDirectory(config.routes)
         self.lengths = LengthEstimator()
         self.ledger = Ledger(self.lengths)
-        self.digests = DigestBook()
+        self.digests = DigestBook(config.availability_zone)
         self.quotas = QuotaBook()
         self.carried = CarriedBook(config.name)
         self.wards = Wards()
--- a/reachlink/entry/tests/answers.feature
+++ b/reachlink/entry/tests/answers.feature
@@ -26,6 +26,11 @@
     And the caller goes on at entry-4 with the last event id
     Then the answer is whole and every token is what the engine generated
 
+  Scenario: An entry instance freezes mid-stream
+    When a caller streams an answer through entry-3, which is stopped mid-stream
+    And the caller goes on at entry-5 with the last event id
+    Then the answer is whole and every token is what the engine generated
+
   Scenario: An engine dies mid-stream
     When a caller streams an answer and its engine is killed mid-stream
     Then the stream ends with an explicit error and nothing mixed
--- a/reachlink/entry/tests/test_answers.py
+++ b/reachlink/entry/tests/test_answers.py
@@ -8,6 +8,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from reachlink.testing import Caller, Fleet, ReceivedAnswer
+from reachlink.testing._caller import cancel_quietly
 from reachlink.testing._wire import token_text
 
 scenarios("answers.feature")
@@ -201,6 +202,24 @@
     assert story.answers[0].broken
 
 
+@when(parsers.parse("a caller streams an answer through {entry}, which is stopped mid-stream"))
+def stream_with_frozen_entry(run, story, entry):
+    async def work():
+        answer = ReceivedAnswer()
+        story.answers = [answer]
+        task = asyncio.ensure_future(story.caller.stream(story.url(entry), BODY, answer))
+        await story.first_tokens(answer, 10)
+        story.fleet.signal(entry, signal.SIGSTOP)
+        count = -1
+        while count != len(answer.events):
+            # What is still on its way to the caller arrives first.
+            count = len(answer.events)
+            await asyncio.sleep(0.3)
+        await cancel_quietly(task)
+
+    run(work())
+
+
 @when(parsers.parse("the caller goes on at {entry} with the last event id"))
 def go_on(run, story, entry):
     run(story.caller.stream(story.url(entry), BODY, story.answers[0]))
--- /dev/null
+++ b/reachlink/kernel/tests/test_layers.py
@@ -0,0 +1,83 @@
+"""Imports go down only, and decision modules do no I/O."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[2]
+LEVELS = [
+    {"kernel"},
+    {"telemetry"},
+    {"messaging"},
+    {"settings", "agreement"},
+    {"upstreams", "membership"},
+    {"lengths"},
+    {"placement", "limits"},
+    {"delivery", "orders"},
+    {"control"},
+    {"entry"},
+    {"cli"},
+    {"testing"},
+]
+LEVEL_OF = {name: level for level, names in enumerate(LEVELS) for name in names}
+PURE = [
+    *(ROOT / "lengths").glob("_*.py"),
+    *(ROOT / "placement").glob("_*.py"),
+    *(ROOT / "limits").glob("_*.py"),
+    *(ROOT / "delivery").glob("_*.py"),
+    *(ROOT / "settings").glob("_*.py"),
+    ROOT / "agreement" / "_core.py",
+    ROOT / "agreement" / "_election.py",
+    ROOT / "agreement" / "_replication.py",
+    ROOT / "agreement" / "_log.py",
+    ROOT / "agreement" / "_state.py",
+    ROOT / "control" / "_machine.py",
+    ROOT / "control" / "_claims.py",
+    ROOT / "control" / "_audit.py",
+    ROOT / "membership" / "_directory.py",
+    ROOT / "membership" / "_spreading.py",
+    ROOT / "entry" / "_digests.py",
+    ROOT / "entry" / "_guardians.py",
+]
+IMPURE = {"asyncio", "aiohttp", "zmq", "socket", "os", "time", "subprocess", "threading"}
+
+
+def imported(path: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+def sources() -> list[Path]:
+    return [p for p in ROOT.rglob("*.py") if "tests" not in p.parts and p.parent != ROOT]
+
+
+def test_imports_go_down_only():
+    wrong = []
+    for path in sources():
+        own = path.relative_to(ROOT).parts[0]
+        for name in imported(path):
+            parts = name.split(".")
+            if parts[0] != "reachlink" or len(parts) < 2 or parts[1] not in LEVEL_OF:
+                continue
+            if parts[1] != own and LEVEL_OF[parts[1]] >= LEVEL_OF[own]:
+                wrong.append(f"{path.relative_to(ROOT)} imports {name}")
+    # The two on one level that may see each other: the directory lists replicas.
+    allowed = "membership/_directory.py imports reachlink.upstreams"
+    assert [w for w in wrong if w != allowed] == []
+
+
+@pytest.mark.parametrize("path", PURE, ids=lambda p: str(p.relative_to(ROOT)))
+def test_decision_modules_do_no_io(path):
+    assert {name.split(".")[0] for name in imported(path)} & IMPURE == set()
+
+
+def test_every_subpackage_names_what_it_offers():
+    for name in LEVEL_OF:
+        text = (ROOT / name / "__init__.py").read_text()
+        assert "__all__" in text, name
