--- a/reachlink/control/_client.py
+++ b/reachlink/control/_client.py
@@ -7,6 +7,7 @@
     CHANNEL_CONTROL,
     Answer,
     LostAnswer,
+    MembersRequest,
     ProposeAnswer,
     ProposeRequest,
     RefusedAnswer,
@@ -84,7 +85,8 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        patience = FIRST_ATTEMPT_S if isinstance(request, ProposeRequest) else timeout_s
+        # A membership change is the one request that must not be sent twice.
+        patience = timeout_s if isinstance(request, MembersRequest) else FIRST_ATTEMPT_S
         maybe_done = False
         reason = "no control instance is configured"
         while self._addresses and loop.time() < deadline:
