Pass over control instances that were silent a moment ago

Read again, the same loop would also have sent a membership change twice after a lost answer.

Change: an instance that did not answer is passed over for 3 s, only silence lengthens the patience, and a membership change ends as unknown at once.

--- a/reachlink/control/_client.py
+++ b/reachlink/control/_client.py
@@ -1,6 +1,7 @@
 """Requests to whichever control instance can answer them."""
 
 import asyncio
+from dataclasses import dataclass
 
 from reachlink.control._commands import Command, Result
 from reachlink.control._protocol import (
@@ -14,12 +15,31 @@
     Request,
 )
 from reachlink.control.exceptions import ControlUnavailableError, OutcomeUnknownError
-from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
+from reachlink.messaging import (
+    Bus,
+    CallTimeoutError,
+    MessagingError,
+    PeerUnreachableError,
+    decode,
+    encode,
+)
 
 # A command whose answer is lost is sent again: it takes effect once.
 FIRST_ATTEMPT_S = 0.5
 ATTEMPT_GROWTH = 1.5
 PAUSE_S = 0.1
+# How long a control instance that did not answer is passed over.
+AVOID_S = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class _Attempt:
+    """What came of asking one control instance once."""
+
+    answer: Answer | None = None
+    maybe_done: bool = False
+    reason: str = ""
+    silent: bool = False
 
 
 class ControlClient:
@@ -36,6 +56,7 @@
     def __init__(self, bus: Bus, addresses: list[str]) -> None:
         self._bus = bus
         self._addresses = list(addresses)
+        self._avoided: dict[str, float] = {}
 
     @property
     def addresses(self) -> list[str]:
@@ -76,6 +97,9 @@
     async def request(self, request: Request, timeout_s: float) -> Answer:
         """Repeat a request at one control instance after the other until one answers.
 
+        A membership change is the one request that must not be sent twice: it
+        is not repeated once it may have been done.
+
         Raises
         ------
         ControlUnavailableError
@@ -85,32 +109,50 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        # A membership change is the one request that must not be sent twice.
-        patience = timeout_s if isinstance(request, MembersRequest) else FIRST_ATTEMPT_S
-        maybe_done = False
-        reason = "no control instance is configured"
+        once = isinstance(request, MembersRequest)
+        patience = timeout_s if once else FIRST_ATTEMPT_S
+        failed = _Attempt(reason="no control instance is configured")
         while self._addresses and loop.time() < deadline:
-            attempt = min(patience, deadline - loop.time())
-            patience *= ATTEMPT_GROWTH
-            try:
-                answer = await self.ask(self._addresses[0], request, attempt)
-            except PeerUnreachableError as error:
-                reason = f"cannot reach {error}"
-            except MessagingError as error:
-                maybe_done, reason = True, str(error)
-            else:
-                if isinstance(answer, LostAnswer):
-                    maybe_done, reason = True, answer.reason
-                elif isinstance(answer, RefusedAnswer):
-                    reason = answer.reason
-                else:
-                    return answer
+            address = self._next_address(loop.time())
+            attempt = await self._attempt(address, request, min(patience, deadline - loop.time()))
+            if attempt.answer is not None:
+                return attempt.answer
+            failed = _Attempt(None, failed.maybe_done or attempt.maybe_done, attempt.reason)
+            if attempt.silent:
+                self._avoided[address] = loop.time() + AVOID_S
+                patience *= ATTEMPT_GROWTH
+            if once and failed.maybe_done:
+                break
             self.rotate()
             await asyncio.sleep(PAUSE_S)
-        if maybe_done:
-            raise OutcomeUnknownError(reason)
-        raise ControlUnavailableError(reason)
+        if failed.maybe_done:
+            raise OutcomeUnknownError(failed.reason)
+        raise ControlUnavailableError(failed.reason)
 
     def rotate(self) -> None:
         """Try another control instance first from now on."""
         self._addresses.append(self._addresses.pop(0))
+
+    def _next_address(self, now: float) -> str:
+        """Return the first address that was not silent a moment ago, and put it first."""
+        for address in self._addresses:
+            if self._avoided.get(address, 0.0) <= now:
+                self._addresses.remove(address)
+                self._addresses.insert(0, address)
+                return address
+        return self._addresses[0]
+
+    async def _attempt(self, address: str, request: Request, timeout_s: float) -> _Attempt:
+        try:
+            answer = await self.ask(address, request, timeout_s)
+        except PeerUnreachableError as error:
+            return _Attempt(reason=f"cannot reach {error}", silent=True)
+        except CallTimeoutError as error:
+            return _Attempt(maybe_done=True, reason=str(error), silent=True)
+        except MessagingError as error:
+            return _Attempt(maybe_done=True, reason=str(error))
+        if isinstance(answer, LostAnswer):
+            return _Attempt(maybe_done=True, reason=answer.reason)
+        if isinstance(answer, RefusedAnswer):
+            return _Attempt(reason=answer.reason)
+        return _Attempt(answer)
