One place for JSON responses and bearer keys

Cause: four copies of the same few lines in the entry daemon, the operators' interface and the stand-ins.

Change: they stand in the kernel. No behaviour changes.

--- a/reachlink/control/_operator_http.py
+++ b/reachlink/control/_operator_http.py
@@ -25,6 +25,7 @@
     OperatorError,
     OutcomeUnknownError,
 )
+from reachlink.kernel import bearer_key, json_response
 from reachlink.messaging import MessagingError
 from reachlink.settings import Change, SettingsTree, UnknownPathError, hash_key, to_document
 
@@ -116,8 +117,8 @@
         OperatorError
             If the key is unknown or may not do this.
         """
-        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-        key_hash = hash_key(key.strip()) if scheme.lower() == "bearer" else ""
+        key = bearer_key(request)
+        key_hash = hash_key(key) if key else ""
         operators = self._tree().operators
         if key_hash in operators:
             name, role = operators[key_hash]
@@ -137,7 +138,7 @@
         flat = request.query.get("form") == "flat"
         values = dict(tree.values) if flat else to_document(tree.values)
         body = {"revision": tree.revision, "settings": values}
-        return _reply(body, headers={"ETag": f'"{tree.revision}"'})
+        return json_response(body, headers={"ETag": f'"{tree.revision}"'})
 
     @_answering
     async def edit(self, request: web.Request) -> web.StreamResponse:
@@ -167,7 +168,7 @@
         self.authorize(request, write=False)
         path = request.query.get("path", "")
         origin = self._tree().explain_path(path)
-        return _reply({"path": path, "value": origin.value, "from": origin.path})
+        return json_response({"path": path, "value": origin.value, "from": origin.path})
 
     @_answering
     async def audit(self, request: web.Request) -> web.StreamResponse:
@@ -177,7 +178,7 @@
         limit = min(MAX_AUDIT, _number(request, "limit", 100))
         answer = await self._control.request(AuditRequest(since, limit), EDIT_TIMEOUT_S)
         assert isinstance(answer, AuditAnswer)
-        return _reply({"records": answer.records})
+        return json_response({"records": answer.records})
 
     @_answering
     async def status(self, request: web.Request) -> web.StreamResponse:
@@ -189,7 +190,7 @@
             controls[address] = answer = await self._status_of(address)
             if isinstance(answer, StatusAnswer):
                 newest = max(newest, answer.revision)
-        return _reply({"revision": newest, "controls": controls})
+        return json_response({"revision": newest, "controls": controls})
 
     @_answering
     async def members(self, request: web.Request) -> web.StreamResponse:
@@ -206,7 +207,7 @@
         )
         answer = await self._ask_once(change)
         assert isinstance(answer, MembersAnswer)
-        return _reply({"members": answer.members})
+        return json_response({"members": answer.members})
 
     async def _ask_once(self, change: Request) -> object:
         # A membership change is not repeated blindly: the operator looks first.
@@ -239,7 +240,7 @@
         "problems": result.problems,
         "winner": result.winner,
     }
-    return _reply(body, statuses[result.status], {"ETag": f'"{result.revision}"'})
+    return json_response(body, statuses[result.status], {"ETag": f'"{result.revision}"'})
 
 
 def _number(request: web.Request, name: str, default: int) -> int:
@@ -249,15 +250,6 @@
     return int(text)
 
 
-def _reply(body: Any, status: int = 200, headers: Any = None) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(body),
-        status=status,
-        headers=headers,
-        content_type="application/json",
-    )
-
-
 def _error(error: OperatorError) -> web.Response:
     detail = {"code": error.code, "message": error.message, **error.details}
-    return _reply({"error": detail}, error.status)
+    return json_response({"error": detail}, error.status)
--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -21,13 +21,13 @@
 from reachlink.entry._http import (
     MAX_BODY_BYTES,
     REQUEST_HEADER,
-    json_response,
     read_body,
     require_workspace,
 )
 from reachlink.entry._node import EntryNode
 from reachlink.entry._sinks import BufferSink, StreamSink
 from reachlink.entry.exceptions import RequestError
+from reachlink.kernel import json_response
 from reachlink.lengths import LengthKey
 from reachlink.placement import MemoryProfile, PlacementRequest
 from reachlink.settings import ServiceInfo, ServiceKind, ServicePolicy
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -14,10 +14,11 @@
 from reachlink.entry._digests import Digest, PlacementNote
 from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
 from reachlink.entry._guardians import CarriedReport
-from reachlink.entry._http import error_middleware, json_response
+from reachlink.entry._http import error_middleware
 from reachlink.entry._node import CHANNEL_CARRIED, CHANNEL_PLACED, EntryNode
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry.exceptions import RequestError
+from reachlink.kernel import json_response
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
 from reachlink.messaging import decode, encode
 from reachlink.upstreams import EngineAdapter, LoadReport, Replica, UpstreamError
--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -6,13 +6,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import msgspec
 from aiohttp import web
 
 from reachlink.control import ControlUnavailableError, OutcomeUnknownError
 from reachlink.delivery import InvalidPositionError, Outcome
 from reachlink.entry._node import EntryNode
 from reachlink.entry.exceptions import RequestError
+from reachlink.kernel import bearer_key, json_response
 from reachlink.settings import hash_key
 
 REQUEST_HEADER = "X-Request-Id"
@@ -23,16 +23,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def json_response(body: Any, status: int = 200, headers: Any = None) -> web.Response:
-    """Return a JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body),
-        status=status,
-        headers=headers,
-        content_type="application/json",
-    )
-
-
 def error_body(error: RequestError, request_id: str) -> dict[str, Any]:
     """Return an error in the shape that OpenAI-compatible clients read."""
     detail: dict[str, Any] = {
@@ -91,12 +81,6 @@
     return middleware
 
 
-def bearer_key(request: web.Request) -> str:
-    """Return the bearer key of a request, or an empty string."""
-    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
-
-
 def require_workspace(node: EntryNode, request: web.Request) -> str:
     """Return the workspace whose key a request carries.
 
--- a/reachlink/kernel/__init__.py
+++ b/reachlink/kernel/__init__.py
@@ -4,6 +4,7 @@
 from reachlink.kernel._config import load_config
 from reachlink.kernel._lifecycle import run_daemon
 from reachlink.kernel._registry import Registry
+from reachlink.kernel._web import bearer_key, json_response
 from reachlink.kernel.exceptions import ConfigError, ReachlinkError, UnknownPluginError
 
 __all__ = [
@@ -13,6 +14,8 @@
     "Registry",
     "SystemClock",
     "UnknownPluginError",
+    "bearer_key",
+    "json_response",
     "load_config",
     "run_daemon",
 ]
--- a/reachlink/testing/engine.py
+++ b/reachlink/testing/engine.py
@@ -13,7 +13,7 @@
 import uvloop
 from aiohttp import web
 
-from reachlink.kernel import load_config
+from reachlink.kernel import json_response, load_config
 from reachlink.testing._batch import BatchModel, Generation
 from reachlink.testing._config import EngineConfig
 from reachlink.testing._orders import OrderDesk
@@ -267,11 +267,11 @@
     async def _find(self, request: web.Request) -> web.Response:
         wanted = request.query.get("request_id")
         if wanted is None:
-            return reply([self._summary(track) for track in self._tracks.values()])
+            return json_response([self._summary(track) for track in self._tracks.values()])
         found = self._by_request.get(wanted)
         if found is None:
             return refusal(404, "unknown_request", "no generation for this request")
-        return reply(self._summary(self._tracks[found]))
+        return json_response(self._summary(self._tracks[found]))
 
     def _summary(self, track: Track) -> dict[str, object]:
         generation = track.generation
@@ -289,7 +289,7 @@
         track = self._tracks.get(request.match_info["id"])
         if track is None:
             return refusal(404, "unknown_generation", "no such generation")
-        return reply(self._summary(track))
+        return json_response(self._summary(track))
 
     async def _cancel(self, request: web.Request) -> web.Response:
         track = self._tracks.get(request.match_info["id"])
@@ -301,50 +301,45 @@
             self._model.cancel(track.generation)
             track.ended_at = time.monotonic()
             track.wake()
-        return reply(self._summary(track))
+        return json_response(self._summary(track))
 
     async def _load(self, request: web.Request) -> web.Response:
         limit = time.monotonic() - self._config.report_lag_s
         known = [report for at, report in self._reports if at <= limit]
-        return reply(known[-1] if known else {})
+        return json_response(known[-1] if known else {})
 
     async def _cache(self, request: web.Request) -> web.Response:
         since = int(request.query.get("since", "0"))
         await asyncio.sleep(self._config.event_lag_s)
         events = [e for e in self._model.cache_events if e.sequence > since]
         kept = [e for e in events if self._random.random() >= self._config.event_loss]
-        return reply([{"sequence": e.sequence, "kind": e.kind, "block": e.block} for e in kept])
+        return json_response(
+            [{"sequence": e.sequence, "kind": e.kind, "block": e.block} for e in kept]
+        )
 
     async def _order(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(await request.read(), type=OrderBody)
         state = self.orders.accept(order)
-        return reply(state, status=409 if state["state"] == "refused" else 202)
+        return json_response(state, status=409 if state["state"] == "refused" else 202)
 
     async def _order_log(self, request: web.Request) -> web.Response:
-        return reply(self.orders.log())
+        return json_response(self.orders.log())
 
     async def _set_faults(self, request: web.Request) -> web.Response:
         self._faults = msgspec.json.decode(await request.read(), type=FaultBody)
-        return reply({})
+        return json_response({})
 
     async def _leave(self, request: web.Request) -> web.Response:
         self._leaving = True
-        return reply({"refused": self._refused})
+        return json_response({"refused": self._refused})
 
     async def _health(self, request: web.Request) -> web.Response:
-        return reply({"running": len(self._model.running), "refused": self._refused})
-
-
-def reply(body: object, status: int = 200) -> web.Response:
-    """Return a JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body), status=status, content_type="application/json"
-    )
+        return json_response({"running": len(self._model.running), "refused": self._refused})
 
 
 def refusal(status: int, code: str, message: str) -> web.Response:
     """Return an error that says that nothing was run."""
-    return reply({"error": {"code": code, "message": message, "type": "refused"}}, status)
+    return json_response({"error": {"code": code, "message": message, "type": "refused"}}, status)
 
 
 def main() -> None:
--- a/reachlink/testing/platform.py
+++ b/reachlink/testing/platform.py
@@ -9,9 +9,9 @@
 import uvloop
 from aiohttp import web
 
-from reachlink.kernel import load_config
+from reachlink.kernel import json_response, load_config
 from reachlink.testing._config import PlatformConfig, PlatformInstance, WeightsConfig
-from reachlink.testing.engine import refusal, reply
+from reachlink.testing.engine import refusal
 
 _CHUNK = 256 << 10
 
@@ -40,7 +40,7 @@
     async def _list(self, request: web.Request) -> web.Response:
         limit = time.monotonic() - self._config.lag_s
         seen = [instances for at, instances in self._history if at <= limit][-1]
-        return reply({"instances": seen})
+        return json_response({"instances": seen})
 
     async def _change(self, request: web.Request) -> web.Response:
         instance = msgspec.json.decode(await request.read(), type=PlatformInstance)
@@ -49,7 +49,7 @@
         else:
             self._now[instance.name] = instance
         self._record(time.monotonic())
-        return reply({})
+        return json_response({})
 
 
 class WeightStore:
--- a/reachlink/testing/proxy.py
+++ b/reachlink/testing/proxy.py
@@ -9,8 +9,8 @@
 import uvloop
 from aiohttp import web
 
-from reachlink.kernel import load_config
-from reachlink.testing.engine import refusal, reply
+from reachlink.kernel import json_response, load_config
+from reachlink.testing.engine import refusal
 
 _CHUNK = 64 << 10
 
@@ -115,7 +115,7 @@
             link.opened.clear()
             if fault.mode == "reset":
                 _abort_all(link)
-        return reply({"links": len(links)})
+        return json_response({"links": len(links)})
 
     async def _heal(self, request: web.Request) -> web.Response:
         _, links = await self._chosen(request)
@@ -125,22 +125,22 @@
                 _abort_all(link)
             link.mode = ""
             link.opened.set()
-        return reply({"links": len(links)})
+        return json_response({"links": len(links)})
 
     async def _delay(self, request: web.Request) -> web.Response:
         fault, links = await self._chosen(request)
         for link in links:
             link.delay_ms = fault.milliseconds
-        return reply({"links": len(links)})
+        return json_response({"links": len(links)})
 
     async def _reset(self, request: web.Request) -> web.Response:
         _, links = await self._chosen(request)
         for link in links:
             _abort_all(link)
-        return reply({"links": len(links)})
+        return json_response({"links": len(links)})
 
     async def _list(self, request: web.Request) -> web.Response:
-        return reply(
+        return json_response(
             [
                 {
                     "source_zone": link.config.source_zone,
--- a/reachlink/testing/service.py
+++ b/reachlink/testing/service.py
@@ -7,9 +7,9 @@
 import uvloop
 from aiohttp import web
 
-from reachlink.kernel import load_config
+from reachlink.kernel import json_response, load_config
 from reachlink.testing._config import ServiceConfig
-from reachlink.testing.engine import refusal, reply
+from reachlink.testing.engine import refusal
 
 
 class PlainService:
@@ -60,20 +60,20 @@
         if '"fail": "after"' in body and request.transport is not None:
             request.transport.abort()
         number = len(self._calls)
-        return reply({"accepted": True, "by": self._config.name, "number": number})
+        return json_response({"accepted": True, "by": self._config.name, "number": number})
 
     async def _list(self, request: web.Request) -> web.Response:
-        return reply(self._calls)
+        return json_response(self._calls)
 
     async def _load(self, request: web.Request) -> web.Response:
-        return reply({"running": self._running, "leaving": self._leaving})
+        return json_response({"running": self._running, "leaving": self._leaving})
 
     async def _leave(self, request: web.Request) -> web.Response:
         self._leaving = True
-        return reply({})
+        return json_response({})
 
     async def _health(self, request: web.Request) -> web.Response:
-        return reply({})
+        return json_response({})
 
 
 def main() -> None:
