--- a/benchmarks/bench_policy.py
+++ b/benchmarks/bench_policy.py
@@ -131,6 +131,13 @@
     return rows
 
 
+def write(runs: list[Run]) -> None:
+    """Write what was measured so far: a later failure must not lose it."""
+    body = {"environment": describe(), "medians": medians(runs), "runs": runs}
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(body), indent=1) + b"\n")
+
+
 @app.default
 def run(
     *,
@@ -166,10 +173,8 @@
                     found = asyncio.run(measure(policy, load, seed, fault, duration))
                     show(found)
                     runs.append(found)
-    if save:
-        body = {"environment": describe(), "medians": medians(runs), "runs": runs}
-        RESULTS.parent.mkdir(exist_ok=True)
-        RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(body), indent=1) + b"\n")
+                    if save:
+                        write(runs)
 
 
 if __name__ == "__main__":
