Tests for three failures that had none; the parts of a job in a module of their own

Change: the tests, with a fake bus and pure state; AnswerJob and Sink moved to entry/_jobs.py as they were.

Conclusion: no behaviour changes.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -4,8 +4,6 @@
 import contextlib
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from typing import Protocol
 
 from reachlink.delivery import (
     Delivery,
@@ -19,17 +17,15 @@
     StallDetector,
     Step,
 )
-from reachlink.entry._dispatcher import Ticket
 from reachlink.entry._guardians import CarriedGeneration
+from reachlink.entry._jobs import AnswerJob, Sink
 from reachlink.entry._node import EntryNode
 from reachlink.entry._stall_watch import StallWatch
 from reachlink.entry.exceptions import RequestError
 from reachlink.limits import backoff_s
 from reachlink.membership import LeavingSource
-from reachlink.settings import ServiceInfo, ServicePolicy
 from reachlink.upstreams import (
     EngineAdapter,
-    GenerationRequest,
     GenerationUnknownError,
     Replica,
     TokenEvent,
@@ -45,34 +41,6 @@
 RESUME_PAUSE_S = 0.2
 
 
-class Sink(Protocol):
-    """Where the events of an answer go."""
-
-    async def begin(self, position: Position) -> None:
-        """The answer comes from this generation; called again for a new one."""
-
-    async def forward(self, events: Sequence[TokenEvent]) -> None:
-        """Take the next events."""
-
-    async def restart(self) -> None:
-        """Drop what was taken: another generation begins."""
-
-
-@dataclass(slots=True)
-class AnswerJob:
-    """All that stays the same over the attempts of one request."""
-
-    request_id: str
-    service: ServiceInfo
-    policy: ServicePolicy
-    workspace: str
-    ticket: Ticket
-    request: GenerationRequest
-    repeatable: bool
-    buffered: bool
-    started_at: float = field(default_factory=time.monotonic)
-
-
 class _LostError(Exception):
     """The generation cannot be continued."""
 
--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -7,7 +7,7 @@
 
 from reachlink.delivery import Outcome, Position
 from reachlink.entry._admission import Admission
-from reachlink.entry._answers import AnswerJob, AnswerRun
+from reachlink.entry._answers import AnswerRun
 from reachlink.entry._chat_models import (
     CHAT_PATH,
     TEXT_PATH,
@@ -24,6 +24,7 @@
     read_body,
     require_workspace,
 )
+from reachlink.entry._jobs import AnswerJob
 from reachlink.entry._node import EntryNode
 from reachlink.entry._sinks import BufferSink, StreamSink
 from reachlink.entry.exceptions import RequestError
--- /dev/null
+++ b/reachlink/limits/tests/test_drain_rate.py
@@ -0,0 +1,32 @@
+"""Expected waits come from busy time only."""
+
+from reachlink.limits import DrainRate
+
+
+def test_nothing_is_refused_for_a_wait_that_nobody_measured():
+    assert DrainRate().expected_wait_s(50, 0.0) == 0.0
+
+
+def test_a_quiet_queue_says_nothing_of_how_fast_it_would_drain():
+    """Found by the first benchmark: idle time counted, and most requests were refused."""
+    rate = DrainRate()
+    for second in range(10):
+        rate.on_busy(float(second))
+        rate.on_drained(second + 0.01)
+        rate.on_idle(second + 0.01)
+    assert rate.expected_wait_s(3, 10.0) < 0.1
+
+
+def test_a_stuck_queue_shows_in_the_expected_wait():
+    rate = DrainRate()
+    rate.on_busy(0.0)
+    assert rate.expected_wait_s(1, 5.0) >= 5.0
+
+
+def test_the_wait_grows_with_the_position():
+    rate = DrainRate()
+    for i in range(100):
+        rate.on_busy(i * 0.1)
+        rate.on_drained(i * 0.1)
+    assert 0.05 < rate.expected_wait_s(1, 10.0) < 0.2
+    assert rate.expected_wait_s(10, 10.0) > 5 * rate.expected_wait_s(1, 10.0)
