--- a/reachlink/agreement/__init__.py
+++ b/reachlink/agreement/__init__.py
@@ -16,6 +16,7 @@
 )
 from reachlink.agreement._service import ReplicaService, StateMachine
 from reachlink.agreement._state import Effects, ReplicaState, Role, Timing
+from reachlink.agreement._steward import Candidate, MemberHealth, next_membership
 from reachlink.agreement._storage import Identity, Loaded, Storage
 from reachlink.agreement.exceptions import (
     AgreementError,
@@ -30,6 +31,7 @@
     "AgreementError",
     "AppendReply",
     "AppendRequest",
+    "Candidate",
     "Core",
     "CorruptLogError",
     "Effects",
@@ -40,6 +42,7 @@
     "Loaded",
     "Log",
     "Member",
+    "MemberHealth",
     "MembershipChangeError",
     "Message",
     "NotLeaderError",
@@ -54,4 +57,5 @@
     "Timing",
     "VoteReply",
     "VoteRequest",
+    "next_membership",
 ]
--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -13,6 +13,7 @@
 from reachlink.agreement._messages import Entry, EntryKind, Member, Message
 from reachlink.agreement._records import SnapshotRecord
 from reachlink.agreement._state import Effects, Timing
+from reachlink.agreement._steward import MemberHealth
 from reachlink.agreement._storage import Loaded, Storage
 from reachlink.agreement.exceptions import (
     AgreementError,
@@ -24,6 +25,9 @@
 
 SNAPSHOT_ENTRIES = 400
 MAX_LOG_ENTRIES = 20_000
+# A log that is larger is folded into a snapshot whatever its length: large
+# commands would else fill the memory before there are enough of them.
+MAX_LOG_BYTES = 4 << 20
 # Framing of an entry on disk, besides its command.
 ENTRY_BYTES = 24
 POLL_S = 0.01
@@ -122,6 +126,24 @@
         """The decision logic, to be read only."""
         return self._core
 
+    @property
+    def hears_leader(self) -> bool:
+        """Whether this replica leads, or has heard the leader within an election time-out."""
+        state = self._core.state
+        if self._core.is_leader:
+            return True
+        silent = self._clock.monotonic() - state.heard_leader_at
+        return bool(state.leader) and silent < state.timing.election_max_s
+
+    def member_health(self) -> dict[str, MemberHealth]:
+        """Return what this leader knows of the other members, by node id."""
+        state = self._core.state
+        now = self._clock.monotonic()
+        return {
+            node: MemberHealth(now - p.acked_sent_at, p.match_index >= state.commit)
+            for node, p in state.progress.items()
+        }
+
     @property
     def applied(self) -> int:
         """Index of the last applied entry."""
@@ -287,7 +309,10 @@
         entries = self._applied - log.snapshot_index
         # A snapshot costs as much as it is large: the log may grow to its size first.
         large = self._log_bytes >= len(self._snapshot)
-        if entries < SNAPSHOT_ENTRIES or not (large or entries >= MAX_LOG_ENTRIES):
+        due = entries >= SNAPSHOT_ENTRIES and (large or entries >= MAX_LOG_ENTRIES)
+        if not due and self._log_bytes < MAX_LOG_BYTES:
+            return
+        if not entries:
             return
         self._snapshot = self._machine.snapshot()
         self._core.compact(self._applied)
--- /dev/null
+++ b/reachlink/agreement/_steward.py
@@ -0,0 +1,190 @@
+"""Which membership comes next, so that voters look after themselves; pure.
+
+A leader asks again and again, and makes one change at a time:
+
+1. a replica that announces itself becomes a member that does not vote;
+2. once it has caught up, it replaces a voter whose disk is lost or that has
+   been silent for long, or fills up the voters;
+3. replicas that are gone are taken out.
+
+A voter that is merely silent stays until a caught-up replica can take its
+place: its disk may be the one that is needed after the next loss.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from reachlink.agreement._messages import Member
+
+# How long a voter may be silent before a spare replica takes its place, in
+# seconds: above an election, below the time that a new replica has to count.
+SILENT_S = 1.5
+# The same where the spare stands in another zone than the voter.
+SILENT_OTHER_ZONE_S = 10.0
+# How long a replica that does not vote may be silent before it is taken out.
+GONE_S = 20.0
+
+
+@dataclass(slots=True, frozen=True)
+class Candidate:
+    """A replica that has announced itself."""
+
+    node_id: str
+    address: str
+    availability_zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class MemberHealth:
+    """What the leader knows of a member: seconds of silence, and whether it is up to date."""
+
+    silent_s: float
+    caught_up: bool
+
+
+def next_membership(
+    members: list[Member],
+    leader: str,
+    health: dict[str, MemberHealth],
+    candidates: Iterable[Candidate],
+    wanted_voters: int,
+) -> list[Member] | None:
+    """Return the membership after the most urgent change, or None where nothing is to do.
+
+    Parameters
+    ----------
+    members : list of Member
+        Present membership.
+    leader : str
+        Node id of the leader.
+    health : dict
+        State of each member but the leader, by node id.
+    candidates : iterable of Candidate
+        Replicas that announced themselves lately.
+    wanted_voters : int
+        How many voters there should be; odd.
+    """
+    announced = {c.address: c for c in candidates}
+    view = _View(members, leader, health, announced, wanted_voters)
+    steps = (_correct_zone, _remove_surplus, _promote, _add, _remove_gone)
+    for step in steps:
+        changed = step(view)
+        if changed is not None:
+            return changed
+    return None
+
+
+@dataclass(slots=True, frozen=True)
+class _View:
+    members: list[Member]
+    leader: str
+    health: dict[str, MemberHealth]
+    announced: dict[str, Candidate]
+    wanted: int
+
+    def voters(self) -> list[Member]:
+        return [m for m in self.members if m.voting]
+
+    def silent_s(self, member: Member) -> float:
+        if member.node_id == self.leader:
+            return 0.0
+        found = self.health.get(member.node_id)
+        return found.silent_s if found is not None else float("inf")
+
+    def disk_lost(self, member: Member) -> bool:
+        """Return whether another identity has announced itself at the member's address."""
+        candidate = self.announced.get(member.address)
+        return candidate is not None and candidate.node_id != member.node_id
+
+    def replaced(self, old: Member, new: Member | None) -> list[Member]:
+        rest = [m for m in self.members if m.node_id != old.node_id]
+        return rest if new is None else [*rest, new]
+
+
+def _correct_zone(view: _View) -> list[Member] | None:
+    """Founders do not know each other's zones: take what they say of themselves."""
+    for member in view.members:
+        found = view.announced.get(member.address)
+        if found is None or found.node_id != member.node_id:
+            continue
+        if found.availability_zone != member.availability_zone:
+            right = Member(member.node_id, member.address, found.availability_zone, member.voting)
+            return view.replaced(member, right)
+    return None
+
+
+def _remove_surplus(view: _View) -> list[Member] | None:
+    voters = view.voters()
+    if len(voters) <= view.wanted:
+        return None
+    others = [m for m in voters if m.node_id != view.leader]
+    zones = Counter(m.availability_zone for m in voters)
+
+    def least_needed(member: Member) -> tuple[bool, float, int, str]:
+        silent = view.silent_s(member)
+        steady = silent if silent > SILENT_S else 0.0
+        return (view.disk_lost(member), steady, zones[member.availability_zone], member.node_id)
+
+    return view.replaced(max(others, key=least_needed), None)
+
+
+def _promote(view: _View) -> list[Member] | None:
+    ready = [m for m in view.members if not m.voting and _may_vote(view, m)]
+    if not ready:
+        return None
+    voters = view.voters()
+    if len(voters) < view.wanted:
+        zones = Counter(m.availability_zone for m in voters)
+        chosen = min(ready, key=lambda m: (zones[m.availability_zone], m.node_id))
+        return _voting(view, chosen)
+    for voter in voters:
+        successor = _successor(view, voter, ready)
+        if successor is not None:
+            return _voting(view, successor)
+    return None
+
+
+def _may_vote(view: _View, member: Member) -> bool:
+    found = view.health.get(member.node_id)
+    alive = found is not None and found.silent_s < SILENT_S
+    return alive and found is not None and found.caught_up and not view.disk_lost(member)
+
+
+def _successor(view: _View, voter: Member, ready: list[Member]) -> Member | None:
+    """Return the replica that should take a voter's place, if it must be replaced."""
+    lost = view.disk_lost(voter)
+    silent = view.silent_s(voter)
+    if not lost and silent < SILENT_S:
+        return None
+    same_zone = [m for m in ready if m.availability_zone == voter.availability_zone]
+    if same_zone:
+        return same_zone[0]
+    return ready[0] if lost or silent >= SILENT_OTHER_ZONE_S else None
+
+
+def _voting(view: _View, member: Member) -> list[Member]:
+    promoted = Member(member.node_id, member.address, member.availability_zone, True)
+    return view.replaced(member, promoted)
+
+
+def _add(view: _View) -> list[Member] | None:
+    known = {m.node_id for m in view.members}
+    for candidate in view.announced.values():
+        if candidate.node_id in known:
+            continue
+        added = Member(candidate.node_id, candidate.address, candidate.availability_zone, False)
+        return [*view.members, added]
+    return None
+
+
+def _remove_gone(view: _View) -> list[Member] | None:
+    for member in view.members:
+        if member.voting:
+            continue
+        if view.disk_lost(member) or view.silent_s(member) > GONE_S:
+            return view.replaced(member, None)
+    return None
+
+
+__all__ = ["Candidate", "MemberHealth", "next_membership"]
--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -78,6 +78,11 @@
         except OSError as error:
             raise StorageError(f"data folder {folder}: {error.strerror}") from error
 
+    @property
+    def has_identity(self) -> bool:
+        """Whether the folder belongs to a replica already."""
+        return (self._folder / IDENTITY_FILE).exists()
+
     def identity(self, name: str) -> Identity:
         """Return the replica's identity, made and synced on a new disk."""
         path = self._folder / IDENTITY_FILE
--- a/reachlink/control/__init__.py
+++ b/reachlink/control/__init__.py
@@ -16,6 +16,9 @@
     FenceCommand,
     FenceResult,
     NoteCommand,
+    PublishCommand,
+    PublishResult,
+    PublishStatus,
     StoredAnswer,
 )
 from reachlink.control._config import ControlConfig
@@ -24,6 +27,7 @@
 from reachlink.control._main import main
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._protocol import StatusAnswer, StatusRequest, WatchRequest
+from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
 from reachlink.control.exceptions import (
     ControlError,
     ControlUnavailableError,
@@ -32,6 +36,11 @@
 )
 
 __all__ = [
+    "OPERATOR_BORDERS",
+    "PublishCommand",
+    "PublishResult",
+    "PublishStatus",
+    "TablePublisher",
     "AuditRecord",
     "ChangeRecord",
     "ClaimCommand",
--- a/reachlink/control/_client.py
+++ b/reachlink/control/_client.py
@@ -63,6 +63,11 @@
         """Control instances; the one that answered last comes first."""
         return list(self._addresses)
 
+    def learn(self, addresses: list[str]) -> None:
+        """Take the control instances that exist now; those asked first stay first."""
+        known = [a for a in self._addresses if a in addresses]
+        self._addresses = known + [a for a in addresses if a not in known]
+
     async def ask(self, address: str, request: Request, timeout_s: float) -> Answer:
         """Ask one control instance once.
 
--- a/reachlink/control/_commands.py
+++ b/reachlink/control/_commands.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from reachlink.routing import PublishedTable
 from reachlink.settings import Change
 
 
@@ -89,7 +90,16 @@
     at: float
 
 
-Command = EditCommand | ClaimCommand | CompleteCommand | NoteCommand | FenceCommand
+class PublishCommand(msgspec.Struct, tag="publish", frozen=True):
+    """Put a routing table in force, unless one of the same or a higher number is."""
+
+    table: PublishedTable
+    author: str
+    source: str
+    at: float
+
+
+Command = EditCommand | ClaimCommand | CompleteCommand | NoteCommand | FenceCommand | PublishCommand
 
 
 class ChangeRecord(msgspec.Struct, frozen=True):
@@ -147,7 +157,23 @@
     sequence: int
 
 
-Result = EditResult | ClaimResult | FenceResult | NoteResult
+class PublishStatus(Enum):
+    """What became of a published routing table."""
+
+    ACCEPTED = "accepted"
+    HELD = "held"
+    OVERTAKEN = "overtaken"
+
+
+class PublishResult(msgspec.Struct, tag="published", frozen=True):
+    """Answer to a publication; `number` is the one in force after it."""
+
+    status: PublishStatus
+    number: int
+    revision: int
+
+
+Result = EditResult | ClaimResult | FenceResult | NoteResult | PublishResult
 
 
 class AuditRecord(msgspec.Struct, frozen=True):
--- a/reachlink/control/_config.py
+++ b/reachlink/control/_config.py
@@ -11,6 +11,12 @@
     Addresses are ``host:port``. ``routes`` maps addresses to those to use in
     their place. ``bootstrap_key_hash`` is the SHA-256 of a key that acts as an
     operator until the settings name one.
+
+    With ``seeds``, bus addresses where control instances may be found, the
+    instances look after their membership themselves, with ``voters`` voters;
+    on the ``first_start`` of the whole system the seeds are the founders.
+    ``borders`` are more operators' interfaces to serve, by their names, and
+    ``metrics_port`` is a port for the metrics page alone; 0 for none.
     """
 
     name: str
@@ -22,6 +28,11 @@
     data_folder: str
     routes: dict[str, str] = {}
     bootstrap_key_hash: str = ""
+    seeds: list[str] = []
+    voters: int = 3
+    first_start: bool = False
+    borders: list[str] = []
+    metrics_port: int = 0
 
     @property
     def folder(self) -> Path:
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -5,13 +5,22 @@
 
 from aiohttp import web
 
-from reachlink.agreement import Identity, Member, ReplicaService, Storage, StorageError
+from reachlink.agreement import (
+    Candidate,
+    Identity,
+    Member,
+    ReplicaService,
+    Storage,
+    StorageError,
+)
 from reachlink.control._client import ControlClient
 from reachlink.control._config import ControlConfig
 from reachlink.control._machine import ControlMachine
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._protocol import CHANNEL_CONTROL, CHANNEL_LOG
+from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
 from reachlink.control._server import ControlServer
+from reachlink.control._steward import Steward
 from reachlink.kernel import SystemClock
 from reachlink.messaging import Bus
 from reachlink.telemetry import Metrics, get_logger
@@ -33,6 +42,7 @@
         self._log = get_logger()
         self._clock = SystemClock()
         self._storage = Storage(config.folder)
+        _found_first(config, self._storage)
         identity = self._storage.identity(config.name)
         loaded = self._storage.load()
         if loaded.snapshot is None:
@@ -54,15 +64,18 @@
             self._service, self._machine, self._storage, self._bus, self._clock
         )
         self._metrics = Metrics("control", config.name, config.availability_zone)
-        self._runner: web.AppRunner | None = None
-        self._work: asyncio.Task[None] | None = None
+        self._runners: list[web.AppRunner] = []
+        self._seeds = list(config.seeds)
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Open sockets and start the replica."""
         self._bus.handle(CHANNEL_LOG, self._on_log)
         self._bus.handle(CHANNEL_CONTROL, self._server.handle)
         self._bus.bind(self._config.bus_address)
-        self._work = asyncio.create_task(self._run())
+        self._tasks.append(asyncio.create_task(self._run()))
+        if self._seeds:
+            self._tasks.append(asyncio.create_task(self._steward().run()))
         client = ControlClient(self._bus, [self._config.bus_address])
         handlers = OperatorHandlers(
             client, lambda: self._machine.tree, self._config.bootstrap_key_hash
@@ -70,9 +83,14 @@
         app = web.Application()
         app.add_routes(handlers.routes())
         app.add_routes([web.get("/healthz", self._health), web.get("/metrics", self._page)])
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, self._config.host, self._config.port).start()
+        publisher = TablePublisher(self._server)
+        for border in self._config.borders:
+            app.add_routes(OPERATOR_BORDERS.get(border)(publisher))
+        await self._serve(app, self._config.port)
+        if self._config.metrics_port:
+            page = web.Application()
+            page.add_routes([web.get("/metrics", self._page)])
+            await self._serve(page, self._config.metrics_port)
         self._log.info(
             "control_started",
             node_id=self._identity.node_id,
@@ -84,16 +102,34 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        if self._work is not None:
-            self._work.cancel()
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
             with contextlib.suppress(asyncio.CancelledError):
-                await self._work
-        if self._runner is not None:
-            await self._runner.cleanup()
+                await task
+        for runner in self._runners:
+            await runner.cleanup()
         self._bus.close()
         self._storage.close()
         self._metrics.close()
 
+    def take_seeds(self, seeds: list[str]) -> None:
+        """Take other addresses where control instances may be found."""
+        self._seeds[:] = seeds
+
+    def _steward(self) -> Steward:
+        config = self._config
+        own = Candidate(self._identity.node_id, config.bus_address, config.availability_zone)
+        return Steward(
+            own, self._service, self._server, self._bus, lambda: self._seeds, config.voters
+        )
+
+    async def _serve(self, app: web.Application, port: int) -> None:
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, self._config.host, port).start()
+        self._runners.append(runner)
+
     async def _run(self) -> None:
         try:
             await self._service.run()
@@ -142,6 +178,20 @@
     return identity
 
 
+def _found_first(config: ControlConfig, storage: Storage) -> None:
+    """Make a seed a founding member on the first start of the whole system.
+
+    Every founder comes to the same membership by itself: the seeds in order,
+    each named by its address. Zones are corrected once they announce
+    themselves.
+    """
+    founder = config.first_start and config.bus_address in config.seeds
+    if not founder or storage.has_identity:
+        return
+    members = [Member(founding_id(a), a, "", True) for a in sorted(set(config.seeds))]
+    storage.found(Identity("", founding_id(config.bus_address), members))
+
+
 def founding_id(name: str) -> str:
     """Return the node id of a founding member.
 
--- a/reachlink/control/_machine.py
+++ b/reachlink/control/_machine.py
@@ -5,6 +5,7 @@
 command carried.
 """
 
+import hashlib
 from collections import OrderedDict, deque
 from functools import singledispatchmethod
 
@@ -28,10 +29,20 @@
     NoteCommand,
     NoteResult,
     ProblemRecord,
+    PublishCommand,
+    PublishResult,
+    PublishStatus,
     Result,
 )
-from reachlink.membership import Delta
-from reachlink.settings import Change, InvalidSettingsError, SettingsTree
+from reachlink.membership import Delta, remember_delta
+from reachlink.routing import PublishedTable
+from reachlink.settings import (
+    ROUTING_PATH,
+    Change,
+    InvalidSettingsError,
+    Problem,
+    SettingsTree,
+)
 
 REMEMBERED_EDITS = 4096
 REMEMBERED_DELTAS = 1024
@@ -169,6 +180,37 @@
         record = self._note(command.action, command.author, command.source, command.detail)
         return NoteResult(record.sequence)
 
+    @_run.register
+    def _(self, command: PublishCommand, index: int, term: int) -> PublishResult:
+        result = self._publish(command.table)
+        self._audit.add(
+            AuditRecord(
+                0,
+                command.at,
+                "publish",
+                command.author,
+                command.source,
+                "",
+                result.revision,
+                result.status is PublishStatus.ACCEPTED,
+                f"{result.status.value}: number {result.number} is in force",
+                [ChangeRecord(ROUTING_PATH, None, _summary(command.table))],
+            )
+        )
+        return result
+
+    def _publish(self, table: PublishedTable) -> PublishResult:
+        held = self._tree.routing
+        revision = self._tree.revision
+        if held is not None and table.number <= held.number:
+            same = table.number == held.number
+            status = PublishStatus.HELD if same else PublishStatus.OVERTAKEN
+            return PublishResult(status, held.number, revision)
+        change = Change(ROUTING_PATH, msgspec.to_builtins(table))
+        self._tree = self._tree.with_changes([change], revision + 1)
+        remember_delta(self._deltas, Delta(revision + 1, [change]))
+        return PublishResult(PublishStatus.ACCEPTED, table.number, revision + 1)
+
     def _edit(self, command: EditCommand) -> EditResult:
         revision = self._tree.revision
         if command.base_revision != revision:
@@ -177,6 +219,7 @@
             self._record_edit(command, result, [], f"made on {command.base_revision}")
             return result
         try:
+            _refuse_routing(command.changes)
             tree = self._tree.edited(command.changes, revision + 1)
         except InvalidSettingsError as error:
             problems = [ProblemRecord(p.path, p.message) for p in error.problems]
@@ -185,7 +228,7 @@
             return result
         changed = _records(self._tree, command.changes)
         self._tree = tree
-        self._deltas.append(Delta(tree.revision, command.changes))
+        remember_delta(self._deltas, Delta(tree.revision, command.changes))
         self._audit.keep = tree.audit_keep
         result = EditResult(EditStatus.ACCEPTED, tree.revision)
         self._record_edit(command, result, changed, "")
@@ -226,3 +269,15 @@
 
 def _records(tree: SettingsTree, changes: list[Change]) -> list[ChangeRecord]:
     return [ChangeRecord(c.path, tree.values.get(c.path), c.value) for c in changes]
+
+
+def _refuse_routing(changes: list[Change]) -> None:
+    """A routing table has a number of its own and is published, not edited."""
+    if any(change.path == ROUTING_PATH for change in changes):
+        raise InvalidSettingsError([Problem(ROUTING_PATH, "is published as a whole, not edited")])
+
+
+def _summary(table: PublishedTable) -> str:
+    """Return what the audit trail keeps of a table; the whole would fill it."""
+    digest = hashlib.sha256(table.document.encode()).hexdigest()
+    return f"number {table.number}, {len(table.document)} characters, sha256 {digest}"
--- a/reachlink/control/_protocol.py
+++ b/reachlink/control/_protocol.py
@@ -21,12 +21,30 @@
     """Ask for settings newer than `revision`, waiting up to `wait_s` for them.
 
     With `fresh` the answer covers everything accepted before the request.
+    `address` and `availability_zone` tell where the asker is reached.
     """
 
     instance: str
     revision: int
     wait_s: float
     fresh: bool = False
+    address: str = ""
+    availability_zone: str = ""
+
+
+class AnnounceRequest(msgspec.Struct, tag="announce", frozen=True):
+    """A replica tells the leader that it exists, to be made a member."""
+
+    node_id: str
+    address: str
+    availability_zone: str
+    forwarded: bool = False
+
+
+class AnnounceAnswer(msgspec.Struct, tag="announced", frozen=True):
+    """The leader knows the replica; `member` tells whether all of it stands in the membership."""
+
+    member: bool
 
 
 class BarrierRequest(msgspec.Struct, tag="barrier", frozen=True):
@@ -57,7 +75,13 @@
 
 
 Request = (
-    ProposeRequest | WatchRequest | BarrierRequest | AuditRequest | MembersRequest | StatusRequest
+    ProposeRequest
+    | WatchRequest
+    | BarrierRequest
+    | AuditRequest
+    | MembersRequest
+    | StatusRequest
+    | AnnounceRequest
 )
 
 
@@ -141,4 +165,5 @@
     | AuditAnswer
     | StatusAnswer
     | MembersAnswer
+    | AnnounceAnswer
 )
--- /dev/null
+++ b/reachlink/control/_publishing.py
@@ -0,0 +1,90 @@
+"""Publishing routing tables and reading the newest back, for operators' borders."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+
+from reachlink.control._commands import PublishCommand, PublishResult
+from reachlink.control._protocol import LostAnswer, ProposeAnswer, ProposeRequest, RefusedAnswer
+from reachlink.control._server import ControlServer
+from reachlink.control.exceptions import ControlUnavailableError, OutcomeUnknownError
+from reachlink.kernel import Registry
+from reachlink.routing import PublishedTable
+
+# How long one call tries, in seconds: operators' clients turn to another
+# instance after one second without an answer.
+PUBLISH_TIMEOUT_S = 0.85
+READ_TIMEOUT_S = 0.85
+PAUSE_S = 0.08
+
+
+class TablePublisher:
+    """Publishes through the instance that it belongs to, whoever leads.
+
+    Parameters
+    ----------
+    server : ControlServer
+        The instance's own server.
+    """
+
+    def __init__(self, server: ControlServer) -> None:
+        self._server = server
+
+    async def publish(self, table: PublishedTable, author: str, source: str) -> PublishResult:
+        """Put a checked table in force; safe to repeat.
+
+        Raises
+        ------
+        ControlUnavailableError
+            Nothing was done: there is no leader in reach.
+        OutcomeUnknownError
+            It may have been done.
+        """
+        command = PublishCommand(table, author, source, time.time())
+        deadline = time.monotonic() + PUBLISH_TIMEOUT_S
+        maybe_done = False
+        reason = "no leader in reach"
+        while (left := deadline - time.monotonic()) > 0:
+            try:
+                async with asyncio.timeout(left):
+                    answer = await self._server.answer(ProposeRequest(command))
+            except TimeoutError:
+                maybe_done = True
+                break
+            if isinstance(answer, ProposeAnswer) and isinstance(answer.result, PublishResult):
+                return answer.result
+            maybe_done = maybe_done or isinstance(answer, LostAnswer)
+            if isinstance(answer, LostAnswer | RefusedAnswer):
+                reason = answer.reason
+            await asyncio.sleep(PAUSE_S)
+        if maybe_done:
+            raise OutcomeUnknownError(reason)
+        raise ControlUnavailableError(reason)
+
+    async def newest(self) -> PublishedTable | None:
+        """Return the newest accepted table, or None where none was ever accepted.
+
+        Raises
+        ------
+        ControlUnavailableError
+            This instance cannot be sure which one is the newest.
+        """
+        deadline = time.monotonic() + READ_TIMEOUT_S
+        while (left := deadline - time.monotonic()) > 0:
+            try:
+                async with asyncio.timeout(left):
+                    if await self._server.catch_up():
+                        return self._server.tree.routing
+            except TimeoutError:
+                break
+            await asyncio.sleep(PAUSE_S)
+        raise ControlUnavailableError("cannot be sure of the newest routing table")
+
+
+OperatorBorder = Callable[[TablePublisher], list[web.RouteDef]]
+"""Makes the HTTP routes of one operators' interface."""
+
+OPERATOR_BORDERS: Registry[Any] = Registry("operators' border")
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -4,8 +4,11 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
+import msgspec
+
 from reachlink.agreement import (
     AgreementError,
+    Candidate,
     Member,
     MembershipChangeError,
     NotLeaderError,
@@ -17,6 +20,8 @@
 from reachlink.control._machine import ControlMachine
 from reachlink.control._protocol import (
     CHANNEL_CONTROL,
+    AnnounceAnswer,
+    AnnounceRequest,
     Answer,
     AuditAnswer,
     AuditRequest,
@@ -36,13 +41,18 @@
     WatchRequest,
 )
 from reachlink.kernel import Clock
-from reachlink.membership import SettingsAnswer
+from reachlink.membership import InstanceRecord, SettingsAnswer
 from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
+from reachlink.settings import SettingsTree
 
 FORWARD_TIMEOUT_S = 0.4
 BARRIER_TIMEOUT_S = 1.5
 MEMBERS_TIMEOUT_S = 5.0
 WATCHER_FORGOTTEN_S = 60.0
+# How long an announcement counts, in seconds; it is repeated every second.
+CANDIDATE_FORGOTTEN_S = 5.0
+# How soon a waiting watcher is told that the leader was lost, in seconds.
+STALE_CHECK_S = 0.25
 
 
 @dataclass(slots=True)
@@ -83,6 +93,7 @@
         self._clock = clock
         self._watchers: dict[str, _Watcher] = {}
         self._changed = asyncio.Event()
+        self._announced: dict[str, tuple[float, Candidate]] = {}
 
     async def handle(self, sender: str, body: bytes) -> bytes:
         """Answer one request from the bus."""
@@ -119,14 +130,25 @@
     async def _(self, request: WatchRequest) -> Answer:
         now = self._clock.monotonic()
         self._watchers[request.instance] = _Watcher(request.revision, now)
-        fresh = request.fresh and await self._catch_up()
+        fresh = request.fresh and await self.catch_up()
         deadline = now + request.wait_s
         while self._machine.tree.revision <= request.revision:
             left = deadline - self._clock.monotonic()
-            if left <= 0 or not await self._wait_change(left):
+            if left <= 0 or not self._service.hears_leader:
                 break
+            await self._wait_change(min(left, STALE_CHECK_S))
         return self._settings_since(request.revision, fresh)
 
+    @answer.register
+    async def _(self, request: AnnounceRequest) -> Answer:
+        if not self._service.core.is_leader:
+            if request.forwarded:
+                return RefusedAnswer("this instance does not lead", self._leader_address())
+            return await self._forward(msgspec.structs.replace(request, forwarded=True))
+        candidate = Candidate(request.node_id, request.address, request.availability_zone)
+        self.note_candidate(candidate)
+        return AnnounceAnswer(self._stands_in_membership(candidate))
+
     @answer.register
     async def _(self, request: BarrierRequest) -> Answer:
         try:
@@ -165,6 +187,27 @@
             watchers=self._watcher_statuses(),
         )
 
+    @property
+    def tree(self) -> SettingsTree:
+        """Settings as this instance has applied them."""
+        return self._machine.tree
+
+    def note_candidate(self, candidate: Candidate) -> None:
+        """A replica has announced itself."""
+        self._announced[candidate.address] = (self._clock.monotonic(), candidate)
+
+    def candidates(self) -> list[Candidate]:
+        """Return the replicas that announced themselves lately."""
+        oldest = self._clock.monotonic() - CANDIDATE_FORGOTTEN_S
+        self._announced = {a: c for a, c in self._announced.items() if c[0] >= oldest}
+        return [candidate for _, candidate in self._announced.values()]
+
+    def _stands_in_membership(self, candidate: Candidate) -> bool:
+        return any(
+            (m.node_id, m.availability_zone) == (candidate.node_id, candidate.availability_zone)
+            for m in self._service.core.state.members
+        )
+
     def on_applied(self) -> None:
         """Wake every watcher: the state may have changed."""
         changed, self._changed = self._changed, asyncio.Event()
@@ -189,7 +232,7 @@
         except MessagingError as error:
             return LostAnswer(f"the leader did not answer: {error}")
 
-    async def _catch_up(self) -> bool:
+    async def catch_up(self) -> bool:
         """Apply everything committed before now; return whether that was possible."""
         if self._service.core.is_leader:
             answer = await self.answer(BarrierRequest())
@@ -201,12 +244,18 @@
 
     def _settings_since(self, revision: int, fresh: bool) -> SettingsAnswer:
         tree = self._machine.tree
+        stale = not self._service.hears_leader
+        controls = [
+            InstanceRecord(m.node_id, m.address, m.availability_zone)
+            for m in self._service.core.state.members
+        ]
+        answer = SettingsAnswer(tree.revision, fresh, stale=stale, controls=controls)
         if tree.revision <= revision:
-            return SettingsAnswer(tree.revision, fresh)
+            return answer
         deltas = self._machine.deltas_since(revision)
         if deltas is not None:
-            return SettingsAnswer(tree.revision, fresh, deltas)
-        return SettingsAnswer(tree.revision, fresh, values=dict(tree.values))
+            return msgspec.structs.replace(answer, deltas=deltas)
+        return msgspec.structs.replace(answer, values=dict(tree.values))
 
     async def _change_members(self, request: MembersRequest) -> Answer:
         members = _changed(self._service.core.state.members, request)
--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -1,5 +1,6 @@
 """The entry daemon: from a caller's request to a whole answer."""
 
+from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
 from reachlink.entry._daemon import EntryDaemon
 from reachlink.entry._digests import Digest, DigestBook, ReplicaLoad
@@ -7,9 +8,18 @@
 from reachlink.entry._ledger import InFlight, Ledger
 from reachlink.entry._main import main
 from reachlink.entry._node import EntryNode
+from reachlink.entry._relay_config import RelayConfig
+from reachlink.entry._relay_daemon import RelayDaemon
+from reachlink.entry._relay_node import RelayNode
 from reachlink.entry.exceptions import EntryError, RequestError
 
 __all__ = [
+    "CALLER_BORDERS",
+    "CallerBorder",
+    "RelayConfig",
+    "RelayDaemon",
+    "RelayHost",
+    "RelayNode",
     "Digest",
     "DigestBook",
     "Dispatcher",
--- /dev/null
+++ b/reachlink/entry/_borders.py
@@ -0,0 +1,51 @@
+"""Callers' interfaces that relay requests, as plug-ins."""
+
+from abc import ABC, abstractmethod
+from typing import Any, Protocol
+
+from reachlink.kernel import Registry
+from reachlink.requests import RequestRunner
+from reachlink.routing import RoutingIndex
+
+
+class RelayHost(Protocol):
+    """What a callers' interface needs of its entry instance."""
+
+    @property
+    def index(self) -> RoutingIndex | None:
+        """The routing table in force, or None before there is one."""
+
+    @property
+    def runner(self) -> RequestRunner:
+        """Carries requests."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+
+    @property
+    def running_requests(self) -> int:
+        """Requests in progress."""
+
+    @running_requests.setter
+    def running_requests(self, value: int) -> None: ...
+
+    @property
+    def log(self) -> Any:
+        """Logger of the process."""
+
+
+class CallerBorder(ABC):
+    """Decodes callers' requests and encodes their answers."""
+
+    @abstractmethod
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close every connection."""
+
+
+CALLER_BORDERS: Registry[Any] = Registry("callers' border")
+"""Classes that take a `RelayHost`."""
--- a/reachlink/entry/_config.py
+++ b/reachlink/entry/_config.py
@@ -42,6 +42,7 @@
     balancer_delay_s: float = 2.0
     digest_interval_s: float = 1.0
     report_interval_s: float = 0.5
+    watch_wait_s: float = 2.0
     cache_interval_s: float = 2.0
     explain_sample: float = 0.01
     otlp_endpoint: str = ""
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -9,31 +9,74 @@
 
 import asyncio
 import contextlib
+from typing import Any, Protocol
 
-from reachlink.control import WatchRequest
-from reachlink.entry._config import PeerConfig
-from reachlink.entry._node import EntryNode
-from reachlink.membership import SettingsAnswer
-from reachlink.messaging import MessagingError, decode, encode
+from reachlink.control import ControlClient, WatchRequest
+from reachlink.membership import InstanceRecord, SettingsAnswer, SettingsHolder
+from reachlink.messaging import Bus, MessagingError, decode, encode
+from reachlink.settings import SettingsTree
 
 CHANNEL_SETTINGS = "settings"
-WATCH_WAIT_S = 2.0
-WATCH_MARGIN_S = 1.0
+WATCH_MARGIN_S = 0.5
 PAUSE_S = 0.2
 ZONE_PATIENCE_S = 3.0
 PEER_TIMEOUT_S = 1.0
 
 
+class FollowingNode(Protocol):
+    """What `SettingsFollower` needs of the instance whose settings it keeps."""
+
+    settings: SettingsHolder
+    bus: Bus
+    control: ControlClient
+    ready: bool
+    not_ready_reason: str
+    log: Any
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+
+    @property
+    def address(self) -> str:
+        """Address of its bus."""
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Settings in force here."""
+
+    @property
+    def watch_wait_s(self) -> float:
+        """How long a control instance may hold the question for news, in seconds."""
+
+    @property
+    def accepts_stale(self) -> bool:
+        """Whether settings of a control instance without a leader will do at last."""
+
+    def zone_peers(self) -> list[str]:
+        """Return the addresses of the other entry instances of the zone."""
+
+    def on_controls(self, controls: list[InstanceRecord]) -> None:
+        """Take the control instances that exist now."""
+
+    def on_settings(self) -> None:
+        """Newer settings are in force."""
+
+
 class SettingsFollower:
     """Watches control instances and, where needed, peers.
 
     Parameters
     ----------
-    node : EntryNode
+    node : FollowingNode
         The entry instance.
     """
 
-    def __init__(self, node: EntryNode) -> None:
+    def __init__(self, node: FollowingNode) -> None:
         self._node = node
         self._started = asyncio.get_running_loop().time()
 
@@ -61,8 +104,10 @@
 
     async def _watch_once(self) -> bool:
         node = self._node
-        wait = WATCH_WAIT_S if node.ready else 0.0
-        request = WatchRequest(node.config.name, node.tree.revision, wait, not node.ready)
+        wait = node.watch_wait_s if node.ready else 0.0
+        request = WatchRequest(
+            node.name, node.tree.revision, wait, not node.ready, node.address, node.zone
+        )
         try:
             answer = await node.control.ask(
                 node.control.addresses[0], request, wait + WATCH_MARGIN_S
@@ -72,9 +117,20 @@
         if not isinstance(answer, SettingsAnswer):
             return False
         self._take(answer)
+        if answer.controls:
+            node.on_controls(answer.controls)
         if answer.fresh and node.tree.revision >= answer.revision:
             self._become_ready("confirmed by the control instances")
-        return node.ready
+        elif answer.stale:
+            self._accept_stale()
+        return node.ready and not answer.stale
+
+    def _accept_stale(self) -> None:
+        """Where the newest cannot be confirmed for long, serve what a control instance has."""
+        waited = asyncio.get_running_loop().time() - self._started
+        patient = waited < ZONE_PATIENCE_S
+        if self._node.accepts_stale and self._node.tree.revision and not patient:
+            self._become_ready("unconfirmed: the control instances in reach have no leader")
 
     async def _try_zone(self) -> None:
         node = self._node
@@ -82,8 +138,7 @@
         node.not_ready_reason = "no control instance can confirm the newest settings"
         if waited < ZONE_PATIENCE_S:
             return
-        peers = [p for p in node.config.peers if p.availability_zone == node.zone]
-        answers = await asyncio.gather(*(self._ask_quietly(p) for p in peers))
+        answers = await asyncio.gather(*(self._ask_quietly(a) for a in node.zone_peers()))
         found = [a for a in answers if a is not None]
         for answer in found:
             self._take(answer)
@@ -92,22 +147,22 @@
             return
         node.not_ready_reason += ", and no instance of this availability zone serves"
 
-    async def _ask_quietly(self, peer: PeerConfig) -> SettingsAnswer | None:
+    async def _ask_quietly(self, address: str) -> SettingsAnswer | None:
         try:
-            return await self._ask_peer(peer.address)
+            return await self._ask_peer(address)
         except MessagingError:
             return None
 
     async def _ask_peer(self, address: str) -> SettingsAnswer:
         node = self._node
-        request = WatchRequest(node.config.name, node.tree.revision, 0.0)
+        request = WatchRequest(node.name, node.tree.revision, 0.0)
         raw = await node.bus.call(address, CHANNEL_SETTINGS, encode(request), PEER_TIMEOUT_S)
         return decode(raw, SettingsAnswer)
 
     def _take(self, answer: SettingsAnswer) -> None:
         if self._node.settings.take(answer):
             self._node.log.info("settings_in_force", revision=answer.revision)
-            self._node.pump()
+            self._node.on_settings()
 
     def _become_ready(self, how: str) -> None:
         if self._node.ready:
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -22,7 +22,7 @@
 from reachlink.entry._ledger import Ledger
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import QuotaBook, RetryBudget
-from reachlink.membership import ReplicaDirectory, SettingsHolder
+from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus, encode
 from reachlink.placement import (
     POLICIES,
@@ -90,6 +90,37 @@
         """This instance's availability zone."""
         return self.config.availability_zone
 
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.config.name
+
+    @property
+    def address(self) -> str:
+        """Address of this instance's bus."""
+        return self.config.bus_address
+
+    @property
+    def watch_wait_s(self) -> float:
+        """How long a control instance may hold the question for news, in seconds."""
+        return self.config.watch_wait_s
+
+    @property
+    def accepts_stale(self) -> bool:
+        """Whether settings of a control instance without a leader will do at last."""
+        return False
+
+    def zone_peers(self) -> list[str]:
+        """Return the addresses of the other entry instances of this zone."""
+        return [p.address for p in self.config.peers if p.availability_zone == self.zone]
+
+    def on_controls(self, controls: list[InstanceRecord]) -> None:
+        """Control instances are told by the configuration here."""
+
+    def on_settings(self) -> None:
+        """Newer settings are in force: what waits may have room now."""
+        self.pump()
+
     def adapter(self, name: str) -> Any:
         """Return the upstream adapter registered under a name."""
         if name not in self._adapters:
--- /dev/null
+++ b/reachlink/entry/_relay_config.py
@@ -0,0 +1,61 @@
+"""Configuration of an entry daemon that relays requests by a routing table."""
+
+import msgspec
+
+from reachlink.entry._config import PlatformSource
+
+
+class RelayConfig(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """What a relaying entry daemon must know before it has a routing table.
+
+    Attributes
+    ----------
+    name, availability_zone : str
+        Who it is and where.
+    host, port : str, int
+        Where callers reach it.
+    readiness_port : int
+        Where the platform's balancer asks whether it is ready.
+    readiness_path : str
+        Path of that question.
+    metrics_port : int
+        Port of the metrics page; 0 for none.
+    bus_address : str
+        ``host:port`` for the system's own instances.
+    cluster_secret : str
+        Shared secret; empty on a network that keeps everyone else out.
+    seeds : list of str
+        Bus addresses where control instances may be found.
+    border : str
+        Callers' interface, one of `CALLER_BORDERS`.
+    upstream : str
+        Protocol towards replicas, one of `RELAY_ADAPTERS`.
+    platform : PlatformSource
+        The platform's list of replicas.
+    leaving_mark_s : float
+        How long a sign of leaving counts that the list does not confirm, in seconds.
+    watch_wait_s : float
+        How long a control instance may hold the question for news, in seconds.
+    balancer_delay_s : float
+        How long the balancer may still send callers after a planned stop began.
+    connect_timeout_s : float
+        Longest time to make a connection to a replica, in seconds.
+    """
+
+    name: str
+    availability_zone: str
+    host: str
+    port: int
+    readiness_port: int
+    readiness_path: str = "/readyz"
+    metrics_port: int = 0
+    bus_address: str
+    cluster_secret: str = ""
+    seeds: list[str]
+    border: str
+    upstream: str
+    platform: PlatformSource
+    leaving_mark_s: float = 2.0
+    watch_wait_s: float = 0.7
+    balancer_delay_s: float = 3.2
+    connect_timeout_s: float = 0.3
--- /dev/null
+++ b/reachlink/entry/_relay_daemon.py
@@ -0,0 +1,111 @@
+"""The relaying entry daemon: a callers' border, readiness, and background work."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from reachlink.entry._borders import CALLER_BORDERS, CallerBorder
+from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
+from reachlink.entry._list_reader import ListReader
+from reachlink.entry._relay_config import RelayConfig
+from reachlink.entry._relay_node import RelayNode
+from reachlink.kernel import json_response
+from reachlink.membership import PLATFORMS
+
+DRAIN_POLL_S = 0.05
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class RelayDaemon:
+    """One relaying entry instance.
+
+    Parameters
+    ----------
+    config : RelayConfig
+        Configuration of the process.
+    """
+
+    def __init__(self, config: RelayConfig) -> None:
+        self._config = config
+        self._node = RelayNode(config)
+        self._follower = SettingsFollower(self._node)
+        self._platform = PLATFORMS.get(config.platform.adapter)(config.platform.url)
+        self._reader = ListReader(self._platform, self._node.directory, config.platform.interval_s)
+        self._border: CallerBorder = CALLER_BORDERS.get(config.border)(self._node)
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open sockets and start background work."""
+        node, config = self._node, self._config
+        node.bus.handle(CHANNEL_SETTINGS, self._follower.answer_peer)
+        node.bus.bind(config.bus_address)
+        self._tasks = [
+            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._reader.run()),
+        ]
+        await self._border.start(config.host, config.port)
+        await self._serve(config.readiness_path, self._readiness, config.readiness_port)
+        if config.metrics_port:
+            await self._serve("/metrics", self._metrics_page, config.metrics_port)
+        node.log.info("entry_started", address=f"{config.host}:{config.port}")
+
+    def take_seeds(self, seeds: list[str]) -> None:
+        """Take other addresses where control instances may be found."""
+        self._node.take_seeds(seeds)
+
+    async def drain(self) -> None:
+        """Say not ready, let the balancer notice, and finish what runs."""
+        node = self._node
+        node.draining = True
+        node.log.info("draining", running=node.running_requests)
+        await asyncio.sleep(self._config.balancer_delay_s)
+        while node.running_requests:
+            await asyncio.sleep(DRAIN_POLL_S)
+        node.log.info("drained")
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        node = self._node
+        if node.running_requests:
+            node.log.warning("requests_cut", count=node.running_requests)
+        for task in self._tasks:
+            task.cancel()
+        await self._border.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await node.client.close()
+        await self._platform.close()
+        node.bus.close()
+        node.metrics.close()
+
+    async def _serve(self, path: str, handler: _Handler, port: int) -> None:
+        app = web.Application()
+        app.add_routes([web.get(path, handler)])
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, self._config.host, port).start()
+        self._runners.append(runner)
+
+    async def _readiness(self, request: web.Request) -> web.Response:
+        reason = self._not_ready()
+        if reason:
+            return json_response({"ready": False, "reason": reason}, 503)
+        return json_response({"ready": True, "revision": self._node.tree.revision})
+
+    def _not_ready(self) -> str:
+        node = self._node
+        if node.draining:
+            return "draining"
+        if not node.ready:
+            return node.not_ready_reason
+        if node.index is None:
+            return "no routing table was published yet"
+        if not self._reader.has_read:
+            return "the platform's list was not read yet"
+        return ""
+
+    async def _metrics_page(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._node.metrics.page(), content_type="text/plain")
--- /dev/null
+++ b/reachlink/entry/_relay_node.py
@@ -0,0 +1,157 @@
+"""The parts of a relaying entry instance and how they are joined."""
+
+import time
+from random import Random
+
+from reachlink.control import ControlClient
+from reachlink.entry._relay_config import RelayConfig
+from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
+from reachlink.messaging import Bus
+from reachlink.requests import CallerRequest, ReplicaBook, RequestRunner, RunnerParts
+from reachlink.routing import RoutingError, RoutingIndex
+from reachlink.settings import SettingsTree
+from reachlink.telemetry import Metrics, get_logger
+from reachlink.upstreams import RELAY_ADAPTERS, HttpClient
+
+
+class RelayNode:
+    """State of one relaying entry instance.
+
+    Parameters
+    ----------
+    config : RelayConfig
+        Configuration of the process.
+    """
+
+    def __init__(self, config: RelayConfig) -> None:
+        self.config = config
+        self.log = get_logger()
+        self.settings = SettingsHolder()
+        self.bus = Bus(config.name, config.cluster_secret.encode())
+        self.control = ControlClient(self.bus, list(config.seeds))
+        self.directory = ReplicaDirectory(unconfirmed_mark_s=config.leaving_mark_s)
+        self.book = ReplicaBook()
+        self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
+        self.ready = False
+        self.not_ready_reason = "starting: no settings yet"
+        self.draining = False
+        self.running_requests = 0
+        self.metrics = RelayMetrics(config)
+        self._seeds = list(config.seeds)
+        self._index: RoutingIndex | None = None
+        self._runner = RequestRunner(
+            RunnerParts(
+                config.availability_zone,
+                RELAY_ADAPTERS.get(config.upstream)(self.client),
+                self.directory,
+                self.book,
+                Random(),
+                self._on_outcome,
+            )
+        )
+
+    @property
+    def index(self) -> RoutingIndex | None:
+        """The routing table in force, or None before there is one."""
+        return self._index
+
+    @property
+    def runner(self) -> RequestRunner:
+        """Carries requests."""
+        return self._runner
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.config.name
+
+    @property
+    def address(self) -> str:
+        """Address of this instance's bus."""
+        return self.config.bus_address
+
+    @property
+    def zone(self) -> str:
+        """This instance's availability zone."""
+        return self.config.availability_zone
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Settings in force here."""
+        return self.settings.tree
+
+    @property
+    def watch_wait_s(self) -> float:
+        """How long a control instance may hold the question for news, in seconds."""
+        return self.config.watch_wait_s
+
+    @property
+    def accepts_stale(self) -> bool:
+        """Whether settings of a control instance without a leader will do at last."""
+        return True
+
+    def zone_peers(self) -> list[str]:
+        """Return the addresses of the other entry instances of this zone that are known."""
+        return []
+
+    def take_seeds(self, seeds: list[str]) -> None:
+        """Take other addresses where control instances may be found."""
+        self._seeds = list(seeds)
+        self.control.learn(list(dict.fromkeys([*self.control.addresses, *seeds])))
+
+    def on_controls(self, controls: list[InstanceRecord]) -> None:
+        """Take the control instances that exist now, this zone's first."""
+        near = [c.address for c in controls if c.availability_zone == self.zone]
+        known = dict.fromkeys([*near, *(c.address for c in controls), *self._seeds])
+        if set(known) != set(self.control.addresses):
+            self.log.info("controls_known", addresses=",".join(known))
+        self.control.learn(list(known))
+
+    def on_settings(self) -> None:
+        """Put a newer routing table in force."""
+        published = self.tree.routing
+        if published is None or (self._index and self._index.number >= published.number):
+            return
+        try:
+            self._index = RoutingIndex(published.decode())
+        except RoutingError as error:
+            # It was checked before it was accepted: this is a fault of this version.
+            self.log.error("routing_table_unreadable", number=published.number, reason=str(error))
+            return
+        self.log.info("routing_table_in_force", number=published.number)
+
+    def _on_outcome(self, request: CallerRequest, code: str, duration_s: float) -> None:
+        labels = {"route": request.route.name, "outcome": code}
+        self.metrics.requests.add(1, labels)
+        self.metrics.duration.record(duration_s, {"route": request.route.name})
+        if code != "delivered":
+            self.log.info(
+                "request_ended",
+                request_id=request.request_id,
+                route=request.route.name,
+                outcome=code,
+                duration_ms=round(duration_s * 1000.0),
+                table=self._index.number if self._index else 0,
+                at=round(time.monotonic(), 3),
+            )
+
+
+class RelayMetrics:
+    """Instruments of a relaying entry instance."""
+
+    def __init__(self, config: RelayConfig) -> None:
+        self._metrics = Metrics("entry", config.name, config.availability_zone)
+        self.requests = self._metrics.counter(
+            "reachlink_requests", "1", "Requests by route and outcome."
+        )
+        self.duration = self._metrics.histogram(
+            "reachlink_request_duration", "s", "Time from request to the end of its answer."
+        )
+
+    def page(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return self._metrics.page()
+
+    def close(self) -> None:
+        """Export what is pending and stop."""
+        self._metrics.close()
--- a/reachlink/membership/__init__.py
+++ b/reachlink/membership/__init__.py
@@ -3,19 +3,32 @@
 from reachlink.membership import _http_platform  # noqa: F401  (registers itself)
 from reachlink.membership._directory import LeavingSource, ReplicaDirectory
 from reachlink.membership._platform import PLATFORMS, InstanceState, ListedInstance, PlatformAdapter
-from reachlink.membership._spreading import Delta, SettingsAnswer, SettingsHolder
-from reachlink.membership.exceptions import MembershipError, PlatformUnavailableError
+from reachlink.membership._spreading import (
+    Delta,
+    InstanceRecord,
+    SettingsAnswer,
+    SettingsHolder,
+    remember_delta,
+)
+from reachlink.membership.exceptions import (
+    MembershipError,
+    PlatformBusyError,
+    PlatformUnavailableError,
+)
 
 __all__ = [
     "PLATFORMS",
     "Delta",
+    "InstanceRecord",
     "InstanceState",
     "LeavingSource",
     "ListedInstance",
     "MembershipError",
     "PlatformAdapter",
+    "PlatformBusyError",
     "PlatformUnavailableError",
     "ReplicaDirectory",
     "SettingsAnswer",
     "SettingsHolder",
+    "remember_delta",
 ]
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -14,6 +14,8 @@
 
 # A mark that no list confirms was a mistake, or its instance has come back.
 UNCONFIRMED_MARK_S = 30.0
+# An instance that no list has had for this long is forgotten, in seconds.
+GONE_KEPT_S = 60.0
 
 
 class LeavingSource(Enum):
@@ -22,6 +24,7 @@
     LIST = "platform list"
     REPORT = "load report"
     REFUSAL = "refusal"
+    CLOSING = "closing connections"
 
 
 @dataclass(slots=True)
@@ -31,6 +34,7 @@
     marked: LeavingSource | None = None
     marked_at: float = 0.0
     gone: bool = False
+    gone_at: float = 0.0
 
 
 class ReplicaDirectory:
@@ -40,9 +44,16 @@
     ----------
     routes : mapping of str to str, optional
         Addresses to use in place of listed ones.
+    unconfirmed_mark_s : float
+        How long a mark that no list confirms counts, in seconds.
     """
 
-    def __init__(self, routes: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        routes: Mapping[str, str] | None = None,
+        unconfirmed_mark_s: float = UNCONFIRMED_MARK_S,
+    ) -> None:
+        self._unconfirmed_mark_s = unconfirmed_mark_s
         self._routes = dict(routes or {})
         self._entries: dict[str, _Entry] = {}
         # Asked for with every decision, changed a few times an hour.
@@ -54,10 +65,21 @@
         for instance in listed:
             names.add(instance.name)
             self._update_one(instance, now)
-        for name, entry in self._entries.items():
-            entry.gone = name not in names
+        for name, entry in list(self._entries.items()):
+            self._note_absence(name, entry, name not in names, now)
         self._live.clear()
 
+    def _note_absence(self, name: str, entry: "_Entry", gone: bool, now: float) -> None:
+        if gone and not entry.gone:
+            entry.gone_at = now
+        entry.gone = gone
+        if gone and now - entry.gone_at > GONE_KEPT_S:
+            del self._entries[name]
+
+    def suspect_leaving(self, name: str, now: float) -> bool:
+        """Note that an instance closes its connections, as those do that leave."""
+        return self.mark_leaving(name, LeavingSource.CLOSING, now)
+
     def mark_leaving(self, name: str, source: LeavingSource, now: float) -> bool:
         """Note that an instance is leaving; return whether that is news."""
         entry = self._entries.get(name)
@@ -100,7 +122,7 @@
             self._entries[instance.name] = _Entry(replica, instance.state)
             return
         came_back = entry.gone or entry.listed is InstanceState.LEAVING
-        unconfirmed = entry.marked is not None and now - entry.marked_at > UNCONFIRMED_MARK_S
+        unconfirmed = entry.marked is not None and now - entry.marked_at > self._unconfirmed_mark_s
         if instance.state is InstanceState.LIVE and (came_back or unconfirmed):
             entry.marked = None
         entry.replica = replica
--- a/reachlink/membership/_spreading.py
+++ b/reachlink/membership/_spreading.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from reachlink.settings import Change, SettingsTree
+from reachlink.settings import ROUTING_PATH, Change, SettingsTree
 
 REMEMBERED_DELTAS = 256
 
@@ -19,17 +19,39 @@
     changes: list[Change]
 
 
+def remember_delta(deltas: deque[Delta], delta: Delta) -> None:
+    """Add a delta to those remembered, in order of revision.
+
+    A routing table is sent whole anyway: what leads up to it is dropped, so
+    that memory holds one table and not each that ever was.
+    """
+    if any(change.path == ROUTING_PATH for change in delta.changes):
+        deltas.clear()
+    deltas.append(delta)
+
+
+class InstanceRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One of the system's own instances, with the address of its bus."""
+
+    name: str
+    address: str
+    availability_zone: str
+
+
 class SettingsAnswer(msgspec.Struct, tag="settings", frozen=True):
     """Settings at `revision`: `deltas` from the asker's revision, or whole `values`.
 
     `fresh` tells whether the answer covers everything accepted before the
-    request.
+    request, and `stale` that the answering instance has lost its leader.
+    `controls` are the control instances that it knows.
     """
 
     revision: int
     fresh: bool
     deltas: list[Delta] = []
     values: dict[str, object] | None = None
+    stale: bool = False
+    controls: list[InstanceRecord] = []
 
 
 class SettingsHolder:
@@ -62,7 +84,8 @@
             return False
         changes = [change for delta in fitting for change in delta.changes]
         self._tree = self._tree.with_changes(changes, answer.revision)
-        self._deltas.extend(fitting)
+        for delta in fitting:
+            remember_delta(self._deltas, delta)
         return True
 
     def since(self, revision: int, fresh: bool = False) -> SettingsAnswer:
--- a/reachlink/membership/exceptions.py
+++ b/reachlink/membership/exceptions.py
@@ -2,7 +2,7 @@
 
 from reachlink.kernel import ReachlinkError
 
-__all__ = ["MembershipError", "PlatformUnavailableError"]
+__all__ = ["PlatformBusyError", "MembershipError", "PlatformUnavailableError"]
 
 
 class MembershipError(ReachlinkError):
@@ -11,3 +11,7 @@
 
 class PlatformUnavailableError(MembershipError):
     """The platform's list cannot be read now; the last one stays in use."""
+
+
+class PlatformBusyError(PlatformUnavailableError):
+    """The platform's list was asked for too often."""
--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -6,7 +6,8 @@
 the message itself.
 
 Both ends prove that they know the cluster's secret: the key pair of the
-CURVE mechanism is derived from it, and traffic is encrypted.
+CURVE mechanism is derived from it, and traffic is encrypted. Without a secret
+neither happens: that is for networks which keep everyone else out.
 """
 
 import asyncio
@@ -33,6 +34,10 @@
 HIGH_WATER = 1000
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
+# A connection attempt into a cut network would else wait for TCP's own
+# retransmission, seconds after the cut has healed.
+CONNECT_TIMEOUT_MS = 400
+HANDSHAKE_TIMEOUT_MS = 1000
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1000
 CONNECT_POLL_S = 0.02
@@ -85,7 +90,7 @@
     name : str
         Name that receivers see as the sender.
     secret : bytes
-        Secret of the cluster.
+        Secret of the cluster; empty for neither proof nor encryption.
     routes : mapping of str to str, optional
         Addresses to connect to in place of others, as behind a translating
         gateway.
@@ -94,8 +99,8 @@
     def __init__(self, name: str, secret: bytes, routes: Mapping[str, str] | None = None) -> None:
         self._name = name
         self._routes = dict(routes or {})
-        self._secret_key = z85.encode(hashlib.sha256(secret).digest())
-        self._public_key = zmq.curve_public(self._secret_key)
+        self._secret_key = z85.encode(hashlib.sha256(secret).digest()) if secret else b""
+        self._public_key = zmq.curve_public(self._secret_key) if secret else b""
         self._context = zmq.Context()
         self._loop = asyncio.get_running_loop()
         self._handlers: dict[str, Handler] = {}
@@ -118,7 +123,7 @@
             If the address cannot be bound.
         """
         socket = self._make(zmq.ROUTER)
-        socket.curve_server = True
+        socket.curve_server = bool(self._secret_key)
         try:
             socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
@@ -182,8 +187,11 @@
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        socket.curve_secretkey = self._secret_key
-        socket.curve_publickey = self._public_key
+        socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        if self._secret_key:
+            socket.curve_secretkey = self._secret_key
+            socket.curve_publickey = self._public_key
         return socket
 
     def _peer(self, address: str) -> _Socket:
@@ -194,7 +202,8 @@
             socket.setsockopt(zmq.IMMEDIATE, 1)
             socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
             socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-            socket.curve_serverkey = self._public_key
+            if self._public_key:
+                socket.curve_serverkey = self._public_key
             socket.connect(f"tcp://{self._routes.get(address, address)}")
             peer = self._peers[address] = self._watch(socket)
         return peer
--- /dev/null
+++ b/reachlink/requests/__init__.py
@@ -0,0 +1,26 @@
+"""The way of a request, free of any border: place, dispatch, follow, finish."""
+
+from reachlink.requests._attempts import AttemptLog, Setback
+from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
+from reachlink.requests._choice import Option, choose
+from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._runner import Directory, RequestRunner, RunnerParts
+from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
+
+__all__ = [
+    "AnswerSink",
+    "AttemptLog",
+    "CallerRequest",
+    "Directory",
+    "Flight",
+    "Option",
+    "ReplicaBook",
+    "ReplicaState",
+    "RequestFailedError",
+    "RequestRunner",
+    "RequestsError",
+    "RunnerParts",
+    "Setback",
+    "StreamCutError",
+    "choose",
+]
--- /dev/null
+++ b/reachlink/requests/_attempts.py
@@ -0,0 +1,59 @@
+"""What follows an attempt that brought no answer; pure."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from reachlink.delivery import Outcome
+
+
+class Setback(Enum):
+    """Why an attempt brought no answer."""
+
+    UNREACHABLE = "unreachable"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+    FAILED = "failed"
+    SLOW = "slow"
+
+
+_NEVER_RAN = frozenset({Setback.UNREACHABLE, Setback.NOT_RUN})
+
+
+@dataclass(slots=True)
+class AttemptLog:
+    """The attempts of one request so far.
+
+    Attributes
+    ----------
+    may_repeat : bool
+        Whether it may run more than once.
+    max_attempts : int
+        Most replicas that it may be sent to.
+    sent : int
+        Replicas that it was sent to.
+    may_have_run : bool
+        Whether one of them may have run it.
+    """
+
+    may_repeat: bool
+    max_attempts: int
+    sent: int = 0
+    may_have_run: bool = False
+
+    @property
+    def outcome(self) -> Outcome:
+        """What can be said of the request."""
+        return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
+
+    def note(self, setback: Setback) -> None:
+        """An attempt ended without an answer to give."""
+        if setback is not Setback.UNREACHABLE:
+            self.sent += 1
+        if setback not in _NEVER_RAN:
+            self.may_have_run = True
+
+    def may_go_on(self) -> bool:
+        """Return whether another replica may get the request."""
+        if self.sent >= self.max_attempts:
+            return False
+        return self.may_repeat or not self.may_have_run
--- /dev/null
+++ b/reachlink/routing/__init__.py
@@ -0,0 +1,34 @@
+"""Routing tables: hosts and prefixes to services, limits, callers' keys."""
+
+from reachlink.routing._formats import NATIVE_FORMAT, TABLE_FORMATS, PublishedTable
+from reachlink.routing._index import RoutingIndex
+from reachlink.routing._table import (
+    Backend,
+    CallerLimits,
+    EngineLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+    Workspace,
+    check_table,
+)
+from reachlink.routing.exceptions import InvalidTableError, RoutingError
+
+__all__ = [
+    "NATIVE_FORMAT",
+    "TABLE_FORMATS",
+    "Backend",
+    "CallerLimits",
+    "EngineLimits",
+    "InvalidTableError",
+    "PublishedTable",
+    "RequestKind",
+    "Route",
+    "RoutingError",
+    "RoutingIndex",
+    "RoutingTable",
+    "Service",
+    "Workspace",
+    "check_table",
+]
--- a/reachlink/settings/__init__.py
+++ b/reachlink/settings/__init__.py
@@ -6,11 +6,12 @@
 from reachlink.settings._paths import Scope, SettingPath, parse_path
 from reachlink.settings._policies import ServiceInfo, ServiceKind, ServicePolicy
 from reachlink.settings._schema import SETTINGS, Setting, setting_named
-from reachlink.settings._tree import Origin, SettingsTree
+from reachlink.settings._tree import ROUTING_PATH, Origin, SettingsTree
 from reachlink.settings._validation import Problem, check_changes, check_values
 from reachlink.settings.exceptions import InvalidSettingsError, SettingsError, UnknownPathError
 
 __all__ = [
+    "ROUTING_PATH",
     "SETTINGS",
     "Change",
     "InvalidSettingsError",
--- a/reachlink/settings/_paths.py
+++ b/reachlink/settings/_paths.py
@@ -25,6 +25,7 @@
     SERVICE_WORKSPACE_SITE = "services.{service}.workspaces.{workspace}.sites.{site}"
     WORKSPACE = "workspaces.{workspace}"
     OPERATOR = "operators.{operator}"
+    ROUTING = "routing"
 
 
 @dataclass(slots=True, frozen=True)
--- a/reachlink/settings/_schema.py
+++ b/reachlink/settings/_schema.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from reachlink.routing import PublishedTable
+
 _INHERITED = frozenset(
     {
         "DEFAULTS",
@@ -20,6 +22,7 @@
 _SITE = frozenset({"SITE"})
 _OPERATOR = frozenset({"OPERATOR"})
 _DEFAULTS = frozenset({"DEFAULTS"})
+_ROUTING = frozenset({"ROUTING"})
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
@@ -92,6 +95,7 @@
     Setting("key_hashes", list[KeyHash], [], _WORKSPACE, "SHA-256 of its bearer keys, in hex."),
     Setting("key_hash", KeyHash, "", _OPERATOR, "SHA-256 of the operator's key, in hex."),
     Setting("role", Literal["reader", "operator"], "reader", _OPERATOR, "What the key may do."),
+    Setting("table", PublishedTable, None, _ROUTING, "Routing table, published as a whole."),
     Setting("audit.keep", Positive, 20_000, _DEFAULTS, "Audit records that are kept."),
 ]
 
--- a/reachlink/settings/_tree.py
+++ b/reachlink/settings/_tree.py
@@ -12,6 +12,9 @@
 from functools import cached_property
 from typing import Any
 
+import msgspec
+
+from reachlink.routing import PublishedTable
 from reachlink.settings._edits import Change
 from reachlink.settings._paths import Scope, parse_path
 from reachlink.settings._policies import ServiceInfo, ServiceKind, ServicePolicy
@@ -21,6 +24,7 @@
 
 CACHE_SIZE = 512
 BUILT_IN = "built-in default"
+ROUTING_PATH = "routing.table"
 
 _USUAL_ADAPTERS = {ServiceKind.MODEL: "chat-engine", ServiceKind.PLAIN: "plain-service"}
 _POLICY_FIELDS = [
@@ -78,6 +82,12 @@
         """Values that operators set, by path."""
         return self._values
 
+    @property
+    def routing(self) -> PublishedTable | None:
+        """The routing table as it was published, if there is one."""
+        value = self._values.get(ROUTING_PATH)
+        return msgspec.convert(value, PublishedTable) if value is not None else None
+
     def with_changes(self, changes: Iterable[Change], revision: int) -> "SettingsTree":
         """Return the tree with changes that were accepted before, unchecked."""
         values = dict(self._values)
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -17,8 +17,22 @@
     TokenEvent,
     TokenStream,
 )
+from reachlink.upstreams._events import EventSplitter, StreamEvent
 from reachlink.upstreams._http import HttpClient
 from reachlink.upstreams._prompts import PromptDigest, digest_prompt
+from reachlink.upstreams._relay import (
+    RELAY_ADAPTERS,
+    AnswerHead,
+    Continuation,
+    GenerationFacts,
+    Headers,
+    LoadSample,
+    MovedMemory,
+    PromptPart,
+    RelayAdapter,
+    RelayAnswer,
+    RelayRequest,
+)
 from reachlink.upstreams.exceptions import (
     GenerationUnknownError,
     UpstreamBrokenError,
@@ -28,6 +42,19 @@
 )
 
 __all__ = [
+    "RELAY_ADAPTERS",
+    "AnswerHead",
+    "Continuation",
+    "GenerationFacts",
+    "Headers",
+    "LoadSample",
+    "MovedMemory",
+    "PromptPart",
+    "RelayAdapter",
+    "RelayAnswer",
+    "RelayRequest",
+    "EventSplitter",
+    "StreamEvent",
     "ADAPTERS",
     "CacheChange",
     "CallRequest",
--- /dev/null
+++ b/reachlink/upstreams/_connections.py
@@ -0,0 +1,96 @@
+"""Connections to replicas: reused only where no other request's bytes can be on them."""
+
+import asyncio
+import functools
+import re
+from time import monotonic
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+
+# A replica that announces no idle time is taken to close connections after
+# this many seconds.
+USUAL_IDLE_S = 4.0
+# A connection is not used again this close to the end of its idle time, in
+# seconds: the replica's close may be on its way.
+IDLE_MARGIN_S = 0.7
+
+_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+
+class ReplicaConnection(ResponseHandler):
+    """One connection, with what `aiohttp` does not look after.
+
+    Bytes that arrive while no request waits belong to an earlier one: the
+    connection is dropped. A body that ends with its connection is complete
+    only if the connection was closed, not if it was reset.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self.idle = False
+        self.idle_since = 0.0
+        self.idle_s = USUAL_IDLE_S
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        rested = monotonic() - self.idle_since
+        return self.is_connected() and rested < self.idle_s - IDLE_MARGIN_S
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the replica."""
+        if self.idle and data:
+            self.abort()
+            return
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Tell a body in progress that it was cut off."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc!r}"))
+        super().connection_lost(exc)
+
+
+class ReplicaConnector(aiohttp.TCPConnector):
+    """Pool of `ReplicaConnection`, the most recently used first."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(ReplicaConnection, loop=self._loop)
+
+    async def _get(self, key: Any, traces: Any) -> Connection | None:
+        idle = self._conns.get(key)
+        while idle:
+            protocol, _ = idle[-1]
+            if isinstance(protocol, ReplicaConnection) and protocol.usable:
+                break
+            idle.pop()
+            protocol.close()
+        if idle:
+            idle.rotate(1)
+        connection = await super()._get(key, traces)
+        if connection is not None and isinstance(connection.protocol, ReplicaConnection):
+            connection.protocol.idle = False
+        return connection
+
+    def _release(self, key: Any, protocol: ResponseHandler, *, should_close: bool = False) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        if isinstance(protocol, ReplicaConnection):
+            protocol.idle = True
+            protocol.idle_since = monotonic()
+
+
+def note_idle_time(response: aiohttp.ClientResponse) -> None:
+    """Remember how long the replica keeps the connection of a response open."""
+    text = response.headers.get("Keep-Alive")
+    connection = response.connection
+    if text is None or connection is None:
+        return
+    protocol = connection.protocol
+    found = _TIMEOUT.search(text)
+    if found is not None and isinstance(protocol, ReplicaConnection):
+        protocol.idle_s = float(found.group(1))
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -6,13 +6,18 @@
 
 import aiohttp
 import msgspec
+from multidict import CIMultiDict
+from yarl import URL
 
+from reachlink.upstreams._connections import ReplicaConnector, note_idle_time
 from reachlink.upstreams.exceptions import (
     UpstreamBrokenError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
 
+# Headers that `aiohttp` would add by itself; what is relayed has its own.
+_NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
 MAX_ERROR_BYTES = 64 << 10
@@ -42,17 +47,22 @@
     ----------
     max_connections : int
         Bound on open connections; 0 for none.
+    connect_timeout_s : float
+        Longest time to make a connection, in seconds.
     """
 
-    def __init__(self, max_connections: int = 0) -> None:
+    def __init__(
+        self, max_connections: int = 0, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         self._max_connections = max_connections
+        self._connect_timeout_s = connect_timeout_s
         self._opened: aiohttp.ClientSession | None = None
 
     @property
     def _session(self) -> aiohttp.ClientSession:
         if self._opened is None:
-            connector = aiohttp.TCPConnector(limit=self._max_connections, ttl_dns_cache=None)
-            timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+            connector = ReplicaConnector(limit=self._max_connections, ttl_dns_cache=None)
+            timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s)
             self._opened = aiohttp.ClientSession(
                 connector=connector, timeout=timeout, auto_decompress=False
             )
@@ -89,6 +99,35 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise UpstreamBrokenError(str(error) or type(error).__name__) from error
 
+    async def relay(
+        self, method: str, url: str, headers: list[tuple[str, str]], body: bytes
+    ) -> aiohttp.ClientResponse:
+        """Send a request as it came, at most once, and return the response with its body unread.
+
+        Raises
+        ------
+        UpstreamUnreachableError
+            No connection could be made.
+        UpstreamBrokenError
+            The connection failed after the request was sent.
+        """
+        try:
+            response = await self._session.request(
+                method,
+                URL(url, encoded=True),
+                headers=CIMultiDict(headers),
+                data=body or None,
+                skip_auto_headers=_NO_AUTO_HEADERS,
+                allow_redirects=False,
+                middlewares=(SingleDispatch(),),
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UpstreamUnreachableError(str(error)) from error
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
+        note_idle_time(response)
+        return response
+
     @asynccontextmanager
     async def control(
         self, method: str, url: str, body: bytes | None = None
--- /dev/null
+++ b/reachlink/upstreams/_relay.py
@@ -0,0 +1,216 @@
+"""Interface to upstreams whose requests and answers are relayed as they are."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import Any
+
+from reachlink.kernel import Registry
+from reachlink.upstreams._base import LoadReport, Replica
+
+Headers = list[tuple[str, str]]
+"""Header fields in their order; names may repeat."""
+
+
+@dataclass(slots=True, frozen=True)
+class PromptPart:
+    """A part of a prompt that other prompts may share, with its size in tokens."""
+
+    key: str
+    tokens: int
+
+
+@dataclass(slots=True, frozen=True)
+class GenerationFacts:
+    """What a request tells of the generation that it asks for; sizes in tokens.
+
+    Attributes
+    ----------
+    model : str
+        Model that must answer.
+    prompt_tokens, max_output_tokens : int
+        Size of the prompt, and the most that may be generated.
+    parts : tuple of PromptPart
+        Parts of the prompt in their order.
+    expected_output_tokens : int
+        The caller's guess, often far off; 0 for none.
+    """
+
+    model: str
+    prompt_tokens: int
+    max_output_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+    expected_output_tokens: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class MovedMemory:
+    """Memory of a generation that waits at a replica to be continued.
+
+    Attributes
+    ----------
+    source : str
+        ``host:port`` of the replica that it was moved from.
+    handle : str
+        The replica's name for it; serves once.
+    """
+
+    source: str
+    handle: str
+
+
+@dataclass(slots=True, frozen=True)
+class Continuation:
+    """Where a generation goes on: after which event, and from which memory."""
+
+    after_event: int
+    memory: MovedMemory
+
+
+@dataclass(slots=True)
+class RelayRequest:
+    """A request to be sent to one replica.
+
+    Attributes
+    ----------
+    request_id : str
+        The caller's name for it.
+    method, target : str
+        Method, and path with query, as they came.
+    headers : list of tuple of str
+        Fields to pass on.
+    body : bytes
+        Whole body.
+    workspace : str
+        Workspace that it is for; empty for none.
+    priority : int
+        0 is the most urgent.
+    generation : GenerationFacts, optional
+        For model engines.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    workspace: str = ""
+    priority: int = 5
+    generation: GenerationFacts | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class LoadSample:
+    """Load that a replica tells along with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """The start of a replica's answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple of str
+        Fields to pass on to the caller.
+    length : int, optional
+        Size of the body in bytes, where it is told.
+    genuine : bool
+        Whether it carries what every whole answer of a replica has.
+    not_run : bool
+        Whether the replica says that it did not run the request.
+    leaving : bool
+        Whether the replica closes its connections, as those do that leave.
+    load : LoadSample, optional
+        Load of the replica.
+    """
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    length: int | None = None
+    genuine: bool = True
+    not_run: bool = False
+    leaving: bool = False
+    load: LoadSample | None = None
+
+    @property
+    def success(self) -> bool:
+        """Whether the status tells of success."""
+        return 200 <= self.status < 300
+
+
+class RelayAnswer(ABC):
+    """A replica's answer whose body is read as it arrives."""
+
+    @property
+    @abstractmethod
+    def head(self) -> AnswerHead:
+        """Start of the answer."""
+
+    @abstractmethod
+    async def read(self) -> bytes:
+        """Return the next bytes of the body; empty at its end.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            If the body is cut off.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Drop the answer, with its connection if the body was not read to its end."""
+
+
+class RelayAdapter(ABC):
+    """Speaks one wire protocol with replicas that requests are relayed to."""
+
+    @abstractmethod
+    async def open(
+        self,
+        replica: Replica,
+        request: RelayRequest,
+        left_s: float,
+        continuation: Continuation | None = None,
+    ) -> RelayAnswer:
+        """Dispatch a request at most once and return the start of its answer.
+
+        Parameters
+        ----------
+        replica : Replica
+            Where to; another replica that has its address now refuses.
+        request : RelayRequest
+            The request.
+        left_s : float
+            Time that the caller still waits, in seconds.
+        continuation : Continuation, optional
+            To go on with a generation that began elsewhere.
+
+        Raises
+        ------
+        UpstreamUnreachableError
+            Nothing was dispatched.
+        UpstreamBrokenError
+            The request may have run.
+        """
+
+    @abstractmethod
+    async def report(self, replica: Replica) -> LoadReport:
+        """Return the load report of a model engine."""
+
+    @abstractmethod
+    async def move(
+        self, replica: Replica, request_id: str, target: Replica, last: bool
+    ) -> MovedMemory | None:
+        """Copy a running generation's memory to another replica.
+
+        With `last` the generation stops first. Returns None where there was
+        nothing to move or no room for it.
+        """
+
+
+RELAY_ADAPTERS: Registry[Any] = Registry("relay adapter")
