Copy running generations to a second replica and continue there

Change: each stream's memory is copied to a second replica as it grows; when the first is lost the second goes on after the last event given. The way of a request is split: dispatch, whole answers, streams, the joint of events.

--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -3,8 +3,9 @@
 from reachlink.requests._attempts import AttemptLog, Setback
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
 from reachlink.requests._choice import Option, choose
+from reachlink.requests._dispatch import Directory, RunnerParts
 from reachlink.requests._model import AnswerSink, CallerRequest
-from reachlink.requests._runner import Directory, RequestRunner, RunnerParts
+from reachlink.requests._runner import RequestRunner
 from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
 
 __all__ = [
--- /dev/null
+++ b/reachlink/requests/_dispatch.py
@@ -0,0 +1,224 @@
+"""Placing a request, sending it to a replica, and what is learned from that."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+from reachlink.delivery import Outcome
+from reachlink.limits import RetryBudget
+from reachlink.placement import allowances
+from reachlink.requests._attempts import AttemptLog, Setback
+from reachlink.requests._book import Flight, ReplicaBook
+from reachlink.requests._choice import Option, choose
+from reachlink.requests._model import CallerRequest
+from reachlink.requests.exceptions import RequestFailedError
+from reachlink.routing import Service
+from reachlink.telemetry import get_logger
+from reachlink.upstreams import (
+    Continuation,
+    RelayAdapter,
+    RelayAnswer,
+    Replica,
+    UpstreamBrokenError,
+)
+
+# Share of first attempts that may be sent again.
+RETRY_SHARE = 0.1
+# A whole answer larger than this, in bytes, is not held to be checked.
+MAX_WHOLE_BYTES = 8 << 20
+# When to come back after a refusal, in seconds: the next attempt reaches
+# another entry instance, whose view of the replicas differs.
+RETRY_AFTER_S = 0.1
+
+
+class Directory(Protocol):
+    """Which replicas exist and may get new work."""
+
+    def live(self, upstream: str) -> list[Replica]:
+        """Return the replicas of a service that may get new work."""
+
+    def find(self, name: str) -> Replica | None:
+        """Return a replica by name."""
+
+    def may_get_work(self, name: str) -> bool:
+        """Return whether a replica may get new work now."""
+
+    def suspect_leaving(self, name: str, now: float) -> bool:
+        """Note a sign that a replica leaves; return whether that is news."""
+
+
+@dataclass(slots=True)
+class RunnerParts:
+    """What `RequestRunner` works with.
+
+    Attributes
+    ----------
+    zone : str
+        This instance's availability zone.
+    adapter : RelayAdapter
+        Speaks with replicas.
+    directory : Directory
+        The replicas.
+    book : ReplicaBook
+        What is known of them.
+    random : random.Random
+        Source of tie-breaks.
+    clock : callable
+        Monotonic time in seconds.
+    on_outcome : callable
+        Called with the request, outcome code and duration in seconds.
+    """
+
+    zone: str
+    adapter: RelayAdapter
+    directory: Directory
+    book: ReplicaBook
+    random: Random
+    on_outcome: Callable[[CallerRequest, str, float], None]
+    clock: Callable[[], float] = time.monotonic
+
+
+class Dispatch:
+    """Places requests and sends them.
+
+    Parameters
+    ----------
+    parts : RunnerParts
+        What it works with.
+    """
+
+    def __init__(self, parts: RunnerParts) -> None:
+        self._parts = parts
+        self._budgets: dict[str, RetryBudget] = {}
+        self._log: Any = get_logger()
+
+    @property
+    def log(self) -> Any:
+        """Logger of the process."""
+        return self._log
+
+    async def open(
+        self,
+        request: CallerRequest,
+        replica: Replica,
+        continuation: Continuation | None = None,
+        backup: Replica | None = None,
+    ) -> RelayAnswer:
+        """Send a request to a replica, with what remains of its time."""
+        parts = self._parts
+        left = request.arrived_at + request.patience_s - parts.clock()
+        left = min(left, request.give_up_at - parts.clock())
+        answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
+        now = parts.clock()
+        if answer.head.load is not None:
+            parts.book.state(replica.name).take_sample(answer.head.load, now)
+        if answer.head.leaving and parts.directory.suspect_leaving(replica.name, now):
+            self._log.info("upstream_leaving", replica=replica.name, source="answer")
+        return answer
+
+    def place(self, request: CallerRequest, tried: set[str], favour: str = "") -> Replica | None:
+        """Return the replica that a request should go to, or None where there is none.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        tried : set of str
+            Replicas that it must not go to.
+        favour : str
+            Zone whose replicas are preferred; this instance's where empty.
+        """
+        parts = self._parts
+        now = parts.clock()
+        live = {r.name: r for r in parts.directory.live(request.service.name)}
+        states = {name: parts.book.state(name) for name in live if name not in tried}
+        trust = allowances({name: s.health for name, s in states.items()}, now)
+        engine = request.service.engine
+        options = [
+            Option(
+                name,
+                live[name].availability_zone == (favour or parts.zone),
+                state.running(now),
+                engine.slots if engine else state.sample.slots if state.sample else 0,
+                state.own_tokens + state.others_tokens,
+                engine.kv_capacity_tokens if engine else 0,
+                trust[name],
+            )
+            for name, state in states.items()
+        ]
+        chosen = choose(options, need_tokens(request), parts.random)
+        return live[chosen] if chosen is not None else None
+
+    def take_off(self, request: CallerRequest, replica: Replica) -> Flight:
+        """Note that a request, or a copy of it, is at a replica."""
+        flight = Flight(request.request_id, need_tokens(request))
+        self._parts.book.state(replica.name).flights.add(flight)
+        return flight
+
+    def land(self, replica: Replica, flight: Flight) -> None:
+        """Note that it is there no more."""
+        self._parts.book.state(replica.name).flights.discard(flight)
+
+    def budget(self, service: Service) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self._budgets.setdefault(service.name, RetryBudget())
+
+    def distrust(self, replica: Replica) -> None:
+        """Note that a replica failed."""
+        state = self._parts.book.state(replica.name)
+        state.health.on_failure(self._parts.clock(), self._parts.random)
+
+    def log_setback(
+        self, request: CallerRequest, replica: Replica, setback: Setback, sent: int
+    ) -> None:
+        """Log an attempt that brought no answer."""
+        self._log.info(
+            "attempt_failed",
+            request_id=request.request_id,
+            route=request.route.name,
+            replica=replica.name,
+            reason=setback.value,
+            sent=sent,
+        )
+
+    def failure(self, reason: str, attempts: AttemptLog) -> RequestFailedError:
+        """Return the final answer after the last attempt."""
+        if attempts.may_have_run:
+            return RequestFailedError(502, reason, Outcome.UNKNOWN)
+        return RequestFailedError(503, reason, Outcome.NOT_RUN, RETRY_AFTER_S)
+
+    def succeeded(self, replica: Replica) -> None:
+        """Note that a replica delivered."""
+        self._parts.book.state(replica.name).health.on_success(self._parts.clock())
+
+    def begin(self, request: CallerRequest) -> AttemptLog:
+        """Return the empty log of a request's attempts, which earns its share of retries."""
+        self.budget(request.service).on_first_attempt(RETRY_SHARE)
+        return AttemptLog(request.route.may_repeat, request.route.max_attempts)
+
+    def may_send_again(self, request: CallerRequest, setback: Setback) -> bool:
+        """Return whether the budget allows another attempt, and take it from there."""
+        return setback is Setback.UNREACHABLE or self.budget(request.service).take()
+
+
+def need_tokens(request: CallerRequest) -> int:
+    """Return the memory that a generation will likely need at its end, in tokens."""
+    facts = request.relay.generation
+    if facts is None:
+        return 0
+    expected = facts.expected_output_tokens or facts.max_output_tokens
+    return facts.prompt_tokens + min(expected, facts.max_output_tokens)
+
+
+async def read_whole(answer: RelayAnswer) -> bytes:
+    """Return the whole body of an answer."""
+    pieces: list[bytes] = []
+    size = 0
+    while data := await answer.read():
+        pieces.append(data)
+        size += len(data)
+        if size > MAX_WHOLE_BYTES:
+            raise UpstreamBrokenError("the answer is too long")
+    return b"".join(pieces)
--- /dev/null
+++ b/reachlink/requests/_joint.py
@@ -0,0 +1,47 @@
+"""Joining the pieces of one generation into one stream; pure."""
+
+from collections.abc import Iterable
+
+from reachlink.requests.exceptions import StreamCutError
+from reachlink.upstreams import StreamEvent
+
+
+class Joint:
+    """Passes each event once and in order, wherever its piece came from.
+
+    Examples
+    --------
+    >>> joint = Joint()
+    >>> joint.take([StreamEvent(1, b"a"), StreamEvent(2, b"b")])
+    b'ab'
+    >>> joint.take([StreamEvent(2, b"b"), StreamEvent(3, b"c")])
+    b'c'
+    """
+
+    def __init__(self) -> None:
+        self._last = -1
+
+    @property
+    def last(self) -> int:
+        """Number of the last event that was passed on; -1 before the first."""
+        return self._last
+
+    def take(self, events: Iterable[StreamEvent]) -> bytes:
+        """Return the bytes of the events that follow, without repeated ones.
+
+        Raises
+        ------
+        StreamCutError
+            If an event is missing.
+        """
+        ready: list[bytes] = []
+        for event in events:
+            if event.number >= 0 and self._last >= 0:
+                if event.number <= self._last:
+                    continue
+                if event.number > self._last + 1:
+                    raise StreamCutError("event_missing")
+            if event.number >= 0:
+                self._last = event.number
+            ready.append(event.data)
+        return b"".join(ready)
--- /dev/null
+++ b/reachlink/requests/_whole.py
@@ -0,0 +1,96 @@
+"""Requests whose answer is read whole, checked, and only then given."""
+
+import asyncio
+
+from reachlink.requests._attempts import AttemptLog, Setback
+from reachlink.requests._dispatch import Dispatch, read_whole
+from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.upstreams import (
+    AnswerHead,
+    Replica,
+    UpstreamBrokenError,
+    UpstreamUnreachableError,
+)
+
+# How long a replica may take for a repeatable request before another is asked,
+# as a multiple of the route's objective.
+PATIENCE_OBJECTIVES = 1.0
+
+
+class WholeRunner:
+    """Carries requests with whole answers.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+        Places and sends them.
+    """
+
+    def __init__(self, dispatch: Dispatch) -> None:
+        self._dispatch = dispatch
+
+    async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
+        """Carry one request to its end."""
+        attempts = self._dispatch.begin(request)
+        tried: set[str] = set()
+        held: tuple[AnswerHead, bytes] | None = None
+        reason = "no_replica"
+        while True:
+            replica = self._dispatch.place(request, tried)
+            if replica is None:
+                break
+            tried.add(replica.name)
+            flight = self._dispatch.take_off(request, replica)
+            try:
+                result = await self._ask(request, replica, attempts)
+            finally:
+                self._dispatch.land(replica, flight)
+            if isinstance(result, tuple):
+                held = result
+                if held[0].status < 500 or not request.route.may_repeat:
+                    break
+                setback, reason = Setback.FAILED, f"status_{held[0].status}"
+            else:
+                setback, reason = result, result.value
+            attempts.note(setback)
+            self._dispatch.log_setback(request, replica, setback, attempts.sent)
+            if not attempts.may_go_on():
+                break
+            if not self._dispatch.may_send_again(request, setback):
+                reason = f"{reason}_no_budget"
+                break
+        if held is not None:
+            await sink.whole(*held)
+            return
+        raise self._dispatch.failure(reason, attempts)
+
+    async def _ask(
+        self, request: CallerRequest, replica: Replica, attempts: AttemptLog
+    ) -> tuple[AnswerHead, bytes] | Setback:
+        """Return the whole answer of one replica, or why there is none."""
+        more = attempts.may_repeat and attempts.sent + 1 < attempts.max_attempts
+        patience = request.route.objective_s * PATIENCE_OBJECTIVES if more else None
+        try:
+            async with asyncio.timeout(patience):
+                answer = await self._dispatch.open(request, replica)
+                if answer.head.not_run:
+                    answer.close()
+                    return Setback.NOT_RUN
+                body = await read_whole(answer)
+        except UpstreamUnreachableError:
+            self._dispatch.distrust(replica)
+            return Setback.UNREACHABLE
+        except UpstreamBrokenError:
+            self._dispatch.distrust(replica)
+            return Setback.BROKEN
+        except TimeoutError:
+            self._dispatch.distrust(replica)
+            return Setback.SLOW
+        if answer.head.success and not answer.head.genuine:
+            self._dispatch.distrust(replica)
+            return Setback.BROKEN
+        if answer.head.status >= 500:
+            self._dispatch.distrust(replica)
+        else:
+            self._dispatch.succeeded(replica)
+        return answer.head, body
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -60,7 +60,7 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._factory = functools.partial(ReplicaConnection, loop=self._loop)
+        self._factory: Any = functools.partial(ReplicaConnection, loop=self._loop)
 
     async def _get(self, key: Any, traces: Any) -> Connection | None:
         idle = self._conns.get(key)
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -176,6 +176,7 @@
         request: RelayRequest,
         left_s: float,
         continuation: Continuation | None = None,
+        backup: Replica | None = None,
     ) -> RelayAnswer:
         """Dispatch a request at most once and return the start of its answer.
 
@@ -189,6 +190,9 @@
             Time that the caller still waits, in seconds.
         continuation : Continuation, optional
             To go on with a generation that began elsewhere.
+        backup : Replica, optional
+            Replica that gets the generation's memory as it grows; from there it goes
+            on by the name of the request.
 
         Raises
         ------
