Share load among entry instances; a second copy where the first is about to be lost

Cause: copies of generations were lost with their replicas before they were needed (8 of 11 cut chats), and entry instances did not know of each other's requests, so that new replicas got everything at once. Change: control instances tell entries of each other (roster); entries tell each other their requests, memory and unread prompts at engines; a generation whose copy is about to be lost is copied elsewhere again and again.

--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -17,7 +17,7 @@
 from reachlink.control._config import ControlConfig
 from reachlink.control._machine import ControlMachine
 from reachlink.control._operator_http import OperatorHandlers
-from reachlink.control._protocol import CHANNEL_CONTROL, CHANNEL_LOG
+from reachlink.control._protocol import CHANNEL_CONTROL, CHANNEL_LOG, CHANNEL_ROSTER
 from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
@@ -72,6 +72,7 @@
         """Open sockets and start the replica."""
         self._bus.handle(CHANNEL_LOG, self._on_log)
         self._bus.handle(CHANNEL_CONTROL, self._server.handle)
+        self._bus.handle(CHANNEL_ROSTER, self._server.on_roster)
         self._bus.bind(self._config.bus_address)
         self._tasks.append(asyncio.create_task(self._run()))
         if self._seeds:
--- a/reachlink/control/_protocol.py
+++ b/reachlink/control/_protocol.py
@@ -4,10 +4,11 @@
 
 from reachlink.agreement import Member
 from reachlink.control._commands import AuditRecord, Command, Result
-from reachlink.membership import SettingsAnswer
+from reachlink.membership import InstanceRecord, SettingsAnswer
 
 CHANNEL_LOG = "log"
 CHANNEL_CONTROL = "control"
+CHANNEL_ROSTER = "roster"
 
 
 class ProposeRequest(msgspec.Struct, tag="propose", frozen=True):
@@ -32,6 +33,12 @@
     availability_zone: str = ""
 
 
+class RosterNote(msgspec.Struct, frozen=True):
+    """The entry instances that watch one control instance, told to the others."""
+
+    instances: list[InstanceRecord]
+
+
 class AnnounceRequest(msgspec.Struct, tag="announce", frozen=True):
     """A replica tells the leader that it exists, to be made a member."""
 
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -20,6 +20,7 @@
 from reachlink.control._machine import ControlMachine
 from reachlink.control._protocol import (
     CHANNEL_CONTROL,
+    CHANNEL_ROSTER,
     AnnounceAnswer,
     AnnounceRequest,
     Answer,
@@ -35,13 +36,14 @@
     RefusedAnswer,
     ReplicaStatus,
     Request,
+    RosterNote,
     StatusAnswer,
     StatusRequest,
     WatcherStatus,
     WatchRequest,
 )
 from reachlink.kernel import Clock
-from reachlink.membership import InstanceRecord, SettingsAnswer
+from reachlink.membership import InstanceRecord, Roster, SettingsAnswer
 from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
 from reachlink.settings import SettingsTree
 
@@ -49,6 +51,8 @@
 BARRIER_TIMEOUT_S = 1.5
 MEMBERS_TIMEOUT_S = 5.0
 WATCHER_FORGOTTEN_S = 60.0
+# Watchers that asked within this many seconds are told of to other instances.
+WATCHER_RECENT_S = 2.0
 # How long an announcement counts, in seconds; it is repeated every second.
 CANDIDATE_FORGOTTEN_S = 5.0
 # How soon a waiting watcher is told that the leader was lost, in seconds.
@@ -59,6 +63,7 @@
 class _Watcher:
     revision: int
     seen_at: float
+    record: InstanceRecord
 
 
 class ControlServer:
@@ -93,6 +98,7 @@
         self._clock = clock
         self._watchers: dict[str, _Watcher] = {}
         self._changed = asyncio.Event()
+        self._roster = Roster()
         self._announced: dict[str, tuple[float, Candidate]] = {}
 
     async def handle(self, sender: str, body: bytes) -> bytes:
@@ -129,7 +135,10 @@
     @answer.register
     async def _(self, request: WatchRequest) -> Answer:
         now = self._clock.monotonic()
-        self._watchers[request.instance] = _Watcher(request.revision, now)
+        asker = InstanceRecord(request.instance, request.address, request.availability_zone)
+        self._watchers[request.instance] = _Watcher(request.revision, now, asker)
+        if asker.address:
+            self._roster.note([asker], now)
         fresh = request.fresh and await self.catch_up()
         deadline = now + request.wait_s
         while self._machine.tree.revision <= request.revision:
@@ -137,7 +146,9 @@
             if left <= 0 or not self._service.hears_leader:
                 break
             await self._wait_change(min(left, STALE_CHECK_S))
-        return self._settings_since(request.revision, fresh)
+        answer = self._settings_since(request.revision, fresh)
+        peers = self._roster.peers_of(asker, self._clock.monotonic()) if asker.address else []
+        return msgspec.structs.replace(answer, peers=peers)
 
     @answer.register
     async def _(self, request: AnnounceRequest) -> Answer:
@@ -187,6 +198,22 @@
             watchers=self._watcher_statuses(),
         )
 
+    async def on_roster(self, sender: str, body: bytes) -> None:
+        """Take what another control instance tells of its watchers."""
+        self._roster.note(decode(body, RosterNote).instances, self._clock.monotonic())
+
+    def tell_roster(self) -> None:
+        """Tell the other control instances who watches this one."""
+        recent = self._clock.monotonic() - WATCHER_RECENT_S
+        own = [w.record for w in self._watchers.values() if w.record.address and w.seen_at > recent]
+        if not own:
+            return
+        note = encode(RosterNote(own))
+        state = self._service.core.state
+        for member in state.members:
+            if member.node_id != state.node_id:
+                self._bus.send(member.address, CHANNEL_ROSTER, note)
+
     @property
     def tree(self) -> SettingsTree:
         """Settings as this instance has applied them."""
--- a/reachlink/control/_steward.py
+++ b/reachlink/control/_steward.py
@@ -20,6 +20,8 @@
 from reachlink.telemetry import get_logger
 
 STEP_S = 0.1
+# How often control instances tell each other who watches them, in seconds.
+ROSTER_S = 0.5
 CHANGE_TIMEOUT_S = 2.0
 ANNOUNCE_FIRST_S = 0.15
 ANNOUNCE_MEMBER_S = 1.0
@@ -64,7 +66,12 @@
 
     async def run(self) -> None:
         """Work until cancelled."""
-        await asyncio.gather(self._keep_membership(), self._announce())
+        await asyncio.gather(self._keep_membership(), self._announce(), self._tell_roster())
+
+    async def _tell_roster(self) -> None:
+        while True:
+            await asyncio.sleep(ROSTER_S)
+            self._server.tell_roster()
 
     async def _keep_membership(self) -> None:
         while True:
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -63,6 +63,9 @@
     def on_controls(self, controls: list[InstanceRecord]) -> None:
         """Take the control instances that exist now."""
 
+    def on_peers(self, peers: list[InstanceRecord]) -> None:
+        """Take the entry instances to exchange load with."""
+
     def on_settings(self) -> None:
         """Newer settings are in force."""
 
@@ -119,6 +122,7 @@
         self._take(answer)
         if answer.controls:
             node.on_controls(answer.controls)
+            node.on_peers(answer.peers)
         if answer.fresh and node.tree.revision >= answer.revision:
             self._become_ready("confirmed by the control instances")
         elif answer.stale:
--- /dev/null
+++ b/reachlink/entry/_load_teller.py
@@ -0,0 +1,79 @@
+"""Tells the other entry instances of this one's requests at model engines."""
+
+import asyncio
+from collections.abc import Callable
+
+from reachlink.membership import InstanceRecord
+from reachlink.messaging import Bus, decode, encode
+from reachlink.requests import LoadNote, ReplicaBook, SharedLoad
+
+CHANNEL_LOAD = "load"
+# Shortest time between two notes, in seconds, and how much longer for each peer.
+FASTEST_S = 0.03
+A_PEER_S = 0.004
+# Longest time between two notes, in seconds.
+SLOWEST_S = 1.0
+
+
+class LoadTeller:
+    """Sends a note whenever this instance's load has changed, and now and then besides.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    bus : Bus
+        Where notes go.
+    book : ReplicaBook
+        This instance's requests.
+    shared : SharedLoad
+        What the others tell.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        bus: Bus,
+        book: ReplicaBook,
+        shared: SharedLoad,
+        clock: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._bus = bus
+        self._book = book
+        self._shared = shared
+        self._clock = clock
+        self._peers: list[InstanceRecord] = []
+        bus.handle(CHANNEL_LOAD, self._on_note)
+
+    @property
+    def peers(self) -> list[InstanceRecord]:
+        """The instances that are told."""
+        return self._peers
+
+    def take_peers(self, peers: list[InstanceRecord]) -> None:
+        """Take the instances to tell from now on."""
+        kept = {peer.address for peer in peers}
+        for peer in self._peers:
+            if peer.address not in kept:
+                self._bus.forget(peer.address)
+        self._peers = peers
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        told = -1
+        told_at = self._clock()
+        while True:
+            await asyncio.sleep(FASTEST_S + A_PEER_S * len(self._peers))
+            changes = self._book.changes
+            if changes == told and self._clock() - told_at < SLOWEST_S:
+                continue
+            told, told_at = changes, self._clock()
+            note = encode(LoadNote(self._name, self._book.shares()))
+            for peer in self._peers:
+                self._bus.send(peer.address, CHANNEL_LOAD, note)
+
+    async def _on_note(self, sender: str, body: bytes) -> None:
+        self._shared.take(decode(body, LoadNote), self._clock())
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -117,6 +117,9 @@
     def on_controls(self, controls: list[InstanceRecord]) -> None:
         """Control instances are told by the configuration here."""
 
+    def on_peers(self, peers: list[InstanceRecord]) -> None:
+        """Peers are told by the configuration here."""
+
     def on_settings(self) -> None:
         """Newer settings are in force: what waits may have room now."""
         self.pump()
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -4,10 +4,11 @@
 from random import Random
 
 from reachlink.control import ControlClient
+from reachlink.entry._load_teller import LoadTeller
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus
-from reachlink.requests import CallerRequest, ReplicaBook, RequestRunner, RunnerParts
+from reachlink.requests import CallerRequest, ReplicaBook, RequestRunner, RunnerParts, SharedLoad
 from reachlink.routing import RoutingError, RoutingIndex
 from reachlink.settings import SettingsTree
 from reachlink.telemetry import Metrics, get_logger
@@ -31,6 +32,8 @@
         self.control = ControlClient(self.bus, list(config.seeds))
         self.directory = ReplicaDirectory(unconfirmed_mark_s=config.leaving_mark_s)
         self.book = ReplicaBook()
+        self.shared = SharedLoad()
+        self.teller = LoadTeller(config.name, self.bus, self.book, self.shared, time.monotonic)
         self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
@@ -45,6 +48,7 @@
                 RELAY_ADAPTERS.get(config.upstream)(self.client),
                 self.directory,
                 self.book,
+                self.shared,
                 Random(),
                 self._on_outcome,
             )
@@ -92,7 +96,8 @@
 
     def zone_peers(self) -> list[str]:
         """Return the addresses of the other entry instances of this zone that are known."""
-        return []
+        peers = self.teller.peers
+        return [p.address for p in peers if p.availability_zone == self.zone]
 
     def take_seeds(self, seeds: list[str]) -> None:
         """Take other addresses where control instances may be found."""
@@ -107,6 +112,10 @@
             self.log.info("controls_known", addresses=",".join(known))
         self.control.learn(list(known))
 
+    def on_peers(self, peers: list[InstanceRecord]) -> None:
+        """Take the entry instances to exchange load with."""
+        self.teller.take_peers(peers)
+
     def on_settings(self) -> None:
         """Put a newer routing table in force."""
         published = self.tree.routing
--- a/reachlink/membership/__init__.py
+++ b/reachlink/membership/__init__.py
@@ -3,6 +3,7 @@
 from reachlink.membership import _http_platform  # noqa: F401  (registers itself)
 from reachlink.membership._directory import LeavingSource, ReplicaDirectory
 from reachlink.membership._platform import PLATFORMS, InstanceState, ListedInstance, PlatformAdapter
+from reachlink.membership._roster import Roster
 from reachlink.membership._spreading import (
     Delta,
     InstanceRecord,
@@ -28,6 +29,7 @@
     "PlatformBusyError",
     "PlatformUnavailableError",
     "ReplicaDirectory",
+    "Roster",
     "SettingsAnswer",
     "SettingsHolder",
     "remember_delta",
--- a/reachlink/membership/_spreading.py
+++ b/reachlink/membership/_spreading.py
@@ -43,7 +43,8 @@
 
     `fresh` tells whether the answer covers everything accepted before the
     request, and `stale` that the answering instance has lost its leader.
-    `controls` are the control instances that it knows.
+    `controls` are the control instances that it knows, `peers` the entry
+    instances that the asker exchanges load with.
     """
 
     revision: int
@@ -52,6 +53,7 @@
     values: dict[str, object] | None = None
     stale: bool = False
     controls: list[InstanceRecord] = []
+    peers: list[InstanceRecord] = []
 
 
 class SettingsHolder:
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from reachlink.placement import Health
+from reachlink.requests._shared_load import ReplicaShare
 from reachlink.upstreams import LoadSample
 
 # A load sample says little after this many seconds.
@@ -11,10 +12,24 @@
 
 @dataclass(slots=True, eq=False)
 class Flight:
-    """A request at a replica, with the memory that it is expected to need, in tokens."""
+    """A request, or a copy of its memory, at a replica; sizes in tokens.
+
+    Attributes
+    ----------
+    request_id : str
+        The request.
+    tokens : int
+        Memory that it is expected to need.
+    unread_tokens : int
+        Prompt that the replica still has to read.
+    copy : bool
+        Whether only a copy is there.
+    """
 
     request_id: str
     tokens: int
+    unread_tokens: int = 0
+    copy: bool = False
 
 
 @dataclass(slots=True)
@@ -31,8 +46,6 @@
         Load that it told last, at monotonic time `sampled_at`.
     own_at_sample : int
         How many flights this instance had there then.
-    others_tokens, others_running : int
-        What the other entry instances have there.
     """
 
     flights: set[Flight] = field(default_factory=set)
@@ -40,18 +53,34 @@
     sample: LoadSample | None = None
     sampled_at: float = float("-inf")
     own_at_sample: int = 0
-    others_tokens: int = 0
-    others_running: int = 0
 
     @property
     def own_tokens(self) -> int:
         """Memory that this instance's own requests need, in tokens."""
         return sum(flight.tokens for flight in self.flights)
 
-    def running(self, now: float) -> int:
-        """Return how many requests are likely there, waiting ones included."""
-        own = len(self.flights)
-        told = own + self.others_running
+    @property
+    def own_unread_tokens(self) -> int:
+        """Prompts of this instance's own requests that are still to be read, in tokens."""
+        return sum(flight.unread_tokens for flight in self.flights)
+
+    @property
+    def own_running(self) -> int:
+        """How many requests of this instance are there."""
+        return sum(1 for flight in self.flights if not flight.copy)
+
+    def running(self, now: float, others_running: int = 0) -> int:
+        """Return how many requests are likely there, waiting ones included.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        others_running : int
+            What the other entry instances say that they have there.
+        """
+        own = self.own_running
+        told = own + others_running
         if self.sample is None or now - self.sampled_at > SAMPLE_KEPT_S:
             return told
         others = self.sample.running + self.sample.waiting - self.own_at_sample
@@ -60,7 +89,7 @@
     def take_sample(self, sample: LoadSample, now: float) -> None:
         """Note the load that the replica told."""
         self.sample, self.sampled_at = sample, now
-        self.own_at_sample = len(self.flights)
+        self.own_at_sample = self.own_running
 
 
 class ReplicaBook:
@@ -68,6 +97,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, ReplicaState] = {}
+        self._changes = 0
 
     def state(self, name: str) -> ReplicaState:
         """Return the state of a replica, a fresh one where it is new."""
@@ -76,6 +106,35 @@
             found = self._states[name] = ReplicaState()
         return found
 
+    @property
+    def changes(self) -> int:
+        """How often requests have come or gone."""
+        return self._changes
+
+    def add(self, replica: str, flight: Flight) -> None:
+        """A request, or a copy of it, is at a replica."""
+        self.state(replica).flights.add(flight)
+        self._changes += 1
+
+    def remove(self, replica: str, flight: Flight) -> None:
+        """It is there no more."""
+        self.state(replica).flights.discard(flight)
+        self._changes += 1
+
+    def has_read(self, flight: Flight) -> None:
+        """The replica has read a request's prompt."""
+        if flight.unread_tokens:
+            flight.unread_tokens = 0
+            self._changes += 1
+
+    def shares(self) -> list[ReplicaShare]:
+        """Return this instance's own requests at model engines."""
+        return [
+            ReplicaShare(name, state.own_running, state.own_tokens, state.own_unread_tokens)
+            for name, state in self._states.items()
+            if state.own_tokens
+        ]
+
     def keep_only(self, names: set[str]) -> None:
         """Forget replicas that are gone and carry nothing."""
         for name in [n for n, s in self._states.items() if n not in names and not s.flights]:
--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -6,6 +6,15 @@
 
 # A replica of another zone is taken where it has this many requests less.
 FAR_HANDICAP = 0.5
+# The same for model engines, as a share of memory: distance counts little
+# against a prompt of seconds.
+FAR_SHARE = 0.02
+# A prompt of this many tokens that is still to be read counts as much as half
+# of the memory: it holds up everything that comes after it.
+UNREAD_TOKENS = 6000.0
+# Share of the memory that may be promised to requests, and to copies.
+FULL = 0.97
+FULL_FOR_COPIES = 0.85
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,6 +33,8 @@
         Requests that it works on at once; 0 where unknown.
     tokens : int
         Memory that its requests need, in tokens.
+    unread_tokens : int
+        Prompts that it still has to read, in tokens.
     capacity_tokens : int
         Memory that it has, in tokens; 0 for a plain service.
     trust : float
@@ -35,12 +46,15 @@
     running: int
     slots: int
     tokens: int = 0
+    unread_tokens: int = 0
     capacity_tokens: int = 0
     trust: float = 1.0
 
 
-def choose(options: Iterable[Option], need_tokens: int, random: Random) -> str | None:
-    """Return the replica that a request should go to, or None where no one is to be trusted.
+def choose(
+    options: Iterable[Option], need_tokens: int, random: Random, full: float = FULL
+) -> str | None:
+    """Return the replica that a request should go to, or None where none is fit for it.
 
     Parameters
     ----------
@@ -50,19 +64,28 @@
         Memory that it will need, in tokens.
     random : random.Random
         Source of tie-breaks.
+    full : float
+        Share of an engine's memory that may be promised.
     """
-    usable = [o for o in options if o.trust > 0.0 and random.random() < o.trust]
+    fit = [o for o in options if o.trust > 0.0 and _has_room(o, need_tokens, full)]
+    usable = [o for o in fit if random.random() < o.trust]
     if not usable:
         return None
     return min(usable, key=lambda o: (_cost(o, need_tokens), random.random())).name
 
 
+def _has_room(option: Option, need_tokens: int, full: float) -> bool:
+    if not option.capacity_tokens:
+        return True
+    return option.tokens + need_tokens <= full * option.capacity_tokens
+
+
 def _cost(option: Option, need_tokens: int) -> float:
-    """Return the share of the replica that will be in use, far ones handicapped."""
-    far = 0.0 if option.near else FAR_HANDICAP
+    """Return how much a request would be held up, and hold up others; least is best."""
     slots = max(1, option.slots)
-    used = (option.running + far) / slots
-    if option.capacity_tokens:
-        memory = (option.tokens + need_tokens) / option.capacity_tokens
-        return max(memory, used) + (0.0 if option.near else 0.02)
-    return used
+    if not option.capacity_tokens:
+        far = 0.0 if option.near else FAR_HANDICAP
+        return (option.running + far) / slots
+    memory = (option.tokens + need_tokens) / option.capacity_tokens
+    far = 0.0 if option.near else FAR_SHARE
+    return max(memory, option.running / slots) + option.unread_tokens / UNREAD_TOKENS + far
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -10,9 +10,10 @@
 from reachlink.limits import RetryBudget
 from reachlink.placement import allowances
 from reachlink.requests._attempts import AttemptLog, Setback
-from reachlink.requests._book import Flight, ReplicaBook
-from reachlink.requests._choice import Option, choose
+from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
+from reachlink.requests._choice import FULL, Option, choose
 from reachlink.requests._model import CallerRequest
+from reachlink.requests._shared_load import SharedLoad
 from reachlink.requests.exceptions import RequestFailedError
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
@@ -63,6 +64,8 @@
         The replicas.
     book : ReplicaBook
         What is known of them.
+    shared : SharedLoad
+        What the other entry instances have there.
     random : random.Random
         Source of tie-breaks.
     clock : callable
@@ -75,6 +78,7 @@
     adapter: RelayAdapter
     directory: Directory
     book: ReplicaBook
+    shared: SharedLoad
     random: Random
     on_outcome: Callable[[CallerRequest, str, float], None]
     clock: Callable[[], float] = time.monotonic
@@ -94,6 +98,15 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._log: Any = get_logger()
 
+    @property
+    def adapter(self) -> RelayAdapter:
+        """Speaks with replicas."""
+        return self._parts.adapter
+
+    def stays(self, replica: Replica) -> bool:
+        """Return whether a replica is there and not known to leave."""
+        return self._parts.directory.may_get_work(replica.name)
+
     @property
     def log(self) -> Any:
         """Logger of the process."""
@@ -118,7 +131,13 @@
             self._log.info("upstream_leaving", replica=replica.name, source="answer")
         return answer
 
-    def place(self, request: CallerRequest, tried: set[str], favour: str = "") -> Replica | None:
+    def place(
+        self,
+        request: CallerRequest,
+        tried: set[str],
+        favour: str = "",
+        full: float = FULL,
+    ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
 
         Parameters
@@ -129,37 +148,73 @@
             Replicas that it must not go to.
         favour : str
             Zone whose replicas are preferred; this instance's where empty.
+        full : float
+            Share of an engine's memory that may be promised.
         """
         parts = self._parts
         now = parts.clock()
         live = {r.name: r for r in parts.directory.live(request.service.name)}
         states = {name: parts.book.state(name) for name in live if name not in tried}
         trust = allowances({name: s.health for name, s in states.items()}, now)
-        engine = request.service.engine
+        near = favour or parts.zone
         options = [
-            Option(
-                name,
-                live[name].availability_zone == (favour or parts.zone),
-                state.running(now),
-                engine.slots if engine else state.sample.slots if state.sample else 0,
-                state.own_tokens + state.others_tokens,
-                engine.kv_capacity_tokens if engine else 0,
-                trust[name],
-            )
+            self._option(request.service, live[name], state, trust[name], near, now)
             for name, state in states.items()
         ]
-        chosen = choose(options, need_tokens(request), parts.random)
+        chosen = choose(options, need_tokens(request), parts.random, full)
         return live[chosen] if chosen is not None else None
 
-    def take_off(self, request: CallerRequest, replica: Replica) -> Flight:
-        """Note that a request, or a copy of it, is at a replica."""
-        flight = Flight(request.request_id, need_tokens(request))
-        self._parts.book.state(replica.name).flights.add(flight)
+    def _option(
+        self,
+        service: Service,
+        replica: Replica,
+        state: ReplicaState,
+        trust: float,
+        near: str,
+        now: float,
+    ) -> Option:
+        engine = service.engine
+        others = self._parts.shared.at(replica.name, now)
+        sampled = state.sample.slots if state.sample else 0
+        return Option(
+            name=replica.name,
+            near=replica.availability_zone == near,
+            running=state.running(now, others.running),
+            slots=engine.slots if engine else sampled,
+            tokens=state.own_tokens + others.tokens,
+            unread_tokens=state.own_unread_tokens + others.unread_tokens,
+            capacity_tokens=engine.kv_capacity_tokens if engine else 0,
+            trust=trust,
+        )
+
+    def take_off(
+        self, request: CallerRequest, replica: Replica, reads: bool = True, copy: bool = False
+    ) -> Flight:
+        """Note that a request, or a copy of it, is at a replica.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        replica : Replica
+            Where it is.
+        reads : bool
+            Whether the replica has its prompt to read.
+        copy : bool
+            Whether only a copy of its memory is there.
+        """
+        unread = request.prompt_tokens if reads else 0
+        flight = Flight(request.request_id, need_tokens(request), unread, copy)
+        self._parts.book.add(replica.name, flight)
         return flight
 
+    def has_read(self, flight: Flight) -> None:
+        """Note that a replica has read a request's prompt."""
+        self._parts.book.has_read(flight)
+
     def land(self, replica: Replica, flight: Flight) -> None:
         """Note that it is there no more."""
-        self._parts.book.state(replica.name).flights.discard(flight)
+        self._parts.book.remove(replica.name, flight)
 
     def budget(self, service: Service) -> RetryBudget:
         """Return the retry budget of a service."""
--- /dev/null
+++ b/reachlink/requests/_shadow.py
@@ -0,0 +1,82 @@
+"""Copying a running generation's memory to another replica, again and again."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from reachlink.upstreams import MovedMemory, RelayAdapter, Replica, UpstreamError
+
+# Pause between two copies, in seconds: each brings only what is new, and what
+# is missing at the end is read anew.
+REFRESH_S = 1.0
+
+
+class Shadow:
+    """A copy that follows a generation from some point on.
+
+    Parameters
+    ----------
+    adapter : RelayAdapter
+        Speaks with replicas.
+    request_id : str
+        Request that the generation serves.
+    source, target : Replica
+        Where it runs, and where the copy is.
+    log : object
+        Logger.
+    """
+
+    def __init__(
+        self, adapter: RelayAdapter, request_id: str, source: Replica, target: Replica, log: Any
+    ) -> None:
+        self._adapter = adapter
+        self._request_id = request_id
+        self._source = source
+        self._target = target
+        self._log = log
+        self._memory: MovedMemory | None = None
+        self._task = asyncio.create_task(self._run())
+
+    async def take(self) -> MovedMemory | None:
+        """Stop copying and return the copy, if there is one."""
+        self._task.cancel()
+        await asyncio.wait({self._task})
+        return self._memory
+
+    def abandon(self) -> None:
+        """Stop copying and free the copy."""
+        self._task.cancel()
+        self._release_task = asyncio.create_task(self._release())
+
+    async def _run(self) -> None:
+        try:
+            while await self._copy():
+                await asyncio.sleep(REFRESH_S)
+        except UpstreamError as error:
+            self._log.info(
+                "shadow_failed",
+                request_id=self._request_id,
+                source=self._source.name,
+                target=self._target.name,
+                reason=str(error),
+            )
+
+    async def _copy(self) -> bool:
+        result = await self._adapter.move(self._source, self._request_id, self._target, False)
+        if not result.arrived:
+            self._log.info(
+                "shadow_refused",
+                request_id=self._request_id,
+                source=self._source.name,
+                target=self._target.name,
+            )
+            return False
+        self._memory = result.memory
+        return True
+
+    async def _release(self) -> None:
+        await asyncio.wait({self._task})
+        if self._memory is None:
+            return
+        with contextlib.suppress(UpstreamError):
+            await self._adapter.release(self._memory)
--- /dev/null
+++ b/reachlink/requests/_shared_load.py
@@ -0,0 +1,66 @@
+"""What the entry instances tell each other of their requests at model engines; pure."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+# What a silent instance told last counts for this long, in seconds; each tells
+# at least once a second.
+KEPT_S = 3.0
+
+
+class ReplicaShare(msgspec.Struct, array_like=True, frozen=True):
+    """One instance's own requests at one replica; memory in tokens."""
+
+    replica: str
+    running: int
+    tokens: int
+    unread_tokens: int = 0
+
+
+class LoadNote(msgspec.Struct, array_like=True, frozen=True):
+    """All of an instance's own requests; replicas that are missing have none."""
+
+    instance: str
+    shares: list[ReplicaShare]
+
+
+@dataclass(slots=True)
+class _Told:
+    shares: dict[str, ReplicaShare]
+    at: float
+
+
+class SharedLoad:
+    """The sum of what the other instances told.
+
+    Examples
+    --------
+    >>> load = SharedLoad()
+    >>> load.take(LoadNote("e1", [ReplicaShare("r1", 2, 7000)]), 0.0)
+    >>> load.at("r1", 1.0).tokens
+    7000
+    >>> load.at("r1", 9.0).tokens
+    0
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[str, _Told] = {}
+
+    def take(self, note: LoadNote, now: float) -> None:
+        """Take what one instance tells, in place of what it told before."""
+        self._told[note.instance] = _Told({s.replica: s for s in note.shares}, now)
+
+    def at(self, replica: str, now: float) -> ReplicaShare:
+        """Return the sum of the other instances' requests at a replica."""
+        running = tokens = unread = 0
+        for name, told in list(self._told.items()):
+            if now - told.at > KEPT_S:
+                del self._told[name]
+                continue
+            share = told.shares.get(replica)
+            if share is not None:
+                running += share.running
+                tokens += share.tokens
+                unread += share.unread_tokens
+        return ReplicaShare(replica, running, tokens, unread)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -5,13 +5,16 @@
 that the caller got.
 """
 
+import asyncio
 from dataclasses import dataclass
 
 from reachlink.requests._attempts import Setback
 from reachlink.requests._book import Flight
+from reachlink.requests._choice import FULL_FOR_COPIES
 from reachlink.requests._dispatch import Dispatch, read_whole
 from reachlink.requests._joint import Joint
 from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._shadow import Shadow
 from reachlink.requests.exceptions import StreamCutError
 from reachlink.upstreams import (
     Continuation,
@@ -24,6 +27,12 @@
     UpstreamUnreachableError,
 )
 
+# How often a stream looks whether its replicas stay, in seconds.
+WATCH_S = 0.1
+# Shortest expected output, in tokens, whose memory is copied: a shorter one
+# ends before its replica is likely to be lost.
+COPY_FROM_TOKENS = 100
+
 
 @dataclass(slots=True)
 class _Place:
@@ -80,19 +89,24 @@
         self._joint = Joint()
         self._home: _Place | None = None
         self._copy: _Place | None = None
+        self._shadow: Shadow | None = None
+        self._shadow_place: _Place | None = None
 
     async def start(self, replica: Replica) -> Setback | None:
         """Begin at a replica and follow to the end; return why it did not begin, if so."""
-        self._home = self._occupy(replica)
+        self._home = self._occupy(replica, reads=True)
+        watch = asyncio.create_task(self._watch())
         try:
             return await self._run()
         finally:
+            watch.cancel()
+            self._drop_shadow()
             self._leave(self._home)
             self._leave(self._copy)
 
     async def _run(self) -> Setback | None:
         assert self._home is not None
-        self._choose_copy()
+        self._copy = self._choose_copy(set())
         try:
             answer = await self._open(self._home.replica, None)
         except UpstreamUnreachableError:
@@ -116,41 +130,130 @@
         await self._sink.end()
         return None
 
+    async def _watch(self) -> None:
+        """Copy the generation elsewhere where its copy is about to be lost."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            shadowed = self._shadow_place is not None and self._dispatch.stays(
+                self._shadow_place.replica
+            )
+            if not shadowed and self._needs_shadow():
+                self._drop_shadow()
+                self._begin_shadow()
+
+    def _needs_shadow(self) -> bool:
+        """Return whether no replica that stays has a copy of the generation."""
+        if self._home is None or self._joint.last < 0 or not self._worth_a_copy():
+            return False
+        engine = self._request.service.engine
+        if engine is None or not engine.moves:
+            return False
+        return self._copy is None or not self._dispatch.stays(self._copy.replica)
+
+    def _begin_shadow(self) -> None:
+        assert self._home is not None
+        home = self._home.replica
+        excluded = {home.name}
+        if self._copy is not None:
+            excluded.add(self._copy.replica.name)
+        target = self._dispatch.place(
+            self._request, excluded, home.availability_zone, FULL_FOR_COPIES
+        )
+        if target is None:
+            return
+        self._dispatch.log.info(
+            "generation_shadowed",
+            request_id=self._request.request_id,
+            source=home.name,
+            target=target.name,
+            copy=self._copy.replica.name if self._copy else "",
+            home_stays=self._dispatch.stays(home),
+            after_event=self._joint.last,
+        )
+        self._shadow_place = self._occupy(target, copy=True)
+        self._shadow = Shadow(
+            self._dispatch.adapter, self._request.request_id, home, target, self._dispatch.log
+        )
+
+    def _drop_shadow(self) -> None:
+        if self._shadow is not None:
+            self._shadow.abandon()
+        self._shadow = None
+        self._leave(self._shadow_place)
+        self._shadow_place = None
+
     async def _go_on(self) -> bool:
-        """Continue at the replica that has the copy; return whether the stream ended."""
-        lost, target = self._home, self._copy
-        self._home, self._copy = target, None
+        """Continue where the generation's memory is; return whether the stream ended."""
+        options = await self._continuations()
+        for target, memory in options:
+            answer = await self._continue_at(target, memory)
+            if answer is None:
+                continue
+            try:
+                return await self._follow(answer)
+            finally:
+                answer.close()
+        raise StreamCutError("no_copy_left")
+
+    async def _continuations(self) -> list[tuple[Replica, MovedMemory]]:
+        """Return where the generation may go on, the best first."""
+        found: list[tuple[Replica, MovedMemory]] = []
+        if self._shadow is not None and self._shadow_place is not None:
+            memory = await self._shadow.take()
+            if memory is not None:
+                found.append((self._shadow_place.replica, memory))
+            self._shadow = None
+        if self._copy is not None:
+            replica = self._copy.replica
+            found.append((replica, MovedMemory(replica.address, self._request.request_id)))
+        return found
+
+    async def _continue_at(self, target: Replica, memory: MovedMemory) -> RelayAnswer | None:
+        """Ask a replica to go on; return None where it cannot."""
+        lost, copy = self._home, self._copy
         assert lost is not None
         self._leave(lost)
-        if target is None:
-            raise StreamCutError("lost_without_copy")
-        memory = MovedMemory(target.replica.address, self._request.request_id)
-        self._choose_copy(lost.replica.name)
+        self._leave(copy)
+        self._drop_shadow()
+        self._home = self._occupy(target, reads=False)
+        self._copy = self._choose_copy({target.name}, lost.replica)
         self._dispatch.log.info(
             "stream_continues",
             request_id=self._request.request_id,
             lost=lost.replica.name,
-            replica=target.replica.name,
+            replica=target.name,
+            copy=self._copy.replica.name if self._copy else "",
+            handle=memory.handle,
             after_event=self._joint.last,
         )
         try:
-            answer = await self._open(target.replica, Continuation(self._joint.last, memory))
+            answer = await self._open(target, Continuation(self._joint.last, memory))
         except UpstreamError as error:
-            raise StreamCutError("continuation_failed") from error
-        try:
-            if not answer.head.success:
-                raise StreamCutError(f"continuation_refused_{answer.head.status}")
-            return await self._follow(answer)
-        finally:
+            self._log_stuck(target, str(error))
+            return None
+        if not answer.head.success:
             answer.close()
+            self._log_stuck(target, f"status {answer.head.status}")
+            return None
+        return answer
+
+    def _log_stuck(self, target: Replica, reason: str) -> None:
+        self._dispatch.log.warning(
+            "continuation_failed",
+            request_id=self._request.request_id,
+            replica=target.name,
+            reason=reason,
+        )
 
     async def _follow(self, answer: RelayAnswer) -> bool:
         """Give events on until the answer ends; return whether it ended well."""
+        assert self._home is not None
         splitter = EventSplitter()
         try:
             while data := await answer.read():
                 ready = self._joint.take(splitter.feed(data))
                 if ready:
+                    self._dispatch.has_read(self._home.flight)
                     await self._sink.write(ready)
         except (UpstreamBrokenError, ValueError) as error:
             self._on_broken(str(error))
@@ -160,7 +263,6 @@
         if splitter.rest:
             self._on_broken("the last event is not whole")
             return False
-        assert self._home is not None
         self._dispatch.succeeded(self._home.replica)
         return True
 
@@ -182,22 +284,36 @@
             replica=replica.name,
             last_event=self._joint.last,
             copy=self._copy.replica.name if self._copy else "",
+            shadow=self._shadow_place.replica.name if self._shadow_place else "",
             reason=reason,
         )
 
-    def _choose_copy(self, *excluded: str) -> None:
-        """Choose where the generation's memory is copied as it grows, if anywhere."""
+    def _worth_a_copy(self) -> bool:
+        """Return whether the generation is long enough to be lost with its replica."""
+        facts = self._request.relay.generation
         engine = self._request.service.engine
-        if engine is None or not engine.backups or self._home is None:
-            return
+        if facts is None or engine is None or not engine.backups:
+            return False
+        expected = facts.expected_output_tokens or facts.max_output_tokens
+        return min(expected, facts.max_output_tokens) >= COPY_FROM_TOKENS
+
+    def _choose_copy(self, excluded: set[str], before: Replica | None = None) -> _Place | None:
+        """Choose where the generation's memory is copied as it grows, if anywhere.
+
+        The replica that it comes from is as good as any while it stays.
+        """
+        if not self._worth_a_copy() or self._home is None:
+            return None
         home = self._home.replica
+        if before is not None and before.name != home.name and self._dispatch.stays(before):
+            return self._occupy(before, copy=True)
         found = self._dispatch.place(
-            self._request, {home.name, *excluded}, favour=home.availability_zone
+            self._request, {home.name, *excluded}, home.availability_zone, FULL_FOR_COPIES
         )
-        self._copy = self._occupy(found) if found is not None else None
+        return self._occupy(found, copy=True) if found is not None else None
 
-    def _occupy(self, replica: Replica) -> _Place:
-        return _Place(replica, self._dispatch.take_off(self._request, replica))
+    def _occupy(self, replica: Replica, reads: bool = False, copy: bool = False) -> _Place:
+        return _Place(replica, self._dispatch.take_off(self._request, replica, reads, copy))
 
     def _leave(self, place: _Place | None) -> None:
         if place is not None:
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -58,6 +58,22 @@
     handle: str
 
 
+@dataclass(slots=True, frozen=True)
+class MoveResult:
+    """What came of moving a generation's memory.
+
+    Attributes
+    ----------
+    memory : MovedMemory, optional
+        From where the generation can go on; None where it was not found.
+    arrived : bool
+        Whether the target has it; else only a source that stopped can go on.
+    """
+
+    memory: MovedMemory | None = None
+    arrived: bool = False
+
+
 @dataclass(slots=True, frozen=True)
 class Continuation:
     """Where a generation goes on: after which event, and from which memory."""
@@ -209,12 +225,21 @@
     @abstractmethod
     async def move(
         self, replica: Replica, request_id: str, target: Replica, last: bool
-    ) -> MovedMemory | None:
+    ) -> MoveResult:
         """Copy a running generation's memory to another replica.
 
-        With `last` the generation stops first. Returns None where there was
-        nothing to move or no room for it.
+        A repeated call copies only what is new. With `last` the generation
+        stops first, and its stream is closed without its end.
+
+        Raises
+        ------
+        UpstreamError
+            It is not known what came of it.
         """
 
+    @abstractmethod
+    async def release(self, memory: MovedMemory) -> None:
+        """Free memory that was moved and is not needed."""
+
 
 RELAY_ADAPTERS: Registry[Any] = Registry("relay adapter")
