--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import InstanceRecord
 from reachlink.messaging import Bus, decode, encode
 from reachlink.requests import LoadNote, ReplicaBook, SharedLoad
@@ -28,6 +29,8 @@
         This instance's requests.
     shared : SharedLoad
         What the others tell.
+    reports : ReportReader
+        What it reads at replicas.
     clock : callable
         Monotonic time in seconds.
     """
@@ -38,12 +41,14 @@
         bus: Bus,
         book: ReplicaBook,
         shared: SharedLoad,
+        reports: ReportReader,
         clock: Callable[[], float],
     ) -> None:
         self._name = name
         self._bus = bus
         self._book = book
         self._shared = shared
+        self._reports = reports
         self._clock = clock
         self._peers: list[InstanceRecord] = []
         bus.handle(CHANNEL_LOAD, self._on_note)
@@ -60,6 +65,7 @@
             if peer.address not in kept:
                 self._bus.forget(peer.address)
         self._peers = peers
+        self._reports.take_peers([peer.name for peer in peers])
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -71,9 +77,11 @@
             if changes == told and self._clock() - told_at < SLOWEST_S:
                 continue
             told, told_at = changes, self._clock()
-            note = encode(LoadNote(self._name, self._book.shares()))
+            note = encode(LoadNote(self._name, self._book.shares(), self._reports.news()))
             for peer in self._peers:
                 self._bus.send(peer.address, CHANNEL_LOAD, note)
 
     async def _on_note(self, sender: str, body: bytes) -> None:
-        self._shared.take(decode(body, LoadNote), self._clock())
+        note = decode(body, LoadNote)
+        self._shared.take(note, self._clock())
+        self._reports.take(note.news)
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -46,6 +46,7 @@
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._reader.run()),
             asyncio.create_task(node.teller.run()),
+            asyncio.create_task(node.reports.run()),
         ]
         await self._border.start(config.host, config.port)
         await self._serve(config.readiness_path, self._readiness, config.readiness_port)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -6,6 +6,7 @@
 from reachlink.control import ControlClient
 from reachlink.entry._load_teller import LoadTeller
 from reachlink.entry._relay_config import RelayConfig
+from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus
 from reachlink.requests import CallerRequest, ReplicaBook, RequestRunner, RunnerParts, SharedLoad
@@ -31,10 +32,16 @@
         self.bus = Bus(config.name, config.cluster_secret.encode())
         self.control = ControlClient(self.bus, list(config.seeds))
         self.directory = ReplicaDirectory(unconfirmed_mark_s=config.leaving_mark_s)
+        self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
         self.book = ReplicaBook()
         self.shared = SharedLoad()
-        self.teller = LoadTeller(config.name, self.bus, self.book, self.shared, time.monotonic)
-        self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
+        adapter = RELAY_ADAPTERS.get(config.upstream)(self.client)
+        self.reports = ReportReader(
+            config.name, adapter, self.directory, self.book, self._engines, time.monotonic
+        )
+        self.teller = LoadTeller(
+            config.name, self.bus, self.book, self.shared, self.reports, time.monotonic
+        )
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
         self.draining = False
@@ -45,7 +52,7 @@
         self._runner = RequestRunner(
             RunnerParts(
                 config.availability_zone,
-                RELAY_ADAPTERS.get(config.upstream)(self.client),
+                adapter,
                 self.directory,
                 self.book,
                 self.shared,
@@ -129,6 +136,11 @@
             return
         self.log.info("routing_table_in_force", number=published.number)
 
+    def _engines(self) -> list[str]:
+        if self._index is None:
+            return []
+        return [s.name for s in self._index.table.services if s.engine is not None]
+
     def _on_outcome(self, request: CallerRequest, code: str, duration_s: float) -> None:
         labels = {"route": request.route.name, "outcome": code}
         self.metrics.requests.add(1, labels)
--- /dev/null
+++ b/reachlink/entry/_report_reader.py
@@ -0,0 +1,131 @@
+"""Reads the reports of model engines, each by one entry instance for all.
+
+A report tells earlier than the platform's list that a replica is about to be
+taken away, and how much of its memory is in use.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import Callable, Iterable
+
+from reachlink.membership import LeavingSource, ReplicaDirectory
+from reachlink.requests import ReplicaBook, ReplicaNews
+from reachlink.telemetry import get_logger
+from reachlink.upstreams import RelayAdapter, Replica, UpstreamError
+
+# Time between two readings of one replica, in seconds.
+INTERVAL_S = 0.2
+# An instance with requests at a replica reads its report itself where it has
+# heard of no other reading for this long, in seconds.
+OTHERS_SILENT_S = 0.7
+# Readings younger than this are passed on, in seconds.
+TOLD_S = 0.4
+
+
+class ReportReader:
+    """Reads the reports that fall to this instance.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    adapter : RelayAdapter
+        Speaks with replicas.
+    directory : ReplicaDirectory
+        The replicas.
+    book : ReplicaBook
+        Where readings are kept.
+    engines : callable
+        Returns the names of the services that are model engines.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        adapter: RelayAdapter,
+        directory: ReplicaDirectory,
+        book: ReplicaBook,
+        engines: Callable[[], list[str]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._adapter = adapter
+        self._directory = directory
+        self._book = book
+        self._engines = engines
+        self._clock = clock
+        self._instances = [name]
+        self._own: dict[str, tuple[float, ReplicaNews]] = {}
+        self._reading: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._log = get_logger()
+
+    def take_peers(self, names: Iterable[str]) -> None:
+        """Take the instances that share the reading."""
+        self._instances = sorted({self._name, *names})
+
+    def news(self) -> list[ReplicaNews]:
+        """Return what was read here lately."""
+        now = self._clock()
+        self._own = {n: item for n, item in self._own.items() if now - item[0] < TOLD_S}
+        return [
+            ReplicaNews(n.replica, n.leaving, n.kv_used_tokens, n.running, round(now - at, 3))
+            for at, n in self._own.values()
+        ]
+
+    def take(self, news: Iterable[ReplicaNews]) -> None:
+        """Take what another instance has read."""
+        for item in news:
+            self._note(item, self._clock() - item.age_s)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            for replica in self._due():
+                self._reading.add(replica.name)
+                task = asyncio.create_task(self._read(replica))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def _due(self) -> list[Replica]:
+        replicas = [r for service in self._engines() for r in self._directory.live(service)]
+        carrying = set(self._book.carrying())
+        return [
+            r for r in replicas if r.name not in self._reading and self._falls_here(r, carrying)
+        ]
+
+    def _falls_here(self, replica: Replica, carrying: set[str]) -> bool:
+        if self._reader_of(replica.name) == self._name:
+            return True
+        silent = self._clock() - self._book.state(replica.name).reported_at
+        return replica.name in carrying and silent > OTHERS_SILENT_S
+
+    def _reader_of(self, replica: str) -> str:
+        """Return the instance that reads a replica: the highest hash of both names."""
+        return max(
+            self._instances,
+            key=lambda name: hashlib.blake2b(f"{name} {replica}".encode(), digest_size=8).digest(),
+        )
+
+    async def _read(self, replica: Replica) -> None:
+        try:
+            report = await self._adapter.report(replica)
+        except UpstreamError:
+            # Nothing is learned; streams notice a dead replica by themselves.
+            return
+        finally:
+            self._reading.discard(replica.name)
+        now = self._clock()
+        news = ReplicaNews(replica.name, report.leaving, report.kv_used_tokens, report.running, 0.0)
+        self._own[replica.name] = (now, news)
+        self._note(news, now)
+
+    def _note(self, news: ReplicaNews, read_at: float) -> None:
+        if not self._book.state(news.replica).take_report(news, read_at) or not news.leaving:
+            return
+        if self._directory.mark_leaving(news.replica, LeavingSource.REPORT, self._clock()):
+            self._log.info("upstream_leaving", replica=news.replica, source="report")
+            self._book.touch()
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -6,11 +6,12 @@
 from reachlink.requests._dispatch import Directory, RunnerParts
 from reachlink.requests._model import AnswerSink, CallerRequest
 from reachlink.requests._runner import RequestRunner
-from reachlink.requests._shared_load import LoadNote, ReplicaShare, SharedLoad
+from reachlink.requests._shared_load import LoadNote, ReplicaNews, ReplicaShare, SharedLoad
 from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
 
 __all__ = [
     "LoadNote",
+    "ReplicaNews",
     "ReplicaShare",
     "SharedLoad",
     "AnswerSink",
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from reachlink.placement import Health
-from reachlink.requests._shared_load import ReplicaShare
+from reachlink.requests._shared_load import ReplicaNews, ReplicaShare
 from reachlink.upstreams import LoadSample
 
 # A load sample says little after this many seconds.
@@ -42,6 +42,8 @@
         This instance's own requests there.
     health : Health
         Trust in it.
+    report : ReplicaNews, optional
+        What its report said last, read at monotonic time `reported_at` here or elsewhere.
     sample : LoadSample, optional
         Load that it told last, at monotonic time `sampled_at`.
     own_at_sample : int
@@ -50,6 +52,8 @@
 
     flights: set[Flight] = field(default_factory=set)
     health: Health = field(default_factory=Health)
+    report: ReplicaNews | None = None
+    reported_at: float = float("-inf")
     sample: LoadSample | None = None
     sampled_at: float = float("-inf")
     own_at_sample: int = 0
@@ -86,6 +90,13 @@
         others = self.sample.running + self.sample.waiting - self.own_at_sample
         return max(told, own + others)
 
+    def take_report(self, news: ReplicaNews, read_at: float) -> bool:
+        """Note what a report said; return whether it is newer than what is known."""
+        if read_at <= self.reported_at:
+            return False
+        self.report, self.reported_at = news, read_at
+        return True
+
     def take_sample(self, sample: LoadSample, now: float) -> None:
         """Note the load that the replica told."""
         self.sample, self.sampled_at = sample, now
@@ -127,6 +138,14 @@
             flight.unread_tokens = 0
             self._changes += 1
 
+    def touch(self) -> None:
+        """There is something that the others should know soon."""
+        self._changes += 1
+
+    def carrying(self) -> list[str]:
+        """Return the replicas that have requests of this instance with memory."""
+        return [name for name, state in self._states.items() if state.own_tokens]
+
     def shares(self) -> list[ReplicaShare]:
         """Return this instance's own requests at model engines."""
         return [
--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -6,15 +6,35 @@
 
 # A replica of another zone is taken where it has this many requests less.
 FAR_HANDICAP = 0.5
-# The same for model engines, as a share of memory: distance counts little
-# against a prompt of seconds.
-FAR_SHARE = 0.02
 # A prompt of this many tokens that is still to be read counts as much as half
 # of the memory: it holds up everything that comes after it.
 UNREAD_TOKENS = 6000.0
-# Share of the memory that may be promised to requests, and to copies.
-FULL = 0.97
-FULL_FOR_COPIES = 0.85
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """On what terms an engine's memory is given.
+
+    Attributes
+    ----------
+    full : float
+        Share of the memory that may be promised. Requests need less than they
+        are promised until they end, so that it may be more than the whole.
+    far : float
+        How much more of its memory a replica of another zone may have free and
+        yet not be preferred, as a share.
+    """
+
+    full: float
+    far: float
+
+
+# Distance counts little against a prompt of seconds.
+REQUEST = Terms(full=1.05, far=0.02)
+# A copy to another zone takes twice as long.
+COPY = Terms(full=0.6, far=0.15)
+# Nothing is worse than to lose a generation: any room will do.
+RESCUE = Terms(full=1.25, far=0.15)
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,7 +72,7 @@
 
 
 def choose(
-    options: Iterable[Option], need_tokens: int, random: Random, full: float = FULL
+    options: Iterable[Option], need_tokens: int, random: Random, terms: Terms = REQUEST
 ) -> str | None:
     """Return the replica that a request should go to, or None where none is fit for it.
 
@@ -64,14 +84,14 @@
         Memory that it will need, in tokens.
     random : random.Random
         Source of tie-breaks.
-    full : float
-        Share of an engine's memory that may be promised.
+    terms : Terms
+        On what terms an engine's memory is given.
     """
-    fit = [o for o in options if o.trust > 0.0 and _has_room(o, need_tokens, full)]
+    fit = [o for o in options if o.trust > 0.0 and _has_room(o, need_tokens, terms.full)]
     usable = [o for o in fit if random.random() < o.trust]
     if not usable:
         return None
-    return min(usable, key=lambda o: (_cost(o, need_tokens), random.random())).name
+    return min(usable, key=lambda o: (_cost(o, need_tokens, terms.far), random.random())).name
 
 
 def _has_room(option: Option, need_tokens: int, full: float) -> bool:
@@ -80,12 +100,12 @@
     return option.tokens + need_tokens <= full * option.capacity_tokens
 
 
-def _cost(option: Option, need_tokens: int) -> float:
+def _cost(option: Option, need_tokens: int, far_share: float) -> float:
     """Return how much a request would be held up, and hold up others; least is best."""
     slots = max(1, option.slots)
     if not option.capacity_tokens:
         far = 0.0 if option.near else FAR_HANDICAP
         return (option.running + far) / slots
     memory = (option.tokens + need_tokens) / option.capacity_tokens
-    far = 0.0 if option.near else FAR_SHARE
+    far = 0.0 if option.near else far_share
     return max(memory, option.running / slots) + option.unread_tokens / UNREAD_TOKENS + far
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -11,7 +11,7 @@
 from reachlink.placement import allowances
 from reachlink.requests._attempts import AttemptLog, Setback
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
-from reachlink.requests._choice import FULL, Option, choose
+from reachlink.requests._choice import REQUEST, Option, Terms, choose
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._shared_load import SharedLoad
 from reachlink.requests.exceptions import RequestFailedError
@@ -136,7 +136,7 @@
         request: CallerRequest,
         tried: set[str],
         favour: str = "",
-        full: float = FULL,
+        terms: Terms = REQUEST,
     ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
 
@@ -148,8 +148,8 @@
             Replicas that it must not go to.
         favour : str
             Zone whose replicas are preferred; this instance's where empty.
-        full : float
-            Share of an engine's memory that may be promised.
+        terms : Terms
+            On what terms an engine's memory is given.
         """
         parts = self._parts
         now = parts.clock()
@@ -161,7 +161,7 @@
             self._option(request.service, live[name], state, trust[name], near, now)
             for name, state in states.items()
         ]
-        chosen = choose(options, need_tokens(request), parts.random, full)
+        chosen = choose(options, need_tokens(request), parts.random, terms)
         return live[chosen] if chosen is not None else None
 
     def _option(
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -37,6 +37,16 @@
         self._memory: MovedMemory | None = None
         self._task = asyncio.create_task(self._run())
 
+    @property
+    def failed(self) -> bool:
+        """Whether there is no copy and none will come."""
+        return self._task.done() and self._memory is None
+
+    @property
+    def target(self) -> Replica:
+        """Where the copy is."""
+        return self._target
+
     async def take(self) -> MovedMemory | None:
         """Stop copying and return the copy, if there is one."""
         self._task.cancel()
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -18,11 +18,25 @@
     unread_tokens: int = 0
 
 
+class ReplicaNews(msgspec.Struct, array_like=True, frozen=True):
+    """What one instance read in a replica's report, `age_s` seconds before it tells."""
+
+    replica: str
+    leaving: bool
+    kv_used_tokens: int
+    running: int
+    age_s: float
+
+
 class LoadNote(msgspec.Struct, array_like=True, frozen=True):
-    """All of an instance's own requests; replicas that are missing have none."""
+    """All of an instance's own requests, and what it read in reports lately.
+
+    Replicas that are missing in `shares` have none of its requests.
+    """
 
     instance: str
     shares: list[ReplicaShare]
+    news: list[ReplicaNews] = []
 
 
 @dataclass(slots=True)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -10,7 +10,7 @@
 
 from reachlink.requests._attempts import Setback
 from reachlink.requests._book import Flight
-from reachlink.requests._choice import FULL_FOR_COPIES
+from reachlink.requests._choice import COPY, RESCUE
 from reachlink.requests._dispatch import Dispatch, read_whole
 from reachlink.requests._joint import Joint
 from reachlink.requests._model import AnswerSink, CallerRequest
@@ -91,6 +91,7 @@
         self._copy: _Place | None = None
         self._shadow: Shadow | None = None
         self._shadow_place: _Place | None = None
+        self._no_room: set[str] = set()
 
     async def start(self, replica: Replica) -> Setback | None:
         """Begin at a replica and follow to the end; return why it did not begin, if so."""
@@ -134,12 +135,18 @@
         """Copy the generation elsewhere where its copy is about to be lost."""
         while True:
             await asyncio.sleep(WATCH_S)
-            shadowed = self._shadow_place is not None and self._dispatch.stays(
-                self._shadow_place.replica
-            )
-            if not shadowed and self._needs_shadow():
-                self._drop_shadow()
-                self._begin_shadow()
+            if self._is_shadowed() or not self._needs_shadow():
+                continue
+            self._drop_shadow()
+            self._begin_shadow()
+
+    def _is_shadowed(self) -> bool:
+        if self._shadow is None:
+            return False
+        if self._shadow.failed:
+            self._no_room.add(self._shadow.target.name)
+            return False
+        return self._dispatch.stays(self._shadow.target)
 
     def _needs_shadow(self) -> bool:
         """Return whether no replica that stays has a copy of the generation."""
@@ -153,13 +160,14 @@
     def _begin_shadow(self) -> None:
         assert self._home is not None
         home = self._home.replica
-        excluded = {home.name}
+        excluded = {home.name, *self._no_room}
         if self._copy is not None:
             excluded.add(self._copy.replica.name)
-        target = self._dispatch.place(
-            self._request, excluded, home.availability_zone, FULL_FOR_COPIES
-        )
+        # Nothing is worse than to lose it: where this replica leaves, any room will do.
+        terms = COPY if self._dispatch.stays(home) else RESCUE
+        target = self._dispatch.place(self._request, excluded, home.availability_zone, terms)
         if target is None:
+            self._no_room.clear()
             return
         self._dispatch.log.info(
             "generation_shadowed",
@@ -308,7 +316,7 @@
         if before is not None and before.name != home.name and self._dispatch.stays(before):
             return self._occupy(before, copy=True)
         found = self._dispatch.place(
-            self._request, {home.name, *excluded}, home.availability_zone, FULL_FOR_COPIES
+            self._request, {home.name, *excluded}, home.availability_zone, COPY
         )
         return self._occupy(found, copy=True) if found is not None else None
 
