--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -58,6 +58,7 @@
                 self.shared,
                 Random(),
                 self._on_outcome,
+                self.reports.tell_leaving,
             )
         )
 
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -75,6 +75,11 @@
             for at, n in self._own.values()
         ]
 
+    def tell_leaving(self, replica: str) -> None:
+        """Tell the others of a replica that seems to leave."""
+        self._own[replica] = (self._clock(), ReplicaNews(replica, True, 0, 0, 0.0))
+        self._book.touch()
+
     def take(self, news: Iterable[ReplicaNews]) -> None:
         """Take what another instance has read."""
         for item in news:
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -8,6 +8,8 @@
 
 # A load sample says little after this many seconds.
 SAMPLE_KEPT_S = 1.0
+# Memory in use, as a report tells it, says little after this many seconds.
+REPORT_KEPT_S = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -90,6 +92,12 @@
         others = self.sample.running + self.sample.waiting - self.own_at_sample
         return max(told, own + others)
 
+    def reported_tokens(self, now: float) -> int:
+        """Return the memory that was in use by a report that is not too old, in tokens."""
+        if self.report is None or now - self.reported_at > REPORT_KEPT_S:
+            return 0
+        return self.report.kv_used_tokens
+
     def take_report(self, news: ReplicaNews, read_at: float) -> bool:
         """Note what a report said; return whether it is newer than what is known."""
         if read_at <= self.reported_at:
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -1,5 +1,6 @@
 """Placing a request, sending it to a replica, and what is learned from that."""
 
+import asyncio
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +30,10 @@
 RETRY_SHARE = 0.1
 # A whole answer larger than this, in bytes, is not held to be checked.
 MAX_WHOLE_BYTES = 8 << 20
+# How long a request waits for room, as a share of its objective: a refusal
+# after that would come too late for another attempt in time.
+WAIT_SHARE = 0.22
+WAIT_STEP_S = 0.02
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
@@ -72,6 +77,8 @@
         Monotonic time in seconds.
     on_outcome : callable
         Called with the request, outcome code and duration in seconds.
+    on_leaving : callable
+        Called with the name of a replica that seems to leave.
     """
 
     zone: str
@@ -81,6 +88,7 @@
     shared: SharedLoad
     random: Random
     on_outcome: Callable[[CallerRequest, str, float], None]
+    on_leaving: Callable[[str], None] = lambda name: None
     clock: Callable[[], float] = time.monotonic
 
 
@@ -103,6 +111,10 @@
         """Speaks with replicas."""
         return self._parts.adapter
 
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self._parts.clock()
+
     def stays(self, replica: Replica) -> bool:
         """Return whether a replica is there and not known to leave."""
         return self._parts.directory.may_get_work(replica.name)
@@ -129,6 +141,7 @@
             parts.book.state(replica.name).take_sample(answer.head.load, now)
         if answer.head.leaving and parts.directory.suspect_leaving(replica.name, now):
             self._log.info("upstream_leaving", replica=replica.name, source="answer")
+            parts.on_leaving(replica.name)
         return answer
 
     def place(
@@ -164,6 +177,16 @@
         chosen = choose(options, need_tokens(request), parts.random, terms)
         return live[chosen] if chosen is not None else None
 
+    async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
+        """Return the replica that a request should go to, after a short wait for room."""
+        parts = self._parts
+        until = request.arrived_at + request.route.objective_s * WAIT_SHARE
+        while True:
+            replica = self.place(request, tried)
+            if replica is not None or parts.clock() >= until:
+                return replica
+            await asyncio.sleep(WAIT_STEP_S)
+
     def _option(
         self,
         service: Service,
@@ -181,7 +204,7 @@
             near=replica.availability_zone == near,
             running=state.running(now, others.running),
             slots=engine.slots if engine else sampled,
-            tokens=state.own_tokens + others.tokens,
+            tokens=max(state.own_tokens + others.tokens, state.reported_tokens(now)),
             unread_tokens=state.own_unread_tokens + others.unread_tokens,
             capacity_tokens=engine.kv_capacity_tokens if engine else 0,
             trust=trust,
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -61,7 +61,7 @@
         tried: set[str] = set()
         reason = "no_replica"
         while True:
-            replica = dispatch.place(request, tried)
+            replica = await dispatch.place_or_wait(request, tried)
             if replica is None:
                 break
             tried.add(replica.name)
@@ -92,6 +92,7 @@
         self._shadow: Shadow | None = None
         self._shadow_place: _Place | None = None
         self._no_room: set[str] = set()
+        self._given_at = 0.0
 
     async def start(self, replica: Replica) -> Setback | None:
         """Begin at a replica and follow to the end; return why it did not begin, if so."""
@@ -262,6 +263,7 @@
                 ready = self._joint.take(splitter.feed(data))
                 if ready:
                     self._dispatch.has_read(self._home.flight)
+                    self._note_pause()
                     await self._sink.write(ready)
         except (UpstreamBrokenError, ValueError) as error:
             self._on_broken(str(error))
@@ -282,6 +284,21 @@
             self._dispatch.distrust(replica)
             raise
 
+    def _note_pause(self) -> None:
+        """Log a pause between events that is longer than the route promises."""
+        now = self._dispatch.now()
+        pause, self._given_at = now - self._given_at, now
+        longest = self._request.route.event_gap_s
+        if self._home is None or not longest or pause <= longest or pause == now:
+            return
+        self._dispatch.log.info(
+            "stream_paused",
+            request_id=self._request.request_id,
+            replica=self._home.replica.name,
+            event_number=self._joint.last,
+            pause_ms=round(pause * 1000.0),
+        )
+
     def _on_broken(self, reason: str) -> None:
         assert self._home is not None
         replica = self._home.replica
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -36,7 +36,7 @@
         held: tuple[AnswerHead, bytes] | None = None
         reason = "no_replica"
         while True:
-            replica = self._dispatch.place(request, tried)
+            replica = await self._dispatch.place_or_wait(request, tried)
             if replica is None:
                 break
             tried.add(replica.name)
