--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -32,7 +32,7 @@
 # Distance counts little against a prompt of seconds.
 REQUEST = Terms(full=1.05, far=0.02)
 # A copy to another zone takes twice as long.
-COPY = Terms(full=0.6, far=0.15)
+COPY = Terms(full=0.52, far=0.15)
 # Nothing is worse than to lose a generation: any room will do.
 RESCUE = Terms(full=1.25, far=0.15)
 
