Homes and copies by zone, silence ends a stream's replica, cut-off zones are left alone

Change: requests prefer this zone's replicas, a copy stands in this zone where the generation does not; standing copies for long generations only; a zone is left alone for 1 s after a replica of it could not be reached.

--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -58,4 +58,4 @@
     leaving_mark_s: float = 2.0
     watch_wait_s: float = 0.7
     balancer_delay_s: float = 3.2
-    connect_timeout_s: float = 0.3
+    connect_timeout_s: float = 0.25
--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -29,10 +29,13 @@
     far: float
 
 
-# Distance counts little against a prompt of seconds.
-REQUEST = Terms(full=1.05, far=0.02)
+# Another zone may be cut off at any moment.
+REQUEST = Terms(full=1.05, far=0.2)
 # A copy to another zone takes twice as long.
-COPY = Terms(full=0.52, far=0.15)
+COPY = Terms(full=0.48, far=0.15)
+# Where a generation runs in another zone, its copy should be in this one: it
+# is what goes on when the zones are cut off from each other.
+COPY_HOME = Terms(full=0.55, far=0.6)
 # Nothing is worse than to lose a generation: any room will do.
 RESCUE = Terms(full=1.25, far=0.15)
 
@@ -88,9 +91,10 @@
         On what terms an engine's memory is given.
     """
     fit = [o for o in options if o.trust > 0.0 and _has_room(o, need_tokens, terms.full)]
-    usable = [o for o in fit if random.random() < o.trust]
-    if not usable:
+    if not fit:
         return None
+    # A replica that recovers gets its share; where there is no other, all of it.
+    usable = [o for o in fit if random.random() < o.trust] or fit
     return min(usable, key=lambda o: (_cost(o, need_tokens, terms.far), random.random())).name
 
 
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -30,6 +30,9 @@
 RETRY_SHARE = 0.1
 # A whole answer larger than this, in bytes, is not held to be checked.
 MAX_WHOLE_BYTES = 8 << 20
+# How long a zone is left alone after one of its replicas could not be reached,
+# in seconds: a cut costs each request at most one vain attempt.
+CUT_OFF_S = 1.0
 # How long a request waits for room, as a share of its objective: a refusal
 # after that would come too late for another attempt in time.
 WAIT_SHARE = 0.22
@@ -104,6 +107,7 @@
     def __init__(self, parts: RunnerParts) -> None:
         self._parts = parts
         self._budgets: dict[str, RetryBudget] = {}
+        self._cut_off: dict[str, float] = {}
         self._log: Any = get_logger()
 
     @property
@@ -115,6 +119,10 @@
         """Return the monotonic time in seconds."""
         return self._parts.clock()
 
+    def is_near(self, replica: Replica) -> bool:
+        """Return whether a replica is in this instance's zone."""
+        return replica.availability_zone == self._parts.zone
+
     def stays(self, replica: Replica) -> bool:
         """Return whether a replica is there and not known to leave."""
         return self._parts.directory.may_get_work(replica.name)
@@ -148,7 +156,6 @@
         self,
         request: CallerRequest,
         tried: set[str],
-        favour: str = "",
         terms: Terms = REQUEST,
     ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
@@ -159,23 +166,32 @@
             The request.
         tried : set of str
             Replicas that it must not go to.
-        favour : str
-            Zone whose replicas are preferred; this instance's where empty.
         terms : Terms
             On what terms an engine's memory is given.
         """
+        options = self._options(request.service, tried)
+        chosen = choose(options, need_tokens(request), self._parts.random, terms)
+        return self._parts.directory.find(chosen) if chosen is not None else None
+
+    def _options(self, service: Service, tried: set[str]) -> list[Option]:
         parts = self._parts
         now = parts.clock()
-        live = {r.name: r for r in parts.directory.live(request.service.name)}
-        states = {name: parts.book.state(name) for name in live if name not in tried}
+        live = [r for r in self._reachable(service.name, now) if r.name not in tried]
+        states = {r.name: parts.book.state(r.name) for r in live}
         trust = allowances({name: s.health for name, s in states.items()}, now)
-        near = favour or parts.zone
-        options = [
-            self._option(request.service, live[name], state, trust[name], near, now)
-            for name, state in states.items()
-        ]
-        chosen = choose(options, need_tokens(request), parts.random, terms)
-        return live[chosen] if chosen is not None else None
+        return [self._option(service, r, states[r.name], trust[r.name], now) for r in live]
+
+    def _reachable(self, service: str, now: float) -> list[Replica]:
+        """Return the live replicas of a service, without those of zones that seem cut off."""
+        live = self._parts.directory.live(service)
+        self._cut_off = {zone: until for zone, until in self._cut_off.items() if until > now}
+        return [r for r in live if r.availability_zone not in self._cut_off]
+
+    def unreachable(self, replica: Replica) -> None:
+        """Note that no connection to a replica could be made."""
+        self.distrust(replica)
+        if not self.is_near(replica):
+            self._cut_off[replica.availability_zone] = self._parts.clock() + CUT_OFF_S
 
     async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
         """Return the replica that a request should go to, after a short wait for room."""
@@ -183,17 +199,32 @@
         until = request.arrived_at + request.route.objective_s * WAIT_SHARE
         while True:
             replica = self.place(request, tried)
-            if replica is not None or parts.clock() >= until:
+            if replica is not None:
                 return replica
+            if parts.clock() >= until:
+                self._log_no_room(request, tried)
+                return None
             await asyncio.sleep(WAIT_STEP_S)
 
+    def _log_no_room(self, request: CallerRequest, tried: set[str]) -> None:
+        options = self._options(request.service, tried)
+        shown = " ".join(
+            f"{o.name}:{o.tokens}/{o.capacity_tokens}:{o.running}:{o.trust:.1f}" for o in options
+        )
+        self._log.info(
+            "no_room",
+            request_id=request.request_id,
+            need_tokens=need_tokens(request),
+            tried=len(tried),
+            replicas=shown,
+        )
+
     def _option(
         self,
         service: Service,
         replica: Replica,
         state: ReplicaState,
         trust: float,
-        near: str,
         now: float,
     ) -> Option:
         engine = service.engine
@@ -201,7 +232,7 @@
         sampled = state.sample.slots if state.sample else 0
         return Option(
             name=replica.name,
-            near=replica.availability_zone == near,
+            near=self.is_near(replica),
             running=state.running(now, others.running),
             slots=engine.slots if engine else sampled,
             tokens=max(state.own_tokens + others.tokens, state.reported_tokens(now)),
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -10,7 +10,7 @@
 
 from reachlink.requests._attempts import Setback
 from reachlink.requests._book import Flight
-from reachlink.requests._choice import COPY, RESCUE
+from reachlink.requests._choice import COPY, COPY_HOME, RESCUE, Terms
 from reachlink.requests._dispatch import Dispatch, read_whole
 from reachlink.requests._joint import Joint
 from reachlink.requests._model import AnswerSink, CallerRequest
@@ -29,9 +29,14 @@
 
 # How often a stream looks whether its replicas stay, in seconds.
 WATCH_S = 0.1
-# Shortest expected output, in tokens, whose memory is copied: a shorter one
-# ends before its replica is likely to be lost.
-COPY_FROM_TOKENS = 100
+# A replica that gives no event for this long, in seconds, is taken for lost:
+# well above what reading other prompts takes, below what callers bear.
+SILENCE_S = 0.8
+# Shortest expected output, in tokens, that is copied from the start: the long
+# ones are worth most and are at risk longest, and memory is short.
+COPY_FROM_TOKENS = 800
+# Shortest one that is copied when its replica leaves: a shorter one ends first.
+RESCUE_FROM_TOKENS = 100
 
 
 @dataclass(slots=True)
@@ -151,12 +156,13 @@
 
     def _needs_shadow(self) -> bool:
         """Return whether no replica that stays has a copy of the generation."""
-        if self._home is None or self._joint.last < 0 or not self._worth_a_copy():
-            return False
         engine = self._request.service.engine
-        if engine is None or not engine.moves:
+        if self._home is None or self._joint.last < 0 or engine is None or not engine.moves:
+            return False
+        if self._copy is not None and self._dispatch.stays(self._copy.replica):
             return False
-        return self._copy is None or not self._dispatch.stays(self._copy.replica)
+        stays = self._dispatch.stays(self._home.replica)
+        return self._is_longer_than(COPY_FROM_TOKENS if stays else RESCUE_FROM_TOKENS)
 
     def _begin_shadow(self) -> None:
         assert self._home is not None
@@ -165,8 +171,8 @@
         if self._copy is not None:
             excluded.add(self._copy.replica.name)
         # Nothing is worse than to lose it: where this replica leaves, any room will do.
-        terms = COPY if self._dispatch.stays(home) else RESCUE
-        target = self._dispatch.place(self._request, excluded, home.availability_zone, terms)
+        terms = self._copy_terms(home) if self._dispatch.stays(home) else RESCUE
+        target = self._dispatch.place(self._request, excluded, terms=terms)
         if target is None:
             self._no_room.clear()
             return
@@ -259,7 +265,7 @@
         assert self._home is not None
         splitter = EventSplitter()
         try:
-            while data := await answer.read():
+            while data := await self._read(answer):
                 ready = self._joint.take(splitter.feed(data))
                 if ready:
                     self._dispatch.has_read(self._home.flight)
@@ -276,10 +282,23 @@
         self._dispatch.succeeded(self._home.replica)
         return True
 
+    async def _read(self, answer: RelayAnswer) -> bytes:
+        """Return the next bytes; a silence that a copy can end is a break."""
+        if self._joint.last < 0 or (self._copy is None and self._shadow is None):
+            return await answer.read()
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                return await answer.read()
+        except TimeoutError as error:
+            raise UpstreamBrokenError(f"silent for {SILENCE_S} s") from error
+
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
         backup = self._copy.replica if self._copy is not None else None
         try:
             return await self._dispatch.open(self._request, replica, continuation, backup)
+        except UpstreamUnreachableError:
+            self._dispatch.unreachable(replica)
+            raise
         except UpstreamError:
             self._dispatch.distrust(replica)
             raise
@@ -313,30 +332,43 @@
             reason=reason,
         )
 
-    def _worth_a_copy(self) -> bool:
-        """Return whether the generation is long enough to be lost with its replica."""
+    def _is_longer_than(self, tokens: int) -> bool:
+        """Return whether more output than that is expected, or has come already."""
         facts = self._request.relay.generation
         engine = self._request.service.engine
-        if facts is None or engine is None or not engine.backups:
+        if facts is None or engine is None:
             return False
         expected = facts.expected_output_tokens or facts.max_output_tokens
-        return min(expected, facts.max_output_tokens) >= COPY_FROM_TOKENS
+        made = self._joint.last * engine.tokens_per_event
+        return max(made, min(expected, facts.max_output_tokens)) >= tokens
 
     def _choose_copy(self, excluded: set[str], before: Replica | None = None) -> _Place | None:
         """Choose where the generation's memory is copied as it grows, if anywhere.
 
         The replica that it comes from is as good as any while it stays.
         """
-        if not self._worth_a_copy() or self._home is None:
+        engine = self._request.service.engine
+        if self._home is None or engine is None or not engine.backups:
+            return None
+        if not self._is_longer_than(COPY_FROM_TOKENS):
             return None
         home = self._home.replica
-        if before is not None and before.name != home.name and self._dispatch.stays(before):
+        if before is not None and self._may_keep_copy(before, home):
             return self._occupy(before, copy=True)
         found = self._dispatch.place(
-            self._request, {home.name, *excluded}, home.availability_zone, COPY
+            self._request, {home.name, *excluded}, terms=self._copy_terms(home)
         )
         return self._occupy(found, copy=True) if found is not None else None
 
+    def _may_keep_copy(self, before: Replica, home: Replica) -> bool:
+        """Return whether the replica that a generation comes from may have its copy."""
+        if before.name == home.name or not self._dispatch.stays(before):
+            return False
+        return self._dispatch.is_near(before) or self._dispatch.is_near(home)
+
+    def _copy_terms(self, home: Replica) -> Terms:
+        return COPY if self._dispatch.is_near(home) else COPY_HOME
+
     def _occupy(self, replica: Replica, reads: bool = False, copy: bool = False) -> _Place:
         return _Place(replica, self._dispatch.take_off(self._request, replica, reads, copy))
 
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -78,7 +78,7 @@
                     return Setback.NOT_RUN
                 body = await read_whole(answer)
         except UpstreamUnreachableError:
-            self._dispatch.distrust(replica)
+            self._dispatch.unreachable(replica)
             return Setback.UNREACHABLE
         except UpstreamBrokenError:
             self._dispatch.distrust(replica)
