--- a/reachlink/routing/tests/test_routing.py
+++ b/reachlink/routing/tests/test_routing.py
@@ -61,7 +61,7 @@
 def test_workspaces_hold_keys():
     index = RoutingIndex(replace(TABLE, workspaces=(Workspace("w", ("k1", "k2")),)))
     assert index.needs_keys
-    assert index.workspace("k2").name == "w"  # type: ignore[union-attr]
+    assert index.workspace("k2").name == "w"
     assert index.workspace("k3") is None
 
 
