--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -30,7 +30,7 @@
 
 
 # Another zone may be cut off at any moment.
-REQUEST = Terms(full=1.05, far=0.2)
+REQUEST = Terms(full=1.05, far=0.08)
 # A copy to another zone takes twice as long.
 COPY = Terms(full=0.48, far=0.15)
 # Where a generation runs in another zone, its copy should be in this one: it
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -157,6 +157,7 @@
         request: CallerRequest,
         tried: set[str],
         terms: Terms = REQUEST,
+        zone: str = "",
     ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
 
@@ -168,18 +169,21 @@
             Replicas that it must not go to.
         terms : Terms
             On what terms an engine's memory is given.
+        zone : str
+            Zone whose replicas are preferred; this instance's where empty.
         """
-        options = self._options(request.service, tried)
+        options = self._options(request.service, tried, zone)
         chosen = choose(options, need_tokens(request), self._parts.random, terms)
         return self._parts.directory.find(chosen) if chosen is not None else None
 
-    def _options(self, service: Service, tried: set[str]) -> list[Option]:
+    def _options(self, service: Service, tried: set[str], zone: str = "") -> list[Option]:
         parts = self._parts
         now = parts.clock()
         live = [r for r in self._reachable(service.name, now) if r.name not in tried]
         states = {r.name: parts.book.state(r.name) for r in live}
         trust = allowances({name: s.health for name, s in states.items()}, now)
-        return [self._option(service, r, states[r.name], trust[r.name], now) for r in live]
+        near = zone or parts.zone
+        return [self._option(service, r, states[r.name], trust[r.name], near, now) for r in live]
 
     def _reachable(self, service: str, now: float) -> list[Replica]:
         """Return the live replicas of a service, without those of zones that seem cut off."""
@@ -225,6 +229,7 @@
         replica: Replica,
         state: ReplicaState,
         trust: float,
+        near: str,
         now: float,
     ) -> Option:
         engine = service.engine
@@ -232,7 +237,7 @@
         sampled = state.sample.slots if state.sample else 0
         return Option(
             name=replica.name,
-            near=self.is_near(replica),
+            near=replica.availability_zone == near,
             running=state.running(now, others.running),
             slots=engine.slots if engine else sampled,
             tokens=max(state.own_tokens + others.tokens, state.reported_tokens(now)),
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -171,8 +171,12 @@
         if self._copy is not None:
             excluded.add(self._copy.replica.name)
         # Nothing is worse than to lose it: where this replica leaves, any room will do.
-        terms = self._copy_terms(home) if self._dispatch.stays(home) else RESCUE
-        target = self._dispatch.place(self._request, excluded, terms=terms)
+        if self._dispatch.stays(home):
+            target = self._dispatch.place(self._request, excluded, self._copy_terms(home))
+        else:
+            # Time is short, and within the replica's zone a copy takes half of it.
+            zone = home.availability_zone
+            target = self._dispatch.place(self._request, excluded, RESCUE, zone)
         if target is None:
             self._no_room.clear()
             return
