Control server: watchers, announcements and membership changes in modules of their own

These stand now in `_watchers.py` and `_members.py`, which are pure and checked for it; the server keeps the clock and the bus. Timeouts tell what they bound and in which unit, the copy of a request field by field is a `structs.replace`, and the failure to announce to one address says why it is passed over.

Behaviour is the same.

--- a/reachlink/control/_publishing.py
+++ b/reachlink/control/_publishing.py
@@ -18,6 +18,7 @@
 # instance after one second without an answer.
 PUBLISH_TIMEOUT_S = 0.85
 READ_TIMEOUT_S = 0.85
+# Pause before an attempt that was refused is repeated, in seconds.
 PAUSE_S = 0.08
 
 
@@ -88,3 +89,4 @@
 """Makes the HTTP routes of one operators' interface."""
 
 OPERATOR_BORDERS: Registry[Any] = Registry("operators' border")
+"""Functions of the type `OperatorBorder`."""
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -1,7 +1,6 @@
 """Answers the requests of `_protocol` from one replica of the log."""
 
 import asyncio
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 import msgspec
@@ -9,8 +8,6 @@
 from reachlink.agreement import (
     AgreementError,
     Candidate,
-    Member,
-    MembershipChangeError,
     NotLeaderError,
     ProposalLostError,
     ReplicaService,
@@ -18,6 +15,7 @@
 )
 from reachlink.control._commands import NoteCommand
 from reachlink.control._machine import ControlMachine
+from reachlink.control._members import Announcements, changed_members
 from reachlink.control._protocol import (
     CHANNEL_CONTROL,
     CHANNEL_ROSTER,
@@ -39,33 +37,24 @@
     RosterNote,
     StatusAnswer,
     StatusRequest,
-    WatcherStatus,
     WatchRequest,
 )
+from reachlink.control._watchers import Watchers
 from reachlink.kernel import Clock
-from reachlink.membership import InstanceRecord, Roster, SettingsAnswer
+from reachlink.membership import InstanceRecord, SettingsAnswer
 from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
 from reachlink.settings import SettingsTree
 
+# How long the leader may take for a forwarded request, in seconds.
 FORWARD_TIMEOUT_S = 0.4
+# How long a confirmation that nothing newer is committed may take, in seconds.
 BARRIER_TIMEOUT_S = 1.5
+# How long an operator's change of the membership may take, in seconds.
 MEMBERS_TIMEOUT_S = 5.0
-WATCHER_FORGOTTEN_S = 60.0
-# Watchers that asked within this many seconds are told of to other instances.
-WATCHER_RECENT_S = 2.0
-# How long an announcement counts, in seconds; it is repeated every second.
-CANDIDATE_FORGOTTEN_S = 5.0
 # How soon a waiting watcher is told that the leader was lost, in seconds.
 STALE_CHECK_S = 0.25
 
 
-@dataclass(slots=True)
-class _Watcher:
-    revision: int
-    seen_at: float
-    record: InstanceRecord
-
-
 class ControlServer:
     """Serves entry daemons, operators and the other control instances.
 
@@ -96,10 +85,14 @@
         self._storage = storage
         self._bus = bus
         self._clock = clock
-        self._watchers: dict[str, _Watcher] = {}
+        self._watchers = Watchers()
+        self._announcements = Announcements()
         self._changed = asyncio.Event()
-        self._roster = Roster()
-        self._announced: dict[str, tuple[float, Candidate]] = {}
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Settings as this instance has applied them."""
+        return self._machine.tree
 
     async def handle(self, sender: str, body: bytes) -> bytes:
         """Answer one request from the bus."""
@@ -124,7 +117,7 @@
     @answer.register
     async def _(self, request: ProposeRequest) -> Answer:
         if not self._service.core.is_leader and not request.forwarded:
-            return await self._forward(ProposeRequest(request.command, forwarded=True))
+            return await self._forward(msgspec.structs.replace(request, forwarded=True))
         try:
             return ProposeAnswer(await self._service.propose(encode(request.command)))
         except NotLeaderError as error:
@@ -135,10 +128,7 @@
     @answer.register
     async def _(self, request: WatchRequest) -> Answer:
         now = self._clock.monotonic()
-        asker = InstanceRecord(request.instance, request.address, request.availability_zone)
-        self._watchers[request.instance] = _Watcher(request.revision, now, asker)
-        if asker.address:
-            self._roster.note([asker], now)
+        asker = self._watchers.note(request, now)
         fresh = request.fresh and await self.catch_up()
         deadline = now + request.wait_s
         while self._machine.tree.revision <= request.revision:
@@ -147,7 +137,7 @@
                 break
             await self._wait_change(min(left, STALE_CHECK_S))
         answer = self._settings_since(request.revision, fresh)
-        peers = self._roster.peers_of(asker, self._clock.monotonic()) if asker.address else []
+        peers = self._watchers.peers_of(asker, self._clock.monotonic())
         return msgspec.structs.replace(answer, peers=peers)
 
     @answer.register
@@ -174,7 +164,7 @@
     @answer.register
     async def _(self, request: MembersRequest) -> Answer:
         if not self._service.core.is_leader and not request.forwarded:
-            return await self._forward(_forwarded(request))
+            return await self._forward(msgspec.structs.replace(request, forwarded=True))
         try:
             return await self._change_members(request)
         except ProposalLostError as error:
@@ -195,39 +185,32 @@
             revision=self._machine.tree.revision,
             disk_bytes=self._storage.size_bytes(),
             replicas=self._replica_statuses(),
-            watchers=self._watcher_statuses(),
+            watchers=self._watchers.statuses(self._clock.monotonic()),
         )
 
     async def on_roster(self, sender: str, body: bytes) -> None:
         """Take what another control instance tells of its watchers."""
-        self._roster.note(decode(body, RosterNote).instances, self._clock.monotonic())
+        records = decode(body, RosterNote).instances
+        self._watchers.note_elsewhere(records, self._clock.monotonic())
 
     def tell_roster(self) -> None:
         """Tell the other control instances who watches this one."""
-        recent = self._clock.monotonic() - WATCHER_RECENT_S
-        own = [w.record for w in self._watchers.values() if w.record.address and w.seen_at > recent]
-        if not own:
+        recent = self._watchers.recent(self._clock.monotonic())
+        if not recent:
             return
-        note = encode(RosterNote(own))
+        note = encode(RosterNote(recent))
         state = self._service.core.state
         for member in state.members:
             if member.node_id != state.node_id:
                 self._bus.send(member.address, CHANNEL_ROSTER, note)
 
-    @property
-    def tree(self) -> SettingsTree:
-        """Settings as this instance has applied them."""
-        return self._machine.tree
-
     def note_candidate(self, candidate: Candidate) -> None:
         """A replica has announced itself."""
-        self._announced[candidate.address] = (self._clock.monotonic(), candidate)
+        self._announcements.note(candidate, self._clock.monotonic())
 
     def candidates(self) -> list[Candidate]:
         """Return the replicas that announced themselves lately."""
-        oldest = self._clock.monotonic() - CANDIDATE_FORGOTTEN_S
-        self._announced = {a: c for a, c in self._announced.items() if c[0] >= oldest}
-        return [candidate for _, candidate in self._announced.values()]
+        return self._announcements.recent(self._clock.monotonic())
 
     def _stands_in_membership(self, candidate: Candidate) -> bool:
         return any(
@@ -285,7 +268,7 @@
         return msgspec.structs.replace(answer, values=dict(tree.values))
 
     async def _change_members(self, request: MembersRequest) -> Answer:
-        members = _changed(self._service.core.state.members, request)
+        members = changed_members(self._service.core.state.members, request)
         detail = f"{request.action} {request.node_id} {request.address}".strip()
         note = NoteCommand("members", request.author, request.source, detail, self._clock.wall())
         await self._service.propose(encode(note))
@@ -317,43 +300,3 @@
                 )
             )
         return statuses
-
-    def _watcher_statuses(self) -> list[WatcherStatus]:
-        now = self._clock.monotonic()
-        for name, watcher in list(self._watchers.items()):
-            if now - watcher.seen_at > WATCHER_FORGOTTEN_S:
-                del self._watchers[name]
-        return [
-            WatcherStatus(name, watcher.revision, now - watcher.seen_at)
-            for name, watcher in sorted(self._watchers.items())
-        ]
-
-
-def _forwarded(request: MembersRequest) -> MembersRequest:
-    return MembersRequest(
-        request.action,
-        request.node_id,
-        request.address,
-        request.availability_zone,
-        request.author,
-        request.source,
-        forwarded=True,
-    )
-
-
-def _changed(members: list[Member], request: MembersRequest) -> list[Member]:
-    """Return the membership after adding, promoting or removing one replica."""
-    others = [m for m in members if m.node_id != request.node_id]
-    held = next((m for m in members if m.node_id == request.node_id), None)
-    if request.action == "add":
-        if held is not None:
-            raise MembershipChangeError(f"{request.node_id} is a member already")
-        added = Member(request.node_id, request.address, request.availability_zone, False)
-        return [*others, added]
-    if held is None:
-        raise MembershipChangeError(f"{request.node_id} is not a member")
-    if request.action == "remove":
-        return others
-    if request.action == "promote":
-        return [*others, Member(held.node_id, held.address, held.availability_zone, True)]
-    raise MembershipChangeError(f"unknown action {request.action!r}: use add, promote or remove")
--- a/reachlink/control/_steward.py
+++ b/reachlink/control/_steward.py
@@ -19,12 +19,16 @@
 from reachlink.messaging import Bus, MessagingError, decode, encode
 from reachlink.telemetry import get_logger
 
+# How often a leader looks whether the membership should change, in seconds.
 STEP_S = 0.1
 # How often control instances tell each other who watches them, in seconds.
 ROSTER_S = 0.5
+# How long one change of the membership may take, in seconds.
 CHANGE_TIMEOUT_S = 2.0
+# How often an instance announces itself, in seconds: until it is a member, and from then on.
 ANNOUNCE_FIRST_S = 0.15
 ANNOUNCE_MEMBER_S = 1.0
+# How long one instance may take to answer an announcement, in seconds.
 ANNOUNCE_TIMEOUT_S = 0.5
 
 
@@ -118,6 +122,7 @@
                 )
                 answer: Answer = decode(raw, Answer)  # type: ignore[arg-type]
             except MessagingError:
+                # The next address may know the leader; the round is repeated in any case.
                 continue
             if isinstance(answer, AnnounceAnswer):
                 return answer.member
--- a/reachlink/kernel/tests/test_layers.py
+++ b/reachlink/kernel/tests/test_layers.py
@@ -44,6 +44,8 @@
     ROOT / "control" / "_machine.py",
     ROOT / "control" / "_claims.py",
     ROOT / "control" / "_audit.py",
+    ROOT / "control" / "_members.py",
+    ROOT / "control" / "_watchers.py",
     ROOT / "membership" / "_directory.py",
     ROOT / "membership" / "_roster.py",
     ROOT / "membership" / "_spreading.py",
