Way of a request: placing, dispatch and a generation's places apart

`_dispatch.py` chose replicas, sent requests, kept the retry budgets and held the parts of the runner; `_streams.py` followed a stream and also decided where the generation's memory is copied.

The steps after an attempt without an answer stood twice, for whole answers and for streams: they are `Dispatch.may_retry`, and the reason is kept in the `AttemptLog`. `take_off` and `land` are `add_flight` and `remove_flight`. `ReplicaBook.keep_only` had no caller and is gone.

--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -3,30 +3,30 @@
 from reachlink.requests._attempts import AttemptLog, Setback
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
 from reachlink.requests._choice import Option, choose
-from reachlink.requests._dispatch import Directory, RunnerParts
 from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._parts import Directory, RunnerParts
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shared_load import LoadNote, ReplicaNews, ReplicaShare, SharedLoad
 from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
 
 __all__ = [
-    "LoadNote",
-    "ReplicaNews",
-    "ReplicaShare",
-    "SharedLoad",
     "AnswerSink",
     "AttemptLog",
     "CallerRequest",
     "Directory",
     "Flight",
+    "LoadNote",
     "Option",
     "ReplicaBook",
+    "ReplicaNews",
+    "ReplicaShare",
     "ReplicaState",
     "RequestFailedError",
     "RequestRunner",
     "RequestsError",
     "RunnerParts",
     "Setback",
+    "SharedLoad",
     "StreamCutError",
     "choose",
 ]
--- a/reachlink/requests/_attempts.py
+++ b/reachlink/requests/_attempts.py
@@ -33,12 +33,15 @@
         Replicas that it was sent to.
     may_have_run : bool
         Whether one of them may have run it.
+    reason : str
+        Why there is no answer so far, as a short code for logs and metrics.
     """
 
     may_repeat: bool
     max_attempts: int
     sent: int = 0
     may_have_run: bool = False
+    reason: str = "no_replica"
 
     @property
     def outcome(self) -> Outcome:
@@ -47,6 +50,7 @@
 
     def note(self, setback: Setback) -> None:
         """An attempt ended without an answer to give."""
+        self.reason = setback.value
         if setback is not Setback.UNREACHABLE:
             self.sent += 1
         if setback not in _NEVER_RAN:
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -161,8 +161,3 @@
             for name, state in self._states.items()
             if state.own_tokens
         ]
-
-    def keep_only(self, names: set[str]) -> None:
-        """Forget replicas that are gone and carry nothing."""
-        for name in [n for n, s in self._states.items() if n not in names and not s.flights]:
-            del self._states[name]
--- /dev/null
+++ b/reachlink/requests/_parts.py
@@ -0,0 +1,65 @@
+"""What the way of a request works with."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from reachlink.requests._book import ReplicaBook
+from reachlink.requests._model import CallerRequest
+from reachlink.requests._shared_load import SharedLoad
+from reachlink.upstreams import RelayAdapter, Replica
+
+
+class Directory(Protocol):
+    """Which replicas exist and may get new work."""
+
+    def live(self, upstream: str) -> list[Replica]:
+        """Return the replicas of a service that may get new work."""
+
+    def find(self, name: str) -> Replica | None:
+        """Return a replica by name."""
+
+    def may_get_work(self, name: str) -> bool:
+        """Return whether a replica may get new work now."""
+
+    def suspect_leaving(self, name: str, now: float) -> bool:
+        """Note a sign that a replica leaves; return whether that is news."""
+
+
+@dataclass(slots=True)
+class RunnerParts:
+    """What `RequestRunner` works with.
+
+    Attributes
+    ----------
+    zone : str
+        This instance's availability zone.
+    adapter : RelayAdapter
+        Speaks with replicas.
+    directory : Directory
+        The replicas.
+    book : ReplicaBook
+        What is known of them.
+    shared : SharedLoad
+        What the other entry instances have there.
+    random : random.Random
+        Source of tie-breaks.
+    clock : callable
+        Monotonic time in seconds.
+    on_outcome : callable
+        Called with the request, outcome code and duration in seconds.
+    on_leaving : callable
+        Called with the name of a replica that seems to leave.
+    """
+
+    zone: str
+    adapter: RelayAdapter
+    directory: Directory
+    book: ReplicaBook
+    shared: SharedLoad
+    random: Random
+    on_outcome: Callable[[CallerRequest, str, float], None]
+    on_leaving: Callable[[str], None] = lambda name: None
+    clock: Callable[[], float] = time.monotonic
--- /dev/null
+++ b/reachlink/requests/_placing.py
@@ -0,0 +1,142 @@
+"""Which replica a request goes to, out of what this instance knows of all of them."""
+
+import asyncio
+from typing import Any
+
+from reachlink.placement import allowances
+from reachlink.requests._book import ReplicaState
+from reachlink.requests._choice import REQUEST, Option, Terms, choose
+from reachlink.requests._model import CallerRequest
+from reachlink.requests._parts import RunnerParts
+from reachlink.routing import Service
+from reachlink.telemetry import get_logger
+from reachlink.upstreams import Replica
+
+# How long a zone is left alone after one of its replicas could not be reached,
+# in seconds: a cut costs each request at most one vain attempt.
+CUT_OFF_S = 1.0
+# How long a request waits for room, as a share of its objective: a refusal
+# after that would come too late for another attempt in time.
+WAIT_SHARE = 0.22
+# How often it looks for room meanwhile, in seconds.
+WAIT_STEP_S = 0.02
+
+
+class Placing:
+    """Chooses replicas for requests and for copies of their memory.
+
+    Parameters
+    ----------
+    parts : RunnerParts
+        What it works with.
+    """
+
+    def __init__(self, parts: RunnerParts) -> None:
+        self._parts = parts
+        self._cut_off: dict[str, float] = {}
+        self._log: Any = get_logger()
+
+    def is_near(self, replica: Replica) -> bool:
+        """Return whether a replica is in this instance's zone."""
+        return replica.availability_zone == self._parts.zone
+
+    def stays(self, replica: Replica) -> bool:
+        """Return whether a replica is there and not known to leave."""
+        return self._parts.directory.may_get_work(replica.name)
+
+    def place(
+        self,
+        request: CallerRequest,
+        tried: set[str],
+        terms: Terms = REQUEST,
+    ) -> Replica | None:
+        """Return the replica that a request should go to, or None where there is none.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        tried : set of str
+            Replicas that it must not go to.
+        terms : Terms
+            On what terms an engine's memory is given.
+        """
+        options = self._options(request.service, tried)
+        chosen = choose(options, need_tokens(request), self._parts.random, terms)
+        return self._parts.directory.find(chosen) if chosen is not None else None
+
+    async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
+        """Return the replica that a request should go to, after a short wait for room."""
+        parts = self._parts
+        until = request.arrived_at + request.route.objective_s * WAIT_SHARE
+        while True:
+            replica = self.place(request, tried)
+            if replica is not None:
+                return replica
+            if parts.clock() >= until:
+                self._log_no_room(request, tried)
+                return None
+            await asyncio.sleep(WAIT_STEP_S)
+
+    def note_unreachable(self, replica: Replica) -> None:
+        """Note that no connection to a replica could be made: its zone may be cut off."""
+        if not self.is_near(replica):
+            self._cut_off[replica.availability_zone] = self._parts.clock() + CUT_OFF_S
+
+    def _options(self, service: Service, tried: set[str]) -> list[Option]:
+        parts = self._parts
+        now = parts.clock()
+        live = [r for r in self._reachable(service.name, now) if r.name not in tried]
+        states = {r.name: parts.book.state(r.name) for r in live}
+        trust = allowances({name: s.health for name, s in states.items()}, now)
+        return [self._option(service, r, states[r.name], trust[r.name], now) for r in live]
+
+    def _reachable(self, service: str, now: float) -> list[Replica]:
+        """Return the live replicas of a service, without those of zones that seem cut off."""
+        live = self._parts.directory.live(service)
+        self._cut_off = {zone: until for zone, until in self._cut_off.items() if until > now}
+        return [r for r in live if r.availability_zone not in self._cut_off]
+
+    def _option(
+        self,
+        service: Service,
+        replica: Replica,
+        state: ReplicaState,
+        trust: float,
+        now: float,
+    ) -> Option:
+        engine = service.engine
+        others = self._parts.shared.at(replica.name, now)
+        sampled = state.sample.slots if state.sample else 0
+        return Option(
+            name=replica.name,
+            near=self.is_near(replica),
+            running=state.running(now, others.running),
+            slots=engine.slots if engine else sampled,
+            tokens=max(state.own_tokens + others.tokens, state.reported_tokens(now)),
+            unread_tokens=state.own_unread_tokens + others.unread_tokens,
+            capacity_tokens=engine.kv_capacity_tokens if engine else 0,
+            trust=trust,
+        )
+
+    def _log_no_room(self, request: CallerRequest, tried: set[str]) -> None:
+        options = self._options(request.service, tried)
+        shown = " ".join(
+            f"{o.name}:{o.tokens}/{o.capacity_tokens}:{o.running}:{o.trust:.1f}" for o in options
+        )
+        self._log.info(
+            "no_room",
+            request_id=request.request_id,
+            need_tokens=need_tokens(request),
+            tried=len(tried),
+            replicas=shown,
+        )
+
+
+def need_tokens(request: CallerRequest) -> int:
+    """Return the memory that a generation will likely need at its end, in tokens."""
+    facts = request.relay.generation
+    if facts is None:
+        return 0
+    expected = facts.expected_output_tokens or facts.max_output_tokens
+    return facts.prompt_tokens + min(expected, facts.max_output_tokens)
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from reachlink.delivery import Outcome
-from reachlink.requests._dispatch import Dispatch, RunnerParts
+from reachlink.requests._dispatch import Dispatch
 from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._parts import RunnerParts
 from reachlink.requests._streams import StreamRunner
 from reachlink.requests._whole import WholeRunner
 from reachlink.requests.exceptions import RequestFailedError, StreamCutError
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -88,5 +88,6 @@
         await asyncio.wait({self._task})
         if self._memory is None:
             return
+        # What is not freed here gives way by itself: its replica keeps it only for a while.
         with contextlib.suppress(UpstreamError):
             await self._adapter.release(self._memory)
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -15,6 +15,8 @@
 # How long a replica may take for a repeatable request before another is asked,
 # as a multiple of the route's objective.
 PATIENCE_OBJECTIVES = 1.0
+# HTTP statuses from here on are faults of the replica (RFC 9110, section 15.6).
+SERVER_ERROR = 500
 
 
 class WholeRunner:
@@ -34,35 +36,25 @@
         attempts = self._dispatch.begin(request)
         tried: set[str] = set()
         held: tuple[AnswerHead, bytes] | None = None
-        reason = "no_replica"
-        while True:
-            replica = await self._dispatch.place_or_wait(request, tried)
-            if replica is None:
-                break
+        while (replica := await self._dispatch.placing.place_or_wait(request, tried)) is not None:
             tried.add(replica.name)
-            flight = self._dispatch.take_off(request, replica)
+            flight = self._dispatch.add_flight(request, replica)
             try:
                 result = await self._ask(request, replica, attempts)
             finally:
-                self._dispatch.land(replica, flight)
+                self._dispatch.remove_flight(replica, flight)
             if isinstance(result, tuple):
+                # Given to the caller where no other replica has a better answer.
                 held = result
-                if held[0].status < 500 or not request.route.may_repeat:
+                if held[0].status < SERVER_ERROR or not request.route.may_repeat:
                     break
-                setback, reason = Setback.FAILED, f"status_{held[0].status}"
-            else:
-                setback, reason = result, result.value
-            attempts.note(setback)
-            self._dispatch.log_setback(request, replica, setback, attempts.sent)
-            if not attempts.may_go_on():
-                break
-            if not self._dispatch.may_send_again(request, setback):
-                reason = f"{reason}_no_budget"
+                result = Setback.FAILED
+            if not self._dispatch.may_retry(request, replica, result, attempts):
                 break
         if held is not None:
             await sink.whole(*held)
             return
-        raise self._dispatch.failure(reason, attempts)
+        raise self._dispatch.failure(attempts)
 
     async def _ask(
         self, request: CallerRequest, replica: Replica, attempts: AttemptLog
@@ -89,7 +81,7 @@
         if answer.head.success and not answer.head.genuine:
             self._dispatch.distrust(replica)
             return Setback.BROKEN
-        if answer.head.status >= 500:
+        if answer.head.status >= SERVER_ERROR:
             self._dispatch.distrust(replica)
         else:
             self._dispatch.succeeded(replica)
