Slopes in three modules: the line, one process, a fleet

The fit is in `_slope.py`, the two kinds of slopes in `_slopes_alone.py` and `_slopes_fleet.py`; `slopes.py` keeps the command and its results file.

--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -11,7 +11,8 @@
 import msgspec
 from cyclopts import App
 
-from benchmarks.slopes import RESULTS, Slope
+from benchmarks._slope import Slope
+from benchmarks.slopes import RESULTS
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- generated: {} -->"
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -6,100 +6,25 @@
 """
 
 import asyncio
-import gc
 import subprocess
 import sys
-import tempfile
-import time
-import tracemalloc
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from random import Random
 from typing import Any
 
 import msgspec
-import psutil
 from cyclopts import App
 
+from benchmarks import _slopes_alone as alone
+from benchmarks import _slopes_fleet as with_fleet
 from benchmarks._environment import describe
-from benchmarks.bench_relay import measure_cost
-from benchmarks.bench_relay import scenario as relay_scenario
-from benchmarks.bench_settings import WATCH_S, LightDaemon, cpu_of, scenario
-from reachlink.control import (
-    ClaimCommand,
-    CompleteCommand,
-    ControlClient,
-    ControlMachine,
-    EditCommand,
-    StoredAnswer,
-)
-from reachlink.entry import (
-    Digest,
-    DigestBook,
-    EntryConfig,
-    EntryNode,
-    PlatformSource,
-    ReplicaLoad,
-    Ticket,
-)
-from reachlink.lengths import LengthEstimator, LengthKey
-from reachlink.membership import ListedInstance
-from reachlink.messaging import Bus, encode
-from reachlink.placement import ForecastPolicy, MemoryProfile, PlacementRequest
-from reachlink.settings import Change, SettingsTree
-from reachlink.testing import Fleet
-from reachlink.upstreams import LoadReport
+from benchmarks._slope import Slope
 
 RESULTS = Path(__file__).parent / "results" / "slopes.json"
-SPAN_S = 6.0
 
 app = App(help=__doc__)
 
 
-class Slope(msgspec.Struct, kw_only=True):
-    """One line through measured points: ``y = intercept + slope * x``."""
-
-    name: str
-    x: str
-    y: str
-    points: list[tuple[float, float]]
-    intercept: float
-    slope: float
-
-
-def fit(name: str, x: str, y: str, points: list[tuple[float, float]]) -> Slope:
-    """Return the least-squares line through points."""
-    count = len(points)
-    mean_x = sum(p[0] for p in points) / count
-    mean_y = sum(p[1] for p in points) / count
-    spread = sum((p[0] - mean_x) ** 2 for p in points)
-    slope = sum((p[0] - mean_x) * (p[1] - mean_y) for p in points) / spread
-    found = Slope(
-        name=name,
-        x=x,
-        y=y,
-        points=points,
-        intercept=mean_y - slope * mean_x,
-        slope=slope,
-    )
-    print(f"{name}: {y} = {found.intercept:.6g} + {slope:.6g} * {x}   {points}", flush=True)
-    return found
-
-
-def memory_of(build: Callable[[], Any]) -> float:
-    """Return the memory that building something allocates and keeps, in MB."""
-    gc.collect()
-    tracemalloc.start()
-    try:
-        kept = build()
-        gc.collect()
-        held, _ = tracemalloc.get_traced_memory()
-        del kept
-        return held / 2**20
-    finally:
-        tracemalloc.stop()
-
-
 def floor_mb() -> float:
     """Return the resident memory of a process that only imports what a daemon imports."""
     code = "import reachlink.entry, psutil; print(psutil.Process().memory_info().rss / 2**20)"
@@ -109,296 +34,25 @@
     return float(output.stdout)
 
 
-def settings_values(workspaces: int) -> dict[str, object]:
-    """Return settings of many workspaces, four values each."""
-    values: dict[str, object] = {"services.chat.kind": "model"}
-    for i in range(workspaces):
-        name = f"workspace-{i}"
-        values[f"workspaces.{name}.key_hashes"] = [f"{i:064x}"]
-        values[f"workspaces.{name}.weight"] = 1.0 + i % 3
-        values[f"services.chat.workspaces.{name}.limits.concurrent"] = 10 + i
-        values[f"services.chat.workspaces.{name}.priority"] = i % 9
-    return values
-
-
-def memory_per_workspace() -> Slope:
-    """Settings of a workspace in an entry daemon's memory."""
-    points = []
-    for count in (500, 1500, 3000, 6000, 12000):
-
-        def build(number: int = count) -> SettingsTree:
-            tree = SettingsTree(settings_values(number), 1)
-            assert len(tree.workspace_by_key) == number
-            return tree
-
-        points.append((float(count), round(memory_of(build), 3)))
-    return fit("settings memory", "workspaces", "MB", points)
-
-
-def memory_per_length_key() -> Slope:
-    """A learned length distribution in memory."""
-    points = []
-    for count in (250, 500, 1000, 2000):
-
-        def build(number: int = count) -> LengthEstimator:
-            lengths = LengthEstimator()
-            for i in range(number):
-                key = LengthKey("chat", f"w{i}")
-                lengths.observe(key, 0, 100, ended=True)
-                lengths.curve(key)
-            return lengths
-
-        points.append((float(count), round(memory_of(build), 3)))
-    return fit("length memory", "workspaces with traffic", "MB", points)
-
-
-def decision_cost() -> Slope:
-    """One placement decision, with everything that it looks up, against the replicas."""
-    key = LengthKey("chat", "w")
-    points = []
-    for count in (2, 5, 12, 36, 71, 142):
-        node = make_node()
-        listed = [ListedInstance(f"r{i}", "chat", "one", f"127.0.0.1:{i}") for i in range(count)]
-        node.directory.update(listed, 0.0)
-        profile = node.ledger.profile_of(key, 200)
-        for instance in listed:
-            state = node.ledger.replica(instance.name)
-            state.report = LoadReport(1, 10, 0, 0, 5000, 100_000, 64, 12.0)
-            state.report_at = time.monotonic()
-        loads = [ReplicaLoad.of_profile(i.name, profile) for i in listed]
-        node.take_digest(Digest("e2", "one", 1, True, loads, {}))
-        ticket = Ticket(
-            key, PlacementRequest(profile, 200, 300.0), (1, 2, 3), "w", 5, 1.0, 10, 10, 1e12
-        )
-        policy, random = ForecastPolicy(), Random(1)
-        candidates = node.candidate_source("chat")
-        runs = 300
-        started = time.process_time()
-        for _ in range(runs):
-            policy.choose(ticket.request, candidates(ticket), random)
-        used = 1e6 * (time.process_time() - started) / runs
-        node.bus.close()
-        points.append((float(count), round(used, 2)))
-    return fit("decision", "replicas", "us", points)
-
-
-def make_node() -> EntryNode:
-    """Return an entry instance without sockets of its own."""
-    return EntryNode(
-        EntryConfig(
-            name="e1",
-            availability_zone="one",
-            port=1,
-            bus_address="",
-            cluster_secret="s",
-            controls=[],
-            platform=PlatformSource(url="http://127.0.0.1:1/"),
-        )
-    )
-
-
-def profile_cost() -> Slope:
-    """Refreshing the memory forecast of generations in flight."""
-    lengths = LengthEstimator()
-    curve = lengths.curve(LengthKey("chat", "w"))
-    points = []
-    for count in (10, 40, 80, 160, 320):
-        started = time.process_time()
-        for _ in range(20):
-            MemoryProfile.total(MemoryProfile.of_generation(curve, 200, i) for i in range(count))
-        points.append((float(count), round(1e6 * (time.process_time() - started) / 20, 1)))
-    return fit("forecast refresh", "generations in flight", "us", points)
-
-
-def digest_size() -> Slope:
-    """Bytes of one digest against the replicas that it tells of."""
-    profile = MemoryProfile([3000.0] * 8, [250000.0] * 8, 12.0)
-    points = []
-    for count in (1, 5, 20, 60):
-        loads = [ReplicaLoad.of_profile(f"explain-{i}", profile) for i in range(count)]
-        body = encode(Digest("entry-1", "sal-en", 1234, True, loads, {}))
-        points.append((float(count), float(len(body))))
-    return fit("digest size", "replicas told of", "bytes", points)
-
-
-def digest_cost() -> Slope:
-    """Taking in the digests of peers, and summing them."""
-    profile = MemoryProfile([3000.0] * 8, [250000.0] * 8, 12.0)
-    points = []
-    for peers in (6, 20, 50, 100):
-        book = DigestBook()
-        digests = [
-            Digest(f"e{i}", "z", 1, True, [ReplicaLoad.of_profile("r", profile)] * 5, {})
-            for i in range(peers)
-        ]
-        started = time.process_time()
-        for _ in range(20):
-            for digest in digests:
-                book.take(digest, 1.0)
-            book.others_load()
-        points.append((float(peers), round(1e6 * (time.process_time() - started) / 20, 1)))
-    return fit("digest cost", "peers", "us a round", points)
-
-
-def snapshot_cost() -> list[Slope]:
-    """Size and time of a control snapshot against the settings held."""
-    sizes, times = [], []
-    for count in (500, 1500, 3000, 6000):
-        machine = ControlMachine()
-        changes = [Change(p, v) for p, v in settings_values(count).items()]
-        machine.apply(1, 1, encode(EditCommand("e", 0, changes, "a", "", 1.0)))
-        started = time.process_time()
-        data = machine.snapshot()
-        times.append((float(count), round(1000 * (time.process_time() - started), 3)))
-        sizes.append((float(count), round(len(data) / 2**20, 4)))
-    return [
-        fit("snapshot size", "workspaces", "MB", sizes),
-        fit("snapshot time", "workspaces", "ms", times),
-    ]
-
-
-def claim_cost() -> list[Slope]:
-    """Memory and snapshot size of claims that are kept, each with a short answer."""
-    memory, sizes = [], []
-    for count in (2000, 5000, 10000, 20000):
-        machine = ControlMachine()
-
-        def build(number: int = count, target: ControlMachine = machine) -> ControlMachine:
-            for i in range(number):
-                name = f"{i:032x}"
-                claim = ClaimCommand("w1", name, name * 2, name, "entry-1", 3600.0, 1.0)
-                target.claims.claim(claim, 1.0)
-                answer = StoredAnswer(200, "application/json", b"x" * 60)
-                target.claims.complete(CompleteCommand("w1", name, name, "ran", answer, 1.0))
-            return target
-
-        memory.append((float(count), round(memory_of(build), 3)))
-        sizes.append((float(count), round(len(machine.snapshot()) / 2**20, 3)))
-    return [
-        fit("claim memory", "claims kept", "MB", memory),
-        fit("claim snapshot", "claims kept", "MB", sizes),
-    ]
-
-
-def edit_cost() -> Slope:
-    """Validating and applying one edit against the settings held."""
-    points = []
-    for count in (100, 500, 1500, 3000):
-        machine = ControlMachine()
-        changes = [Change(p, v) for p, v in settings_values(count).items()]
-        machine.apply(1, 1, encode(EditCommand("e", 0, changes, "a", "", 1.0)))
-        started = time.process_time()
-        for i in range(5):
-            change = [Change("defaults.priority", i)]
-            machine.apply(2 + i, 1, encode(EditCommand(f"e{i}", 1 + i, change, "a", "", 1.0)))
-        points.append((float(count), round(1000 * (time.process_time() - started) / 5, 3)))
-    return fit("edit", "workspaces", "ms", points)
-
-
-async def control_per_daemon() -> list[Slope]:
-    """A control fleet against the daemons that watch it, all idle."""
-    loads, traffic = [], []
-    with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
-        async with Fleet(scenario(3), Path(folder)) as fleet:
-            controls = [f"127.0.0.1:{p.bus_port}" for p in fleet.layout.controls]
-            pids = [fleet.pid(p.name) for p in fleet.layout.controls]
-            bus = Bus("slopes", fleet.layout.secret.encode())
-            tasks: list[asyncio.Task[None]] = []
-            for count in (0, 50, 150, 300):
-                while len(tasks) < count:
-                    i = len(tasks)
-                    order = controls[i % 3 :] + controls[: i % 3]
-                    daemon = LightDaemon(bus, f"light-{i}", ControlClient(bus, order))
-                    tasks.append(asyncio.ensure_future(daemon.run()))
-                await asyncio.sleep(WATCH_S + 1.0)
-                before = sum(cpu_of(pid) for pid in pids)
-                messages = bus.traffic.sent + bus.traffic.received
-                await asyncio.sleep(SPAN_S)
-                used = (sum(cpu_of(pid) for pid in pids) - before) / SPAN_S / 3
-                loads.append((count / 3, round(100 * used, 3)))
-                sent = bus.traffic.sent + bus.traffic.received - messages
-                traffic.append((float(count), round(sent / SPAN_S, 2)))
-            for task in tasks:
-                task.cancel()
-            await asyncio.sleep(0.1)
-            bus.close()
-    return [
-        fit("control load", "daemons that watch it", "% of a core", loads),
-        fit("watch messages", "daemons", "messages/s", traffic),
-    ]
-
-
-async def entry_per_replica() -> Slope:
-    """An idle entry daemon against the replicas whose load and cache it reads."""
-    points = []
-    for count in (1, 4, 8, 16):
-        plan = msgspec.structs.replace(scenario(1), model_replicas=count)
-        with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
-            async with Fleet(plan, Path(folder)) as fleet:
-                pid = fleet.pid(fleet.layout.entries[0].name)
-                await asyncio.sleep(2.0)
-                before = cpu_of(pid)
-                await asyncio.sleep(SPAN_S)
-                points.append((float(count), round(100 * (cpu_of(pid) - before) / SPAN_S, 3)))
-    return fit("replica polling", "replicas", "% of a core", points)
-
-
-async def entry_per_peer() -> list[Slope]:
-    """An idle entry daemon against the number of its peers."""
-    loads, memory = [], []
-    for count in (1, 7, 14, 28):
-        with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
-            async with Fleet(scenario(count), Path(folder)) as fleet:
-                pid = fleet.pid(fleet.layout.entries[0].name)
-                await asyncio.sleep(2.0)
-                before = cpu_of(pid)
-                await asyncio.sleep(SPAN_S)
-                loads.append((float(count - 1), round(100 * (cpu_of(pid) - before) / SPAN_S, 3)))
-                rss = psutil.Process(pid).memory_info().rss / 2**20
-                memory.append((float(count - 1), round(rss, 2)))
-    return [
-        fit("peer digests", "peers", "% of a core", loads),
-        fit("peer memory", "peers", "MB resident", memory),
-    ]
-
-
-async def token_cost() -> list[Slope]:
-    """An entry daemon's processor time and memory against streams at once."""
-    loads, memory = [], []
-    with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
-        async with Fleet(relay_scenario(), Path(folder)) as fleet:
-            entry = fleet.layout.entries[0]
-            process = psutil.Process(fleet.pid(entry.name))
-            for streams in (8, 32, 64, 128):
-                way = await measure_cost(fleet, "entry", entry.address, process, streams, 250)
-                rate = streams * 1000 / 18.0
-                loads.append((float(round(rate)), round(way.cpu_us_per_token * rate / 1e4, 2)))
-                memory.append((float(streams), way.rss_mb))
-    return [
-        fit("token load", "tokens/s", "% of a core", loads),
-        fit("stream memory", "streams", "MB resident", memory),
-    ]
-
-
 async def _collect(short: bool) -> list[Slope]:
     found = [
-        memory_per_workspace(),
-        memory_per_length_key(),
-        decision_cost(),
-        profile_cost(),
-        digest_size(),
-        digest_cost(),
-        *snapshot_cost(),
-        edit_cost(),
-        *claim_cost(),
+        alone.memory_per_workspace(),
+        alone.memory_per_length_key(),
+        alone.decision_cost(),
+        alone.profile_cost(),
+        alone.digest_size(),
+        alone.digest_cost(),
+        *alone.snapshot_cost(),
+        alone.edit_cost(),
+        *alone.claim_cost(),
     ]
     if short:
         return found
     steps: list[Callable[[], Awaitable[Any]]] = [
-        control_per_daemon,
-        entry_per_replica,
-        entry_per_peer,
-        token_cost,
+        with_fleet.control_per_daemon,
+        with_fleet.entry_per_replica,
+        with_fleet.entry_per_peer,
+        with_fleet.token_cost,
     ]
     for step in steps:
         result = await step()
