Leftovers out, constants told, errors of the HTTP client translated in one place

The HTTP client turned the library's errors into its own in three copies: one context manager does it now.

No value has changed and behaviour is the same.

--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -17,9 +17,13 @@
 from reachlink.settings import SettingsTree
 
 CHANNEL_SETTINGS = "settings"
+# How much longer than asked for an answer may take before another is asked, in seconds.
 WATCH_MARGIN_S = 0.5
+# Pause before the next control instance is asked, in seconds.
 PAUSE_S = 0.2
+# How long control instances are waited for before this zone's peers will do, in seconds.
 ZONE_PATIENCE_S = 3.0
+# How long a peer may take to answer, in seconds.
 PEER_TIMEOUT_S = 1.0
 
 
--- a/reachlink/entry/_list_reader.py
+++ b/reachlink/entry/_list_reader.py
@@ -11,8 +11,9 @@
 )
 from reachlink.telemetry import get_logger
 
+# Longest time between two readings, in seconds.
 SLOWEST_S = 8.0
-# How much longer to wait after a refusal, and how the wait shrinks again.
+# How much longer to wait after a refusal, and how the wait shrinks again, as factors.
 SLOWER = 1.6
 FASTER = 0.95
 
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -13,6 +13,7 @@
 from reachlink.kernel import json_response
 from reachlink.membership import PLATFORMS
 
+# How often a planned stop looks whether requests still run, in seconds.
 DRAIN_POLL_S = 0.05
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -51,14 +51,14 @@
         self._index: RoutingIndex | None = None
         self._runner = RequestRunner(
             RunnerParts(
-                config.availability_zone,
-                adapter,
-                self.directory,
-                self.book,
-                self.shared,
-                Random(),
-                self._on_outcome,
-                self.reports.tell_leaving,
+                zone=config.availability_zone,
+                adapter=adapter,
+                directory=self.directory,
+                book=self.book,
+                shared=self.shared,
+                random=Random(),
+                on_outcome=self._on_outcome,
+                on_leaving=self.reports.tell_leaving,
             )
         )
 
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -1,8 +1,8 @@
 """The HTTP client side, shared by the adapters."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
 
 import aiohttp
 import msgspec
@@ -85,7 +85,7 @@
         UpstreamBrokenError
             The connection failed after the request was sent.
         """
-        try:
+        with _upstream_errors():
             return await self._session.request(
                 method,
                 url,
@@ -94,10 +94,6 @@
                 allow_redirects=False,
                 middlewares=(SingleDispatch(),),
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachableError(str(error)) from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
 
     async def relay(
         self, method: str, url: str, headers: list[tuple[str, str]], body: bytes
@@ -111,7 +107,7 @@
         UpstreamBrokenError
             The connection failed after the request was sent.
         """
-        try:
+        with _upstream_errors(ValueError):
             return await self._session.request(
                 method,
                 URL(url, encoded=True),
@@ -121,24 +117,28 @@
                 allow_redirects=False,
                 middlewares=(SingleDispatch(),),
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachableError(str(error)) from error
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
 
     @asynccontextmanager
     async def control(
         self, method: str, url: str, body: bytes | None = None
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a small request whose repetition does no harm."""
-        try:
+        with _upstream_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 async with self._session.request(method, url, data=body) as response:
                     yield response
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachableError(str(error)) from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise UpstreamBrokenError(str(error) or type(error).__name__) from error
+
+
+@contextmanager
+def _upstream_errors(*broken: type[Exception]) -> Iterator[None]:
+    """Turn the library's errors, and `broken` besides, into this layer's."""
+    failures: tuple[type[Exception], ...] = (aiohttp.ClientError, OSError, TimeoutError, *broken)
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise UpstreamUnreachableError(str(error)) from error
+    except failures as error:
+        raise UpstreamBrokenError(str(error) or type(error).__name__) from error
 
 
 class SingleDispatch:
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -133,8 +133,6 @@
         HTTP status.
     headers : list of tuple of str
         Fields to pass on to the caller.
-    length : int, optional
-        Size of the body in bytes, where it is told.
     genuine : bool
         Whether it carries what every whole answer of a replica has.
     not_run : bool
@@ -147,7 +145,6 @@
 
     status: int
     headers: Headers = field(default_factory=list)
-    length: int | None = None
     genuine: bool = True
     not_run: bool = False
     leaving: bool = False
