Retries shared by all entry instances; a stopping instance refuses what it cannot finish

Cause: each of eight instances could save up 20 retries, 160 together, where the platform bears 56 beyond a fifth of the requests: a fault at all replicas of a service at once would have broken the budget. A stream that begins on a kept connection more than 3 s after a planned stop would be cut by its end. While stopping, streams are refused at once and short requests after 4 s, with a time to come back.

--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -5,7 +5,7 @@
 
 from reachlink.kernel import Registry
 from reachlink.requests import RequestRunner
-from reachlink.routing import RoutingIndex
+from reachlink.routing import RequestKind, RoutingIndex
 
 
 class RelayHost(Protocol):
@@ -23,6 +23,9 @@
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
 
+    def accepts(self, kind: RequestKind) -> bool:
+        """Return whether a request may begin here."""
+
     @property
     def running_requests(self) -> int:
         """Requests in progress."""
--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -38,6 +38,14 @@
         How long a control instance may hold the question for news, in seconds.
     balancer_delay_s : float
         How long the balancer may still send callers after a planned stop began.
+    last_requests_s : float
+        How long after a planned stop began short requests are still taken, in
+        seconds; streams are refused at once.
+    retry_share : float
+        Requests that may be sent again, as a share of first attempts.
+    retry_burst : float
+        Requests that all entry instances together may send again beyond that at
+        one time.
     connect_timeout_s : float
         Longest time to make a connection to a replica, in seconds.
     """
@@ -58,4 +66,7 @@
     leaving_mark_s: float = 2.0
     watch_wait_s: float = 0.7
     balancer_delay_s: float = 3.2
+    last_requests_s: float = 4.0
+    retry_share: float = 0.1
+    retry_burst: float = 20.0
     connect_timeout_s: float = 0.25
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -62,8 +62,7 @@
     async def drain(self) -> None:
         """Say not ready, let the balancer notice, and finish what runs."""
         node = self._node
-        node.draining = True
-        node.log.info("draining", running=node.running_requests)
+        node.begin_drain()
         await asyncio.sleep(self._config.balancer_delay_s)
         while node.running_requests:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -9,8 +9,15 @@
 from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus
-from reachlink.requests import CallerRequest, ReplicaBook, RequestRunner, RunnerParts, SharedLoad
-from reachlink.routing import RoutingError, RoutingIndex
+from reachlink.requests import (
+    CallerRequest,
+    ReplicaBook,
+    RequestRunner,
+    RetryTerms,
+    RunnerParts,
+    SharedLoad,
+)
+from reachlink.routing import RequestKind, RoutingError, RoutingIndex
 from reachlink.settings import SettingsTree
 from reachlink.telemetry import Metrics, get_logger
 from reachlink.upstreams import RELAY_ADAPTERS, HttpClient
@@ -44,7 +51,7 @@
         )
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
-        self.draining = False
+        self.draining_since: float | None = None
         self.running_requests = 0
         self.metrics = RelayMetrics(config)
         self._seeds = list(config.seeds)
@@ -58,6 +65,8 @@
                 shared=self.shared,
                 random=Random(),
                 on_outcome=self._on_outcome,
+                retries=RetryTerms(config.retry_share, config.retry_burst),
+                instances=lambda: 1 + len(self.teller.peers),
                 on_leaving=self.reports.tell_leaving,
             )
         )
@@ -67,6 +76,24 @@
         """The routing table in force, or None before there is one."""
         return self._index
 
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.draining_since is not None
+
+    def begin_drain(self) -> None:
+        """A planned stop begins."""
+        self.draining_since = time.monotonic()
+        self.log.info("draining", running=self.running_requests)
+
+    def accepts(self, kind: RequestKind) -> bool:
+        """Return whether a request may begin here: one that a stop would cut off may not."""
+        if self.draining_since is None:
+            return True
+        if kind is RequestKind.STREAM:
+            return False
+        return time.monotonic() - self.draining_since < self.config.last_requests_s
+
     @property
     def runner(self) -> RequestRunner:
         """Carries requests."""
--- /dev/null
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -0,0 +1,75 @@
+"""What a relaying entry instance takes on, and how its routing table grows."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from reachlink.entry import PlatformSource, RelayConfig, RelayNode
+from reachlink.membership import InstanceRecord, SettingsAnswer
+from reachlink.routing import NATIVE_FORMAT, PublishedTable, RequestKind, RoutingTable
+from reachlink.settings import ROUTING_PATH
+from reachlink.upstreams import RELAY_ADAPTERS
+
+
+@pytest.fixture
+def node():
+    if "memory" not in RELAY_ADAPTERS:
+        RELAY_ADAPTERS.register("memory")(lambda client: None)
+    config = RelayConfig(
+        name="e1",
+        availability_zone="a",
+        host="127.0.0.1",
+        port=0,
+        readiness_port=0,
+        bus_address="127.0.0.1:0",
+        seeds=["10.0.0.1:7200"],
+        border="none",
+        upstream="memory",
+        platform=PlatformSource(url="http://127.0.0.1:1"),
+    )
+
+    async def make() -> RelayNode:
+        return RelayNode(config)
+
+    loop = asyncio.new_event_loop()
+    made = loop.run_until_complete(make())
+    yield made
+    made.bus.close()
+    loop.close()
+
+
+def published(number: int, revision: int) -> SettingsAnswer:
+    document = msgspec.json.encode(RoutingTable(number)).decode()
+    table = msgspec.to_builtins(PublishedTable(number, NATIVE_FORMAT, document))
+    return SettingsAnswer(revision, True, values={ROUTING_PATH: table})
+
+
+def test_a_table_is_in_force_once_it_is_known_and_never_goes_back(node):
+    assert node.index is None
+    for number, revision in ((4, 1), (9, 2), (7, 1)):
+        node.settings.take(published(number, revision))
+        node.on_settings()
+    assert node.index is not None and node.index.number == 9
+
+
+def test_a_stopping_instance_takes_no_stream_and_soon_nothing(node):
+    assert node.accepts(RequestKind.STREAM)
+    node.begin_drain()
+    assert node.draining
+    assert not node.accepts(RequestKind.STREAM)
+    assert node.accepts(RequestKind.ONCE)
+    node.draining_since -= node.config.last_requests_s
+    assert not node.accepts(RequestKind.ONCE)
+
+
+def test_control_instances_of_this_zone_are_asked_first_and_seeds_stay_known(node):
+    node.on_controls(
+        [
+            InstanceRecord("c2", "10.0.0.2:7200", "b"),
+            InstanceRecord("c3", "10.0.0.3:7200", "a"),
+        ]
+    )
+    assert set(node.control.addresses) == {"10.0.0.1:7200", "10.0.0.2:7200", "10.0.0.3:7200"}
+    node.take_seeds(["10.0.0.9:7200"])
+    assert "10.0.0.9:7200" in node.control.addresses
--- a/reachlink/limits/_retries.py
+++ b/reachlink/limits/_retries.py
@@ -16,13 +16,22 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Retries allowed as a share of first attempts, for one upstream."""
+    """Retries allowed as a share of first attempts, for one upstream.
+
+    Attributes
+    ----------
+    saved : float
+        Retries that are allowed now.
+    most : float
+        Most that may be saved up.
+    """
 
     saved: float = EARNED_AT_START
+    most: float = MAX_SAVED
 
     def on_first_attempt(self, share: float) -> None:
         """A request was dispatched for the first time."""
-        self.saved = min(MAX_SAVED, self.saved + share)
+        self.saved = min(self.most, self.saved + share)
 
     def take(self) -> bool:
         """Return whether a retry is allowed, and count it."""
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -4,7 +4,7 @@
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
 from reachlink.requests._choice import Option, choose
 from reachlink.requests._model import AnswerSink, CallerRequest
-from reachlink.requests._parts import Directory, RunnerParts
+from reachlink.requests._parts import Directory, RetryTerms, RunnerParts
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shared_load import LoadNote, ReplicaNews, ReplicaShare, SharedLoad
 from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
@@ -21,6 +21,7 @@
     "ReplicaNews",
     "ReplicaShare",
     "ReplicaState",
+    "RetryTerms",
     "RequestFailedError",
     "RequestRunner",
     "RequestsError",
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -20,8 +20,6 @@
     UpstreamBrokenError,
 )
 
-# Share of first attempts that may be sent again.
-RETRY_SHARE = 0.1
 # A whole answer larger than this, in bytes, is not held to be checked.
 MAX_WHOLE_BYTES = 8 << 20
 # When to come back after a refusal, in seconds: the next attempt reaches
@@ -127,7 +125,7 @@
 
     def begin(self, request: CallerRequest) -> AttemptLog:
         """Return the empty log of a request's attempts, which earns its share of retries."""
-        self._budget(request.service).on_first_attempt(RETRY_SHARE)
+        self._budget(request.service).on_first_attempt(self._parts.retries.share)
         return AttemptLog(request.route.may_repeat, request.route.max_attempts)
 
     def may_retry(
@@ -160,7 +158,13 @@
         return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, RETRY_AFTER_S)
 
     def _budget(self, service: Service) -> RetryBudget:
-        return self._budgets.setdefault(service.name, RetryBudget())
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            budget = self._budgets[service.name] = RetryBudget()
+        # Each instance saves up its part of what all may spend at one time.
+        budget.most = max(1.0, self._parts.retries.burst / max(1, self._parts.instances()))
+        budget.saved = min(budget.saved, budget.most)
+        return budget
 
 
 async def read_whole(answer: RelayAnswer) -> bytes:
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -28,6 +28,22 @@
         """Note a sign that a replica leaves; return whether that is news."""
 
 
+@dataclass(slots=True, frozen=True)
+class RetryTerms:
+    """How often requests may be sent again, by all entry instances together.
+
+    Attributes
+    ----------
+    share : float
+        Retries as a share of first attempts.
+    burst : float
+        Retries beyond that share at one time.
+    """
+
+    share: float = 0.1
+    burst: float = 20.0
+
+
 @dataclass(slots=True)
 class RunnerParts:
     """What `RequestRunner` works with.
@@ -50,6 +66,10 @@
         Monotonic time in seconds.
     on_outcome : callable
         Called with the request, outcome code and duration in seconds.
+    retries : RetryTerms
+        How often requests may be sent again.
+    instances : callable
+        Returns how many entry instances share what `retries` allows.
     on_leaving : callable
         Called with the name of a replica that seems to leave.
     """
@@ -61,5 +81,7 @@
     shared: SharedLoad
     random: Random
     on_outcome: Callable[[CallerRequest, str, float], None]
+    retries: RetryTerms = RetryTerms()
+    instances: Callable[[], int] = lambda: 1
     on_leaving: Callable[[str], None] = lambda name: None
     clock: Callable[[], float] = time.monotonic
--- a/reachlink/requests/tests/test_runner.py
+++ b/reachlink/requests/tests/test_runner.py
@@ -5,7 +5,7 @@
 import pytest
 
 from reachlink.delivery import Outcome
-from reachlink.requests import RequestFailedError, StreamCutError
+from reachlink.requests import RequestFailedError, RetryTerms, StreamCutError
 from reachlink.requests.tests.world import (
     MemoryAdapter,
     World,
@@ -137,6 +137,15 @@
     assert len(made.adapter.sent) <= 40 * 1.1 + 3
 
 
+def test_many_instances_share_what_may_be_sent_again():
+    made = everywhere("a a a a", script=NOT_RUN)
+    parts = made.runner._parts
+    parts.retries, parts.instances = RetryTerms(share=0.0, burst=8.0), lambda: 8
+    for _ in range(40):
+        refused(made, RequestKind.ONCE, objective_s=0.01)
+    assert len(made.adapter.sent) <= 40 + 1
+
+
 def test_nothing_new_goes_to_a_replica_that_leaves():
     made = everywhere(script=OK)
     made.list_replicas("p1")
