--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -26,6 +26,9 @@
 from reachlink.telemetry import Metrics, get_logger
 
 _SEPARATOR = "@"
+# Largest body that operators may send, in bytes: a routing table of some tens
+# of thousands of routes.
+MAX_BODY_BYTES = 16 << 20
 
 
 class ControlDaemon:
@@ -81,7 +84,7 @@
         handlers = OperatorHandlers(
             client, lambda: self._machine.tree, self._config.bootstrap_key_hash
         )
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.add_routes(handlers.routes())
         app.add_routes([web.get("/healthz", self._health), web.get("/metrics", self._page)])
         publisher = TablePublisher(self._server)
