Elections right after a start do not wait for a leader

Change: a replica that has just started stands after 0.02 to 0.2 s, as soon as no lease that an earlier process of it acknowledged can be left: the time-out counts from the start of the process, imports included. A living leader's followers refuse the trial vote as before.

--- a/reachlink/agreement/_core.py
+++ b/reachlink/agreement/_core.py
@@ -45,6 +45,9 @@
         Source of election time-outs.
     now : float
         Monotonic time in seconds.
+    started_at : float, optional
+        When the process of this replica started, in monotonic seconds: what an
+        earlier one acknowledged it did before. `now` where it is not known.
     """
 
     def __init__(
@@ -56,13 +59,14 @@
         timing: Timing,
         random: Random,
         now: float,
+        started_at: float | None = None,
     ) -> None:
         state = ReplicaState(node_id, timing, random, log, term, voted_for)
         state.commit = log.snapshot_index
         # A restarted replica may have acknowledged a lease just before.
-        state.heard_leader_at = now
+        state.heard_leader_at = now if started_at is None else started_at
         state.refresh_members()
-        election.reset_election_timer(state, now)
+        election.set_first_election(state, now)
         self._state = state
 
     @property
--- a/reachlink/agreement/_election.py
+++ b/reachlink/agreement/_election.py
@@ -17,6 +17,19 @@
     state.election_due = now + wait
 
 
+def set_first_election(state: ReplicaState, now: float) -> None:
+    """Stand soon after a start, once no lease can be left that this replica acknowledged.
+
+    Where a leader lives, the others refuse the trial vote; where all replicas
+    start at once, none has to wait for one.
+    """
+    free = state.heard_leader_at + state.timing.election_min_s
+    wait = state.random.uniform(
+        state.timing.first_election_min_s, state.timing.first_election_max_s
+    )
+    state.election_due = max(now, free) + wait
+
+
 def follow(state: ReplicaState, term: int, leader: str, now: float) -> None:
     """Become a follower, in a newer term if `term` is newer."""
     if term > state.term:
@@ -170,4 +183,5 @@
     "on_vote_reply",
     "on_vote_request",
     "reset_election_timer",
+    "set_first_election",
 ]
--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -80,6 +80,8 @@
         Durations.
     on_applied : callable, optional
         Called after entries were applied or a snapshot was installed.
+    started_at : float, optional
+        When this process started, in monotonic seconds; see `Core`.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         clock: Clock,
         timing: Timing | None = None,
         on_applied: Callable[[], None] | None = None,
+        started_at: float | None = None,
     ) -> None:
         self._on_applied = on_applied
         self._storage = storage
@@ -106,6 +109,7 @@
             timing or Timing(),
             Random(node_id),
             clock.monotonic(),
+            started_at,
         )
         self._snapshot = loaded.snapshot or b""
         self._log_bytes = sum(len(e.data) + ENTRY_BYTES for e in loaded.log.entries)
--- a/reachlink/agreement/_state.py
+++ b/reachlink/agreement/_state.py
@@ -27,6 +27,9 @@
         Interval of heartbeats.
     election_min_s, election_max_s : float
         Range of the random election time-out.
+    first_election_min_s, first_election_max_s : float
+        Range of the wait before a replica that has just started stands: some
+        round trips, and enough apart that seldom two stand at once.
     drift : float
         Bound on how much faster one clock may run than another, as a share.
     """
@@ -34,6 +37,8 @@
     heartbeat_s: float = 0.15
     election_min_s: float = 0.6
     election_max_s: float = 1.0
+    first_election_min_s: float = 0.02
+    first_election_max_s: float = 0.2
     drift: float = 0.1
 
 
--- /dev/null
+++ b/reachlink/agreement/tests/test_election.py
@@ -0,0 +1,59 @@
+"""Elections right after a start: soon where all start at once, never inside a lease."""
+
+from random import Random
+
+import pytest
+
+from reachlink.agreement import Core, Log, Member, Timing
+from reachlink.agreement._messages import Message, VoteReply, VoteRequest
+
+NAMES = ["a", "b", "c"]
+DELAY_S = 0.002
+STARTED_S = 100.0
+# A start takes longer than a lease lasts.
+START_TAKES_S = 0.9
+
+
+def replica(name: str, now: float, started_at: float | None) -> Core:
+    log = Log()
+    log.snapshot_members = [Member(n, f"{n}:1", "zone", True) for n in NAMES]
+    return Core(name, log, 3, "", Timing(), Random(name), now, started_at)
+
+
+def run_until_leader(replicas: dict[str, Core], now: float) -> float:
+    """Deliver messages and ticks in order of time; return when a leader stands."""
+    on_the_way: list[tuple[float, str, str, Message]] = []
+    while not any(core.is_leader for core in replicas.values()):
+        due = min(core.next_due() for core in replicas.values())
+        now = max(now, min([due, *(at for at, *_ in on_the_way)]))
+        arrived = [item for item in on_the_way if item[0] <= now]
+        on_the_way = [item for item in on_the_way if item[0] > now]
+        for _, sender, to, message in arrived:
+            replicas[to].receive(sender, message, now)
+        for name, core in replicas.items():
+            core.tick(now)
+            for to, message in core.take_effects().messages:
+                on_the_way.append((now + DELAY_S, name, to, message))
+    return now
+
+
+def test_replicas_that_all_start_at_once_do_not_wait_for_a_leader():
+    now = STARTED_S + START_TAKES_S
+    replicas = {name: replica(name, now, STARTED_S) for name in NAMES}
+    elected = run_until_leader(replicas, now)
+    assert elected - now < Timing().first_election_max_s + 10 * DELAY_S
+
+
+@pytest.mark.parametrize("started_at", [STARTED_S, None])
+def test_a_replica_that_started_just_now_does_not_stand_inside_a_lease(started_at):
+    core = replica("a", STARTED_S, started_at)
+    assert core.next_due() >= STARTED_S + Timing().election_min_s
+
+
+def test_a_replica_that_started_just_now_grants_no_vote_inside_a_lease():
+    core = replica("a", STARTED_S, STARTED_S)
+    request = VoteRequest(4, "b", 0, 0, True)
+    core.receive("b", request, STARTED_S + 0.5 * Timing().election_min_s)
+    core.receive("b", request, STARTED_S + 1.1 * Timing().election_min_s)
+    replies = [m for _, m in core.take_effects().messages if isinstance(m, VoteReply)]
+    assert [reply.granted for reply in replies] == [False, True]
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -21,7 +21,7 @@
 from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
-from reachlink.kernel import SystemClock
+from reachlink.kernel import SystemClock, process_started_at
 from reachlink.messaging import Bus
 from reachlink.telemetry import Metrics, get_logger
 
@@ -62,6 +62,7 @@
             lambda address, payload: self._bus.send(address, CHANNEL_LOG, payload),
             self._clock,
             on_applied=lambda: self._server.on_applied(),
+            started_at=process_started_at(),
         )
         self._server = ControlServer(
             self._service, self._machine, self._storage, self._bus, self._clock
--- a/reachlink/kernel/__init__.py
+++ b/reachlink/kernel/__init__.py
@@ -1,6 +1,6 @@
 """Registries, clocks, process lifecycle and the root of all errors."""
 
-from reachlink.kernel._clock import Clock, SystemClock
+from reachlink.kernel._clock import Clock, SystemClock, process_started_at
 from reachlink.kernel._config import load_config
 from reachlink.kernel._lifecycle import run_daemon
 from reachlink.kernel._registry import Registry
@@ -17,5 +17,6 @@
     "bearer_key",
     "json_response",
     "load_config",
+    "process_started_at",
     "run_daemon",
 ]
--- a/reachlink/kernel/_clock.py
+++ b/reachlink/kernel/_clock.py
@@ -3,6 +3,9 @@
 import time
 from typing import Protocol
 
+# Read when this package is imported, which is the first thing that a daemon does.
+_STARTED_AT = time.monotonic()
+
 
 class Clock(Protocol):
     """Source of time for the shells around the pure decision modules."""
@@ -24,3 +27,8 @@
     def wall(self) -> float:
         """Return the wall clock in seconds since 1970-01-01 UTC."""
         return time.time()
+
+
+def process_started_at() -> float:
+    """Return when this process started, in monotonic seconds, or soon after."""
+    return _STARTED_AT
