The platform's list read by turns; evacuation in order of what is at stake; one copy at a time

Change: the instances that exchange load read the list by turns (0.12 s between any two, each 0.96 s at eight; 0.7 s before) and tell each other what is new. Notes list the generations without a copy with what is at stake; the owner of each knows its place and orders its copy that much later (0.03 s a place). A standing copy is begun only where none is on its way, and not while something leaves without one. A source that does not answer is left alone for 1 s.

--- a/reachlink/entry/_config.py
+++ b/reachlink/entry/_config.py
@@ -12,11 +12,25 @@
 
 
 class PlatformSource(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
-    """Where the platform's list is."""
+    """Where the platform's list is.
+
+    Attributes
+    ----------
+    adapter : str
+        How it is read, one of `PLATFORMS`.
+    url : str
+        Where it is.
+    interval_s : float
+        Shortest time between two readings by one instance, in seconds.
+    shared_interval_s : float
+        Time between two readings by any of the instances that tell each other
+        what they find, in seconds.
+    """
 
     adapter: str = "http-json"
     url: str
     interval_s: float = 1.0
+    shared_interval_s: float = 0.12
 
 
 class EntryConfig(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/reachlink/entry/_list_news.py
@@ -0,0 +1,67 @@
+"""What the instances that share the reading of the platform's list tell each other."""
+
+import time
+from collections.abc import Callable, Iterable
+
+from reachlink.membership import InstanceState, ListedInstance, ReplicaDirectory
+from reachlink.requests import ListedReplica
+
+# How long a finding is told, in seconds: several notes carry it.
+TOLD_S = 0.4
+
+
+class ListNews:
+    """Findings of this instance's readings, and those of the others.
+
+    Parameters
+    ----------
+    directory : ReplicaDirectory
+        Where those of the others go.
+    on_news : callable
+        Called when there is something to tell.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        on_news: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._directory = directory
+        self._on_news = on_news
+        self._clock = clock
+        self._found: list[tuple[float, ListedReplica]] = []
+
+    def tell(self, found: Iterable[ListedInstance]) -> None:
+        """Tell the others what a reading here has found."""
+        items = [(self._clock(), _encode(instance)) for instance in found]
+        if items:
+            self._found.extend(items)
+            self._on_news()
+
+    def recent(self) -> list[ListedReplica]:
+        """Return what is to be told now."""
+        now = self._clock()
+        self._found = [item for item in self._found if now - item[0] < TOLD_S]
+        return [listed for _, listed in self._found]
+
+    def take(self, listed: Iterable[ListedReplica]) -> None:
+        """Take what another instance has found."""
+        self._directory.hear((_decode(item) for item in listed), self._clock())
+
+
+def _encode(instance: ListedInstance) -> ListedReplica:
+    return ListedReplica(
+        instance.name,
+        instance.upstream,
+        instance.availability_zone,
+        instance.address,
+        instance.state is InstanceState.LEAVING,
+    )
+
+
+def _decode(item: ListedReplica) -> ListedInstance:
+    state = InstanceState.LEAVING if item.leaving else InstanceState.LIVE
+    return ListedInstance(item.name, item.service, item.availability_zone, item.address, state)
--- a/reachlink/entry/_list_reader.py
+++ b/reachlink/entry/_list_reader.py
@@ -1,8 +1,10 @@
-"""Reads the platform's list, no faster than all instances together may."""
+"""Reads the platform's list, by turns with the instances that share what they find."""
 
 import asyncio
 import time
+from collections.abc import Callable
 
+from reachlink.entry._list_news import ListNews
 from reachlink.membership import (
     PlatformAdapter,
     PlatformBusyError,
@@ -13,9 +15,13 @@
 
 # Longest time between two readings, in seconds.
 SLOWEST_S = 8.0
+# Longest turn, in seconds: an instance that hears nothing of the others is not
+# further behind.
+LONGEST_TURN_S = 3.0
 # How much longer to wait after a refusal, and how the wait shrinks again, as factors.
 SLOWER = 1.6
 FASTER = 0.95
+MOST_SLOWDOWN = 12.0
 
 
 class ListReader:
@@ -27,17 +33,32 @@
         Where the list is.
     directory : ReplicaDirectory
         What it is kept in.
+    news : ListNews
+        What the instances tell each other.
+    instances : callable
+        Returns how many instances share the reading, this one included.
     interval_s : float
-        Usual time between two readings, in seconds.
+        Shortest time between two readings here, in seconds.
+    shared_interval_s : float
+        Time between two readings by any of them, in seconds.
     """
 
     def __init__(
-        self, platform: PlatformAdapter, directory: ReplicaDirectory, interval_s: float
+        self,
+        platform: PlatformAdapter,
+        directory: ReplicaDirectory,
+        news: ListNews,
+        instances: Callable[[], int],
+        interval_s: float,
+        shared_interval_s: float,
     ) -> None:
         self._platform = platform
         self._directory = directory
-        self._usual_s = interval_s
-        self._interval_s = interval_s
+        self._news = news
+        self._instances = instances
+        self._shortest_s = interval_s
+        self._shared_s = shared_interval_s
+        self._slowdown = 1.0
         self._log = get_logger()
         self._read = False
         self._failing = False
@@ -53,14 +74,20 @@
             started = time.monotonic()
             await self._read_once()
             passed = time.monotonic() - started
-            await asyncio.sleep(max(0.0, self._interval_s - passed))
+            await asyncio.sleep(max(0.0, self._interval_s() - passed))
+
+    def _interval_s(self) -> float:
+        """Return the time between two readings here, in seconds."""
+        turn = self._shared_s * self._instances()
+        usual = max(self._shortest_s, min(turn, LONGEST_TURN_S))
+        return min(SLOWEST_S, usual * self._slowdown)
 
     async def _read_once(self) -> None:
         try:
             listed = await self._platform.instances()
         except PlatformBusyError:
-            self._interval_s = min(SLOWEST_S, self._interval_s * SLOWER)
-            self._log.info("platform_list_busy", interval_s=round(self._interval_s, 2))
+            self._slowdown = min(MOST_SLOWDOWN, self._slowdown * SLOWER)
+            self._log.info("platform_list_busy", interval_s=round(self._interval_s(), 2))
             return
         except PlatformUnavailableError as error:
             if not self._failing:
@@ -70,6 +97,6 @@
         if self._failing:
             self._log.info("platform_list_regained")
         self._failing = False
-        self._interval_s = max(self._usual_s, self._interval_s * FASTER)
-        self._directory.update(listed, time.monotonic())
+        self._slowdown = max(1.0, self._slowdown * FASTER)
+        self._news.tell(self._directory.update(listed, time.monotonic()))
         self._read = True
--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from reachlink.entry._list_news import ListNews
 from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import InstanceRecord
 from reachlink.messaging import Bus, decode, encode
@@ -31,6 +32,8 @@
         What the others tell.
     reports : ReportReader
         What it reads at replicas.
+    listed : ListNews
+        What it finds in the platform's list.
     clock : callable
         Monotonic time in seconds.
     """
@@ -42,6 +45,7 @@
         book: ReplicaBook,
         shared: SharedLoad,
         reports: ReportReader,
+        listed: ListNews,
         clock: Callable[[], float],
     ) -> None:
         self._name = name
@@ -49,6 +53,7 @@
         self._book = book
         self._shared = shared
         self._reports = reports
+        self._listed = listed
         self._clock = clock
         self._peers: list[InstanceRecord] = []
         bus.handle(CHANNEL_LOAD, self._on_note)
@@ -77,11 +82,17 @@
             if changes == told and self._clock() - told_at < SLOWEST_S:
                 continue
             told, told_at = changes, self._clock()
-            note = encode(LoadNote(self._name, self._book.shares(), self._reports.news()))
+            note = encode(self._note())
             for peer in self._peers:
                 self._bus.send(peer.address, CHANNEL_LOAD, note)
 
+    def _note(self) -> LoadNote:
+        return LoadNote(
+            self._name, self._book.shares(), self._reports.news(), self._listed.recent()
+        )
+
     async def _on_note(self, sender: str, body: bytes) -> None:
         note = decode(body, LoadNote)
         self._shared.take(note, self._clock())
         self._reports.take(note.news)
+        self._listed.take(note.listed)
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -33,7 +33,14 @@
         self._node = RelayNode(config)
         self._follower = SettingsFollower(self._node)
         self._platform = PLATFORMS.get(config.platform.adapter)(config.platform.url)
-        self._reader = ListReader(self._platform, self._node.directory, config.platform.interval_s)
+        self._reader = ListReader(
+            self._platform,
+            self._node.directory,
+            self._node.listed,
+            self._node.sharing_instances,
+            config.platform.interval_s,
+            config.platform.shared_interval_s,
+        )
         self._border: CallerBorder = CALLER_BORDERS.get(config.border)(self._node)
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from reachlink.control import ControlClient
+from reachlink.entry._list_news import ListNews
 from reachlink.entry._load_teller import LoadTeller
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._report_reader import ReportReader
@@ -46,8 +47,15 @@
         self.reports = ReportReader(
             config.name, adapter, self.directory, self.book, self._engines, time.monotonic
         )
+        self.listed = ListNews(self.directory, self.book.touch)
         self.teller = LoadTeller(
-            config.name, self.bus, self.book, self.shared, self.reports, time.monotonic
+            config.name,
+            self.bus,
+            self.book,
+            self.shared,
+            self.reports,
+            self.listed,
+            time.monotonic,
         )
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
@@ -66,7 +74,7 @@
                 random=Random(),
                 on_outcome=self._on_outcome,
                 retries=RetryTerms(config.retry_share, config.retry_burst),
-                instances=lambda: 1 + len(self.teller.peers),
+                instances=self.sharing_instances,
                 on_leaving=self.reports.tell_leaving,
             )
         )
@@ -129,6 +137,10 @@
         """Whether settings of a control instance without a leader will do at last."""
         return True
 
+    def sharing_instances(self) -> int:
+        """Return how many entry instances exchange what they know, this one included."""
+        return 1 + len(self.teller.peers)
+
     def zone_peers(self) -> list[str]:
         """Return the addresses of the other entry instances of this zone that are known."""
         peers = self.teller.peers
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -16,6 +16,9 @@
 UNCONFIRMED_MARK_S = 30.0
 # An instance that no list has had for this long is forgotten, in seconds.
 GONE_KEPT_S = 60.0
+# An instance that another reader has found stays for this long, in seconds,
+# though the list here does not have it: it was asked for before.
+HEARD_KEPT_S = 1.0
 
 
 class LeavingSource(Enum):
@@ -35,6 +38,8 @@
     marked_at: float = 0.0
     gone: bool = False
     gone_at: float = 0.0
+    heard_at: float = float("-inf")
+    noticed_at: float = float("-inf")
 
 
 class ReplicaDirectory:
@@ -58,19 +63,44 @@
         self._entries: dict[str, _Entry] = {}
         # Asked for with every decision, changed a few times an hour.
         self._live: dict[str, list[Replica]] = {}
-        self._noticed: dict[str, float] = {}
 
-    def update(self, listed: Iterable[ListedInstance], now: float) -> None:
-        """Take a new copy of the platform's list."""
+    def update(self, listed: Iterable[ListedInstance], now: float) -> list[ListedInstance]:
+        """Take a new copy of the platform's list; return what is new in it.
+
+        Returns
+        -------
+        list of ListedInstance
+            Instances that were not known before, and those that leave by now.
+        """
         names: set[str] = set()
+        news: list[ListedInstance] = []
         for instance in listed:
             names.add(instance.name)
-            self._update_one(instance, now)
+            if self._update_one(instance, now):
+                news.append(instance)
         for name, entry in list(self._entries.items()):
             self._note_absence(name, entry, name not in names, now)
         self._live.clear()
+        return news
+
+    def hear(self, listed: Iterable[ListedInstance], now: float) -> None:
+        """Take what another reader of the list has found new.
+
+        Its copy may be older than the one here: it makes instances known and
+        says that they leave, but takes nothing back.
+        """
+        for instance in listed:
+            entry = self._entries.get(instance.name)
+            if entry is None:
+                self._update_one(instance, now)
+                self._entries[instance.name].heard_at = now
+                self._live.clear()
+            elif instance.state is InstanceState.LEAVING:
+                self.mark_leaving(instance.name, LeavingSource.LIST, now)
 
     def _note_absence(self, name: str, entry: "_Entry", gone: bool, now: float) -> None:
+        if gone and now - entry.heard_at < HEARD_KEPT_S:
+            return
         if gone and not entry.gone:
             entry.gone_at = now
         entry.gone = gone
@@ -87,16 +117,25 @@
         if entry is None or entry.marked is not None:
             return False
         entry.marked, entry.marked_at = source, now
-        self._noticed[entry.replica.upstream] = now
+        entry.noticed_at = now
         self._live.clear()
         return True
 
-    def last_notice(self, upstream: str) -> float:
-        """Return when an instance of an upstream was last found to leave.
+    def leaving(self, upstream: str, since: float) -> list[str]:
+        """Return the instances of an upstream that were found to leave since then.
 
-        In monotonic seconds; minus infinity where none was.
+        Parameters
+        ----------
+        upstream : str
+            The upstream.
+        since : float
+            Monotonic time in seconds.
         """
-        return self._noticed.get(upstream, float("-inf"))
+        return [
+            name
+            for name, entry in self._entries.items()
+            if entry.replica.upstream == upstream and entry.noticed_at >= since
+        ]
 
     def may_get_work(self, name: str) -> bool:
         """Return whether an instance may get new work, to be asked at dispatch."""
@@ -123,19 +162,24 @@
         """Return every instance that the platform's latest list has."""
         return [entry.replica for entry in self._entries.values() if not entry.gone]
 
-    def _update_one(self, instance: ListedInstance, now: float) -> None:
+    def _update_one(self, instance: ListedInstance, now: float) -> bool:
+        """Take one line of the list; return whether it is news to the other instances."""
         address = self._routes.get(instance.address, instance.address)
         replica = Replica(instance.name, instance.upstream, instance.availability_zone, address)
         entry = self._entries.get(instance.name)
         if entry is None:
             self._entries[instance.name] = _Entry(replica, instance.state)
-            return
+            return True
         came_back = entry.gone or entry.listed is InstanceState.LEAVING
         unconfirmed = entry.marked is not None and now - entry.marked_at > self._unconfirmed_mark_s
         if instance.state is InstanceState.LIVE and (came_back or unconfirmed):
             entry.marked = None
+        left = instance.state is InstanceState.LEAVING and entry.listed is InstanceState.LIVE
+        if left and entry.marked is None:
+            entry.noticed_at = now
         entry.replica = replica
         entry.listed = instance.state
+        return left
 
 
 def _is_live(entry: _Entry) -> bool:
--- a/reachlink/membership/tests/test_membership.py
+++ b/reachlink/membership/tests/test_membership.py
@@ -77,3 +77,35 @@
     fresh = SettingsHolder()
     fresh.take(SettingsAnswer(7, False, values={"defaults.priority": 7}))
     assert fresh.since(2).values == {"defaults.priority": 7}
+
+
+def one(name: str, state: InstanceState = InstanceState.LIVE) -> ListedInstance:
+    return ListedInstance(name, "chat", "a", f"{name}:1", state)
+
+
+def test_a_reading_tells_what_is_new_in_it():
+    directory = ReplicaDirectory()
+    assert directory.update([one("r1"), one("r2")], 0.0) == [one("r1"), one("r2")]
+    leaves = one("r1", InstanceState.LEAVING)
+    assert directory.update([leaves, one("r2")], 1.0) == [leaves]
+    assert directory.update([leaves, one("r2")], 2.0) == []
+
+
+def test_what_another_reader_found_counts_at_once_and_takes_nothing_back():
+    directory = ReplicaDirectory()
+    directory.update([one("r1")], 0.0)
+    directory.hear([one("r2"), one("r1", InstanceState.LEAVING)], 1.0)
+    assert [r.name for r in directory.live("chat")] == ["r2"]
+    directory.hear([one("r1")], 1.1)
+    assert [r.name for r in directory.live("chat")] == ["r2"]
+    assert directory.leaving("chat", 0.5) == ["r1"]
+    assert directory.leaving("chat", 1.5) == []
+
+
+def test_an_older_copy_of_the_list_does_not_hide_what_another_reader_found():
+    directory = ReplicaDirectory()
+    directory.hear([one("r2")], 1.0)
+    directory.update([one("r1")], 1.5)
+    assert directory.may_get_work("r2")
+    directory.update([one("r1")], 2.5)
+    assert not directory.may_get_work("r2")
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -7,8 +7,9 @@
 from reachlink.requests._parts import Directory, RetryTerms, RunnerParts
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shared_load import (
-    CopyNote,
+    ListedReplica,
     LoadNote,
+    MemoryNote,
     ReplicaNews,
     ReplicaShare,
     SharedLoad,
@@ -19,9 +20,11 @@
     "AnswerSink",
     "AttemptLog",
     "CallerRequest",
-    "CopyNote",
+    "MemoryNote",
     "Directory",
     "Flight",
+    "ListedReplica",
+    "ListedReplica",
     "LoadNote",
     "Option",
     "ReplicaBook",
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from reachlink.placement import Health
-from reachlink.requests._shared_load import CopyNote, ReplicaNews, ReplicaShare
+from reachlink.requests._shared_load import MemoryNote, ReplicaNews, ReplicaShare
 from reachlink.upstreams import LoadSample
 
 # A load sample says little after this many seconds.
@@ -31,8 +31,12 @@
         Whether only a copy is there.
     gives_way : bool
         Whether that copy is freed where others need the room.
+    arriving : bool
+        Whether it is a copy on its way.
+    uncovered : bool
+        Whether it is a running generation that no other replica has a copy of.
     stake : int
-        What would be lost without the copy.
+        What would be lost with it.
     """
 
     request_id: str
@@ -41,12 +45,14 @@
     used_tokens: int = 0
     copy: bool = False
     gives_way: bool = False
+    arriving: bool = False
+    uncovered: bool = False
     stake: int = 0
 
     @property
-    def note(self) -> CopyNote:
-        """What the other instances are told of a copy that gives way."""
-        return CopyNote(zlib.crc32(self.request_id.encode()), self.used_tokens, self.stake)
+    def note(self) -> MemoryNote:
+        """What the other instances are told of its memory."""
+        return MemoryNote(zlib.crc32(self.request_id.encode()), self.used_tokens, self.stake)
 
 
 @dataclass(slots=True)
@@ -86,7 +92,7 @@
         return sum(flight.used_tokens for flight in self.flights if not flight.gives_way)
 
     @property
-    def own_copies(self) -> tuple[CopyNote, ...]:
+    def own_copies(self) -> tuple[MemoryNote, ...]:
         """This instance's own copies that give way."""
         return tuple(flight.note for flight in self.flights if flight.gives_way)
 
@@ -95,6 +101,16 @@
         """Prompts of this instance's own requests that are still to be read, in tokens."""
         return sum(flight.unread_tokens for flight in self.flights)
 
+    @property
+    def own_uncovered(self) -> tuple[MemoryNote, ...]:
+        """This instance's own generations that no other replica has a copy of."""
+        return tuple(flight.note for flight in self.flights if flight.uncovered)
+
+    @property
+    def own_arriving(self) -> int:
+        """How many copies of this instance are on their way."""
+        return sum(1 for flight in self.flights if flight.arriving)
+
     @property
     def own_running(self) -> int:
         """How many requests of this instance are there."""
@@ -195,6 +211,8 @@
                 state.own_unread_tokens,
                 state.own_used_tokens,
                 state.own_copies,
+                state.own_uncovered,
+                state.own_arriving,
             )
             for name, state in self._states.items()
             if any(flight.tokens for flight in state.flights)
--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -33,22 +33,26 @@
         yet not be preferred, as a share.
     measure : Measure
         What counts as taken.
+    most_arriving : float
+        Copies that may be on their way to a replica: its link takes one after
+        the other.
     """
 
     full: float
     far: float
     measure: Measure
+    most_arriving: float = float("inf")
 
 
 # Requests need less than they are promised until they end, so that more than
 # the whole may be promised. Another zone may be cut off at any moment.
 REQUEST = Terms(full=1.05, far=0.25, measure=Measure.PROMISED)
 # A copy takes only what nobody else uses, and gives it back. To another zone
-# it takes twice as long.
-COPY = Terms(full=0.85, far=0.15, measure=Measure.USED_AND_COPIES)
+# it takes twice as long. One at a time, so that no rescue waits behind many.
+COPY = Terms(full=0.85, far=0.15, measure=Measure.USED_AND_COPIES, most_arriving=0)
 # Where a generation runs in another zone, its copy should be in this one: it
 # is what goes on when the zones are cut off from each other.
-COPY_HOME = Terms(full=0.85, far=0.6, measure=Measure.USED_AND_COPIES)
+COPY_HOME = Terms(full=0.85, far=0.6, measure=Measure.USED_AND_COPIES, most_arriving=0)
 # Nothing is worse than to lose a generation: any room will do, and copies of
 # those that stay give way.
 RESCUE = Terms(full=1.0, far=0.15, measure=Measure.USED)
@@ -74,6 +78,8 @@
         Memory that they take now, in tokens.
     copy_tokens : int
         Memory of copies that give way, in tokens.
+    arriving : int
+        Copies on their way to it.
     unread_tokens : int
         Prompts that it still has to read, in tokens.
     capacity_tokens : int
@@ -94,6 +100,7 @@
     trust: float = 1.0
     used_tokens: int = 0
     copy_tokens: int = 0
+    arriving: int = 0
     reported_tokens: int = 0
 
 
@@ -124,6 +131,8 @@
 def _has_room(option: Option, need_tokens: int, terms: Terms) -> bool:
     if not option.capacity_tokens:
         return True
+    if option.arriving > terms.most_arriving:
+        return False
     taken = _taken(option, terms.measure) + need_tokens
     return taken <= terms.full * option.capacity_tokens
 
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -61,6 +61,10 @@
         """Return the monotonic time in seconds."""
         return self._parts.clock()
 
+    def draw(self) -> float:
+        """Return a random number from 0 to 1."""
+        return self._parts.random.random()
+
     async def open(
         self,
         request: CallerRequest,
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -18,7 +18,7 @@
 from reachlink.upstreams import MovedMemory, Replica
 
 # How often a stream looks whether its replicas stay, in seconds.
-WATCH_S = 0.1
+WATCH_S = 0.05
 # Shortest output, in tokens, that is copied while its replica stays: a shorter
 # one ends within two seconds, so that it is seldom hit.
 COPY_FROM_TOKENS = 200
@@ -27,6 +27,23 @@
 # How long a replica that has refused a copy, or where one had to give way, is
 # left alone, in seconds: about what it takes until the others know of it.
 NO_ROOM_S = 0.4
+# How much later the next generation of a leaving replica is copied, in seconds:
+# long enough that the orders arrive one after the other, so that what is worth
+# most goes first.
+EVACUATION_STEP_S = 0.03
+# Chance that a copy is begun at one look, where nothing else forbids it: the
+# others hear of it before most of them look again.
+BEGIN_SHARE = 0.2
+# How long after a copy could not be ordered the next one is, in seconds: the
+# source does not answer, or its zone is cut off.
+SOURCE_SILENT_S = 1.0
+# What it takes to make a token again, counted in tokens of prompt.
+OUTPUT_WEIGHT = 10
+# A generation in another zone is lost with its replica or with the way there.
+FAR_RISK = 2
+# A generation that goes on for this many tokens or more is at full risk: about
+# as many as come between two notices.
+RISK_TOKENS = 330
 # Beyond the output that was expected, this share of what has come already is
 # expected to follow.
 MORE_SHARE = 0.25
@@ -63,6 +80,8 @@
         self._shadow: Shadow | None = None
         self._shadow_place: _Place | None = None
         self._no_room: dict[str, float] = {}
+        self._leaving_since: float | None = None
+        self._not_before = 0.0
 
     @property
     def home(self) -> Replica:
@@ -98,6 +117,7 @@
         self._free(self._copy)
         self._drop_shadow()
         self._home = self._occupy(target)
+        self._leaving_since = None
         self._copy = self._choose_copy({target.name}, lost.replica)
         return lost.replica
 
@@ -131,19 +151,54 @@
             await asyncio.sleep(WATCH_S)
             if self._home is None or self._joint.last < 0:
                 continue
-            leaving = not self._placing.stays(self._home.replica)
+            leaving = self._note_leaving()
             if self._shadow is not None and not self._may_keep_shadow(leaving):
                 self._drop_shadow()
-            if self._shadow is None and self._needs_shadow(leaving):
+            self._note_cover()
+            if self._shadow is None and self._needs_shadow(leaving) and self._is_due():
                 self._begin_shadow(leaving)
 
+    def _note_leaving(self) -> bool:
+        """Return whether the home leaves, and note since when."""
+        if self._placing.stays(self.home):
+            self._leaving_since = None
+            return False
+        if self._leaving_since is None:
+            self._leaving_since = self._dispatch.now()
+        return True
+
+    def _note_cover(self) -> None:
+        """Note whether another replica has a copy, for the order of an evacuation."""
+        assert self._home is not None
+        flight = self._home.flight
+        flight.stake = self._stake()
+        if self._shadow is not None and self._shadow_place is not None:
+            self._shadow_place.flight.arriving = not self._shadow.arrived
+        covered = self._copy is not None or (self._shadow is not None and self._shadow.arrived)
+        flight.uncovered = not covered and self._remaining_tokens() >= RESCUE_FROM_TOKENS
+
+    def _is_due(self) -> bool:
+        """Return whether it is this generation's turn to be copied."""
+        now = self._dispatch.now()
+        if now < self._not_before:
+            return False
+        if self._leaving_since is None:
+            # Not all at the same moment, when a replica has come.
+            return self._dispatch.draw() < BEGIN_SHARE
+        assert self._home is not None
+        rank = self._placing.evacuation_rank(self._home.replica, self._home.flight)
+        return now >= self._leaving_since + rank * EVACUATION_STEP_S
+
     def _may_keep_shadow(self, leaving: bool) -> bool:
         """Return whether the shadow is still of use, and what it takes not needed elsewhere."""
         assert self._shadow is not None and self._shadow_place is not None
         flight = self._shadow_place.flight
         target = self._shadow.target
         if self._shadow.failed:
-            self._avoid(target)
+            if self._shadow.refused:
+                self._avoid(target)
+            else:
+                self._not_before = self._dispatch.now() + SOURCE_SILENT_S
             return False
         if leaving:
             # Both may leave: the copy that is there is better than none.
@@ -213,6 +268,7 @@
         self._shadow_place = self._occupy(target, copy=True)
         flight = self._shadow_place.flight
         flight.gives_way, flight.stake = not leaving, self._stake()
+        flight.arriving = True
         self._shadow = Shadow(
             self._dispatch.adapter, self._request.request_id, home, target, self._dispatch.log
         )
@@ -250,8 +306,12 @@
         return min(most, max(expected - made, round(made * MORE_SHARE)))
 
     def _stake(self) -> int:
-        """Return what would be lost without a copy: the work done, by the time at risk."""
-        return self._request.prompt_tokens * self._remaining_tokens()
+        """Return what would be lost with the generation, by how long it is at risk."""
+        remaining = self._remaining_tokens()
+        output = self._made_tokens() + remaining
+        work = self._request.prompt_tokens + OUTPUT_WEIGHT * output
+        risk = 1 if self._home is None or self._placing.is_near(self.home) else FAR_RISK
+        return risk * work * min(remaining, RISK_TOKENS) // RISK_TOKENS
 
     def _choose_copy(self, excluded: set[str], before: Replica | None = None) -> _Place | None:
         """Choose where the generation's memory is copied as it grows, if anywhere.
--- a/reachlink/requests/_giving_way.py
+++ b/reachlink/requests/_giving_way.py
@@ -1,28 +1,44 @@
-"""Which copies of generations make room at a replica that has promised too much; pure.
+"""Which copies make room at a full replica, and which generations leave one first; pure.
 
-Every instance knows all copies at a replica and comes to the same order, so
-that no message is needed to agree on who frees what.
+Every instance knows all copies and generations at a replica and comes to the
+same order, so that no message is needed to agree on who does what.
 """
 
 from collections.abc import Iterable
 
-from reachlink.requests._shared_load import CopyNote
+from reachlink.requests._shared_load import MemoryNote
 
 # Share of a replica's memory beyond which copies give way: the rest is for what
 # grows until all instances have heard of it.
 FULL = 0.93
 
 
+def rank(generation: MemoryNote, others: Iterable[MemoryNote]) -> int:
+    """Return how many other generations at a replica should be copied away before one.
+
+    The links take one copy after the other, and there is not time for all.
+
+    Parameters
+    ----------
+    generation : MemoryNote
+        The generation.
+    others : iterable of MemoryNote
+        Those at the replica that no other replica has a copy of.
+    """
+    mine = (-generation.stake, generation.key)
+    return sum(1 for other in others if (-other.stake, other.key) < mine)
+
+
 def gives_way(
-    copy: CopyNote, copies: Iterable[CopyNote], firm_tokens: int, capacity_tokens: int
+    copy: MemoryNote, copies: Iterable[MemoryNote], firm_tokens: int, capacity_tokens: int
 ) -> bool:
     """Return whether a copy is among those that have to make room.
 
     Parameters
     ----------
-    copy : CopyNote
+    copy : MemoryNote
         The copy.
-    copies : iterable of CopyNote
+    copies : iterable of MemoryNote
         All copies at the replica that give way, this one included.
     firm_tokens : int
         Memory that is taken by what does not give way, in tokens.
@@ -31,7 +47,7 @@
 
     Examples
     --------
-    >>> small, large = CopyNote(1, 3000, 10), CopyNote(2, 5000, 90)
+    >>> small, large = MemoryNote(1, 3000, 10), MemoryNote(2, 5000, 90)
     >>> gives_way(small, [small, large], 22_000, 30_000)
     True
     >>> gives_way(large, [small, large], 22_000, 30_000)
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -24,8 +24,8 @@
     def may_get_work(self, name: str) -> bool:
         """Return whether a replica may get new work now."""
 
-    def last_notice(self, upstream: str) -> float:
-        """Return when a replica of a service was last found to leave, in monotonic seconds."""
+    def leaving(self, upstream: str, since: float) -> list[str]:
+        """Return the replicas of a service that were found to leave since then."""
 
     def suspect_leaving(self, name: str, now: float) -> bool:
         """Note a sign that a replica leaves; return whether that is news."""
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -6,7 +6,7 @@
 from reachlink.placement import allowances
 from reachlink.requests._book import Flight, ReplicaState
 from reachlink.requests._choice import REQUEST, Option, Terms, choose
-from reachlink.requests._giving_way import gives_way
+from reachlink.requests._giving_way import gives_way, rank
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
 from reachlink.routing import Service
@@ -22,8 +22,8 @@
 # How often it looks for room meanwhile, in seconds.
 WAIT_STEP_S = 0.02
 # How long after a replica's notice its generations go first, in seconds: the
-# shortest notice.
-EVACUATION_S = 1.5
+# longest notice seen is 2.1 s.
+EVACUATION_S = 2.0
 
 
 class Placing:
@@ -88,9 +88,14 @@
         return self._parts.directory.find(chosen) if chosen is not None else None
 
     def evacuating(self, service: Service) -> bool:
-        """Return whether a replica of a service is about to be taken away."""
-        now = self._parts.clock()
-        return now - self._parts.directory.last_notice(service.name) < EVACUATION_S
+        """Return whether generations have yet to be copied away from a leaving replica."""
+        parts = self._parts
+        now = parts.clock()
+        leaving = parts.directory.leaving(service.name, now - EVACUATION_S)
+        return any(
+            parts.book.state(name).own_uncovered or parts.shared.at(name, now).uncovered
+            for name in leaving
+        )
 
     def must_give_way(self, service: Service, replica: Replica, flight: Flight) -> bool:
         """Return whether a copy of this instance has to make room at its replica."""
@@ -106,6 +111,13 @@
             service.engine.kv_capacity_tokens,
         )
 
+    def evacuation_rank(self, replica: Replica, flight: Flight) -> int:
+        """Return how many generations should be copied away from a replica before one."""
+        parts = self._parts
+        others = parts.shared.at(replica.name, parts.clock())
+        own = parts.book.state(replica.name).own_uncovered
+        return rank(flight.note, [*own, *others.uncovered])
+
     async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
         """Return the replica that a request should go to, after a short wait for room."""
         parts = self._parts
@@ -162,6 +174,7 @@
             used_tokens=max(state.own_used_tokens + others.used_tokens, reported - copies),
             copy_tokens=copies,
             reported_tokens=reported,
+            arriving=state.own_arriving + others.arriving,
             unread_tokens=state.own_unread_tokens + others.unread_tokens,
             capacity_tokens=engine.kv_capacity_tokens if engine else 0,
             trust=trust,
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -40,6 +40,7 @@
         self._memory: MovedMemory | None = None
         self._hurried = asyncio.Event()
         self._abandoned = False
+        self._refused = False
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -47,6 +48,11 @@
         """Whether there is no copy and none will come."""
         return self._task.done() and self._memory is None
 
+    @property
+    def refused(self) -> bool:
+        """Whether the target had no room for a copy."""
+        return self._refused
+
     @property
     def arrived(self) -> bool:
         """Whether the target has a copy, be it an old one."""
@@ -101,6 +107,7 @@
     async def _copy(self) -> bool:
         result = await self._adapter.move(self._source, self._request_id, self._target, False)
         if not result.arrived:
+            self._refused = True
             self._log.info(
                 "shadow_refused",
                 request_id=self._request_id,
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -9,17 +9,17 @@
 KEPT_S = 3.0
 
 
-class CopyNote(msgspec.Struct, array_like=True, frozen=True):
-    """A copy of a generation's memory that gives way where room is needed.
+class MemoryNote(msgspec.Struct, array_like=True, frozen=True):
+    """A generation, or a copy of its memory that gives way where room is needed.
 
     Attributes
     ----------
     key : int
-        Tells copies of equal stake apart; the same at every instance.
+        Tells those of equal stake apart; the same at every instance.
     tokens : int
         Memory that it takes now, in tokens.
     stake : int
-        What would be lost without it; the least gives way first.
+        What would be lost with it; the least gives way first.
     """
 
     key: int
@@ -32,6 +32,8 @@
 
     `tokens` is what they will need at their end, `used_tokens` what they take
     now; both are without the copies that give way, which `copies` lists.
+    `uncovered` lists the generations that no other replica has a copy of, and
+    `arriving` counts the copies on their way.
     """
 
     replica: str
@@ -39,7 +41,9 @@
     tokens: int
     unread_tokens: int = 0
     used_tokens: int = 0
-    copies: tuple[CopyNote, ...] = ()
+    copies: tuple[MemoryNote, ...] = ()
+    uncovered: tuple[MemoryNote, ...] = ()
+    arriving: int = 0
 
     @property
     def copy_tokens(self) -> int:
@@ -57,8 +61,18 @@
     age_s: float
 
 
+class ListedReplica(msgspec.Struct, array_like=True, frozen=True):
+    """A replica that one instance has found new, or leaving, in the platform's list."""
+
+    name: str
+    service: str
+    availability_zone: str
+    address: str
+    leaving: bool
+
+
 class LoadNote(msgspec.Struct, array_like=True, frozen=True):
-    """All of an instance's own requests, and what it read in reports lately.
+    """All of an instance's own requests, and what it read in reports and the list lately.
 
     Replicas that are missing in `shares` have none of its requests.
     """
@@ -66,6 +80,7 @@
     instance: str
     shares: list[ReplicaShare]
     news: list[ReplicaNews] = []
+    listed: list[ListedReplica] = []
 
 
 @dataclass(slots=True)
@@ -96,8 +111,9 @@
 
     def at(self, replica: str, now: float) -> ReplicaShare:
         """Return the sum of the other instances' requests at a replica."""
-        running = tokens = unread = used = 0
-        copies: list[CopyNote] = []
+        running = tokens = unread = used = arriving = 0
+        copies: list[MemoryNote] = []
+        uncovered: list[MemoryNote] = []
         for name, told in list(self._told.items()):
             if now - told.at > KEPT_S:
                 del self._told[name]
@@ -109,4 +125,8 @@
                 unread += share.unread_tokens
                 used += share.used_tokens
                 copies.extend(share.copies)
-        return ReplicaShare(replica, running, tokens, unread, used, tuple(copies))
+                uncovered.extend(share.uncovered)
+                arriving += share.arriving
+        return ReplicaShare(
+            replica, running, tokens, unread, used, tuple(copies), tuple(uncovered), arriving
+        )
