A cut-off zone uses its own replicas, and is not ready without any

Change: an instance that hears no load note from any instance of another zone for 1.6 s takes its zone for cut off. It then uses its zone's replicas only; where a service has none there it refuses at once, closes the connection, says when to come back (1.2 s) and answers not ready, so that the balancer sends callers to the nearest zones. Both changes of belief are logged.

--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -20,8 +20,8 @@
         """Carries requests."""
 
     @property
-    def draining(self) -> bool:
-        """Whether a planned stop has begun."""
+    def closing(self) -> bool:
+        """Whether callers should come back on another connection."""
 
     def accepts(self, kind: RequestKind) -> bool:
         """Return whether a request may begin here."""
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -114,6 +114,8 @@
             return "no routing table was published yet"
         if not self._reader.has_read:
             return "the platform's list was not read yet"
+        if unserved := node.unserved():
+            return f"the zone is cut off without a replica of {unserved}"
         return ""
 
     async def _metrics_page(self, request: web.Request) -> web.Response:
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from reachlink.control import ControlClient
+from reachlink.entry._isolation import Isolation
 from reachlink.entry._list_news import ListNews
 from reachlink.entry._load_teller import LoadTeller
 from reachlink.entry._relay_config import RelayConfig
@@ -57,6 +58,8 @@
             self.listed,
             time.monotonic,
         )
+        self._isolation = Isolation(config.availability_zone, self.shared)
+        self._was_cut_off = False
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
         self.draining_since: float | None = None
@@ -76,6 +79,7 @@
                 retries=RetryTerms(config.retry_share, config.retry_burst),
                 instances=self.sharing_instances,
                 on_leaving=self.reports.tell_leaving,
+                cut_off=self.cut_off,
             )
         )
 
@@ -89,6 +93,11 @@
         """Whether a planned stop has begun."""
         return self.draining_since is not None
 
+    @property
+    def closing(self) -> bool:
+        """Whether callers should come back on another connection, to another instance."""
+        return self.draining or bool(self.unserved())
+
     def begin_drain(self) -> None:
         """A planned stop begins."""
         self.draining_since = time.monotonic()
@@ -141,6 +150,21 @@
         """Return how many entry instances exchange what they know, this one included."""
         return 1 + len(self.teller.peers)
 
+    def cut_off(self) -> bool:
+        """Return whether this instance's zone is cut off from the others."""
+        found = self._isolation.cut_off(time.monotonic())
+        if found != self._was_cut_off:
+            self._was_cut_off = found
+            self.log.info("zone_cut_off" if found else "zone_rejoined", zone=self.zone)
+        return found
+
+    def unserved(self) -> str:
+        """Return a service that no replica in reach serves while the zone is cut off, or ``""``."""
+        if self._index is None or not self.cut_off():
+            return ""
+        services = (service.name for service in self._index.table.services)
+        return next((name for name in services if self._runner.out_of_reach(name)), "")
+
     def zone_peers(self) -> list[str]:
         """Return the addresses of the other entry instances of this zone that are known."""
         peers = self.teller.peers
@@ -162,6 +186,7 @@
     def on_peers(self, peers: list[InstanceRecord]) -> None:
         """Take the entry instances to exchange load with."""
         self.teller.take_peers(peers)
+        self._isolation.take_peers(peers, time.monotonic())
 
     def on_settings(self) -> None:
         """Put a newer routing table in force."""
--- /dev/null
+++ b/reachlink/entry/tests/test_isolation.py
@@ -0,0 +1,78 @@
+"""A zone that hears nothing of the others is cut off, and serves what it can."""
+
+import asyncio
+
+import pytest
+
+from reachlink.entry._isolation import SILENT_S, Isolation
+from reachlink.membership import InstanceRecord
+from reachlink.requests import LoadNote, RequestFailedError, SharedLoad
+from reachlink.requests.tests.world import MemoryAdapter, World, answering
+from reachlink.routing import RequestKind
+
+NEAR = InstanceRecord("e2", "10.0.0.2:1", "a")
+FAR = InstanceRecord("e3", "10.0.0.3:1", "b")
+FARTHER = InstanceRecord("e4", "10.0.0.4:1", "c")
+
+
+def isolation(*peers: InstanceRecord) -> tuple[Isolation, SharedLoad]:
+    shared = SharedLoad()
+    made = Isolation("a", shared)
+    made.take_peers(peers, 10.0)
+    return made, shared
+
+
+def test_a_zone_that_nobody_of_the_others_tells_anything_is_cut_off():
+    made, shared = isolation(NEAR, FAR, FARTHER)
+    shared.take(LoadNote("e3", []), 20.0)
+    shared.take(LoadNote("e4", []), 20.5)
+    shared.take(LoadNote("e2", []), 22.0)
+    assert not made.cut_off(20.4 + SILENT_S)
+    assert made.cut_off(20.6 + SILENT_S)
+    shared.take(LoadNote("e3", []), 30.0)
+    assert not made.cut_off(30.1)
+
+
+def test_one_silent_zone_of_two_is_not_this_ones_fault():
+    made, shared = isolation(FAR, FARTHER)
+    shared.take(LoadNote("e3", []), 20.0)
+    assert not made.cut_off(21.0)
+
+
+def test_an_instance_has_time_to_be_heard_first():
+    made, _ = isolation(FAR)
+    assert not made.cut_off(10.0 + SILENT_S)
+    # A new copy of the same roster does not begin that time again.
+    made.take_peers([FAR], 11.0)
+    assert made.cut_off(10.1 + SILENT_S)
+
+
+def test_without_other_zones_nothing_is_cut_off():
+    made, _ = isolation(NEAR)
+    assert not made.cut_off(100.0)
+
+
+def cut_off_world(zones: str) -> World:
+    names = {f"m{i}": zone for i, zone in enumerate(zones.split(), 1)}
+    world = World(names, MemoryAdapter({name: [answering(200, b"")] for name in names}))
+    world.runner._parts.cut_off = lambda: True
+    return world
+
+
+def test_a_cut_off_zone_uses_its_own_replicas():
+    world = cut_off_world("b b a")
+    for _ in range(5):
+        asyncio.run(world.run(RequestKind.STREAM))
+    assert {sent.replica for sent in world.adapter.sent} == {"m3"}
+    assert not world.runner.out_of_reach("model")
+
+
+def test_a_cut_off_zone_without_a_replica_refuses_at_once():
+    world = cut_off_world("b b")
+    assert world.runner.out_of_reach("model")
+    with pytest.raises(RequestFailedError) as caught:
+        # The wait for room would be longer than this.
+        asyncio.run(asyncio.wait_for(world.run(RequestKind.STREAM, objective_s=100.0), 5.0))
+    assert caught.value.status == 503
+    assert caught.value.retry_after_s is not None and caught.value.retry_after_s >= 1.0
+    assert world.adapter.sent == []
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -25,6 +25,9 @@
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
+# The same where this instance's zone is cut off, in seconds: the balancer takes
+# two of its questions, a second apart, to turn to other zones.
+ELSEWHERE_AFTER_S = 1.2
 
 
 class Dispatch:
@@ -169,7 +172,8 @@
         """Return the final answer after the last attempt."""
         if attempts.may_have_run:
             return RequestFailedError(502, attempts.reason, Outcome.UNKNOWN)
-        return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, RETRY_AFTER_S)
+        wait = ELSEWHERE_AFTER_S if self._parts.cut_off() else RETRY_AFTER_S
+        return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, wait)
 
     def _budget(self, service: Service) -> RetryBudget:
         budget = self._budgets.get(service.name)
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -75,6 +75,8 @@
         Returns how many entry instances share what `retries` allows.
     on_leaving : callable
         Called with the name of a replica that seems to leave.
+    cut_off : callable
+        Returns whether this instance's zone is cut off from the others.
     """
 
     zone: str
@@ -87,4 +89,5 @@
     retries: RetryTerms = RetryTerms()
     instances: Callable[[], int] = lambda: 1
     on_leaving: Callable[[str], None] = lambda name: None
+    cut_off: Callable[[], bool] = lambda: False
     clock: Callable[[], float] = time.monotonic
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -126,7 +126,7 @@
             replica = self.place(request, tried)
             if replica is not None:
                 return replica
-            if parts.clock() >= until:
+            if parts.clock() >= until or self.out_of_reach(request.service.name):
                 self._log_no_room(request, tried)
                 return None
             await asyncio.sleep(WAIT_STEP_S)
@@ -149,8 +149,16 @@
         """Return the live replicas of a service, without those of zones that seem cut off."""
         live = self._parts.directory.live(service)
         self._cut_off = {zone: until for zone, until in self._cut_off.items() if until > now}
+        if self._parts.cut_off():
+            return [r for r in live if self.is_near(r)]
         return [r for r in live if r.availability_zone not in self._cut_off]
 
+    def out_of_reach(self, service: str) -> bool:
+        """Return whether this zone is cut off and has no replica of a service."""
+        if not self._parts.cut_off():
+            return False
+        return not any(self.is_near(r) for r in self._parts.directory.live(service))
+
     def _option(
         self,
         service: Service,
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -23,9 +23,13 @@
 
     def __init__(self, parts: RunnerParts) -> None:
         self._parts = parts
-        dispatch = Dispatch(parts)
-        self._whole = WholeRunner(dispatch)
-        self._streams = StreamRunner(dispatch)
+        self._dispatch = Dispatch(parts)
+        self._whole = WholeRunner(self._dispatch)
+        self._streams = StreamRunner(self._dispatch)
+
+    def out_of_reach(self, service: str) -> bool:
+        """Return whether this zone is cut off and has no replica of a service."""
+        return self._dispatch.placing.out_of_reach(service)
 
     async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
         """Carry one request to its end.
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -104,11 +104,17 @@
 
     def __init__(self) -> None:
         self._told: dict[str, _Told] = {}
+        self._heard: dict[str, float] = {}
 
     def take(self, note: LoadNote, now: float) -> None:
         """Take what one instance tells, in place of what it told before."""
+        self._heard[note.instance] = now
         self._told[note.instance] = _Told({s.replica: s for s in note.shares}, now)
 
+    def last_heard(self, instance: str) -> float:
+        """Return when an instance told something last, in monotonic seconds."""
+        return self._heard.get(instance, float("-inf"))
+
     def at(self, replica: str, now: float) -> ReplicaShare:
         """Return the sum of the other instances' requests at a replica."""
         running = tokens = unread = used = arriving = 0
