--- a/reachlink/control/__init__.py
+++ b/reachlink/control/__init__.py
@@ -24,7 +24,6 @@
 from reachlink.control._config import ControlConfig
 from reachlink.control._daemon import ControlDaemon, found_cluster, founding_id
 from reachlink.control._machine import ControlMachine
-from reachlink.control._main import main
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._protocol import StatusAnswer, StatusRequest, WatchRequest
 from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
@@ -35,6 +34,16 @@
     OutcomeUnknownError,
 )
 
+
+def main() -> None:
+    """Run the command line."""
+    # Loaded only here: a daemon that is started otherwise spares the library's
+    # time and memory.
+    from reachlink.control._main import main as run
+
+    run()
+
+
 __all__ = [
     "OPERATOR_BORDERS",
     "PublishCommand",
