A full disk is waited for instead of ending the control daemon

Change: what a refused write left is cut off again, the step waits and is tried again each 0.2 s; meanwhile nothing that depends on it is sent, messages are dropped and proposals refused, as on a disk that is slow: the others elect a leader.

--- a/reachlink/agreement/__init__.py
+++ b/reachlink/agreement/__init__.py
@@ -21,6 +21,7 @@
 from reachlink.agreement.exceptions import (
     AgreementError,
     CorruptLogError,
+    DiskFullError,
     MembershipChangeError,
     NotLeaderError,
     ProposalLostError,
@@ -34,6 +35,7 @@
     "Candidate",
     "Core",
     "CorruptLogError",
+    "DiskFullError",
     "Effects",
     "Entry",
     "EntryKind",
--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -17,6 +17,7 @@
 from reachlink.agreement._storage import Loaded, Storage
 from reachlink.agreement.exceptions import (
     AgreementError,
+    DiskFullError,
     NotLeaderError,
     ProposalLostError,
 )
@@ -31,6 +32,8 @@
 # Framing of an entry on disk, besides its command.
 ENTRY_BYTES = 24
 POLL_S = 0.01
+# How often a write is tried again while the disk is full, in seconds.
+DISK_RETRY_S = 0.2
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
@@ -122,6 +125,7 @@
         self._wakeup = asyncio.Event()
         self._log = get_logger()
         self._role = ""
+        self._disk_full = False
         # A replica that was just added knows no membership yet, but must answer.
         self._addresses: dict[str, str] = {}
 
@@ -156,6 +160,9 @@
     def receive(self, sender: str, address: str, payload: bytes) -> None:
         """Take a message of another replica that is reached at `address`."""
         self._addresses[sender] = address
+        if self._disk_full:
+            # It could not be acted on, and the sender repeats what matters.
+            return
         self._inbox.append((sender, _decode(payload)))
         self._wakeup.set()
 
@@ -169,8 +176,8 @@
         ProposalLostError
             The command may be committed later, or never.
         """
-        if not self._core.is_leader:
-            raise NotLeaderError(self._core.state.leader)
+        if not self._core.is_leader or self._disk_full:
+            raise NotLeaderError("" if self._disk_full else self._core.state.leader)
         proposal = _Proposal(command, asyncio.get_running_loop().create_future())
         self._waiting.append(proposal)
         self._wakeup.set()
@@ -225,7 +232,7 @@
         """
         try:
             while True:
-                self._step()
+                await self._step()
                 await self._wait()
         finally:
             self._fail_all(ProposalLostError("this replica stops"))
@@ -238,14 +245,16 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._wakeup.wait(), delay)
 
-    def _step(self) -> None:
+    async def _step(self) -> None:
         now = self._clock.monotonic()
         inbox, self._inbox = self._inbox, []
         for sender, message in inbox:
             self._core.receive(sender, message, now)
         self._core.tick(now)
         self._propose_waiting(now)
-        self._carry_out(self._core.take_effects(), now)
+        effects = self._core.take_effects()
+        await self._persist(effects)
+        self._carry_out(effects, now)
         self._note_role()
 
     def _propose_waiting(self, now: float) -> None:
@@ -262,6 +271,37 @@
             proposal.term = self._core.state.term
             self._proposed[index] = proposal
 
+    async def _persist(self, effects: Effects) -> None:
+        """Write what a step must not forget; wait while the disk is full.
+
+        Nothing that depends on it is sent meanwhile, as on a slow disk: the
+        others elect another leader.
+        """
+        if effects.install is not None or not effects.must_sync():
+            return
+        state = self._core.state
+        while True:
+            try:
+                self._storage.persist(effects, state.term, state.voted_for)
+                break
+            except DiskFullError as error:
+                self._note_disk_full(str(error))
+                await asyncio.sleep(DISK_RETRY_S)
+        self._log_bytes += sum(len(e.data) + ENTRY_BYTES for e in effects.append)
+        if self._disk_full:
+            self._disk_full = False
+            self._log.info("disk_regained", term=state.term, index=state.log.last_index)
+
+    def _note_disk_full(self, reason: str) -> None:
+        if self._disk_full:
+            return
+        self._disk_full = True
+        self._inbox.clear()
+        waiting, self._waiting = self._waiting, []
+        for proposal in waiting:
+            _fail(proposal, NotLeaderError(""))
+        self._log.error("disk_full", reason=reason, role=self._core.state.role.value)
+
     def _carry_out(self, effects: Effects, now: float) -> None:
         state = self._core.state
         if effects.install is not None:
@@ -273,9 +313,6 @@
             self._snapshot = install.data
             self._machine.restore(install.data)
             self._applied = install.index
-        elif effects.must_sync():
-            self._storage.persist(effects, state.term, state.voted_for)
-            self._log_bytes += sum(len(e.data) + ENTRY_BYTES for e in effects.append)
         self._addresses.update((m.node_id, m.address) for m in state.members)
         for node, message in effects.messages:
             self._send_to(node, message)
--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -1,5 +1,6 @@
 """The data folder of one replica: identity, segments of the log, a snapshot."""
 
+import errno
 import fcntl
 import os
 import secrets
@@ -21,7 +22,7 @@
     read_records,
 )
 from reachlink.agreement._state import Effects
-from reachlink.agreement.exceptions import CorruptLogError, StorageError
+from reachlink.agreement.exceptions import CorruptLogError, DiskFullError, StorageError
 
 IDENTITY_FILE = "identity.json"
 SNAPSHOT_FILE = "snapshot.bin"
@@ -123,8 +124,10 @@
 
         Raises
         ------
+        DiskFullError
+            If there is no room; nothing was written, so that it may be tried again.
         StorageError
-            If the disk is full or fails; the replica must then stop.
+            If the disk fails; the replica must then stop.
         """
         records: list[Record] = []
         if effects.hard_state:
@@ -177,12 +180,24 @@
         return self._folder / f"log-{number:012d}.bin"
 
     def _write(self, records: list[Record]) -> None:
+        data = b"".join(frame(r) for r in records)
         try:
-            self._files.write(self._descriptor, b"".join(frame(r) for r in records))
+            size = os.fstat(self._descriptor).st_size
+            self._append(data, size)
             self._files.sync(self._descriptor)
         except OSError as error:
             raise StorageError(f"cannot write the log: {error.strerror}") from error
 
+    def _append(self, data: bytes, size: int) -> None:
+        """Write to the end of the log, which has `size` bytes so far, or leave it as it is."""
+        try:
+            self._files.write(self._descriptor, data)
+        except OSError as error:
+            if error.errno != errno.ENOSPC:
+                raise
+            self._files.truncate(self._descriptor, size)
+            raise DiskFullError(f"cannot write the log: {error.strerror}") from error
+
     def _load_snapshot(self, loaded: Loaded) -> None:
         path = self._folder / SNAPSHOT_FILE
         if not path.exists():
--- a/reachlink/agreement/exceptions.py
+++ b/reachlink/agreement/exceptions.py
@@ -8,6 +8,7 @@
     "MembershipChangeError",
     "NotLeaderError",
     "ProposalLostError",
+    "DiskFullError",
     "StorageError",
 ]
 
@@ -42,5 +43,9 @@
     """The data folder cannot be read or written."""
 
 
+class DiskFullError(StorageError):
+    """There was no room for a write, and nothing of it was left behind: it may be tried again."""
+
+
 class CorruptLogError(StorageError):
     """A record in the middle of the log is damaged, so the voter must not go on."""
