Outlook of a generation and order by stake in pure modules; wire types and flights told

Cause: _generation_places.py mixed pure judgements with the keeping of copies; the wire types were built by position and hardly documented.

Fields of Flight, ReplicaShare and the notes are documented, structs built by keyword.

--- a/reachlink/entry/_isolation.py
+++ b/reachlink/entry/_isolation.py
@@ -1,4 +1,9 @@
-"""Whether this instance's availability zone is cut off from the others; pure."""
+"""Whether this instance's availability zone is cut off from the others; pure.
+
+Entry instances tell each other their load (`_load_teller`). Where no instance of
+any other zone is heard, the connections between the zones are taken to be cut;
+where only some are silent, the fault is theirs.
+"""
 
 from collections.abc import Iterable
 
@@ -24,10 +29,19 @@
     def __init__(self, zone: str, shared: SharedLoad) -> None:
         self._zone = zone
         self._shared = shared
+        # Instances of other zones, and since when each is known, in monotonic seconds.
         self._known_since: dict[str, float] = {}
 
     def take_peers(self, peers: Iterable[InstanceRecord], now: float) -> None:
-        """Take the instances that tell this one their load."""
+        """Take the instances that tell this one their load.
+
+        Parameters
+        ----------
+        peers : iterable of InstanceRecord
+            All of them, those of this zone included.
+        now : float
+            Monotonic time in seconds.
+        """
         far = [peer.name for peer in peers if peer.availability_zone != self._zone]
         self._known_since = {name: self._known_since.get(name, now) for name in far}
 
@@ -35,6 +49,7 @@
         """Return whether no instance of another zone is heard, though there are some."""
         if not self._known_since:
             return False
+        # One that is new has as long to be heard first as the others may be silent.
         return all(
             now - max(since, self._shared.last_heard(name)) > SILENT_S
             for name, since in self._known_since.items()
--- a/reachlink/entry/_list_news.py
+++ b/reachlink/entry/_list_news.py
@@ -1,4 +1,8 @@
-"""What the instances that share the reading of the platform's list tell each other."""
+"""What the instances that share the reading of the platform's list tell each other.
+
+Each reads the list now and then (`_list_reader`) and tells the others what was
+new in it, with its notes of load (`_load_teller`).
+"""
 
 import time
 from collections.abc import Callable, Iterable
@@ -6,7 +10,8 @@
 from reachlink.membership import InstanceState, ListedInstance, ReplicaDirectory
 from reachlink.requests import ListedReplica
 
-# How long a finding is told, in seconds: several notes carry it.
+# How long a finding is told, in seconds: several notes carry it, so that one may
+# be lost.
 TOLD_S = 0.4
 
 
@@ -16,7 +21,7 @@
     Parameters
     ----------
     directory : ReplicaDirectory
-        Where those of the others go.
+        Where findings of the others are noted.
     on_news : callable
         Called when there is something to tell.
     clock : callable
@@ -32,6 +37,7 @@
         self._directory = directory
         self._on_news = on_news
         self._clock = clock
+        # With the monotonic time in seconds when each was found.
         self._found: list[tuple[float, ListedReplica]] = []
 
     def tell(self, found: Iterable[ListedInstance]) -> None:
@@ -54,11 +60,11 @@
 
 def _encode(instance: ListedInstance) -> ListedReplica:
     return ListedReplica(
-        instance.name,
-        instance.upstream,
-        instance.availability_zone,
-        instance.address,
-        instance.state is InstanceState.LEAVING,
+        name=instance.name,
+        service=instance.upstream,
+        availability_zone=instance.availability_zone,
+        address=instance.address,
+        leaving=instance.state is InstanceState.LEAVING,
     )
 
 
--- a/reachlink/entry/_list_reader.py
+++ b/reachlink/entry/_list_reader.py
@@ -1,4 +1,8 @@
-"""Reads the platform's list, by turns with the instances that share what they find."""
+"""Reads the platform's list, by turns with the instances that share what they find.
+
+The platform answers only so many requests, so that the more instances share the
+reading, the longer each waits between two of its own.
+"""
 
 import asyncio
 import time
@@ -15,12 +19,13 @@
 
 # Longest time between two readings, in seconds.
 SLOWEST_S = 8.0
-# Longest turn, in seconds: an instance that hears nothing of the others is not
-# further behind.
+# Longest time between two readings that sharing leads to, in seconds: an instance
+# that hears nothing of the others is not further behind.
 LONGEST_TURN_S = 3.0
-# How much longer to wait after a refusal, and how the wait shrinks again, as factors.
+# Factor on the wait for each refusal by a busy platform, and for each answer.
 SLOWER = 1.6
 FASTER = 0.95
+# Largest product of these factors; the smallest is 1.
 MOST_SLOWDOWN = 12.0
 
 
@@ -60,13 +65,14 @@
         self._shared_s = shared_interval_s
         self._slowdown = 1.0
         self._log = get_logger()
-        self._read = False
+        self._has_read = False
+        # Whether the platform did not answer last; logged once until it does.
         self._failing = False
 
     @property
     def has_read(self) -> bool:
         """Whether the list was read at least once."""
-        return self._read
+        return self._has_read
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -83,20 +89,30 @@
         return min(SLOWEST_S, usual * self._slowdown)
 
     async def _read_once(self) -> None:
+        """Read the list once, and take and tell what is new in it."""
         try:
             listed = await self._platform.instances()
         except PlatformBusyError:
-            self._slowdown = min(MOST_SLOWDOWN, self._slowdown * SLOWER)
-            self._log.info("platform_list_busy", interval_s=round(self._interval_s(), 2))
+            self._note_busy()
             return
         except PlatformUnavailableError as error:
-            if not self._failing:
-                self._log.warning("platform_list_unavailable", reason=str(error))
-            self._failing = True
+            self._note_unavailable(error)
             return
+        self._note_answer()
+        self._news.tell(self._directory.update(listed, time.monotonic()))
+        self._has_read = True
+
+    def _note_busy(self) -> None:
+        self._slowdown = min(MOST_SLOWDOWN, self._slowdown * SLOWER)
+        self._log.info("platform_list_busy", interval_s=round(self._interval_s(), 2))
+
+    def _note_unavailable(self, error: PlatformUnavailableError) -> None:
+        if not self._failing:
+            self._log.warning("platform_list_unavailable", reason=str(error))
+        self._failing = True
+
+    def _note_answer(self) -> None:
         if self._failing:
             self._log.info("platform_list_regained")
         self._failing = False
         self._slowdown = max(1.0, self._slowdown * FASTER)
-        self._news.tell(self._directory.update(listed, time.monotonic()))
-        self._read = True
--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -1,4 +1,8 @@
-"""Tells the other entry instances of this one's requests at model engines."""
+"""Exchanges notes of load with the other entry instances.
+
+A note tells this instance's requests at model engines, and what it read lately
+in load reports and in the platform's list.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -10,9 +14,9 @@
 from reachlink.requests import LoadNote, ReplicaBook, SharedLoad
 
 CHANNEL_LOAD = "load"
-# Shortest time between two notes, in seconds, and how much longer for each peer.
+# Shortest time between two notes, in seconds, and what each peer that is told adds.
 FASTEST_S = 0.03
-A_PEER_S = 0.004
+FASTEST_PER_PEER_S = 0.004
 # Longest time between two notes, in seconds.
 SLOWEST_S = 1.0
 
@@ -29,11 +33,11 @@
     book : ReplicaBook
         This instance's requests.
     shared : SharedLoad
-        What the others tell.
+        Where the others' requests are noted.
     reports : ReportReader
-        What it reads at replicas.
+        Reads replicas' reports, and takes what the others read.
     listed : ListNews
-        What it finds in the platform's list.
+        Findings in the platform's list, own ones and the others'.
     clock : callable
         Monotonic time in seconds.
     """
@@ -74,10 +78,11 @@
 
     async def run(self) -> None:
         """Work until cancelled."""
+        # The book's count of changes when the last note was sent; none was yet.
         told = -1
         told_at = self._clock()
         while True:
-            await asyncio.sleep(FASTEST_S + A_PEER_S * len(self._peers))
+            await asyncio.sleep(FASTEST_S + FASTEST_PER_PEER_S * len(self._peers))
             changes = self._book.changes
             if changes == told and self._clock() - told_at < SLOWEST_S:
                 continue
@@ -88,7 +93,10 @@
 
     def _note(self) -> LoadNote:
         return LoadNote(
-            self._name, self._book.shares(), self._reports.news(), self._listed.recent()
+            instance=self._name,
+            shares=self._book.shares(),
+            news=self._reports.news(),
+            listed=self._listed.recent(),
         )
 
     async def _on_note(self, sender: str, body: bytes) -> None:
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -12,12 +12,13 @@
 from reachlink.membership._platform import InstanceState, ListedInstance
 from reachlink.upstreams import Replica
 
-# A mark that no list confirms was a mistake, or its instance has come back.
+# How long a mark as leaving counts that no list confirms, in seconds: after that it
+# was a mistake, or its instance has come back.
 UNCONFIRMED_MARK_S = 30.0
-# An instance that no list has had for this long is forgotten, in seconds.
+# How long an instance is remembered that no list has any more, in seconds.
 GONE_KEPT_S = 60.0
-# An instance that another reader has found stays for this long, in seconds,
-# though the list here does not have it: it was asked for before.
+# How long an instance that another reader has found counts as listed though the
+# list read here lacks it, in seconds: that list may have been asked for before.
 HEARD_KEPT_S = 1.0
 
 
@@ -32,6 +33,28 @@
 
 @dataclass(slots=True)
 class _Entry:
+    """What is known of one instance; times are monotonic, in seconds.
+
+    Attributes
+    ----------
+    replica : Replica
+        Name, upstream, zone and address.
+    listed : InstanceState
+        Its state in the last list that had it.
+    marked : LeavingSource, optional
+        What told that it leaves, other than a list read here.
+    marked_at : float
+        When it was marked.
+    gone : bool
+        Whether the last list lacked it.
+    gone_at : float
+        When a list lacked it first.
+    heard_at : float
+        When another reader's finding made it known.
+    noticed_at : float
+        When it was last found to leave, from whatever source.
+    """
+
     replica: Replica
     listed: InstanceState
     marked: LeavingSource | None = None
@@ -61,7 +84,8 @@
         self._unconfirmed_mark_s = unconfirmed_mark_s
         self._routes = dict(routes or {})
         self._entries: dict[str, _Entry] = {}
-        # Asked for with every decision, changed a few times an hour.
+        # Live replicas by upstream, kept between changes: they are asked for with
+        # every decision and change a few times an hour.
         self._live: dict[str, list[Replica]] = {}
 
     def update(self, listed: Iterable[ListedInstance], now: float) -> list[ListedInstance]:
@@ -98,15 +122,6 @@
             elif instance.state is InstanceState.LEAVING:
                 self.mark_leaving(instance.name, LeavingSource.LIST, now)
 
-    def _note_absence(self, name: str, entry: "_Entry", gone: bool, now: float) -> None:
-        if gone and now - entry.heard_at < HEARD_KEPT_S:
-            return
-        if gone and not entry.gone:
-            entry.gone_at = now
-        entry.gone = gone
-        if gone and now - entry.gone_at > GONE_KEPT_S:
-            del self._entries[name]
-
     def suspect_leaving(self, name: str, now: float) -> bool:
         """Note that an instance closes its connections, as those do that leave."""
         return self.mark_leaving(name, LeavingSource.CLOSING, now)
@@ -181,6 +196,16 @@
         entry.listed = instance.state
         return left
 
+    def _note_absence(self, name: str, entry: _Entry, gone: bool, now: float) -> None:
+        """Take whether the list lacks an instance; forget it after a while."""
+        if gone and now - entry.heard_at < HEARD_KEPT_S:
+            return
+        if gone and not entry.gone:
+            entry.gone_at = now
+        entry.gone = gone
+        if gone and now - entry.gone_at > GONE_KEPT_S:
+            del self._entries[name]
+
 
 def _is_live(entry: _Entry) -> bool:
     return entry.listed is InstanceState.LIVE and entry.marked is None and not entry.gone
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -15,28 +15,37 @@
 
 @dataclass(slots=True, eq=False)
 class Flight:
-    """A request, or a copy of its memory, at a replica; sizes in tokens.
+    """A request of this instance, or a copy of its memory, at a replica.
+
+    It is one of three: a request (`copy` false), a shadow, or a backup (both
+    with `copy` true). A request that moves gets a new flight at its new replica.
 
     Attributes
     ----------
     request_id : str
         The request.
     tokens : int
-        Memory that it is expected to need.
+        Memory that it is expected to need at its end, in tokens; fixed.
     unread_tokens : int
-        Prompt that the replica still has to read.
+        Prompt that the replica still has to read, in tokens; 0 from the first
+        event on, and for copies.
     used_tokens : int
-        Memory that it takes now.
+        Memory that it takes now, in tokens; grows with each event.
     copy : bool
-        Whether only a copy is there.
+        Whether only a copy of the memory is there; fixed.
     gives_way : bool
-        Whether that copy is freed where others need the room.
+        Whether it is a shadow that is freed where others need the room. Set when
+        the shadow is begun for a home that stays; unset for good when the home
+        leaves (`ReplicaBook.hold`). Never set for requests and backups.
     arriving : bool
-        Whether it is a copy on its way.
+        Whether it is a shadow whose first move has not ended. Set when the
+        shadow is begun, unset at the first look after the move.
     uncovered : bool
-        Whether it is a running generation that no other replica has a copy of.
+        Whether it is a running generation that no other replica has a copy of,
+        and long enough to be copied away. Set anew at each look.
     stake : int
-        What would be lost with it.
+        What would be lost with the generation (`Outlook.stake`); set anew at
+        each look.
     """
 
     request_id: str
@@ -52,7 +61,8 @@
     @property
     def note(self) -> MemoryNote:
         """What the other instances are told of its memory."""
-        return MemoryNote(zlib.crc32(self.request_id.encode()), self.used_tokens, self.stake)
+        key = zlib.crc32(self.request_id.encode())
+        return MemoryNote(key=key, tokens=self.used_tokens, stake=self.stake)
 
 
 @dataclass(slots=True)
@@ -83,12 +93,12 @@
 
     @property
     def own_tokens(self) -> int:
-        """Memory that this instance's own requests need, in tokens; some copies give way."""
+        """Memory that own requests need at their end, in tokens, without copies that give way."""
         return sum(flight.tokens for flight in self.flights if not flight.gives_way)
 
     @property
     def own_used_tokens(self) -> int:
-        """Memory that this instance's own requests take now, in tokens."""
+        """Memory that own requests take now, in tokens, without copies that give way."""
         return sum(flight.used_tokens for flight in self.flights if not flight.gives_way)
 
     @property
@@ -108,7 +118,7 @@
 
     @property
     def own_arriving(self) -> int:
-        """How many copies of this instance are on their way."""
+        """How many of this instance's copies are on their way."""
         return sum(1 for flight in self.flights if flight.arriving)
 
     @property
@@ -168,27 +178,27 @@
 
     @property
     def changes(self) -> int:
-        """How often requests have come or gone."""
+        """Counter that rises with every change that the other instances should know soon."""
         return self._changes
 
     def add(self, replica: str, flight: Flight) -> None:
-        """A request, or a copy of it, is at a replica."""
+        """Note that a request, or a copy of it, is at a replica."""
         self.state(replica).flights.add(flight)
         self._changes += 1
 
     def remove(self, replica: str, flight: Flight) -> None:
-        """It is there no more."""
+        """Note that it is there no more."""
         self.state(replica).flights.discard(flight)
         self._changes += 1
 
     def has_read(self, flight: Flight) -> None:
-        """The replica has read a request's prompt."""
+        """Note that the replica has read a request's prompt."""
         if flight.unread_tokens:
             flight.unread_tokens = 0
             self._changes += 1
 
     def touch(self) -> None:
-        """There is something that the others should know soon."""
+        """Note that there is something else that the others should know soon."""
         self._changes += 1
 
     def carrying(self) -> list[str]:
@@ -196,7 +206,7 @@
         return [name for name, state in self._states.items() if state.own_tokens]
 
     def hold(self, flight: Flight) -> None:
-        """A copy gives way no longer."""
+        """Note that a copy gives way no longer."""
         if flight.gives_way:
             flight.gives_way = False
             self._changes += 1
@@ -205,14 +215,14 @@
         """Return this instance's own requests at model engines."""
         return [
             ReplicaShare(
-                name,
-                state.own_running,
-                state.own_tokens,
-                state.own_unread_tokens,
-                state.own_used_tokens,
-                state.own_copies,
-                state.own_uncovered,
-                state.own_arriving,
+                replica=name,
+                running=state.own_running,
+                tokens=state.own_tokens,
+                unread_tokens=state.own_unread_tokens,
+                used_tokens=state.own_used_tokens,
+                copies=state.own_copies,
+                uncovered=state.own_uncovered,
+                arriving=state.own_arriving,
             )
             for name, state in self._states.items()
             if any(flight.tokens for flight in state.flights)
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -1,9 +1,11 @@
 """Where a running generation is, and where its memory is copied to.
 
-A copy is kept in one of two ways: this instance has the memory moved to
-another replica again and again (a shadow), which it can take back where room
-is needed; or, where replicas cannot do that, the replica itself sends memory
-to a backup as the generation grows.
+A generation runs at its home. A copy of its memory is kept in one of two ways:
+
+- a shadow: this instance orders moves of the memory to another replica again
+  and again, and can free the copy where room is needed (`_shadow`);
+- a backup, where replicas do not move memory at an order: the home itself sends
+  memory to the backup as the generation grows, and nobody can free it early.
 """
 
 import asyncio
@@ -14,39 +16,30 @@
 from reachlink.requests._dispatch import Dispatch
 from reachlink.requests._joint import Joint
 from reachlink.requests._model import CallerRequest
+from reachlink.requests._outlook import Outlook
 from reachlink.requests._shadow import Shadow
 from reachlink.upstreams import MovedMemory, Replica
 
-# How often a stream looks whether its replicas stay, in seconds.
+# Time between two looks at whether a generation's replicas stay, in seconds.
 WATCH_S = 0.05
 # Shortest output, in tokens, that is copied while its replica stays: a shorter
 # one ends within two seconds, so that it is seldom hit.
 COPY_FROM_TOKENS = 200
 # Shortest one that is copied when its replica leaves: a shorter one ends first.
 RESCUE_FROM_TOKENS = 100
-# How long a replica that has refused a copy, or where one had to give way, is
-# left alone, in seconds: about what it takes until the others know of it.
+# How long a generation orders no copy at a replica that has refused one or where
+# its copy had to give way, in seconds: about what it takes until the others know.
 NO_ROOM_S = 0.4
 # How much later the next generation of a leaving replica is copied, in seconds:
 # long enough that the orders arrive one after the other, so that what is worth
 # most goes first.
 EVACUATION_STEP_S = 0.03
-# Chance that a copy is begun at one look, where nothing else forbids it: the
-# others hear of it before most of them look again.
+# Chance from 0 to 1 that a copy is begun at one look, where nothing else forbids
+# it: the others hear of it before most of them look again.
 BEGIN_SHARE = 0.2
 # How long after a copy could not be ordered the next one is, in seconds: the
 # source does not answer, or its zone is cut off.
 SOURCE_SILENT_S = 1.0
-# What it takes to make a token again, counted in tokens of prompt.
-OUTPUT_WEIGHT = 10
-# A generation in another zone is lost with its replica or with the way there.
-FAR_RISK = 2
-# A generation that goes on for this many tokens or more is at full risk: about
-# as many as come between two notices.
-RISK_TOKENS = 330
-# Beyond the output that was expected, this share of what has come already is
-# expected to follow.
-MORE_SHARE = 0.25
 
 
 @dataclass(slots=True)
@@ -76,11 +69,14 @@
         self._request = request
         self._joint = joint
         self._home: _Place | None = None
-        self._copy: _Place | None = None
+        self._backup: _Place | None = None
         self._shadow: Shadow | None = None
         self._shadow_place: _Place | None = None
-        self._no_room: dict[str, float] = {}
+        # Until when each replica is not asked to take a copy, in monotonic seconds.
+        self._avoided_until: dict[str, float] = {}
+        # When the home was seen to leave, in monotonic seconds; None while it stays.
         self._leaving_since: float | None = None
+        # When the next copy may be ordered, in monotonic seconds.
         self._not_before = 0.0
 
     @property
@@ -90,9 +86,9 @@
         return self._home.replica
 
     @property
-    def copy(self) -> Replica | None:
+    def backup(self) -> Replica | None:
         """The backup that the home itself sends memory to."""
-        return self._copy.replica if self._copy is not None else None
+        return self._backup.replica if self._backup is not None else None
 
     @property
     def shadow(self) -> Replica | None:
@@ -101,24 +97,24 @@
 
     @property
     def has_copy(self) -> bool:
-        """Whether the generation may go on elsewhere."""
-        return self._copy is not None or self._shadow is not None
+        """Whether there is a backup or a shadow, be its memory there yet or not."""
+        return self._backup is not None or self._shadow is not None
 
     def begin(self, replica: Replica) -> None:
         """Begin at a replica, with a backup where there is need and room for one."""
         self._home = self._occupy(replica, reads=True)
-        self._copy = self._choose_copy(set())
+        self._backup = self._choose_backup(set())
 
     def move_to(self, target: Replica) -> Replica:
         """Make a replica the home, with a new backup; return the home before."""
         lost = self._home
         assert lost is not None
         self._free(lost)
-        self._free(self._copy)
+        self._free(self._backup)
         self._drop_shadow()
         self._home = self._occupy(target)
         self._leaving_since = None
-        self._copy = self._choose_copy({target.name}, lost.replica)
+        self._backup = self._choose_backup({target.name}, lost.replica)
         return lost.replica
 
     def note_prompt_read(self) -> None:
@@ -126,11 +122,18 @@
         assert self._home is not None
         self._dispatch.has_read(self._home.flight)
 
+    def note_progress(self) -> None:
+        """Note how much memory the generation takes by now."""
+        used = self._outlook().used_tokens
+        for place in (self._home, self._backup, self._shadow_place):
+            if place is not None:
+                place.flight.used_tokens = used
+
     def leave(self) -> None:
         """Free every replica."""
         self._drop_shadow()
         self._free(self._home)
-        self._free(self._copy)
+        self._free(self._backup)
 
     async def continuations(self) -> list[tuple[Replica, MovedMemory]]:
         """Return where the generation may go on, the best first."""
@@ -140,23 +143,26 @@
             if memory is not None:
                 found.append((self._shadow_place.replica, memory))
             self._shadow = None
-        if self._copy is not None:
-            replica = self._copy.replica
+        if self._backup is not None:
+            replica = self._backup.replica
             found.append((replica, MovedMemory(replica.address, self._request.request_id)))
         return found
 
     async def watch(self) -> None:
-        """Keep a copy of the generation at a replica that stays."""
+        """Keep a shadow of the generation at a replica that stays, until cancelled."""
         while True:
             await asyncio.sleep(WATCH_S)
-            if self._home is None or self._joint.last < 0:
-                continue
-            leaving = self._note_leaving()
-            if self._shadow is not None and not self._may_keep_shadow(leaving):
-                self._drop_shadow()
-            self._note_cover()
-            if self._shadow is None and self._needs_shadow(leaving) and self._is_due():
-                self._begin_shadow(leaving)
+            if self._home is not None and self._joint.last >= 0:
+                self._look()
+
+    def _look(self) -> None:
+        """Drop a shadow that is of no use, and begin one where it is needed."""
+        leaving = self._note_leaving()
+        if self._shadow is not None and not self._may_keep_shadow(leaving):
+            self._drop_shadow()
+        self._note_cover()
+        if self._shadow is None and self._needs_shadow(leaving) and self._is_due():
+            self._begin_shadow(leaving)
 
     def _note_leaving(self) -> bool:
         """Return whether the home leaves, and note since when."""
@@ -168,14 +174,14 @@
         return True
 
     def _note_cover(self) -> None:
-        """Note whether another replica has a copy, for the order of an evacuation."""
+        """Note what the other instances need to order evacuations and copies."""
         assert self._home is not None
         flight = self._home.flight
         flight.stake = self._stake()
         if self._shadow is not None and self._shadow_place is not None:
             self._shadow_place.flight.arriving = not self._shadow.arrived
-        covered = self._copy is not None or (self._shadow is not None and self._shadow.arrived)
-        flight.uncovered = not covered and self._remaining_tokens() >= RESCUE_FROM_TOKENS
+        covered = self._backup is not None or (self._shadow is not None and self._shadow.arrived)
+        flight.uncovered = not covered and self._outlook().remaining_tokens >= RESCUE_FROM_TOKENS
 
     def _is_due(self) -> bool:
         """Return whether it is this generation's turn to be copied."""
@@ -190,88 +196,102 @@
         return now >= self._leaving_since + rank * EVACUATION_STEP_S
 
     def _may_keep_shadow(self, leaving: bool) -> bool:
-        """Return whether the shadow is still of use, and what it takes not needed elsewhere."""
+        """Return whether the shadow is still of use, and its memory not needed by others."""
         assert self._shadow is not None and self._shadow_place is not None
-        flight = self._shadow_place.flight
-        target = self._shadow.target
         if self._shadow.failed:
-            if self._shadow.refused:
-                self._avoid(target)
-            else:
-                self._not_before = self._dispatch.now() + SOURCE_SILENT_S
+            self._note_failed_shadow(self._shadow)
             return False
+        target_stays = self._placing.stays(self._shadow.target)
         if leaving:
-            # Both may leave: the copy that is there is better than none.
-            self._dispatch.hold(flight)
+            self._dispatch.hold(self._shadow_place.flight)
             self._shadow.hurry()
-            return self._placing.stays(target) or self._shadow.arrived
-        if not self._placing.stays(target):
+            # Both may leave: the copy that is there is better than none.
+            return target_stays or self._shadow.arrived
+        return target_stays and not self._gives_way(self._shadow_place)
+
+    def _note_failed_shadow(self, shadow: Shadow) -> None:
+        """Avoid a target that had no room; put the next copy off where the source failed."""
+        if shadow.refused:
+            self._avoid(shadow.target)
+        else:
+            self._not_before = self._dispatch.now() + SOURCE_SILENT_S
+
+    def _gives_way(self, place: _Place) -> bool:
+        """Return whether the shadow has to make room at its replica, and avoid it then."""
+        place.flight.stake = self._stake()
+        if not self._placing.must_give_way(self._request.service, place.replica, place.flight):
             return False
-        flight.stake = self._stake()
-        if not self._placing.must_give_way(self._request.service, target, flight):
-            return True
-        self._avoid(target)
+        self._avoid(place.replica)
         self._dispatch.log.info(
             "copy_gives_way",
             request_id=self._request.request_id,
-            target=target.name,
-            stake=flight.stake,
+            target=place.replica.name,
+            stake=place.flight.stake,
         )
-        return False
+        return True
 
     def _needs_shadow(self, leaving: bool) -> bool:
-        """Return whether no replica that stays has a copy of the generation."""
+        """Return whether a shadow is worth its place, leaving aside one that there is."""
         engine = self._request.service.engine
         if engine is None or not engine.moves:
             return False
-        if self._copy is not None and self._placing.stays(self._copy.replica):
+        if self._backup is not None and self._placing.stays(self._backup.replica):
             return False
         if not leaving and self._placing.evacuating(self._request.service):
             return False
-        return self._remaining_tokens() >= (RESCUE_FROM_TOKENS if leaving else COPY_FROM_TOKENS)
+        worth_from = RESCUE_FROM_TOKENS if leaving else COPY_FROM_TOKENS
+        return self._outlook().remaining_tokens >= worth_from
 
     def _place_copy(self, excluded: set[str], terms: Terms, zone: str = "") -> Replica | None:
         service = self._request.service
-        return self._placing.place_copy(service, excluded, self._used_tokens(), terms, zone)
+        used = self._outlook().used_tokens
+        return self._placing.place_copy(service, excluded, used, terms, zone)
 
     def _avoid(self, replica: Replica) -> None:
-        self._no_room[replica.name] = self._dispatch.now() + NO_ROOM_S
+        self._avoided_until[replica.name] = self._dispatch.now() + NO_ROOM_S
 
     def _avoided(self) -> set[str]:
         now = self._dispatch.now()
-        self._no_room = {name: until for name, until in self._no_room.items() if until > now}
-        return set(self._no_room)
+        still = {name: until for name, until in self._avoided_until.items() if until > now}
+        self._avoided_until = still
+        return set(still)
 
     def _begin_shadow(self, leaving: bool) -> None:
-        home = self.home
-        excluded = {home.name, *self._avoided()}
-        if self._copy is not None:
-            excluded.add(self._copy.replica.name)
-        if leaving:
-            # Time is short, and within the replica's zone a copy takes half of it.
-            zone = home.availability_zone
-            target = self._place_copy(excluded, RESCUE, zone)
-        else:
-            target = self._place_copy(excluded, self._copy_terms(home))
+        """Order a shadow where there is a replica for it."""
+        target = self._choose_shadow_target(leaving)
         if target is None:
             return
+        self._log_shadow(target, leaving)
+        self._shadow_place = self._occupy(target, copy=True)
+        flight = self._shadow_place.flight
+        flight.gives_way = not leaving
+        flight.stake = self._stake()
+        flight.arriving = True
+        self._shadow = Shadow(
+            self._dispatch.adapter, self._request.request_id, self.home, target, self._dispatch.log
+        )
+
+    def _choose_shadow_target(self, leaving: bool) -> Replica | None:
+        home = self.home
+        excluded = {home.name, *self._avoided()}
+        if self._backup is not None:
+            excluded.add(self._backup.replica.name)
+        if not leaving:
+            return self._place_copy(excluded, self._copy_terms(home))
+        # Time is short, and within the replica's zone a copy takes half of it.
+        return self._place_copy(excluded, RESCUE, home.availability_zone)
+
+    def _log_shadow(self, target: Replica, leaving: bool) -> None:
         self._dispatch.log.info(
             "generation_shadowed",
             request_id=self._request.request_id,
-            source=home.name,
+            source=self.home.name,
             target=target.name,
-            copy=self._copy.replica.name if self._copy else "",
+            copy=self._backup.replica.name if self._backup else "",
             home_stays=not leaving,
             after_event=self._joint.last,
             replicas=self._placing.shown(self._request.service, set()),
         )
-        self._shadow_place = self._occupy(target, copy=True)
-        flight = self._shadow_place.flight
-        flight.gives_way, flight.stake = not leaving, self._stake()
-        flight.arriving = True
-        self._shadow = Shadow(
-            self._dispatch.adapter, self._request.request_id, home, target, self._dispatch.log
-        )
 
     def _drop_shadow(self) -> None:
         if self._shadow is not None:
@@ -280,67 +300,52 @@
         self._free(self._shadow_place)
         self._shadow_place = None
 
-    def note_progress(self) -> None:
-        """Note how much memory the generation takes by now."""
-        used = self._used_tokens()
-        for place in (self._home, self._copy, self._shadow_place):
-            if place is not None:
-                place.flight.used_tokens = used
-
-    def _used_tokens(self) -> int:
-        """Return the memory that the generation takes now, in tokens."""
-        return self._request.prompt_tokens + self._made_tokens()
-
-    def _made_tokens(self) -> int:
-        engine = self._request.service.engine
-        return max(0, self._joint.last) * engine.tokens_per_event if engine else 0
-
-    def _remaining_tokens(self) -> int:
-        """Return how much output is expected to come yet, in tokens."""
+    def _outlook(self) -> Outlook:
+        """Return how far the generation has come."""
         facts = self._request.relay.generation
-        if facts is None:
-            return 0
-        expected = facts.expected_output_tokens or facts.max_output_tokens
-        made = self._made_tokens()
-        most = max(0, facts.max_output_tokens - made)
-        return min(most, max(expected - made, round(made * MORE_SHARE)))
+        engine = self._request.service.engine
+        return Outlook(
+            prompt_tokens=self._request.prompt_tokens,
+            expected_tokens=facts.expected_output_tokens if facts else 0,
+            max_tokens=facts.max_output_tokens if facts else 0,
+            last_event=self._joint.last,
+            tokens_per_event=engine.tokens_per_event if engine else 0,
+        )
 
     def _stake(self) -> int:
-        """Return what would be lost with the generation, by how long it is at risk."""
-        remaining = self._remaining_tokens()
-        output = self._made_tokens() + remaining
-        work = self._request.prompt_tokens + OUTPUT_WEIGHT * output
-        risk = 1 if self._home is None or self._placing.is_near(self.home) else FAR_RISK
-        return risk * work * min(remaining, RISK_TOKENS) // RISK_TOKENS
+        """Return what would be lost with the generation where it runs now."""
+        near = self._home is None or self._placing.is_near(self._home.replica)
+        return self._outlook().stake(near)
 
-    def _choose_copy(self, excluded: set[str], before: Replica | None = None) -> _Place | None:
-        """Choose where the generation's memory is copied as it grows, if anywhere.
+    def _choose_backup(self, excluded: set[str], before: Replica | None = None) -> _Place | None:
+        """Choose a backup, if there is need and room for one, and note the copy there.
 
-        The replica that it comes from is as good as any while it stays.
+        The home before, where it stays, is as good a backup as any.
         """
         engine = self._request.service.engine
         if engine is None or not engine.backups or engine.moves:
             return None
-        if self._remaining_tokens() < COPY_FROM_TOKENS:
+        if self._outlook().remaining_tokens < COPY_FROM_TOKENS:
             return None
         home = self.home
-        if before is not None and self._may_keep_copy(before, home):
+        if before is not None and self._may_be_backup(before, home):
             return self._occupy(before, copy=True)
         found = self._place_copy({home.name, *excluded}, self._copy_terms(home))
         return self._occupy(found, copy=True) if found is not None else None
 
-    def _may_keep_copy(self, before: Replica, home: Replica) -> bool:
-        """Return whether the replica that a generation comes from may have its copy."""
+    def _may_be_backup(self, before: Replica, home: Replica) -> bool:
+        """Return whether the home before may be the backup."""
         if before.name == home.name or not self._placing.stays(before):
             return False
         return self._placing.is_near(before) or self._placing.is_near(home)
 
     def _copy_terms(self, home: Replica) -> Terms:
+        """Return on what terms a copy is placed while the home stays."""
         return COPY if self._placing.is_near(home) else COPY_HOME
 
     def _occupy(self, replica: Replica, reads: bool = False, copy: bool = False) -> _Place:
         flight = self._dispatch.add_flight(self._request, replica, reads, copy)
-        flight.used_tokens = self._used_tokens()
+        flight.used_tokens = self._outlook().used_tokens
         return _Place(replica, flight)
 
     def _free(self, place: _Place | None) -> None:
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -6,9 +6,9 @@
 from reachlink.placement import allowances
 from reachlink.requests._book import Flight, ReplicaState
 from reachlink.requests._choice import REQUEST, Option, Terms, choose
-from reachlink.requests._giving_way import gives_way, rank
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
+from reachlink.requests._stake_order import gives_way, rank
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import Replica
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -1,25 +1,31 @@
-"""What the entry instances tell each other of their requests at model engines; pure."""
+"""What the entry instances tell each other of their requests at model engines; pure.
+
+The structs here go over the wire as arrays: the order of their fields is the
+format, and new fields go to the end with a default.
+"""
 
 from dataclasses import dataclass
 
 import msgspec
 
-# What a silent instance told last counts for this long, in seconds; each tells
-# at least once a second.
+# How long what an instance told last counts, in seconds: each tells its load at
+# least once a second.
 KEPT_S = 3.0
 
 
 class MemoryNote(msgspec.Struct, array_like=True, frozen=True):
-    """A generation, or a copy of its memory that gives way where room is needed.
+    """Memory of a generation, or of a copy of one, that the instances order among themselves.
 
     Attributes
     ----------
     key : int
-        Tells those of equal stake apart; the same at every instance.
+        Hash of the request's name. It orders those of equal stake, the same way
+        at every instance.
     tokens : int
         Memory that it takes now, in tokens.
     stake : int
-        What would be lost with it; the least gives way first.
+        What would be lost with the generation (`Outlook.stake`). Copies with the
+        least give way first; generations with the most leave first.
     """
 
     key: int
@@ -28,12 +34,28 @@
 
 
 class ReplicaShare(msgspec.Struct, array_like=True, frozen=True):
-    """One instance's own requests at one replica; memory in tokens.
+    """One instance's own requests at one replica, or the sum over several instances.
 
-    `tokens` is what they will need at their end, `used_tokens` what they take
-    now; both are without the copies that give way, which `copies` lists.
-    `uncovered` lists the generations that no other replica has a copy of, and
-    `arriving` counts the copies on their way.
+    Attributes
+    ----------
+    replica : str
+        The replica.
+    running : int
+        Requests there, without copies.
+    tokens : int
+        Memory that requests and copies are expected to need at their end, in
+        tokens, without the copies that give way.
+    unread_tokens : int
+        Prompts that the replica still has to read, in tokens.
+    used_tokens : int
+        Memory that requests and copies take now, in tokens, without the copies
+        that give way.
+    copies : tuple of MemoryNote
+        The copies that give way where room is needed.
+    uncovered : tuple of MemoryNote
+        The running generations that no other replica has a copy of.
+    arriving : int
+        Copies whose first move to the replica has not ended yet.
     """
 
     replica: str
@@ -52,7 +74,22 @@
 
 
 class ReplicaNews(msgspec.Struct, array_like=True, frozen=True):
-    """What one instance read in a replica's report, `age_s` seconds before it tells."""
+    """What one instance read in a replica's report.
+
+    Attributes
+    ----------
+    replica : str
+        The replica.
+    leaving : bool
+        Whether it said that it leaves.
+    kv_used_tokens : int
+        Memory in use there, in tokens, copies included.
+    running : int
+        Requests running there, those of all instances.
+    age_s : float
+        How long before telling it was read, in seconds: the instances' clocks
+        are not compared.
+    """
 
     replica: str
     leaving: bool
@@ -62,7 +99,21 @@
 
 
 class ListedReplica(msgspec.Struct, array_like=True, frozen=True):
-    """A replica that one instance has found new, or leaving, in the platform's list."""
+    """A replica that one instance has found new, or leaving, in the platform's list.
+
+    Attributes
+    ----------
+    name : str
+        The replica.
+    service : str
+        Service whose requests it takes.
+    availability_zone : str
+        Zone that it is in.
+    address : str
+        Host and port as the platform lists them.
+    leaving : bool
+        Whether the list says that it leaves.
+    """
 
     name: str
     service: str
@@ -74,7 +125,16 @@
 class LoadNote(msgspec.Struct, array_like=True, frozen=True):
     """All of an instance's own requests, and what it read in reports and the list lately.
 
-    Replicas that are missing in `shares` have none of its requests.
+    Attributes
+    ----------
+    instance : str
+        Who tells.
+    shares : list of ReplicaShare
+        Its own requests; replicas that are missing have none of them.
+    news : list of ReplicaNews
+        What it read in load reports lately.
+    listed : list of ListedReplica
+        What it found new in the platform's list lately.
     """
 
     instance: str
@@ -85,6 +145,8 @@
 
 @dataclass(slots=True)
 class _Told:
+    """The shares that one instance told, by replica, and when (monotonic seconds)."""
+
     shares: dict[str, ReplicaShare]
     at: float
 
@@ -95,7 +157,7 @@
     Examples
     --------
     >>> load = SharedLoad()
-    >>> load.take(LoadNote("e1", [ReplicaShare("r1", 2, 7000)]), 0.0)
+    >>> load.take(LoadNote("e1", [ReplicaShare("r1", running=2, tokens=7000)]), 0.0)
     >>> load.at("r1", 1.0).tokens
     7000
     >>> load.at("r1", 9.0).tokens
@@ -104,6 +166,7 @@
 
     def __init__(self) -> None:
         self._told: dict[str, _Told] = {}
+        # Kept longer than what was told, to know for how long an instance is silent.
         self._heard: dict[str, float] = {}
 
     def take(self, note: LoadNote, now: float) -> None:
@@ -134,5 +197,12 @@
                 uncovered.extend(share.uncovered)
                 arriving += share.arriving
         return ReplicaShare(
-            replica, running, tokens, unread, used, tuple(copies), tuple(uncovered), arriving
+            replica=replica,
+            running=running,
+            tokens=tokens,
+            unread_tokens=unread,
+            used_tokens=used,
+            copies=tuple(copies),
+            uncovered=tuple(uncovered),
+            arriving=arriving,
         )
--- a/reachlink/requests/_giving_way.py
+++ b/reachlink/requests/_stake_order.py
@@ -1,29 +1,38 @@
-"""Which copies make room at a full replica, and which generations leave one first; pure.
+"""Order by stake: which copies give way first, which generations leave first; pure.
 
-Every instance knows all copies and generations at a replica and comes to the
-same order, so that no message is needed to agree on who does what.
+Every entry instance is told of all copies and generations at a replica
+(`MemoryNote`) and computes the same order, so that each knows without another
+message whether it is the turn of its own.
 """
 
 from collections.abc import Iterable
 
 from reachlink.requests._shared_load import MemoryNote
 
-# Share of a replica's memory beyond which copies give way: the rest is for what
-# grows until all instances have heard of it.
+# Share of a replica's memory, from 0 to 1, beyond which copies give way: the rest
+# is for what grows until all instances have heard of it.
 FULL = 0.93
 
 
 def rank(generation: MemoryNote, others: Iterable[MemoryNote]) -> int:
     """Return how many other generations at a replica should be copied away before one.
 
-    The links take one copy after the other, and there is not time for all.
+    The most at stake goes first: a replica's link takes one copy after the other,
+    and its notice is too short for all.
 
     Parameters
     ----------
     generation : MemoryNote
         The generation.
     others : iterable of MemoryNote
-        Those at the replica that no other replica has a copy of.
+        Those at the replica that no other replica has a copy of; the generation
+        itself may be among them.
+
+    Examples
+    --------
+    >>> small, large = MemoryNote(1, 3000, 10), MemoryNote(2, 5000, 90)
+    >>> rank(large, [small, large]), rank(small, [small, large])
+    (0, 1)
     """
     mine = (-generation.stake, generation.key)
     return sum(1 for other in others if (-other.stake, other.key) < mine)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -122,7 +122,7 @@
             request_id=self._request.request_id,
             lost=lost.name,
             replica=target.name,
-            copy=_name(self._places.copy),
+            copy=_name(self._places.backup),
             handle=memory.handle,
             after_event=self._joint.last,
         )
@@ -180,7 +180,7 @@
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
         try:
             return await self._dispatch.open(
-                self._request, replica, continuation, self._places.copy
+                self._request, replica, continuation, self._places.backup
             )
         except UpstreamUnreachableError:
             self._dispatch.unreachable(replica)
@@ -214,7 +214,7 @@
             request_id=self._request.request_id,
             replica=replica.name,
             last_event=self._joint.last,
-            copy=_name(self._places.copy),
+            copy=_name(self._places.backup),
             shadow=_name(self._places.shadow),
             reason=reason,
         )
--- a/reachlink/requests/tests/test_stake_order.py
+++ b/reachlink/requests/tests/test_stake_order.py
@@ -1,7 +1,7 @@
 """The order in which copies make room, and in which generations leave."""
 
 from reachlink.requests import MemoryNote
-from reachlink.requests._giving_way import gives_way, rank
+from reachlink.requests._stake_order import gives_way, rank
 
 
 def test_the_copy_with_the_least_at_stake_gives_way_first():
