An entry instance is not ready before it has read the platform's list

Cause: test_answers' first request was refused with no_replica in runs beside heavy load. In the kept log the list refused its first reading at 07.465 s, the settings came at 08.013 s and the instance called itself ready; the list is read again a second later.

Change: readiness waits for the first reading, as the relaying daemon's does. test_readiness fails on the code before and passes now.

--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -52,6 +52,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._reports: deque[str] = deque()
         self._caches: deque[str] = deque()
+        self._list_read = False
 
     async def start(self) -> None:
         """Open sockets and start background work."""
@@ -144,6 +145,7 @@
             node.log.warning("platform_list_unavailable", reason=str(error))
             return
         node.directory.update(listed, time.monotonic())
+        self._list_read = True
         node.ledger.forget({r.name for r in node.directory.all()})
         node.pump()
 
@@ -243,6 +245,10 @@
             return json_response({"ready": False, "reason": "draining"}, 503)
         if not node.ready:
             return json_response({"ready": False, "reason": node.not_ready_reason}, 503)
+        if not self._list_read:
+            # Without it every request would be refused for want of a replica.
+            reason = "the platform's list was not read yet"
+            return json_response({"ready": False, "reason": reason}, 503)
         return json_response({"ready": True, "revision": node.tree.revision})
 
     async def _metrics_page(self, request: web.Request) -> web.Response:
