--- a/reachlink/entry/tests/test_relay_node.py
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -1,12 +1,14 @@
 """What a relaying entry instance takes on, and how its routing table grows."""
 
 import asyncio
+import time
 
 import msgspec
 import pytest
 
 from reachlink.entry import PlatformSource, RelayConfig, RelayNode
-from reachlink.membership import InstanceRecord, SettingsAnswer
+from reachlink.membership import InstanceRecord, ListedInstance, SettingsAnswer
+from reachlink.requests import ReplicaNews
 from reachlink.routing import NATIVE_FORMAT, PublishedTable, RequestKind, RoutingTable
 from reachlink.settings import ROUTING_PATH
 from reachlink.upstreams import RELAY_ADAPTERS
@@ -73,3 +75,17 @@
     assert set(node.control.addresses) == {"10.0.0.1:7200", "10.0.0.2:7200", "10.0.0.3:7200"}
     node.take_seeds(["10.0.0.9:7200"])
     assert "10.0.0.9:7200" in node.control.addresses
+
+
+def test_an_instance_that_reaches_replicas_of_other_zones_is_not_cut_off(node):
+    """Found on a recorded day: cut off from the control instances only, it used its zone alone.
+
+    The roster that the others get has it no more, so that they stop telling it
+    their load; the replicas of other zones still answer it.
+    """
+    now = time.monotonic()
+    node.on_peers([InstanceRecord("e9", "10.0.9.1:7201", "b")])
+    node._isolation._known_since = {"e9": now - 60.0}
+    node.directory.update([ListedInstance("r9", "chat", "b", "10.0.9.2:80")], now)
+    node.book.state("r9").take_report(ReplicaNews("r9", False, 0, 0, 0.0), now)
+    assert not node.cut_off()
