Claims put right: what was read, what was measured, what was only supposed

-: 'memory was held by copies that nobody needed' was read in the code (a cancelled move was never freed); how much it held was not measured.

--- a/reachlink/requests/tests/test_moving.py
+++ b/reachlink/requests/tests/test_moving.py
@@ -133,7 +133,7 @@
 
 
 def test_a_copy_that_is_not_wanted_any_more_is_freed_though_it_is_on_its_way(monkeypatch):
-    """Found on a quiet day: a third of the memory was held by copies nobody knew of."""
+    """Found by reading: a move that was cancelled kept its memory at the target."""
     monkeypatch.setattr("reachlink.requests._generation_places.BEGIN_SHARE", 1.0)
     made = everywhere("a a", "m", script=answering(200, stream(1, 3), 0.15))
     made.adapter.move_result, made.adapter.move_takes_s = MOVED, 0.3
