Zones are not taken for cut off alone; the first table is waited for; streams logged whole

Cause 2: where every process restarts, entry instances take callers 0.25 to 0.8 s before they have a table (logs of three restarts) and refused them, 14 to 75 requests a restart, though callers have one more attempt.

--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -15,6 +15,9 @@
     def index(self) -> RoutingIndex | None:
         """The routing table in force, or None before there is one."""
 
+    async def first_index(self, patience_s: float) -> RoutingIndex | None:
+        """Return the routing table in force, waiting for the first one for some time."""
+
     @property
     def runner(self) -> RequestRunner:
         """Carries requests."""
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -21,6 +21,9 @@
 WATCH_MARGIN_S = 0.5
 # Pause before the next control instance is asked, in seconds.
 PAUSE_S = 0.2
+# The same before this instance is ready: where all have restarted, each asks as
+# soon as there is a leader (half of them were 0.2 s later than the others).
+START_PAUSE_S = 0.1
 # How long control instances are waited for before this zone's peers will do, in seconds.
 ZONE_PATIENCE_S = 3.0
 # How long a peer may take to answer, in seconds.
@@ -95,7 +98,7 @@
                 await self._try_zone()
             if not answered:
                 self._node.control.rotate()
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(PAUSE_S if self._node.ready else START_PAUSE_S)
 
     async def catch_up_from(self, peer_address: str) -> None:
         """Fetch newer settings from a peer that has told of them."""
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -1,5 +1,7 @@
 """The parts of a relaying entry instance and how they are joined."""
 
+import asyncio
+import contextlib
 import time
 from random import Random
 
@@ -58,7 +60,7 @@
             self.listed,
             time.monotonic,
         )
-        self._isolation = Isolation(config.availability_zone, self.shared)
+        self._isolation = Isolation(config.availability_zone, self.shared, self._far_answer_at)
         self._was_cut_off = False
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
@@ -67,6 +69,7 @@
         self.metrics = RelayMetrics(config)
         self._seeds = list(config.seeds)
         self._index: RoutingIndex | None = None
+        self._has_index = asyncio.Event()
         self._runner = RequestRunner(
             RunnerParts(
                 zone=config.availability_zone,
@@ -88,6 +91,19 @@
         """The routing table in force, or None before there is one."""
         return self._index
 
+    async def first_index(self, patience_s: float) -> RoutingIndex | None:
+        """Return the routing table in force, waiting for the first one for some time.
+
+        Parameters
+        ----------
+        patience_s : float
+            Longest wait, in seconds.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience_s):
+                await self._has_index.wait()
+        return self._index
+
     @property
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
@@ -158,6 +174,11 @@
             self.log.info("zone_cut_off" if found else "zone_rejoined", zone=self.zone)
         return found
 
+    def _far_answer_at(self) -> float:
+        """Return when a replica of another zone answered last, in monotonic seconds."""
+        far = (r.name for r in self.directory.all() if r.availability_zone != self.zone)
+        return max((self.book.state(name).answered_at for name in far), default=float("-inf"))
+
     def unserved(self) -> str:
         """Return a service that no replica in reach serves while the zone is cut off, or ``""``."""
         if self._index is None or not self.cut_off():
@@ -199,6 +220,7 @@
             # It was checked before it was accepted: this is a fault of this version.
             self.log.error("routing_table_unreadable", number=published.number, reason=str(error))
             return
+        self._has_index.set()
         self.log.info("routing_table_in_force", number=published.number)
 
     def _engines(self) -> list[str]:
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -8,6 +8,8 @@
 import hashlib
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from reachlink.membership import LeavingSource, ReplicaDirectory
 from reachlink.requests import ReplicaBook, ReplicaNews
 from reachlink.telemetry import get_logger
@@ -71,8 +73,8 @@
         now = self._clock()
         self._own = {n: item for n, item in self._own.items() if now - item[0] < TOLD_S}
         return [
-            ReplicaNews(n.replica, n.leaving, n.kv_used_tokens, n.running, round(now - at, 3))
-            for at, n in self._own.values()
+            msgspec.structs.replace(news, age_s=round(now - at, 3))
+            for at, news in self._own.values()
         ]
 
     def tell_leaving(self, replica: str) -> None:
@@ -124,7 +126,16 @@
         finally:
             self._reading.discard(replica.name)
         now = self._clock()
-        news = ReplicaNews(replica.name, report.leaving, report.kv_used_tokens, report.running, 0.0)
+        news = ReplicaNews(
+            replica=replica.name,
+            leaving=report.leaving,
+            kv_used_tokens=report.kv_used_tokens,
+            running=report.running,
+            age_s=0.0,
+            leaves_in_s=report.leaves_in_s,
+        )
+        if report.leaving:
+            self._log.info("leave_report", replica=replica.name, leaves_in_s=report.leaves_in_s)
         self._own[replica.name] = (now, news)
         self._note(news, now)
 
--- a/reachlink/entry/tests/test_relay_node.py
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -55,6 +55,21 @@
     assert node.index is not None and node.index.number == 9
 
 
+def test_the_first_table_is_waited_for_but_not_for_long(node):
+    async def waiting(patience_s: float, then) -> bool:
+        asyncio.get_running_loop().call_soon(then)
+        return await node.first_index(patience_s) is not None
+
+    def publish() -> None:
+        node.settings.take(published(4, 1))
+        node.on_settings()
+
+    async def both() -> tuple[bool, bool]:
+        return await waiting(0.001, lambda: None), await waiting(60.0, publish)
+
+    assert asyncio.run(both()) == (False, True)
+
+
 def test_a_stopping_instance_takes_no_stream_and_soon_nothing(node):
     assert node.accepts(RequestKind.STREAM)
     node.begin_drain()
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -126,6 +126,11 @@
         """How many requests of this instance are there."""
         return sum(1 for flight in self.flights if not flight.copy)
 
+    @property
+    def answered_at(self) -> float:
+        """When it answered this zone last, be it with a report; monotonic seconds."""
+        return max(self.reported_at, self.sampled_at)
+
     def running(self, now: float, others_running: int = 0) -> int:
         """Return how many requests are likely there, waiting ones included.
 
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -125,6 +125,7 @@
         while True:
             replica = self.place(request, tried)
             if replica is not None:
+                self._log_placed(request, replica)
                 return replica
             if parts.clock() >= until or self.out_of_reach(request.service.name):
                 self._log_no_room(request, tried)
@@ -193,10 +194,24 @@
         return " ".join(
             f"{o.name}:{o.tokens}:{o.used_tokens}+{o.copy_tokens}"
             f":{o.reported_tokens}/{o.capacity_tokens}"
-            f":{o.running}:{o.trust:.1f}"
+            f":{o.running}:{o.unread_tokens}:{o.trust:.1f}"
             for o in self._options(service, excluded)
         )
 
+    def _log_placed(self, request: CallerRequest, replica: Replica) -> None:
+        if request.service.engine is None:
+            return
+        self._log.info(
+            "generation_placed",
+            request_id=request.request_id,
+            replica=replica.name,
+            near=self.is_near(replica),
+            need_tokens=need_tokens(request),
+            waited_ms=round((self._parts.clock() - request.arrived_at) * 1000.0),
+            priority=request.relay.priority,
+            replicas=self.shown(request.service, set()),
+        )
+
     def _log_no_room(self, request: CallerRequest, tried: set[str]) -> None:
         self._log.info(
             "no_room",
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -89,6 +89,8 @@
     age_s : float
         How long before telling it was read, in seconds: the instances' clocks
         are not compared.
+    leaves_in_s : float, optional
+        Time from then until it is taken away, in seconds, where it said so.
     """
 
     replica: str
@@ -96,6 +98,7 @@
     kv_used_tokens: int
     running: int
     age_s: float
+    leaves_in_s: float | None = None
 
 
 class ListedReplica(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -12,6 +12,7 @@
 from reachlink.requests._generation_places import GenerationPlaces
 from reachlink.requests._joint import Joint
 from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._stream_times import StreamTimes
 from reachlink.requests.exceptions import StreamCutError
 from reachlink.upstreams import (
     Continuation,
@@ -65,7 +66,8 @@
         self._sink = sink
         self._joint = Joint()
         self._places = GenerationPlaces(dispatch, request, self._joint)
-        self._given_at = 0.0
+        self._times = StreamTimes(request.arrived_at)
+        self._moves = 0
 
     async def start(self, replica: Replica) -> Setback | None:
         """Begin at a replica and follow to the end; return why it did not begin, if so."""
@@ -99,6 +101,7 @@
         while not ended:
             ended = await self._go_on()
         await self._sink.end()
+        self._log_delivered()
         return None
 
     async def _go_on(self) -> bool:
@@ -117,6 +120,7 @@
     async def _continue_at(self, target: Replica, memory: MovedMemory) -> RelayAnswer | None:
         """Ask a replica to go on; return None where it cannot."""
         lost = self._places.move_to(target)
+        self._moves += 1
         self._dispatch.log.info(
             "stream_continues",
             request_id=self._request.request_id,
@@ -191,12 +195,9 @@
 
     def _note_pause(self) -> None:
         """Log a pause between events that is longer than the route promises."""
-        now = self._dispatch.now()
-        pause, self._given_at = now - self._given_at, now
+        pause = self._times.note(self._joint.last, self._dispatch.now())
         longest = self._request.route.event_gap_s
-        # Before the first event there is no earlier one to count from.
-        first = pause == now
-        if not longest or pause <= longest or first:
+        if not longest or pause <= longest:
             return
         self._dispatch.log.info(
             "stream_paused",
@@ -206,6 +207,24 @@
             pause_ms=round(pause * 1000.0),
         )
 
+    def _log_delivered(self) -> None:
+        """Log how a whole stream went, in the terms that its route promises."""
+        times = self._times
+        self._dispatch.log.info(
+            "stream_delivered",
+            request_id=self._request.request_id,
+            route=self._request.route.name,
+            replica=self._places.home.name,
+            prompt_tokens=self._request.prompt_tokens,
+            last_event=self._joint.last,
+            first_event_ms=round((times.first_s or 0.0) * 1000.0),
+            objective_ms=round(self._request.route.objective_s * 1000.0),
+            longest_pause_ms=round(times.longest_pause_s * 1000.0),
+            longest_pause_at=times.longest_pause_at,
+            pause_goal_ms=round((self._request.route.event_gap_s or 0.0) * 1000.0),
+            moves=self._moves,
+        )
+
     def _on_broken(self, reason: str) -> None:
         replica = self._places.home
         self._dispatch.distrust(replica)
--- a/reachlink/upstreams/_base.py
+++ b/reachlink/upstreams/_base.py
@@ -73,6 +73,8 @@
     max_batch: int = 0
     step_ms: float = 0.0
     leaving: bool = False
+    # Time until it is taken away, in seconds; None where it is not known.
+    leaves_in_s: float | None = None
     preemptions: int = 0
     recomputed_tokens: int = 0
     models: tuple[str, ...] = ()
