Prompts wait where a generation is about to go on from a leaving replica

Change: when a leaving replica will be gone is estimated (report, else usual notice, both learned); instances tell each other when their generations join where; a prompt waits, within its wait for room, or goes elsewhere.

--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -94,7 +94,7 @@
     def _note(self) -> LoadNote:
         return LoadNote(
             instance=self._name,
-            shares=self._book.shares(),
+            shares=self._book.shares(self._clock()),
             news=self._reports.news(),
             listed=self._listed.recent(),
         )
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -15,6 +15,7 @@
 from reachlink.messaging import Bus
 from reachlink.requests import (
     CallerRequest,
+    Departures,
     ReplicaBook,
     RequestRunner,
     RetryTerms,
@@ -47,8 +48,15 @@
         self.book = ReplicaBook()
         self.shared = SharedLoad()
         adapter = RELAY_ADAPTERS.get(config.upstream)(self.client)
+        departures = Departures()
         self.reports = ReportReader(
-            config.name, adapter, self.directory, self.book, self._engines, time.monotonic
+            config.name,
+            adapter,
+            self.directory,
+            self.book,
+            self._engines,
+            time.monotonic,
+            departures,
         )
         self.listed = ListNews(self.directory, self.book.touch)
         self.teller = LoadTeller(
@@ -83,6 +91,7 @@
                 instances=self.sharing_instances,
                 on_leaving=self.reports.tell_leaving,
                 cut_off=self.cut_off,
+                departures=departures,
             )
         )
 
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from reachlink.membership import LeavingSource, ReplicaDirectory
-from reachlink.requests import ReplicaBook, ReplicaNews
+from reachlink.requests import NOTICE_S, Departures, ReplicaBook, ReplicaNews
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import RelayAdapter, Replica, UpstreamError
 
@@ -41,6 +41,8 @@
         Returns the names of the services that are model engines.
     clock : callable
         Monotonic time in seconds.
+    departures : Departures
+        Is told which replicas leave, and when.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         book: ReplicaBook,
         engines: Callable[[], list[str]],
         clock: Callable[[], float],
+        departures: Departures,
     ) -> None:
         self._name = name
         self._adapter = adapter
@@ -60,6 +63,7 @@
         self._clock = clock
         self._instances = [name]
         self._own: dict[str, tuple[float, ReplicaNews]] = {}
+        self._departures = departures
         self._reading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._log = get_logger()
@@ -98,12 +102,21 @@
                 task.add_done_callback(self._tasks.discard)
 
     def _due(self) -> list[Replica]:
-        replicas = [r for service in self._engines() for r in self._directory.live(service)]
+        engines = self._engines()
+        replicas = [r for service in engines for r in self._directory.live(service)]
+        replicas += self._leaving_soon(engines)
         carrying = set(self._book.carrying())
         return [
             r for r in replicas if r.name not in self._reading and self._falls_here(r, carrying)
         ]
 
+    def _leaving_soon(self, engines: list[str]) -> list[Replica]:
+        """Return the replicas that leave and whose reports have not yet told when."""
+        since = self._clock() - NOTICE_S
+        names = [name for service in engines for name in self._directory.leaving(service, since)]
+        found = (self._directory.find(name) for name in names if not self._departures.told(name))
+        return [replica for replica in found if replica is not None]
+
     def _falls_here(self, replica: Replica, carrying: set[str]) -> bool:
         if self._reader_of(replica.name) == self._name:
             return True
@@ -142,6 +155,10 @@
     def _note(self, news: ReplicaNews, read_at: float) -> None:
         if not self._book.state(news.replica).take_report(news, read_at) or not news.leaving:
             return
+        if news.leaves_in_s is None:
+            self._departures.notice(news.replica, read_at)
+        else:
+            self._departures.report(news.replica, read_at, news.leaves_in_s)
         if self._directory.mark_leaving(news.replica, LeavingSource.REPORT, self._clock()):
             self._log.info("upstream_leaving", replica=news.replica, source="report")
             self._book.touch()
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -3,6 +3,7 @@
 from reachlink.requests._attempts import AttemptLog, Setback
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
 from reachlink.requests._choice import Option, choose
+from reachlink.requests._departures import NOTICE_S, Departures
 from reachlink.requests._model import AnswerSink, CallerRequest
 from reachlink.requests._parts import Directory, RetryTerms, RunnerParts
 from reachlink.requests._runner import RequestRunner
@@ -20,11 +21,13 @@
     "AnswerSink",
     "AttemptLog",
     "CallerRequest",
+    "Departures",
     "Directory",
     "Flight",
     "ListedReplica",
     "LoadNote",
     "MemoryNote",
+    "NOTICE_S",
     "Option",
     "ReplicaBook",
     "ReplicaNews",
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field
 
 from reachlink.placement import Health
-from reachlink.requests._shared_load import MemoryNote, ReplicaNews, ReplicaShare
+from reachlink.requests._shared_load import (
+    JOIN_SETTLES_S,
+    MemoryNote,
+    ReplicaNews,
+    ReplicaShare,
+)
 from reachlink.upstreams import LoadSample
 
 # A load sample says little after this many seconds.
@@ -46,6 +51,9 @@
     stake : int
         What would be lost with the generation (`Outlook.stake`); set anew at
         each look.
+    joins_at : float, optional
+        When the generation is expected to go on here, from a home that leaves, in
+        monotonic seconds. Only for copies.
     """
 
     request_id: str
@@ -57,6 +65,7 @@
     arriving: bool = False
     uncovered: bool = False
     stake: int = 0
+    joins_at: float | None = None
 
     @property
     def note(self) -> MemoryNote:
@@ -131,6 +140,11 @@
         """When it answered this zone last, be it with a report; monotonic seconds."""
         return max(self.reported_at, self.sampled_at)
 
+    def own_join_at(self, now: float) -> float | None:
+        """Return when the next of this instance's generations joins, in monotonic seconds."""
+        times = [f.joins_at for f in self.flights if f.joins_at is not None]
+        return min((at for at in times if at + JOIN_SETTLES_S > now), default=None)
+
     def running(self, now: float, others_running: int = 0) -> int:
         """Return how many requests are likely there, waiting ones included.
 
@@ -216,8 +230,8 @@
             flight.gives_way = False
             self._changes += 1
 
-    def shares(self) -> list[ReplicaShare]:
-        """Return this instance's own requests at model engines."""
+    def shares(self, now: float) -> list[ReplicaShare]:
+        """Return this instance's own requests at model engines, as of a monotonic time."""
         return [
             ReplicaShare(
                 replica=name,
@@ -228,7 +242,13 @@
                 copies=state.own_copies,
                 uncovered=state.own_uncovered,
                 arriving=state.own_arriving,
+                joins_in_s=time_until(state.own_join_at(now), now),
             )
             for name, state in self._states.items()
             if any(flight.tokens for flight in state.flights)
         ]
+
+
+def time_until(at: float | None, now: float) -> float | None:
+    """Return the time until a moment, in seconds; both in monotonic seconds."""
+    return None if at is None else round(at - now, 3)
--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -88,6 +88,9 @@
         0 to 1; 0 for none.
     reported_tokens : int
         Memory in use by the replica's own report, in tokens; only for logs.
+    joins_in_s : float, optional
+        Time until a generation is expected to go on there from a home that leaves,
+        in seconds.
     """
 
     name: str
@@ -102,6 +105,23 @@
     copy_tokens: int = 0
     arriving: int = 0
     reported_tokens: int = 0
+    joins_in_s: float | None = None
+
+
+def is_calm(option: Option, reading_s: float) -> bool:
+    """Return whether a prompt that is sent now is read before a generation joins there.
+
+    A generation that goes on at another replica gives its next event only between
+    the pieces of the prompts that are read there, and its caller sees the pause.
+
+    Parameters
+    ----------
+    option : Option
+        The replica.
+    reading_s : float
+        How long a prompt takes until its first event, in seconds.
+    """
+    return option.joins_in_s is None or option.joins_in_s > reading_s
 
 
 def choose(
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -22,6 +22,8 @@
 
 # A whole answer larger than this, in bytes, is not held to be checked.
 MAX_WHOLE_BYTES = 8 << 20
+# By how much an expected time must change for the others to be told, in seconds.
+TOLD_AGAIN_S = 0.03
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
@@ -118,6 +120,19 @@
         """Note that a replica has read a request's prompt."""
         self._parts.book.has_read(flight)
 
+    def expect_join(self, flight: Flight, home: Replica) -> None:
+        """Note when a generation will go on from its copy, its home being about to go."""
+        departures = self._parts.departures
+        departures.notice(home.name, self.now())
+        at = departures.expected(home.name)
+        if at is not None and (flight.joins_at is None or abs(at - flight.joins_at) > TOLD_AGAIN_S):
+            flight.joins_at = at
+            self._parts.book.touch()
+
+    def gone(self, replica: Replica) -> None:
+        """Note that a replica is gone that was expected to go."""
+        self._parts.departures.gone(replica.name, self.now())
+
     def hold(self, flight: Flight) -> None:
         """Note that a copy gives way no longer."""
         self._parts.book.hold(flight)
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -204,6 +204,7 @@
         target_stays = self._placing.stays(self._shadow.target)
         if leaving:
             self._dispatch.hold(self._shadow_place.flight)
+            self._dispatch.expect_join(self._shadow_place.flight, self.home)
             self._shadow.hurry()
             # Both may leave: the copy that is there is better than none.
             return target_stays or self._shadow.arrived
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -2,11 +2,12 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
 
 from reachlink.requests._book import ReplicaBook
+from reachlink.requests._departures import Departures
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._shared_load import SharedLoad
 from reachlink.upstreams import RelayAdapter, Replica
@@ -65,6 +66,8 @@
         What the other entry instances have there.
     random : random.Random
         Source of tie-breaks.
+    departures : Departures
+        When leaving replicas will be gone.
     clock : callable
         Monotonic time in seconds.
     on_outcome : callable
@@ -90,4 +93,5 @@
     instances: Callable[[], int] = lambda: 1
     on_leaving: Callable[[str], None] = lambda name: None
     cut_off: Callable[[], bool] = lambda: False
+    departures: Departures = field(default_factory=Departures)
     clock: Callable[[], float] = time.monotonic
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from reachlink.placement import allowances
-from reachlink.requests._book import Flight, ReplicaState
-from reachlink.requests._choice import REQUEST, Option, Terms, choose
+from reachlink.requests._book import Flight, ReplicaState, time_until
+from reachlink.requests._choice import REQUEST, Option, Terms, choose, is_calm
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._stake_order import gives_way, rank
@@ -21,6 +21,8 @@
 WAIT_SHARE = 0.22
 # How often it looks for room meanwhile, in seconds.
 WAIT_STEP_S = 0.02
+# How long a prompt takes from its dispatch to its first event, in seconds.
+READING_S = 0.35
 # How long after a replica's notice its generations go first, in seconds: the
 # longest notice seen is 2.1 s.
 EVACUATION_S = 2.0
@@ -48,7 +50,9 @@
         """Return whether a replica is there and not known to leave."""
         return self._parts.directory.may_get_work(replica.name)
 
-    def place(self, request: CallerRequest, tried: set[str]) -> Replica | None:
+    def place(
+        self, request: CallerRequest, tried: set[str], calm_only: bool = False
+    ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
 
         Parameters
@@ -57,8 +61,15 @@
             The request.
         tried : set of str
             Replicas that it must not go to.
+        calm_only : bool
+            Whether it must not go where it would hold up a generation that is about
+            to go on there. Prompts sent in the 0.4 s before made 32 in 100 of these
+            (of 69) pause beyond their route's goal, 4 in 100 (of 113) without.
         """
-        return self._choose(request.service, tried, need_tokens(request), REQUEST, "")
+        options = self._options(request.service, tried)
+        if calm_only:
+            options = [o for o in options if is_calm(o, READING_S)]
+        return self._found(choose(options, need_tokens(request), self._parts.random, REQUEST))
 
     def place_copy(
         self, service: Service, excluded: set[str], tokens: int, terms: Terms, zone: str = ""
@@ -84,8 +95,10 @@
         self, service: Service, excluded: set[str], tokens: int, terms: Terms, zone: str
     ) -> Replica | None:
         options = self._options(service, excluded, zone)
-        chosen = choose(options, tokens, self._parts.random, terms)
-        return self._parts.directory.find(chosen) if chosen is not None else None
+        return self._found(choose(options, tokens, self._parts.random, terms))
+
+    def _found(self, name: str | None) -> Replica | None:
+        return self._parts.directory.find(name) if name is not None else None
 
     def evacuating(self, service: Service) -> bool:
         """Return whether generations have yet to be copied away from a leaving replica."""
@@ -123,11 +136,12 @@
         parts = self._parts
         until = request.arrived_at + request.route.objective_s * WAIT_SHARE
         while True:
-            replica = self.place(request, tried)
+            waits = parts.clock() < until
+            replica = self.place(request, tried, calm_only=waits)
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
-            if parts.clock() >= until or self.out_of_reach(request.service.name):
+            if not waits or self.out_of_reach(request.service.name):
                 self._log_no_room(request, tried)
                 return None
             await asyncio.sleep(WAIT_STEP_S)
@@ -187,6 +201,7 @@
             unread_tokens=state.own_unread_tokens + others.unread_tokens,
             capacity_tokens=engine.kv_capacity_tokens if engine else 0,
             trust=trust,
+            joins_in_s=_earlier(time_until(state.own_join_at(now), now), others.joins_in_s),
         )
 
     def shown(self, service: Service, excluded: set[str]) -> str:
@@ -229,3 +244,7 @@
         return 0
     expected = facts.expected_output_tokens or facts.max_output_tokens
     return facts.prompt_tokens + min(expected, facts.max_output_tokens)
+
+
+def _earlier(one: float | None, other: float | None) -> float | None:
+    return min((t for t in (one, other) if t is not None), default=None)
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -11,6 +11,9 @@
 # How long what an instance told last counts, in seconds: each tells its load at
 # least once a second.
 KEPT_S = 3.0
+# How long after a generation was expected to go on at another replica it may still
+# do so, in seconds: what the expected time is off by, and its first event.
+JOIN_SETTLES_S = 0.12
 
 
 class MemoryNote(msgspec.Struct, array_like=True, frozen=True):
@@ -56,6 +59,9 @@
         The running generations that no other replica has a copy of.
     arriving : int
         Copies whose first move to the replica has not ended yet.
+    joins_in_s : float, optional
+        Time until the next generation is expected to go on at the replica from a
+        home that leaves, in seconds; may be a little below 0.
     """
 
     replica: str
@@ -66,6 +72,7 @@
     copies: tuple[MemoryNote, ...] = ()
     uncovered: tuple[MemoryNote, ...] = ()
     arriving: int = 0
+    joins_in_s: float | None = None
 
     @property
     def copy_tokens(self) -> int:
@@ -184,6 +191,7 @@
     def at(self, replica: str, now: float) -> ReplicaShare:
         """Return the sum of the other instances' requests at a replica."""
         running = tokens = unread = used = arriving = 0
+        joins: list[float] = []
         copies: list[MemoryNote] = []
         uncovered: list[MemoryNote] = []
         for name, told in list(self._told.items()):
@@ -199,6 +207,8 @@
                 copies.extend(share.copies)
                 uncovered.extend(share.uncovered)
                 arriving += share.arriving
+                if share.joins_in_s is not None:
+                    joins.append(share.joins_in_s - (now - told.at))
         return ReplicaShare(
             replica=replica,
             running=running,
@@ -208,4 +218,5 @@
             copies=tuple(copies),
             uncovered=tuple(uncovered),
             arriving=arriving,
+            joins_in_s=min((s for s in joins if s + JOIN_SETTLES_S > 0.0), default=None),
         )
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -68,6 +68,8 @@
         self._places = GenerationPlaces(dispatch, request, self._joint)
         self._times = StreamTimes(request.arrived_at)
         self._moves = 0
+        # Whether no event has come since the last move.
+        self._moved = False
 
     async def start(self, replica: Replica) -> Setback | None:
         """Begin at a replica and follow to the end; return why it did not begin, if so."""
@@ -121,6 +123,7 @@
         """Ask a replica to go on; return None where it cannot."""
         lost = self._places.move_to(target)
         self._moves += 1
+        self._moved = True
         self._dispatch.log.info(
             "stream_continues",
             request_id=self._request.request_id,
@@ -196,6 +199,9 @@
     def _note_pause(self) -> None:
         """Log a pause between events that is longer than the route promises."""
         pause = self._times.note(self._joint.last, self._dispatch.now())
+        if self._moved:
+            self._moved = False
+            self._log_joined(pause)
         longest = self._request.route.event_gap_s
         if not longest or pause <= longest:
             return
@@ -207,6 +213,16 @@
             pause_ms=round(pause * 1000.0),
         )
 
+    def _log_joined(self, pause_s: float) -> None:
+        self._dispatch.log.info(
+            "stream_joined",
+            request_id=self._request.request_id,
+            replica=self._places.home.name,
+            event_number=self._joint.last,
+            pause_ms=round(pause_s * 1000.0),
+            replicas=self._dispatch.placing.shown(self._request.service, set()),
+        )
+
     def _log_delivered(self) -> None:
         """Log how a whole stream went, in the terms that its route promises."""
         times = self._times
@@ -227,6 +243,8 @@
 
     def _on_broken(self, reason: str) -> None:
         replica = self._places.home
+        if not self._dispatch.placing.stays(replica):
+            self._dispatch.gone(replica)
         self._dispatch.distrust(replica)
         self._dispatch.log.warning(
             "stream_broken",
