Urgency by workspace, then by route; first arrival of a copy logged

Cause: engines got the workspace's priority alone, so that prompts of every route were read in order of arrival, and whole long answers preempted for short ones.

--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -269,7 +269,12 @@
         flight.stake = self._stake()
         flight.arriving = True
         self._shadow = Shadow(
-            self._dispatch.adapter, self._request.request_id, self.home, target, self._dispatch.log
+            self._dispatch.adapter,
+            self._request.request_id,
+            self.home,
+            target,
+            self._dispatch.log,
+            self._dispatch.now,
         )
 
     def _choose_shadow_target(self, leaving: bool) -> Replica | None:
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Any
 
 from reachlink.upstreams import MovedMemory, RelayAdapter, Replica, UpstreamError
@@ -27,11 +28,20 @@
         Where it runs, and where the copy is.
     log : object
         Logger.
+    clock : callable
+        Monotonic time in seconds.
     """
 
     def __init__(
-        self, adapter: RelayAdapter, request_id: str, source: Replica, target: Replica, log: Any
+        self,
+        adapter: RelayAdapter,
+        request_id: str,
+        source: Replica,
+        target: Replica,
+        log: Any,
+        clock: Callable[[], float],
     ) -> None:
+        self._clock = clock
         self._adapter = adapter
         self._request_id = request_id
         self._source = source
@@ -105,6 +115,7 @@
                 await self._hurried.wait()
 
     async def _copy(self) -> bool:
+        began_at = self._clock()
         result = await self._adapter.move(self._source, self._request_id, self._target, False)
         if not result.arrived:
             self._refused = True
@@ -115,6 +126,14 @@
                 target=self._target.name,
             )
             return False
+        if self._memory is None:
+            self._log.info(
+                "shadow_arrived",
+                request_id=self._request_id,
+                source=self._source.name,
+                target=self._target.name,
+                took_ms=round((self._clock() - began_at) * 1000.0),
+            )
         self._memory = result.memory
         return True
 
--- a/reachlink/routing/_index.py
+++ b/reachlink/routing/_index.py
@@ -26,6 +26,7 @@
             self._hosts.setdefault(route.host.lower(), []).append(route)
         self._services = {service.name: service for service in table.services}
         self._keys = {key: w for w in table.workspaces for key in w.keys}
+        self._ranks = _ranks(table)
 
     @property
     def table(self) -> RoutingTable:
@@ -58,6 +59,22 @@
         """Return the workspace that holds a key."""
         return self._keys.get(key)
 
+    def urgency(self, workspace: Workspace | None, route: Route) -> int:
+        """Return how urgent a request is among all of this table; 0 is the most urgent.
+
+        The workspace's priority decides; among requests of equal workspace
+        priority the route's does. With the workspace's alone, engines served
+        the routes in order of arrival and preempted long answers for short ones.
+
+        Parameters
+        ----------
+        workspace : Workspace or None
+            Who it is for; None where the route needs no key.
+        route : Route
+            Its route.
+        """
+        return self._ranks[_priorities(workspace, route)]
+
     def choose_service(self, route: Route, random: Random) -> Service:
         """Return one of a route's services, drawn by weight."""
         if len(route.backends) == 1:
@@ -65,3 +82,18 @@
         weights = [backend.weight for backend in route.backends]
         backend = random.choices(route.backends, weights)[0]
         return self._services[backend.service]
+
+
+def _priorities(workspace: Workspace | None, route: Route) -> tuple[int, int]:
+    """Return what urgency is compared by: the priority that goes first, and the route's."""
+    first = workspace.priority if workspace is not None else None
+    return (route.priority if first is None else first), route.priority
+
+
+def _ranks(table: RoutingTable) -> dict[tuple[int, int], int]:
+    """Return the place of each pair of priorities that requests of a table can have."""
+    routes = {route.priority: route for route in table.routes}
+    workspaces: dict[int | None, Workspace | None] = {w.priority: w for w in table.workspaces}
+    workspaces[None] = None
+    pairs = {_priorities(w, r) for w in workspaces.values() for r in routes.values()}
+    return {pair: rank for rank, pair in enumerate(sorted(pairs))}
--- a/reachlink/routing/tests/test_routing.py
+++ b/reachlink/routing/tests/test_routing.py
@@ -95,3 +95,24 @@
     document = msgspec.json.encode(TABLE).decode()[:-20]
     with pytest.raises(InvalidTableError):
         PublishedTable(3, NATIVE_FORMAT, document).decode()
+
+
+def prioritised(*pairs: tuple[int | None, int]) -> tuple[RoutingIndex, list[int]]:
+    """Return an index of all workspace and route priorities, and the urgency of each pair."""
+    routes = {p: replace(route(f"r{p}", f"/{p}/"), priority=p) for _, p in pairs}
+    workspaces = {w: Workspace(f"w{w}", (f"k{w}",), w) for w, _ in pairs}
+    index = RoutingIndex(
+        replace(TABLE, routes=tuple(routes.values()), workspaces=tuple(workspaces.values()))
+    )
+    return index, [index.urgency(workspaces[w], routes[r]) for w, r in pairs]
+
+
+def test_the_workspace_decides_how_urgent_a_request_is_and_then_the_route():
+    _, found = prioritised((0, 0), (0, 1), (1, 0), (1, 1))
+    assert found == sorted(found) and len(set(found)) == 4 and found[0] == 0
+
+
+def test_without_a_workspace_priority_the_route_decides():
+    index, (first, second, _) = prioritised((None, 0), (None, 1), (0, 1))
+    assert first < second
+    assert index.urgency(None, index.table.routes[0]) == first
