Zones that are silent get no requests, and a cut ends only when somebody is heard

And instances of the other zones sent requests on kept connections into the zone that was cut off. Change: who is known of a silent zone is kept until somebody there is heard; each silent zone's replicas are left out, not only all others' where the own zone is cut off. Tests first failed on the code before.

--- a/reachlink/entry/_isolation.py
+++ b/reachlink/entry/_isolation.py
@@ -1,20 +1,30 @@
-"""Whether this instance's availability zone is cut off from the others; pure.
+"""Which availability zones this instance is cut off from; pure.
 
 Entry instances tell each other their load (`_load_teller`). Where no instance of
-any other zone is heard and no replica there answers, the connections between the
-zones are taken to be cut; where only some are silent, the fault is theirs.
+another zone is heard and no replica there answers, the connection to that zone is
+taken to be cut; where only some are silent, the fault is theirs. An instance that
+is cut off from every other zone is in a zone that is cut off itself.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
+from dataclasses import dataclass
 
 from reachlink.membership import InstanceRecord
 from reachlink.requests import SharedLoad
 
-# How long all instances of other zones must be silent, in seconds: each tells
-# something once a second at least.
+# How long all instances of a zone must be silent, and its replicas give no answer,
+# in seconds: each instance tells something once a second at least.
 SILENT_S = 1.6
 
 
+@dataclass(slots=True, frozen=True)
+class _Peer:
+    """An instance of another zone, and since when it is known, in monotonic seconds."""
+
+    zone: str
+    since: float
+
+
 class Isolation:
     """Judges by what the entry instances of other zones tell.
 
@@ -24,21 +34,20 @@
         This instance's availability zone.
     shared : SharedLoad
         Knows when each instance was heard last.
-    far_answer_at : callable
-        Returns when a replica of another zone answered last, in monotonic seconds.
+    answered_at : callable
+        Returns when a replica of a zone answered last, in monotonic seconds.
     """
 
     def __init__(
         self,
         zone: str,
         shared: SharedLoad,
-        far_answer_at: Callable[[], float] = lambda: float("-inf"),
+        answered_at: Callable[[str], float] = lambda zone: float("-inf"),
     ) -> None:
         self._zone = zone
         self._shared = shared
-        self._far_answer_at = far_answer_at
-        # Instances of other zones, and since when each is known, in monotonic seconds.
-        self._known_since: dict[str, float] = {}
+        self._answered_at = answered_at
+        self._peers: dict[str, _Peer] = {}
 
     def take_peers(self, peers: Iterable[InstanceRecord], now: float) -> None:
         """Take the instances that tell this one their load.
@@ -50,19 +59,32 @@
         now : float
             Monotonic time in seconds.
         """
-        far = [peer.name for peer in peers if peer.availability_zone != self._zone]
-        self._known_since = {name: self._known_since.get(name, now) for name in far}
+        silent = self.silent_zones(now)
+        # The roster may come from a control instance that is cut off as well and
+        # forgets those that no longer ask it: zones were seen taken for joined
+        # 2.5 s into a cut of 6.5 s. Only somebody that is heard ends a cut.
+        kept = {name: peer for name, peer in self._peers.items() if peer.zone in silent}
+        for peer in peers:
+            if peer.availability_zone != self._zone:
+                kept[peer.name] = self._peers.get(peer.name) or _Peer(peer.availability_zone, now)
+        self._peers = kept
 
     def cut_off(self, now: float) -> bool:
-        """Return whether nobody of another zone is heard, though there are some."""
-        if not self._known_since:
-            return False
+        """Return whether every other zone is silent, though there are some."""
+        zones = {peer.zone for peer in self._peers.values()}
+        return bool(zones) and zones == self.silent_zones(now)
+
+    def silent_zones(self, now: float) -> Set[str]:
+        """Return the zones of which no instance is heard and no replica answers.
+
+        An instance that has lost only the control instances leaves the roster, so
+        that the others stop telling it their load: one was seen to take its zone
+        for cut off for 8 s that way, while replicas of other zones answered.
+        """
+        zones = {peer.zone for peer in self._peers.values()}
+        heard = {peer.zone for name, peer in self._peers.items() if self._is_heard(name, peer, now)}
+        return {z for z in zones - heard if now - self._answered_at(z) > SILENT_S}
+
+    def _is_heard(self, name: str, peer: _Peer, now: float) -> bool:
         # One that is new has as long to be heard first as the others may be silent.
-        silent = all(
-            now - max(since, self._shared.last_heard(name)) > SILENT_S
-            for name, since in self._known_since.items()
-        )
-        # An instance that has lost only the control instances leaves the roster, so
-        # that the others stop telling it their load: one was seen to take its zone
-        # for cut off for 8 s that way, while replicas of other zones answered.
-        return silent and now - self._far_answer_at() > SILENT_S
+        return now - max(peer.since, self._shared.last_heard(name)) <= SILENT_S
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Set
 from random import Random
 
 from reachlink.control import ControlClient
@@ -68,8 +69,9 @@
             self.listed,
             time.monotonic,
         )
-        self._isolation = Isolation(config.availability_zone, self.shared, self._far_answer_at)
+        self._isolation = Isolation(config.availability_zone, self.shared, self._zone_answered_at)
         self._was_cut_off = False
+        self._silent_zones: Set[str] = frozenset()
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
         self.draining_since: float | None = None
@@ -91,6 +93,7 @@
                 instances=self.sharing_instances,
                 on_leaving=self.reports.tell_leaving,
                 cut_off=self.cut_off,
+                silent_zones=self.silent_zones,
                 departures=departures,
             )
         )
@@ -183,10 +186,18 @@
             self.log.info("zone_cut_off" if found else "zone_rejoined", zone=self.zone)
         return found
 
-    def _far_answer_at(self) -> float:
-        """Return when a replica of another zone answered last, in monotonic seconds."""
-        far = (r.name for r in self.directory.all() if r.availability_zone != self.zone)
-        return max((self.book.state(name).answered_at for name in far), default=float("-inf"))
+    def silent_zones(self) -> Set[str]:
+        """Return the zones that this instance seems to be cut off from."""
+        found = self._isolation.silent_zones(time.monotonic())
+        if found != self._silent_zones:
+            self._silent_zones = found
+            self.log.info("zones_silent", zones=",".join(sorted(found)))
+        return found
+
+    def _zone_answered_at(self, zone: str) -> float:
+        """Return when a replica of a zone answered last, in monotonic seconds."""
+        names = (r.name for r in self.directory.all() if r.availability_zone == zone)
+        return max((self.book.state(name).answered_at for name in names), default=float("-inf"))
 
     def unserved(self) -> str:
         """Return a service that no replica in reach serves while the zone is cut off, or ``""``."""
--- a/reachlink/entry/tests/test_isolation.py
+++ b/reachlink/entry/tests/test_isolation.py
@@ -47,6 +47,21 @@
     assert made.cut_off(10.1 + SILENT_S)
 
 
+def test_a_zone_of_which_nobody_is_heard_is_silent_while_the_others_are_not():
+    made, shared = isolation(NEAR, FAR, FARTHER)
+    shared.take(LoadNote("e3", []), 20.0)
+    shared.take(LoadNote("e4", []), 25.0)
+    assert made.silent_zones(25.0) == {"b"}
+    assert not made.cut_off(25.0)
+
+
+def test_a_zone_whose_replicas_answer_is_not_silent():
+    made = Isolation("a", SharedLoad(), {"b": 24.0, "c": 0.0}.__getitem__)
+    made.take_peers([FAR, FARTHER], 10.0)
+    assert made.silent_zones(25.0) == {"c"}
+    assert not made.cut_off(25.0)
+
+
 def test_without_other_zones_nothing_is_cut_off():
     made, _ = isolation(NEAR)
     assert not made.cut_off(100.0)
@@ -76,3 +91,28 @@
     assert caught.value.status == 503
     assert caught.value.retry_after_s is not None and caught.value.retry_after_s >= 1.0
     assert world.adapter.sent == []
+
+
+def test_a_roster_of_a_cut_off_control_instance_joins_nothing():
+    """Found in logs: zones were taken for joined 2.5 s into a cut of 6.5 s.
+
+    The control instance in this zone forgets the instances that no longer ask it.
+    """
+    made, shared = isolation(NEAR, FAR)
+    shared.take(LoadNote("e3", []), 20.0)
+    assert made.cut_off(22.0)
+    made.take_peers([NEAR], 22.5)
+    assert made.cut_off(23.0)
+    shared.take(LoadNote("e3", []), 30.0)
+    assert not made.cut_off(30.1)
+    made.take_peers([NEAR], 30.2)
+    assert not made.cut_off(60.0)
+
+
+def test_a_silent_zone_gets_no_request():
+    names = {"m1": "b", "m2": "c"}
+    made = World(names, MemoryAdapter({name: [answering(200, b"")] for name in names}))
+    made.runner._parts.silent_zones = lambda: {"b"}
+    for _ in range(5):
+        asyncio.run(made.run(RequestKind.STREAM))
+    assert {sent.replica for sent in made.adapter.sent} == {"m2"}
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -1,7 +1,7 @@
 """What the way of a request works with."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
@@ -66,6 +66,8 @@
         What the other entry instances have there.
     random : random.Random
         Source of tie-breaks.
+    silent_zones : callable
+        Returns the zones that this instance seems to be cut off from.
     departures : Departures
         When leaving replicas will be gone.
     clock : callable
@@ -93,5 +95,6 @@
     instances: Callable[[], int] = lambda: 1
     on_leaving: Callable[[str], None] = lambda name: None
     cut_off: Callable[[], bool] = lambda: False
+    silent_zones: Callable[[], Set[str]] = frozenset
     departures: Departures = field(default_factory=Departures)
     clock: Callable[[], float] = time.monotonic
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -166,7 +166,9 @@
         self._cut_off = {zone: until for zone, until in self._cut_off.items() if until > now}
         if self._parts.cut_off():
             return [r for r in live if self.is_near(r)]
-        return [r for r in live if r.availability_zone not in self._cut_off]
+        # A request on a kept connection across a cut is lost with its caller's patience.
+        away = self._cut_off.keys() | self._parts.silent_zones()
+        return [r for r in live if r.availability_zone not in away]
 
     def out_of_reach(self, service: str) -> bool:
         """Return whether this zone is cut off and has no replica of a service."""
