--- /dev/null
+++ b/reachlink/cli/_logs.py
@@ -0,0 +1,53 @@
+"""``reachlink losses`` and ``trace``: what collected logs tell."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+from reachlink.cli._output import show_line
+from reachlink.cli.exceptions import CliError
+from reachlink.telemetry import LogRecord, account_losses, read_records
+
+
+def losses(*files: Path) -> None:
+    """Count why requests were lost or late, by route.
+
+    Parameters
+    ----------
+    files : path
+        Logs of all entry instances of the same time.
+    """
+    account = account_losses(_records(files))
+    for route, count in sorted(account.in_time.items()):
+        show_line(route=route, in_time=count)
+    counts = sorted(account.counts().items(), key=lambda item: (item[0][0], -item[1]))
+    for (route, cause), count in counts:
+        show_line(route=route, lost_or_late=count, cause=cause.value)
+
+
+def trace(request_id: str, *files: Path) -> None:
+    """Show every line about a request, and about the replicas that it used, in order.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    files : path
+        Logs of the instances; lines are ordered by the instances' own clocks.
+    """
+    records = list(_records(files))
+    own = [record for record in records if record.request_id == request_id]
+    if not own:
+        raise SystemExit(f"error: no line about request {request_id!r} in {len(files)} files")
+    replicas = {r.fields.get("replica", "") for r in own} - {""}
+    about = [r for r in records if not r.request_id and r.fields.get("replica") in replicas]
+    for record in sorted([*own, *about], key=lambda r: r.at):
+        print(record.line)
+
+
+def _records(files: tuple[Path, ...]) -> Iterator[LogRecord]:
+    for path in files:
+        try:
+            with path.open() as lines:
+                yield from read_records(lines)
+        except OSError as error:
+            raise CliError(f"{path}: {error.strerror}") from error
--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -1,17 +1,44 @@
 """The entry daemon: from a caller's request to a whole answer."""
 
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
-from reachlink.entry._daemon import EntryDaemon
-from reachlink.entry._digests import Digest, DigestBook, ReplicaLoad
-from reachlink.entry._dispatcher import Dispatcher, Ticket
-from reachlink.entry._ledger import InFlight, Ledger
-from reachlink.entry._node import EntryNode
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_daemon import RelayDaemon
 from reachlink.entry._relay_node import RelayNode
 from reachlink.entry.exceptions import EntryError, RequestError
 
+if TYPE_CHECKING:
+    from reachlink.entry._daemon import EntryDaemon
+    from reachlink.entry._digests import Digest, DigestBook, ReplicaLoad
+    from reachlink.entry._dispatcher import Dispatcher, Ticket
+    from reachlink.entry._ledger import InFlight, Ledger
+    from reachlink.entry._node import EntryNode
+
+# Parts of the chat daemon by the module that has them. The relaying daemon does
+# without: they are loaded at their first use.
+_CHAT_PARTS = {
+    "EntryDaemon": "_daemon",
+    "Digest": "_digests",
+    "DigestBook": "_digests",
+    "ReplicaLoad": "_digests",
+    "Dispatcher": "_dispatcher",
+    "Ticket": "_dispatcher",
+    "InFlight": "_ledger",
+    "Ledger": "_ledger",
+    "EntryNode": "_node",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Load a part of the chat daemon."""
+    module = _CHAT_PARTS.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
+
 
 def main() -> None:
     """Run the command line."""
--- a/reachlink/telemetry/__init__.py
+++ b/reachlink/telemetry/__init__.py
@@ -1,6 +1,18 @@
-"""Logs and metrics."""
+"""Logs and metrics, and what logs tell afterwards."""
 
 from reachlink.telemetry._logs import configure_logs, get_logger
+from reachlink.telemetry._losses import Loss, LossAccount, LossCause, account_losses
 from reachlink.telemetry._metrics import Metrics
+from reachlink.telemetry._records import LogRecord, read_records
 
-__all__ = ["Metrics", "configure_logs", "get_logger"]
+__all__ = [
+    "LogRecord",
+    "Loss",
+    "LossAccount",
+    "LossCause",
+    "Metrics",
+    "account_losses",
+    "configure_logs",
+    "get_logger",
+    "read_records",
+]
