reachlink losses and trace: what collected logs tell of lost and late requests

Cause: which requests are lost, when and why was read from logs by hand. Tests of each cause, of both commands and of their errors; daemons untouched.

--- a/reachlink/cli/_logs.py
+++ b/reachlink/cli/_logs.py
@@ -3,11 +3,12 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from reachlink.cli._output import show_line
+from reachlink.cli._output import reporting, show_line
 from reachlink.cli.exceptions import CliError
 from reachlink.telemetry import LogRecord, account_losses, read_records
 
 
+@reporting
 def losses(*files: Path) -> None:
     """Count why requests were lost or late, by route.
 
@@ -24,6 +25,7 @@
         show_line(route=route, lost_or_late=count, cause=cause.value)
 
 
+@reporting
 def trace(request_id: str, *files: Path) -> None:
     """Show every line about a request, and about the replicas that it used, in order.
 
@@ -37,7 +39,7 @@
     records = list(_records(files))
     own = [record for record in records if record.request_id == request_id]
     if not own:
-        raise SystemExit(f"error: no line about request {request_id!r} in {len(files)} files")
+        raise CliError(f"no line about request {request_id!r} in {len(files)} files")
     replicas = {r.fields.get("replica", "") for r in own} - {""}
     about = [r for r in records if not r.request_id and r.fields.get("replica") in replicas]
     for record in sorted([*own, *about], key=lambda r: r.at):
--- a/reachlink/cli/_main.py
+++ b/reachlink/cli/_main.py
@@ -3,7 +3,7 @@
 from cyclopts import App
 
 from reachlink import __version__
-from reachlink.cli import _operations
+from reachlink.cli import _logs, _operations
 from reachlink.cli._settings import app as settings_app
 
 app = App(
@@ -19,6 +19,8 @@
 app.command(_operations.status)
 app.command(_operations.audit)
 app.command(_operations.explain)
+app.command(_logs.losses)
+app.command(_logs.trace)
 
 
 def main() -> None:
--- /dev/null
+++ b/reachlink/cli/tests/test_logs.py
@@ -0,0 +1,52 @@
+"""``reachlink losses`` and ``trace`` on collected logs."""
+
+import pytest
+
+from reachlink.cli._main import app
+from reachlink.telemetry.tests.test_losses import delivered, ended, line
+
+
+@pytest.fixture
+def logs(tmp_path):
+    first, second = tmp_path / "e1.log", tmp_path / "e2.log"
+    first.write_text(
+        "\n".join(
+            [
+                line("stream_broken", 8, request_id="a", replica="r1", last_event=4),
+                ended("a", "no_copy_left"),
+                delivered("b"),
+            ]
+        )
+    )
+    second.write_text(line("upstream_leaving", 7, replica="r1", source="report") + "\n")
+    return [str(first), str(second)]
+
+
+def call(*words: str) -> int:
+    with pytest.raises(SystemExit) as caught:
+        app(list(words))
+    code = caught.value.code
+    return code if isinstance(code, int) else 0
+
+
+def test_losses_by_route_and_cause(logs, capsys):
+    call("losses", *logs)
+    out = capsys.readouterr().out
+    assert "route=chat in_time=1" in out
+    assert 'lost_or_late=1 cause="its replica left and no other one had its memory"' in out
+
+
+def test_a_trace_joins_the_instances_lines_in_order(logs, capsys):
+    call("trace", "a", *logs)
+    lines = capsys.readouterr().out.splitlines()
+    events = [text.split("event=")[1].split()[0] for text in lines]
+    assert events == ["upstream_leaving", "stream_broken", "request_ended"]
+
+
+@pytest.mark.parametrize(
+    "words,said", [(("trace", "nobody"), "nobody"), (("losses", "/no/such"), "/no/such")]
+)
+def test_what_is_not_there_is_named(logs, capsys, words, said):
+    files = logs if words[0] == "trace" else []
+    assert call(*words, *files) == 1
+    assert said in capsys.readouterr().err
--- /dev/null
+++ b/reachlink/telemetry/tests/test_losses.py
@@ -0,0 +1,73 @@
+"""The account of losses, from lines as the entry instances write them."""
+
+from reachlink.telemetry import LossCause, account_losses, read_records
+
+
+def line(event: str, second: int, **fields: object) -> str:
+    pairs = " ".join(f"{name}={value}" for name, value in fields.items())
+    return f"timestamp=2026-01-01T00:00:{second:02}.5Z level=info event={event} {pairs}"
+
+
+def delivered(request_id: str, **fields: object) -> str:
+    usual = {"first_event_ms": 400, "objective_ms": 1800, "longest_pause_ms": 90}
+    usual |= {"longest_pause_at": 7, "pause_goal_ms": 180}
+    return line("stream_delivered", 9, request_id=request_id, route="chat", **(usual | fields))
+
+
+def ended(request_id: str, outcome: str, route: str = "chat") -> str:
+    return line("request_ended", 9, request_id=request_id, route=route, outcome=outcome)
+
+
+def causes(*lines: str) -> dict[str, LossCause]:
+    account = account_losses(read_records(lines))
+    return {loss.request_id: loss.cause for loss in account.losses}
+
+
+def test_each_loss_has_its_cause():
+    found = causes(
+        line("upstream_leaving", 1, replica="r1", source="report"),
+        line("stream_broken", 8, request_id="left", replica="r1", last_event=4),
+        line("stream_broken", 8, request_id="crashed", replica="r2", last_event=4),
+        line("stream_joined", 8, request_id="joint", event_number=31, pause_ms=260),
+        ended("left", "no_copy_left"),
+        ended("crashed", "no_copy_left"),
+        ended("full", "no_replica"),
+        ended("gone", "cancelled"),
+        ended("slow", "timeout"),
+        ended("odd", "event_missing"),
+        delivered("first", first_event_ms=2000),
+        delivered("joint", longest_pause_ms=260, longest_pause_at=31),
+        delivered("pause", longest_pause_ms=260, longest_pause_at=40),
+        delivered("good"),
+    )
+    assert found == {
+        "left": LossCause.LEFT_WITHOUT_COPY,
+        "crashed": LossCause.BROKEN_WITHOUT_COPY,
+        "full": LossCause.NO_ROOM,
+        "gone": LossCause.CALLER_LEFT,
+        "slow": LossCause.TIMEOUT,
+        "odd": LossCause.OTHER_FAILURE,
+        "first": LossCause.LATE_FIRST_EVENT,
+        "joint": LossCause.LATE_AT_JOINT,
+        "pause": LossCause.LATE_WITHIN_REPLICA,
+    }
+
+
+def test_losses_are_counted_by_route():
+    lines = [ended("a", "timeout"), ended("b", "timeout"), ended("c", "timeout", "plain")]
+    account = account_losses(read_records([*lines, delivered("d")]))
+    assert account.counts() == {("chat", LossCause.TIMEOUT): 2, ("plain", LossCause.TIMEOUT): 1}
+    assert account.in_time == {"chat": 1}
+
+
+def test_lines_of_other_programs_are_passed_over():
+    lines = ["", "Traceback (most recent call last):", "  12.5 e1 " + ended("a", "timeout")]
+    (record,) = read_records(lines)
+    assert record.event == "request_ended" and record.request_id == "a"
+
+
+def test_quoted_values_and_flags_are_read():
+    (record,) = read_records([line("x", 1, reason='"no room = here"', near="") + " draining"])
+    assert record.fields["reason"] == "no room = here"
+    assert record.fields["draining"] == ""
+    assert record.number("missing") == 0.0
