--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 ARGS ?=
 
-.PHONY: run test lint docs bench-memory bench-relay bench-settings bench-policy slopes explore capacity
+.PHONY: run test lint docs bench-memory bench-relay bench-settings bench-policy slopes explore capacity compare
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -33,3 +33,6 @@
 
 explore: $(VENV)/.ready
 	REACHLINK_SCHEDULES=50000 $(PY) -m pytest reachlink/agreement $(ARGS)
+
+compare: $(VENV)/.ready
+	PYTHONPATH=platform $(PY) -m reachlink_platform._comparison $(ARGS)
