--- /dev/null
+++ b/reachlink/entry/tests/test_report_reader.py
@@ -0,0 +1,44 @@
+"""Reports of replicas that leave are read until one tells when."""
+
+import asyncio
+from dataclasses import replace
+
+from reachlink.entry._report_reader import ReportReader
+from reachlink.membership import ListedInstance, ReplicaDirectory
+from reachlink.requests import Departures, ReplicaBook
+from reachlink.requests.tests.world import MemoryAdapter, until
+from reachlink.upstreams import LoadReport, Replica
+
+
+class Reports(MemoryAdapter):
+    """Tells that the replica leaves at the second reading, and when at the fourth."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.read = 0
+
+    async def report(self, replica: Replica) -> LoadReport:
+        self.read += 1
+        told = LoadReport(leaving=self.read >= 2)
+        return replace(told, leaves_in_s=1.2) if self.read >= 4 else told
+
+
+def test_a_leaving_replica_is_read_until_it_has_told_when():
+    async def play() -> tuple[int, Departures, ReplicaDirectory]:
+        adapter, directory, departures = Reports(), ReplicaDirectory(), Departures()
+        directory.update([ListedInstance("r1", "chat", "a", "r1:1")], 0.0)
+        clock = asyncio.get_running_loop().time
+        reader = ReportReader(
+            "e1", adapter, directory, ReplicaBook(), lambda: ["chat"], clock, departures
+        )
+        task = asyncio.create_task(reader.run())
+        await until(lambda: departures.told("r1"))
+        # Nothing is due from here on: a reading that had begun is over by now.
+        assert reader._due() == []
+        task.cancel()
+        return adapter.read, departures, directory
+
+    read, departures, directory = asyncio.run(play())
+    assert read == 4
+    assert not directory.may_get_work("r1")
+    assert departures.expected("r1") is not None
