--- a/benchmarks/bench_decision.py
+++ b/benchmarks/bench_decision.py
@@ -66,8 +66,9 @@
     relay = RelayRequest("id", "POST", "/c/", [], b"", generation=GenerationFacts("m", 3000, 900))
     request = CallerRequest(relay, ROUTE, SERVICE, time.monotonic(), 39.0)
     began = time.process_time()
+    question = place.question(request, set(), calm_only=True)
     for _ in range(words.decisions):
-        place.place(request, set(), calm_only=True)
+        place.decide(request.service, question)
     mean_us = (time.process_time() - began) / words.decisions * 1e6
     print(json.dumps({"replicas": words.replicas, "peers": words.peers, "mean_us": round(mean_us)}))
 
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -128,7 +128,7 @@
     @answer.register
     async def _(self, request: WatchRequest) -> Answer:
         now = self._clock.monotonic()
-        asker = self._watchers.note(request, now)
+        self._watchers.note(request, now)
         fresh = request.fresh and await self.catch_up()
         deadline = now + request.wait_s
         while self._machine.tree.revision <= request.revision:
@@ -137,8 +137,12 @@
                 break
             await self._wait_change(min(left, STALE_CHECK_S))
         answer = self._settings_since(request.revision, fresh)
-        peers = self._watchers.peers_of(asker, self._clock.monotonic())
-        return msgspec.structs.replace(answer, peers=peers)
+        now = self._clock.monotonic()
+        return msgspec.structs.replace(
+            answer,
+            coordinators=self._watchers.coordinators(now),
+            instances=self._watchers.count(now),
+        )
 
     @answer.register
     async def _(self, request: AnnounceRequest) -> Answer:
--- a/reachlink/control/_watchers.py
+++ b/reachlink/control/_watchers.py
@@ -26,22 +26,25 @@
         self._watchers: dict[str, _Watcher] = {}
         self._roster = Roster()
 
-    def note(self, request: WatchRequest, now: float) -> InstanceRecord:
-        """Note that an instance asks for settings, and return its record."""
+    def note(self, request: WatchRequest, now: float) -> None:
+        """Note that an instance asks for settings."""
         asker = InstanceRecord(request.instance, request.address, request.availability_zone)
         self._watchers[request.instance] = _Watcher(request.revision, now, asker)
         # Without an address, peers could not reach it: it stays out of the roster.
         if asker.address:
             self._roster.note([asker], now)
-        return asker
 
     def note_elsewhere(self, records: Iterable[InstanceRecord], now: float) -> None:
         """Note the instances that watch another control instance."""
         self._roster.note(records, now)
 
-    def peers_of(self, asker: InstanceRecord, now: float) -> list[InstanceRecord]:
-        """Return the entry instances that an instance exchanges load with."""
-        return self._roster.peers_of(asker, now) if asker.address else []
+    def coordinators(self, now: float) -> list[InstanceRecord]:
+        """Return the entry instances that coordinate placement."""
+        return self._roster.coordinators(now)
+
+    def count(self, now: float) -> int:
+        """Return how many entry instances there are."""
+        return len(self._roster.present(now))
 
     def recent(self, now: float) -> list[InstanceRecord]:
         """Return the instances that asked here lately and can be reached."""
--- /dev/null
+++ b/reachlink/coordination/__init__.py
@@ -0,0 +1,24 @@
+"""Coordinators of placement, and the members that follow them.
+
+Up to some size every entry instance tells every other what it has at the replicas,
+and decides by itself: all are coordinators. Beyond it a few are, which know that of
+each other; every other instance is a member: it tells one coordinator what it has,
+asks it where a request should go, and is told the rest.
+"""
+
+from reachlink.coordination._attachment import Attachment
+from reachlink.coordination._coordinator import Coordinator
+from reachlink.coordination._member import Member
+from reachlink.coordination._messages import MemberNote, Picture
+from reachlink.coordination._replica_list import as_instances, digest_of, listed_replicas
+
+__all__ = [
+    "Attachment",
+    "Coordinator",
+    "Member",
+    "MemberNote",
+    "Picture",
+    "as_instances",
+    "digest_of",
+    "listed_replicas",
+]
--- /dev/null
+++ b/reachlink/coordination/_attachment.py
@@ -0,0 +1,72 @@
+"""Which coordinator an instance follows; pure."""
+
+import hashlib
+from collections.abc import Iterable
+
+from reachlink.membership import InstanceRecord
+
+# How long a coordinator that did not answer is left aside, in seconds: half of
+# what the roster takes to drop one that is gone.
+AVOIDED_S = 2.0
+
+
+class Attachment:
+    """Chooses among the coordinators, the same one as long as it answers.
+
+    Parameters
+    ----------
+    name, zone : str
+        This instance, and its availability zone.
+
+    Examples
+    --------
+    >>> attachment = Attachment("e9", "a")
+    >>> near = InstanceRecord("e1", "10.0.0.1:7201", "a")
+    >>> far = InstanceRecord("e2", "10.0.1.1:7201", "b")
+    >>> attachment.take([far, near])
+    >>> attachment.is_member, [c.name for c in attachment.preferred(0.0)]
+    (True, ['e1', 'e2'])
+    >>> attachment.note_silence("e1", 0.0)
+    >>> [c.name for c in attachment.preferred(0.5)]
+    ['e2', 'e1']
+    """
+
+    def __init__(self, name: str, zone: str) -> None:
+        self._name = name
+        self._zone = zone
+        self._coordinators: list[InstanceRecord] = []
+        self._avoided_until: dict[str, float] = {}
+
+    @property
+    def coordinators(self) -> list[InstanceRecord]:
+        """All coordinators, this instance included if it is one."""
+        return self._coordinators
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this instance follows a coordinator, being none itself."""
+        names = {record.name for record in self._coordinators}
+        return bool(names) and self._name not in names
+
+    def take(self, coordinators: Iterable[InstanceRecord]) -> None:
+        """Take the coordinators that there are, in order of preference from now on.
+
+        Those of this zone go first; among equals the order differs by member, so
+        that members spread over them.
+        """
+        self._coordinators = sorted(coordinators, key=self._preference, reverse=True)
+        names = {record.name for record in self._coordinators}
+        self._avoided_until = {n: t for n, t in self._avoided_until.items() if n in names}
+
+    def preferred(self, now: float) -> list[InstanceRecord]:
+        """Return the coordinators, those that answer first, in order of preference."""
+        return sorted(self._coordinators, key=lambda c: self._avoided_until.get(c.name, 0.0) > now)
+
+    def note_silence(self, coordinator: str, now: float) -> None:
+        """Note that a coordinator did not answer."""
+        self._avoided_until[coordinator] = now + AVOIDED_S
+
+    def _preference(self, record: InstanceRecord) -> tuple[bool, bytes]:
+        key = f"{self._name} {record.name}".encode()
+        digest = hashlib.blake2b(key, digest_size=8).digest()
+        return record.availability_zone == self._zone, digest
--- /dev/null
+++ b/reachlink/coordination/_coordinator.py
@@ -0,0 +1,242 @@
+"""A coordinator: knows what its members have at the replicas, and places for them."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable, Set
+from random import Random
+from typing import Any
+
+from reachlink.coordination._messages import CHANNEL_MEMBER, CHANNEL_PLACE, MemberNote, Picture
+from reachlink.coordination._replica_list import digest_of, listed_replicas
+from reachlink.membership import ReplicaDirectory
+from reachlink.messaging import Bus, decode, encode
+from reachlink.requests import (
+    ListedReplica,
+    PlaceAnswer,
+    PlaceQuestion,
+    Placing,
+    ReplicaBook,
+    ReplicaNews,
+    ReplicaShare,
+    SharedLoad,
+    shortened,
+    total,
+)
+from reachlink.routing import Service
+from reachlink.telemetry import get_logger
+from reachlink.upstreams import Replica
+
+# How long a coordinator listens before it decides, in seconds: every member and
+# every other coordinator tells its load once a second at least.
+SETTLED_S = 1.2
+# A member that tells nothing for this long is none any more, in seconds.
+MEMBER_KEPT_S = 3.0
+# How long after a replica was found to leave members are told of its report, in seconds.
+LEAVING_TOLD_S = 5.0
+
+
+class Coordinator:
+    """Answers members.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    bus : Bus
+        Where members' notes and questions come in.
+    book : ReplicaBook
+        What is known of the replicas.
+    shared : SharedLoad
+        What all others have there: other coordinators with their members, and the
+        members here.
+    directory : ReplicaDirectory
+        The replicas.
+    placing : Placing
+        Decides.
+    services : callable
+        Returns the model engines' services.
+    take_news : callable
+        Takes what a member found out.
+    zones : callable
+        Returns the zones that cannot be reached, and whether this zone is cut off.
+    random : random.Random
+        Source of jitter.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        bus: Bus,
+        book: ReplicaBook,
+        shared: SharedLoad,
+        directory: ReplicaDirectory,
+        placing: Placing,
+        services: Callable[[], list[Service]],
+        take_news: Callable[[Iterable[ReplicaNews]], None],
+        zones: Callable[[], tuple[Set[str], bool]],
+        random: Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._name = name
+        self._book = book
+        self._shared = shared
+        self._directory = directory
+        self._placing = placing
+        self._services = services
+        self._take_news = take_news
+        self._zones = zones
+        self._random = random
+        self._clock = clock
+        self._members: dict[str, float] = {}
+        # Since when this instance coordinates, in monotonic seconds.
+        self._since: float | None = None
+        self._departed = asyncio.Event()
+        self._log: Any = get_logger()
+        bus.handle(CHANNEL_MEMBER, self._on_note)
+        bus.handle(CHANNEL_PLACE, self._on_question)
+
+    def take_role(self, coordinates: bool) -> None:
+        """Take whether this instance coordinates from now on."""
+        if not coordinates:
+            self._since = None
+        elif self._since is None:
+            self._since = self._clock()
+
+    @property
+    def settled(self) -> bool:
+        """Whether it coordinates, and has listened for long enough to decide."""
+        return self._since is not None and self._clock() - self._since >= SETTLED_S
+
+    @property
+    def members(self) -> list[str]:
+        """The instances that follow this one."""
+        oldest = self._clock() - MEMBER_KEPT_S
+        for name in [n for n, at in self._members.items() if at < oldest]:
+            del self._members[name]
+            self._shared.forget(name)
+        return list(self._members)
+
+    def with_members(self, own: list[ReplicaShare]) -> list[ReplicaShare]:
+        """Return own shares together with those of all members, for other coordinators."""
+        members = self.members
+        if not members:
+            return own
+        found: dict[str, list[ReplicaShare]] = {share.replica: [share] for share in own}
+        for name in members:
+            for share in self._shared.told_by(name, self._clock()):
+                found.setdefault(share.replica, []).append(share)
+        return [total(shares) for shares in found.values()]
+
+    def note_departure(self) -> None:
+        """A replica leaves: members that wait for news get theirs now."""
+        self._departed.set()
+        self._departed = asyncio.Event()
+
+    async def _on_note(self, sender: str, body: bytes) -> bytes:
+        note = decode(body, MemberNote)
+        self._take(note)
+        if note.wait_s <= 0.0:
+            # Told unasked: something has begun or ended, and nobody waits.
+            self._book.touch()
+            return b""
+        await self._wait_for_departure(note.wait_s)
+        return encode(self._picture_for(note))
+
+    async def _wait_for_departure(self, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._departed.wait()
+        except TimeoutError:
+            # Nothing left meanwhile: the member gets the usual picture.
+            return
+
+    def _take(self, note: MemberNote) -> None:
+        now = self._clock()
+        name = note.load.instance
+        if name not in self._members:
+            self._log.info("member_follows", member=name)
+        self._members[name] = now
+        self._shared.take(note.load, now)
+        self._take_news(note.load.news)
+        for outcome in note.outcomes:
+            self._book.note_outcome(outcome, now, self._random)
+
+    async def _on_question(self, sender: str, body: bytes) -> bytes:
+        question = decode(body, PlaceQuestion)
+        if not self.settled and not question.insist:
+            return encode(PlaceAnswer(settled=False))
+        return encode(PlaceAnswer(settled=True, replica=self._decide(question)))
+
+    def _decide(self, question: PlaceQuestion) -> ListedReplica | None:
+        service = next((s for s in self._services() if s.name == question.service), None)
+        if service is None:
+            return None
+        replica = self._placing.decide(service, question)
+        if replica is None:
+            return None
+        now = self._clock()
+        self._shared.add(question.instance, question.occupies(replica.name), now)
+        self._book.touch()
+        return ListedReplica(
+            replica.name, replica.upstream, replica.availability_zone, replica.address, False
+        )
+
+    def _picture_for(self, note: MemberNote) -> Picture:
+        member = note.load.instance
+        replicas = [r for s in self._services() for r in self._engines(s.name)]
+        present = {share.replica for share in note.load.shares}
+        listed = listed_replicas(self._directory)
+        digest = digest_of(listed)
+        silent, cut_off = self._zones()
+        return Picture(
+            coordinator=self._name,
+            shares=self._shares_for(member, replicas, present),
+            news=self._news(replicas, present),
+            list_digest=digest,
+            listed=listed if digest != note.list_digest else None,
+            silent_zones=sorted(silent),
+            cut_off=cut_off,
+            allowances=self._allowances(),
+        )
+
+    def _engines(self, service: str) -> list[Replica]:
+        """Return the replicas that stay or left lately: generations still run at these."""
+        since = self._clock() - LEAVING_TOLD_S
+        names = self._directory.leaving(service, since)
+        leaving = [r for r in map(self._directory.find, names) if r is not None]
+        live = self._directory.live(service)
+        return live + [r for r in leaving if r not in live]
+
+    def _shares_for(
+        self, member: str, replicas: list[Replica], present: Set[str]
+    ) -> list[ReplicaShare]:
+        """Return what all but one member have at each replica."""
+        now = self._clock()
+        own = {share.replica: share for share in self._book.shares(now)}
+        found = []
+        for replica in replicas:
+            share = self._shared.at(replica.name, now, without=member)
+            if replica.name in own:
+                share = total([share, own[replica.name]])
+            found.append(share if replica.name in present else shortened(share))
+        return found
+
+    def _news(self, replicas: list[Replica], present: Set[str]) -> list[ReplicaNews]:
+        now = self._clock()
+        found = []
+        for replica in replicas:
+            leaves = not self._directory.may_get_work(replica.name)
+            if leaves or replica.name in present:
+                news = self._book.state(replica.name).news(now)
+                if news is not None:
+                    found.append(news)
+        return found
+
+    def _allowances(self) -> dict[str, float]:
+        now = self._clock()
+        found = {
+            r.name: self._book.state(r.name).health.allowance(now) for r in self._directory.all()
+        }
+        return {name: value for name, value in found.items() if value < 1.0}
--- /dev/null
+++ b/reachlink/coordination/_member.py
@@ -0,0 +1,195 @@
+"""A member: an instance that follows a coordinator and asks it where requests should go."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from msgspec import structs
+
+from reachlink.coordination._attachment import Attachment
+from reachlink.coordination._messages import CHANNEL_MEMBER, CHANNEL_PLACE, MemberNote, Picture
+from reachlink.coordination._replica_list import as_instances
+from reachlink.membership import InstanceRecord, ReplicaDirectory
+from reachlink.messaging import Bus, MessagingError, decode, encode
+from reachlink.requests import (
+    LoadNote,
+    PlaceAnswer,
+    PlaceQuestion,
+    ReplicaBook,
+    ReplicaNews,
+    SharedLoad,
+)
+from reachlink.telemetry import get_logger
+
+# How long an answer to a question may take, in seconds: some 3 ms within a zone,
+# and what a coordinator that is busy or just starting takes. Then the next is asked.
+ANSWER_S = 0.15
+# How many coordinators are asked before this instance decides by itself.
+ASKED = 2
+# How long the answer to a note may be held while this instance has requests at
+# model engines, and while it has none, in seconds.
+BUSY_WAIT_S = 0.25
+IDLE_WAIT_S = 1.0
+# How much longer such an answer may take, in seconds.
+WAIT_MARGIN_S = 0.3
+# Shortest time between two notes, in seconds.
+FASTEST_S = 0.03
+# A picture older than this says nothing any more, in seconds.
+PICTURE_KEPT_S = 2.5
+# How long this instance waits before it looks again whether it is a member, in seconds.
+LOOK_S = 0.25
+
+
+class Member:
+    """Follows one coordinator after the other, as they answer.
+
+    Parameters
+    ----------
+    attachment : Attachment
+        Chooses the coordinator.
+    name : str
+        This instance.
+    bus : Bus
+        Speaks with coordinators.
+    book : ReplicaBook
+        This instance's requests.
+    shared : SharedLoad
+        Where what the others have is noted.
+    directory : ReplicaDirectory
+        Where the list of replicas is noted.
+    take_news : callable
+        Takes what was read in reports.
+    tell_news : callable
+        Returns what this instance found out itself.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        attachment: Attachment,
+        name: str,
+        bus: Bus,
+        book: ReplicaBook,
+        shared: SharedLoad,
+        directory: ReplicaDirectory,
+        take_news: Callable[[Iterable[ReplicaNews]], None],
+        tell_news: Callable[[], list[ReplicaNews]],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._attachment = attachment
+        self._name = name
+        self._bus = bus
+        self._book = book
+        self._shared = shared
+        self._directory = directory
+        self._take_news = take_news
+        self._tell_news = tell_news
+        self._clock = clock
+        self._picture: Picture | None = None
+        self._pictured_at = float("-inf")
+        self._log: Any = get_logger()
+
+    @property
+    def picture(self) -> Picture | None:
+        """What the coordinator said last; None where that is too long ago."""
+        if self._clock() - self._pictured_at > PICTURE_KEPT_S:
+            return None
+        return self._picture
+
+    async def ask(self, question: PlaceQuestion) -> PlaceAnswer | None:
+        """Return what a coordinator decides; None where this instance should.
+
+        One that has just started knows little: it decides only where no other does.
+        """
+        if not self._attachment.is_member:
+            return None
+        question = structs.replace(question, instance=self._name)
+        unsettled: InstanceRecord | None = None
+        for coordinator in self._attachment.preferred(self._clock())[:ASKED]:
+            answer = await self._ask_one(coordinator, question)
+            if answer is not None and answer.settled:
+                return answer
+            if answer is not None:
+                unsettled = unsettled or coordinator
+        if unsettled is None:
+            self._log.info("coordinators_silent", request_id=question.request_id)
+            return None
+        return await self._ask_one(unsettled, structs.replace(question, insist=True))
+
+    async def _ask_one(
+        self, coordinator: InstanceRecord, question: PlaceQuestion
+    ) -> PlaceAnswer | None:
+        try:
+            raw = await self._bus.call(
+                coordinator.address, CHANNEL_PLACE, encode(question), ANSWER_S
+            )
+            return decode(raw, PlaceAnswer)
+        except MessagingError as error:
+            self._note_silence(coordinator, str(error))
+            return None
+
+    def _note_silence(self, coordinator: InstanceRecord, reason: str) -> None:
+        self._attachment.note_silence(coordinator.name, self._clock())
+        self._log.info("coordinator_silent", coordinator=coordinator.name, reason=reason)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        await asyncio.gather(self._follow(), self._tell())
+
+    async def _follow(self) -> None:
+        """Have the picture kept up to date."""
+        while True:
+            if not self._attachment.is_member:
+                await asyncio.sleep(LOOK_S)
+                continue
+            coordinator = self._attachment.preferred(self._clock())[0]
+            started = self._clock()
+            await self._follow_once(coordinator)
+            await asyncio.sleep(max(0.0, FASTEST_S - (self._clock() - started)))
+
+    async def _follow_once(self, coordinator: InstanceRecord) -> None:
+        wait_s = BUSY_WAIT_S if self._book.carrying() else IDLE_WAIT_S
+        note = encode(self._note(coordinator.name, wait_s))
+        try:
+            raw = await self._bus.call(
+                coordinator.address, CHANNEL_MEMBER, note, wait_s + WAIT_MARGIN_S
+            )
+            self._take(decode(raw, Picture))
+        except MessagingError as error:
+            self._note_silence(coordinator, str(error))
+
+    async def _tell(self) -> None:
+        """Tell of each change at once."""
+        told = self._book.changes
+        while True:
+            await asyncio.sleep(FASTEST_S)
+            if self._book.changes == told or not self._attachment.is_member:
+                continue
+            told = self._book.changes
+            coordinator = self._attachment.preferred(self._clock())[0]
+            note = encode(self._note(coordinator.name, 0.0))
+            self._bus.send(coordinator.address, CHANNEL_MEMBER, note)
+
+    def _note(self, coordinator: str, wait_s: float) -> MemberNote:
+        load = LoadNote(self._name, self._book.shares(self._clock()), self._tell_news())
+        known = self._picture is not None and self._picture.coordinator == coordinator
+        digest = self._picture.list_digest if self._picture is not None and known else 0
+        return MemberNote(load, self._book.take_outcomes(), digest, wait_s)
+
+    def _take(self, picture: Picture) -> None:
+        now = self._clock()
+        before = self._picture
+        if before is not None and before.coordinator != picture.coordinator:
+            self._shared.forget(before.coordinator)
+        if before is None or before.coordinator != picture.coordinator:
+            self._log.info("coordinator_followed", coordinator=picture.coordinator)
+        self._picture, self._pictured_at = picture, now
+        self._shared.take(LoadNote(picture.coordinator, picture.shares), now)
+        if picture.listed is not None:
+            self._directory.update(as_instances(picture.listed), now)
+        self._take_news(picture.news)
+        for replica, allowance in picture.allowances.items():
+            state = self._book.state(replica)
+            state.told_allowance, state.told_at = allowance, now
--- /dev/null
+++ b/reachlink/coordination/_messages.py
@@ -0,0 +1,72 @@
+"""What members tell their coordinator, and what they are told.
+
+The structs go over the wire as arrays: the order of their fields is the format,
+and new fields go to the end with a default.
+"""
+
+import msgspec
+
+from reachlink.requests import ListedReplica, LoadNote, ReplicaNews, ReplicaOutcome, ReplicaShare
+
+CHANNEL_MEMBER = "member"
+"""One-way: a `MemberNote`. Call: the same, answered with a `Picture`."""
+CHANNEL_PLACE = "place"
+"""Call: a `PlaceQuestion`, answered with a `PlaceAnswer`."""
+
+
+class MemberNote(msgspec.Struct, array_like=True, frozen=True):
+    """What a member has at the replicas, and how much of the picture it has.
+
+    Attributes
+    ----------
+    load : LoadNote
+        Its own requests, and what it found out itself.
+    outcomes : list of ReplicaOutcome
+        How its requests went since its last note.
+    list_digest : int
+        Digest of the list of replicas that it was told last; 0 for none.
+    wait_s : float
+        How long an answer may be held until a replica that matters to it leaves,
+        in seconds.
+    """
+
+    load: LoadNote
+    outcomes: list[ReplicaOutcome] = []
+    list_digest: int = 0
+    wait_s: float = 0.0
+
+
+class Picture(msgspec.Struct, array_like=True, frozen=True):
+    """What a coordinator knows, as far as it matters to one member.
+
+    Attributes
+    ----------
+    coordinator : str
+        Who tells.
+    shares : list of ReplicaShare
+        What all others have at each replica; copies and generations one by one only
+        where the member has some itself.
+    news : list of ReplicaNews
+        What was read in the reports of replicas that leave, and of those where the
+        member has something.
+    list_digest : int
+        Digest of the list of replicas.
+    listed : list of ListedReplica, optional
+        That list, where the member has another.
+    silent_zones : list of str
+        Zones that cannot be reached.
+    cut_off : bool
+        Whether that is true of all other zones.
+    allowances : dict of str to float
+        Share of its usual load that a replica may get, from 0 to 1, where it is
+        not all: requests of members have failed there.
+    """
+
+    coordinator: str
+    shares: list[ReplicaShare]
+    news: list[ReplicaNews] = []
+    list_digest: int = 0
+    listed: list[ListedReplica] | None = None
+    silent_zones: list[str] = []
+    cut_off: bool = False
+    allowances: dict[str, float] = {}
--- /dev/null
+++ b/reachlink/coordination/_replica_list.py
@@ -0,0 +1,48 @@
+"""The list of replicas as a coordinator tells it; pure."""
+
+import zlib
+from collections.abc import Iterable
+
+from reachlink.membership import InstanceState, ListedInstance, ReplicaDirectory
+from reachlink.requests import ListedReplica
+
+
+def listed_replicas(directory: ReplicaDirectory) -> list[ListedReplica]:
+    """Return every replica that is there, with whether it is known to leave."""
+    return [
+        ListedReplica(
+            name=replica.name,
+            service=replica.upstream,
+            availability_zone=replica.availability_zone,
+            address=replica.address,
+            leaving=not directory.may_get_work(replica.name),
+        )
+        for replica in directory.all()
+    ]
+
+
+def digest_of(listed: Iterable[ListedReplica]) -> int:
+    """Return a number that differs where the lists differ; never 0.
+
+    Examples
+    --------
+    >>> one = ListedReplica("r1", "chat", "a", "r1:1", False)
+    >>> digest_of([one]) == digest_of([ListedReplica("r1", "chat", "a", "r1:1", True)])
+    False
+    """
+    lines = sorted(f"{r.name} {r.address} {r.leaving}" for r in listed)
+    return zlib.crc32("\n".join(lines).encode()) | 1 << 32
+
+
+def as_instances(listed: Iterable[ListedReplica]) -> list[ListedInstance]:
+    """Return a told list as the platform's would be."""
+    return [
+        ListedInstance(
+            name=replica.name,
+            upstream=replica.service,
+            availability_zone=replica.availability_zone,
+            address=replica.address,
+            state=InstanceState.LEAVING if replica.leaving else InstanceState.LIVE,
+        )
+        for replica in listed
+    ]
--- /dev/null
+++ b/reachlink/coordination/tests/world.py
@@ -0,0 +1,148 @@
+"""Coordinators and members in memory, on a clock of their own."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from reachlink.coordination import Attachment, Coordinator, Member
+from reachlink.membership import InstanceRecord, ListedInstance, ReplicaDirectory
+from reachlink.messaging import CallTimeoutError, Handler
+from reachlink.requests import (
+    Flight,
+    PlaceQuestion,
+    Placing,
+    Purpose,
+    ReplicaBook,
+    RunnerParts,
+    SharedLoad,
+)
+from reachlink.requests.tests.world import MemoryAdapter
+from reachlink.routing import EngineLimits, Service
+
+SERVICE = Service("chat", "/health", 10, EngineLimits(24, 30_000, moves=True))
+REPLICAS = [ListedInstance(f"r{i}", "chat", "a", f"r{i}:1") for i in (1, 2)]
+
+
+@dataclass
+class Network:
+    """Hands messages over at once, but not to or from those that are cut off."""
+
+    now: float = 100.0
+    handlers: dict[str, dict[str, Handler]] = field(default_factory=dict)
+    silent: set[str] = field(default_factory=set)
+    calls: list[tuple[str, str]] = field(default_factory=list)
+
+
+class MemoryBus:
+    """One instance's end of the network; its address is its name."""
+
+    def __init__(self, network: Network, name: str) -> None:
+        self._network = network
+        self._name = name
+        network.handlers[name] = {}
+
+    def handle(self, channel: str, handler: Handler) -> None:
+        self._network.handlers[self._name][channel] = handler
+
+    async def call(self, address: str, channel: str, body: bytes, timeout_s: float) -> bytes:
+        self._network.calls.append((address, channel))
+        if address in self._network.silent:
+            raise CallTimeoutError(f"{channel} at {address}")
+        return await self._network.handlers[address][channel](self._name, body) or b""
+
+    def send(self, address: str, channel: str, body: bytes) -> bool:
+        if address in self._network.silent:
+            return False
+        handled = self._network.handlers[address][channel](self._name, body)
+        asyncio.ensure_future(handled)
+        return True
+
+
+class Instance:
+    """One entry instance's parts that coordinate or follow."""
+
+    def __init__(self, network: Network, name: str, zone: str = "a") -> None:
+        self.record = InstanceRecord(name, name, zone)
+        self.network = network
+        self.book = ReplicaBook()
+        self.shared = SharedLoad()
+        self.directory = ReplicaDirectory()
+        self.attachment = Attachment(name, zone)
+        self.news: list[object] = []
+        bus = MemoryBus(network, name)
+        self.member = Member(
+            self.attachment,
+            name,
+            bus,  # type: ignore[arg-type]
+            self.book,
+            self.shared,
+            self.directory,
+            self.news.extend,
+            list,
+            self.clock,
+        )
+        parts = RunnerParts(
+            zone,
+            MemoryAdapter(),
+            self.directory,
+            self.book,
+            self.shared,
+            Random(1),
+            lambda *outcome: None,
+            ask_coordinator=self.member.ask,
+            clock=self.clock,
+        )
+        self.placing = Placing(parts)
+        self.coordinator = Coordinator(
+            name,
+            bus,  # type: ignore[arg-type]
+            self.book,
+            self.shared,
+            self.directory,
+            self.placing,
+            lambda: [SERVICE],
+            self.news.extend,
+            lambda: (frozenset(), False),
+            Random(1),
+            self.clock,
+        )
+
+    def clock(self) -> float:
+        return self.network.now
+
+    def list_replicas(self) -> None:
+        self.directory.update(REPLICAS, self.network.now)
+
+    def take_roster(self, *coordinators: "Instance") -> None:
+        self.attachment.take([c.record for c in coordinators])
+        self.coordinator.take_role(not self.attachment.is_member)
+
+    async def follow(self) -> None:
+        """Exchange one note and picture with the preferred coordinator."""
+        coordinator = self.attachment.preferred(self.network.now)[0]
+        await self.member._follow_once(coordinator)
+
+    def begin(self, replica: str, tokens: int = 9_000) -> Flight:
+        """Have a request at a replica."""
+        flight = Flight(f"{self.record.name}-{replica}", tokens, used_tokens=tokens)
+        self.book.add(replica, flight)
+        return flight
+
+
+def fleet(
+    coordinators: int = 2, members: int = 2
+) -> tuple[Network, list[Instance], list[Instance]]:
+    """Return a network, settled coordinators that know the replicas, and members."""
+    network = Network()
+    chosen = [Instance(network, f"c{i}") for i in range(1, coordinators + 1)]
+    others = [Instance(network, f"m{i}") for i in range(1, members + 1)]
+    for instance in chosen + others:
+        instance.take_roster(*chosen)
+    for coordinator in chosen:
+        coordinator.list_replicas()
+    network.now += 10.0
+    return network, chosen, others
+
+
+def question(tokens: int = 9_000, purpose: Purpose = Purpose.REQUEST) -> PlaceQuestion:
+    return PlaceQuestion("", "id-1", "chat", purpose, tokens, prompt_tokens=3_000, zone="a")
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -71,8 +71,8 @@
     def on_controls(self, controls: list[InstanceRecord]) -> None:
         """Take the control instances that exist now."""
 
-    def on_peers(self, peers: list[InstanceRecord]) -> None:
-        """Take the entry instances to exchange load with."""
+    def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
+        """Take the entry instances that coordinate placement, and the number of all."""
 
     def on_settings(self) -> None:
         """Newer settings are in force."""
@@ -130,7 +130,7 @@
         self._take(answer)
         if answer.controls:
             node.on_controls(answer.controls)
-            node.on_peers(answer.peers)
+            node.on_roster(answer.coordinators, answer.instances)
         if answer.fresh and node.tree.revision >= answer.revision:
             self._become_ready("confirmed by the control instances")
         elif answer.stale:
--- a/reachlink/entry/_list_reader.py
+++ b/reachlink/entry/_list_reader.py
@@ -22,6 +22,9 @@
 # Longest time between two readings that sharing leads to, in seconds: an instance
 # that hears nothing of the others is not further behind.
 LONGEST_TURN_S = 3.0
+# How long until an instance that another reads for looks whether it still does, in
+# seconds.
+LOOK_S = 0.5
 # Factor on the wait for each refusal by a busy platform, and for each answer.
 SLOWER = 1.6
 FASTER = 0.95
@@ -46,6 +49,8 @@
         Shortest time between two readings here, in seconds.
     shared_interval_s : float
         Time between two readings by any of them, in seconds.
+    told_by_another : callable
+        Returns whether another instance reads the list for this one.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         instances: Callable[[], int],
         interval_s: float,
         shared_interval_s: float,
+        told_by_another: Callable[[], bool] = lambda: False,
     ) -> None:
         self._platform = platform
         self._directory = directory
@@ -63,6 +69,7 @@
         self._instances = instances
         self._shortest_s = interval_s
         self._shared_s = shared_interval_s
+        self._told_by_another = told_by_another
         self._slowdown = 1.0
         self._log = get_logger()
         self._has_read = False
@@ -71,12 +78,16 @@
 
     @property
     def has_read(self) -> bool:
-        """Whether the list was read at least once."""
+        """Whether the list was read, here or for this instance, at least once."""
+        self._has_read = self._has_read or self._told_by_another()
         return self._has_read
 
     async def run(self) -> None:
         """Work until cancelled."""
         while True:
+            if self._told_by_another():
+                await asyncio.sleep(LOOK_S)
+                continue
             started = time.monotonic()
             await self._read_once()
             passed = time.monotonic() - started
--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -1,7 +1,7 @@
-"""Exchanges notes of load with the other entry instances.
+"""Exchanges notes of load with the other coordinators.
 
-A note tells this instance's requests at model engines, and what it read lately
-in load reports and in the platform's list.
+A note tells the requests at model engines of this instance and its members, and what
+was read lately in load reports and in the platform's list.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import InstanceRecord
 from reachlink.messaging import Bus, decode, encode
-from reachlink.requests import LoadNote, ReplicaBook, SharedLoad
+from reachlink.requests import LoadNote, ReplicaBook, ReplicaShare, SharedLoad
 
 CHANNEL_LOAD = "load"
 # Shortest time between two notes, in seconds, and what each peer that is told adds.
@@ -31,7 +31,9 @@
     bus : Bus
         Where notes go.
     book : ReplicaBook
-        This instance's requests.
+        Counts changes that the others should know soon.
+    shares : callable
+        Returns the requests of this instance and its members.
     shared : SharedLoad
         Where the others' requests are noted.
     reports : ReportReader
@@ -47,6 +49,7 @@
         name: str,
         bus: Bus,
         book: ReplicaBook,
+        shares: Callable[[], list[ReplicaShare]],
         shared: SharedLoad,
         reports: ReportReader,
         listed: ListNews,
@@ -55,6 +58,7 @@
         self._name = name
         self._bus = bus
         self._book = book
+        self._shares = shares
         self._shared = shared
         self._reports = reports
         self._listed = listed
@@ -67,14 +71,21 @@
         """The instances that are told."""
         return self._peers
 
-    def take_peers(self, peers: list[InstanceRecord]) -> None:
-        """Take the instances to tell from now on."""
-        kept = {peer.address for peer in peers}
+    def take_peers(self, peers: list[InstanceRecord], kept: list[InstanceRecord]) -> None:
+        """Take the instances to tell from now on.
+
+        Parameters
+        ----------
+        peers : list of InstanceRecord
+            The other coordinators; none where this instance is none.
+        kept : list of InstanceRecord
+            Instances whose connections are still of use.
+        """
+        addresses = {record.address for record in kept}
         for peer in self._peers:
-            if peer.address not in kept:
+            if peer.address not in addresses:
                 self._bus.forget(peer.address)
         self._peers = peers
-        self._reports.take_peers([peer.name for peer in peers])
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -94,7 +105,7 @@
     def _note(self) -> LoadNote:
         return LoadNote(
             instance=self._name,
-            shares=self._book.shares(self._clock()),
+            shares=self._shares(),
             news=self._reports.news(),
             listed=self._listed.recent(),
         )
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -117,7 +117,7 @@
     def on_controls(self, controls: list[InstanceRecord]) -> None:
         """Control instances are told by the configuration here."""
 
-    def on_peers(self, peers: list[InstanceRecord]) -> None:
+    def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
         """Peers are told by the configuration here."""
 
     def on_settings(self) -> None:
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -37,9 +37,10 @@
             self._platform,
             self._node.directory,
             self._node.listed,
-            self._node.sharing_instances,
+            self._node.list_readers,
             config.platform.interval_s,
             config.platform.shared_interval_s,
+            self._node.is_told,
         )
         self._border: CallerBorder = CALLER_BORDERS.get(config.border)(self._node)
         self._runners: list[web.AppRunner] = []
@@ -54,6 +55,7 @@
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._reader.run()),
             asyncio.create_task(node.teller.run()),
+            asyncio.create_task(node.member.run()),
             asyncio.create_task(node.reports.run()),
         ]
         await self._border.start(config.host, config.port)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from reachlink.control import ControlClient
+from reachlink.coordination import Attachment, Coordinator, Member
 from reachlink.entry._isolation import Isolation
 from reachlink.entry._list_news import ListNews
 from reachlink.entry._load_teller import LoadTeller
@@ -19,12 +20,13 @@
     CallerRequest,
     Departures,
     ReplicaBook,
+    ReplicaShare,
     RequestRunner,
     RetryTerms,
     RunnerParts,
     SharedLoad,
 )
-from reachlink.routing import RequestKind, RoutingError, RoutingIndex
+from reachlink.routing import RequestKind, RoutingError, RoutingIndex, Service
 from reachlink.settings import SettingsTree
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import RELAY_ADAPTERS, HttpClient
@@ -59,12 +61,26 @@
             self._engines,
             time.monotonic,
             departures,
+            config.availability_zone,
         )
-        self.listed = ListNews(self.directory, self.book.touch)
+        self.listed = ListNews(self.directory, self._on_list_news)
+        self.attachment = Attachment(config.name, config.availability_zone)
+        self.member = Member(
+            self.attachment,
+            config.name,
+            self.bus,
+            self.book,
+            self.shared,
+            self.directory,
+            self.reports.take,
+            self.reports.news,
+        )
+        self._instances = 1
         self.teller = LoadTeller(
             config.name,
             self.bus,
             self.book,
+            self._shares,
             self.shared,
             self.reports,
             self.listed,
@@ -96,8 +112,22 @@
                 cut_off=self.cut_off,
                 silent_zones=self.silent_zones,
                 departures=departures,
+                ask_coordinator=self.member.ask,
             )
         )
+        self.coordinator = Coordinator(
+            config.name,
+            self.bus,
+            self.book,
+            self.shared,
+            self.directory,
+            self._runner.placing,
+            self._engine_services,
+            self.reports.take,
+            self._unreachable_zones,
+            Random(),
+        )
+        self.reports.on_departure = self.coordinator.note_departure
 
     @property
     def index(self) -> RoutingIndex | None:
@@ -176,12 +206,20 @@
         return True
 
     def sharing_instances(self) -> int:
-        """Return how many entry instances exchange what they know, this one included."""
-        return 1 + len(self.teller.peers)
+        """Return how many entry instances there are, this one included."""
+        return self._instances
+
+    def list_readers(self) -> int:
+        """Return how many instances read the platform's list by turns."""
+        return max(1, len(self.attachment.coordinators))
+
+    def is_told(self) -> bool:
+        """Return whether a coordinator tells this instance what it has to know."""
+        return self.attachment.is_member and self.member.picture is not None
 
     def cut_off(self) -> bool:
         """Return whether this instance's zone is cut off from the others."""
-        found = self._isolation.cut_off(time.monotonic())
+        found = self._unreachable_zones()[1]
         if found != self._was_cut_off:
             self._was_cut_off = found
             self.log.info("zone_cut_off" if found else "zone_rejoined", zone=self.zone)
@@ -189,12 +227,24 @@
 
     def silent_zones(self) -> Set[str]:
         """Return the zones that this instance seems to be cut off from."""
-        found = self._isolation.silent_zones(time.monotonic())
+        found = self._unreachable_zones()[0]
         if found != self._silent_zones:
             self._silent_zones = found
             self.log.info("zones_silent", zones=",".join(sorted(found)))
         return found
 
+    def _unreachable_zones(self) -> tuple[Set[str], bool]:
+        """Return the zones that cannot be reached, and whether these are all others."""
+        picture = self.member.picture if self.attachment.is_member else None
+        if picture is not None:
+            return frozenset(picture.silent_zones), picture.cut_off
+        now = time.monotonic()
+        return self._isolation.silent_zones(now), self._isolation.cut_off(now)
+
+    def _shares(self) -> list[ReplicaShare]:
+        """Return the requests of this instance and its members at model engines."""
+        return self.coordinator.with_members(self.book.shares(time.monotonic()))
+
     def _zone_answered_at(self, zone: str) -> float:
         """Return when a replica of a zone answered last, in monotonic seconds."""
         names = (r.name for r in self.directory.all() if r.availability_zone == zone)
@@ -208,9 +258,9 @@
         return next((name for name in services if self._runner.out_of_reach(name)), "")
 
     def zone_peers(self) -> list[str]:
-        """Return the addresses of the other entry instances of this zone that are known."""
-        peers = self.teller.peers
-        return [p.address for p in peers if p.availability_zone == self.zone]
+        """Return the addresses of the coordinators of this zone that are known."""
+        others = [c for c in self.attachment.coordinators if c.name != self.name]
+        return [c.address for c in others if c.availability_zone == self.zone]
 
     def take_seeds(self, seeds: list[str]) -> None:
         """Take other addresses where control instances may be found."""
@@ -225,10 +275,17 @@
             self.log.info("controls_known", addresses=",".join(known))
         self.control.learn(list(known))
 
-    def on_peers(self, peers: list[InstanceRecord]) -> None:
-        """Take the entry instances to exchange load with."""
-        self.teller.take_peers(peers)
+    def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
+        """Take the entry instances that coordinate placement, and the number of all."""
+        self._instances = max(1, instances)
+        self.attachment.take(coordinators)
+        member = self.attachment.is_member
+        peers = [] if member else [c for c in coordinators if c.name != self.name]
+        self.teller.take_peers(peers, coordinators)
+        self.coordinator.take_role(not member and bool(coordinators))
         self._isolation.take_peers(peers, time.monotonic())
+        if coordinators:
+            self.reports.take_readers(record.name for record in coordinators)
 
     def on_settings(self) -> None:
         """Put a newer routing table in force."""
@@ -244,10 +301,18 @@
         self._has_index.set()
         self.log.info("routing_table_in_force", number=published.number)
 
+    def _on_list_news(self) -> None:
+        """The platform's list has told of replicas that come or leave."""
+        self.book.touch()
+        self.coordinator.note_departure()
+
     def _engines(self) -> list[str]:
+        return [service.name for service in self._engine_services()]
+
+    def _engine_services(self) -> list[Service]:
         if self._index is None:
             return []
-        return [s.name for s in self._index.table.services if s.engine is not None]
+        return [s for s in self._index.table.services if s.engine is not None]
 
     def _on_outcome(self, request: CallerRequest, code: str, duration_s: float) -> None:
         labels = {"route": request.route.name, "outcome": code}
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -18,7 +18,8 @@
 # Time between two readings of one replica, in seconds.
 INTERVAL_S = 0.2
 # An instance with requests at a replica reads its report itself where it has
-# heard of no other reading for this long, in seconds.
+# heard of no other reading for this long, in seconds; and so do those that share the
+# reading where it is in their zone: its usual reader may be beyond a cut.
 OTHERS_SILENT_S = 0.7
 # Readings younger than this are passed on, in seconds.
 TOLD_S = 0.4
@@ -43,6 +44,8 @@
         Monotonic time in seconds.
     departures : Departures
         Is told which replicas leave, and when.
+    zone : str
+        This instance's availability zone.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         engines: Callable[[], list[str]],
         clock: Callable[[], float],
         departures: Departures,
+        zone: str = "",
     ) -> None:
         self._name = name
         self._adapter = adapter
@@ -61,16 +65,19 @@
         self._book = book
         self._engines = engines
         self._clock = clock
-        self._instances = [name]
+        self._zone = zone
+        self._readers = [name]
         self._own: dict[str, tuple[float, ReplicaNews]] = {}
         self._departures = departures
+        # Called when a replica is found to leave.
+        self.on_departure: Callable[[], None] = lambda: None
         self._reading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._log = get_logger()
 
-    def take_peers(self, names: Iterable[str]) -> None:
-        """Take the instances that share the reading."""
-        self._instances = sorted({self._name, *names})
+    def take_readers(self, names: Iterable[str]) -> None:
+        """Take the instances that share the reading, this one included if it does."""
+        self._readers = sorted(names)
 
     def news(self) -> list[ReplicaNews]:
         """Return what was read here lately."""
@@ -121,12 +128,13 @@
         if self._reader_of(replica.name) == self._name:
             return True
         silent = self._clock() - self._book.state(replica.name).reported_at
-        return replica.name in carrying and silent > OTHERS_SILENT_S
+        near = self._name in self._readers and replica.availability_zone == self._zone
+        return silent > OTHERS_SILENT_S and (near or replica.name in carrying)
 
     def _reader_of(self, replica: str) -> str:
         """Return the instance that reads a replica: the highest hash of both names."""
         return max(
-            self._instances,
+            self._readers,
             key=lambda name: hashlib.blake2b(f"{name} {replica}".encode(), digest_size=8).digest(),
         )
 
@@ -157,6 +165,7 @@
         if self._directory.mark_leaving(news.replica, LeavingSource.REPORT, self._clock()):
             self._log.info("upstream_leaving", replica=news.replica, source="report")
             self._book.touch()
+            self.on_departure()
 
     def _note_departure(self, news: ReplicaNews, read_at: float) -> None:
         if news.leaves_in_s is None:
--- a/reachlink/entry/tests/test_relay_node.py
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -13,6 +13,8 @@
 from reachlink.settings import ROUTING_PATH
 from reachlink.upstreams import RELAY_ADAPTERS
 
+ITSELF = InstanceRecord("e1", "127.0.0.1:0", "a")
+
 
 @pytest.fixture
 def node():
@@ -99,7 +101,7 @@
     their load; the replicas of other zones still answer it.
     """
     now = time.monotonic()
-    node.on_peers([InstanceRecord("e9", "10.0.9.1:7201", "b")])
+    node.on_roster([InstanceRecord("e9", "10.0.9.1:7201", "b"), ITSELF], 2)
     node._isolation._known_since = {"e9": now - 60.0}
     node.directory.update([ListedInstance("r9", "chat", "b", "10.0.9.2:80")], now)
     node.book.state("r9").take_report(ReplicaNews("r9", False, 0, 0, 0.0), now)
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -122,6 +122,16 @@
             elif instance.state is InstanceState.LEAVING:
                 self.mark_leaving(instance.name, LeavingSource.LIST, now)
 
+    def know(self, name: str, upstream: str, zone: str, address: str) -> Replica:
+        """Return an instance that another reader of the list has named, noting it if new."""
+        entry = self._entries.get(name)
+        if entry is None:
+            listed = ListedInstance(name, upstream, zone, address)
+            self._update_one(listed, 0.0)
+            entry = self._entries[name]
+            self._live.clear()
+        return entry.replica
+
     def suspect_leaving(self, name: str, now: float) -> bool:
         """Note that an instance closes its connections, as those do that leave."""
         return self.mark_leaving(name, LeavingSource.CLOSING, now)
--- a/reachlink/membership/_roster.py
+++ b/reachlink/membership/_roster.py
@@ -1,5 +1,6 @@
 """Which entry instances exist, as the control instances learn it from those that watch; pure."""
 
+import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -8,9 +9,12 @@
 # An instance that no control instance has heard of for this long is left out,
 # in seconds: instances ask again about once a second.
 ABSENT_S = 4.0
-# Up to this many instances exchange load with all others; above it, each does
-# so with its neighbours in its own zone.
-MAX_PEERS = 24
+# Up to this many instances are all coordinators: each tells all others its load,
+# which at 24 is 24 notes of 0.1 to 1 KB a second and more when busy.
+MAX_COORDINATORS = 24
+# Coordinators of a zone where there are more instances than that: one that plans
+# and one that is there at once when the first is lost.
+COORDINATORS_A_ZONE = 2
 
 
 @dataclass(slots=True)
@@ -46,14 +50,24 @@
             del self._heard[name]
         return [self._heard[name].record for name in sorted(self._heard)]
 
-    def peers_of(self, asker: InstanceRecord, now: float) -> list[InstanceRecord]:
-        """Return the instances that an instance exchanges load with."""
-        others = [r for r in self.present(now) if r.name != asker.name]
-        if len(others) <= MAX_PEERS:
-            return others
-        near = [r for r in others if r.availability_zone == asker.availability_zone]
-        # A ring by name, so that the choice is the same from both ends.
-        after = [r for r in near if r.name > asker.name]
-        ring = after + [r for r in near if r.name < asker.name]
-        half = MAX_PEERS // 2
-        return ring if len(ring) <= MAX_PEERS else ring[:half] + ring[-half:]
+    def coordinators(self, now: float) -> list[InstanceRecord]:
+        """Return the instances that coordinate placement, in order of name.
+
+        A few instances all do. Of many, the `COORDINATORS_A_ZONE` with the highest
+        hash of their names do in each zone, so that one that comes or goes changes
+        at most one of them.
+        """
+        present = self.present(now)
+        if len(present) <= MAX_COORDINATORS:
+            return present
+        by_zone: dict[str, list[InstanceRecord]] = {}
+        for record in present:
+            by_zone.setdefault(record.availability_zone, []).append(record)
+        chosen: list[InstanceRecord] = []
+        for records in by_zone.values():
+            chosen += sorted(records, key=_hash, reverse=True)[:COORDINATORS_A_ZONE]
+        return sorted(chosen, key=lambda record: record.name)
+
+
+def _hash(record: InstanceRecord) -> bytes:
+    return hashlib.blake2b(record.name.encode(), digest_size=8).digest()
--- a/reachlink/membership/_spreading.py
+++ b/reachlink/membership/_spreading.py
@@ -43,8 +43,9 @@
 
     `fresh` tells whether the answer covers everything accepted before the
     request, and `stale` that the answering instance has lost its leader.
-    `controls` are the control instances that it knows, `peers` the entry
-    instances that the asker exchanges load with.
+    `controls` are the control instances that it knows, `coordinators` the entry
+    instances that coordinate placement, the asker itself if it is one, and
+    `instances` the number of all entry instances.
     """
 
     revision: int
@@ -53,7 +54,8 @@
     values: dict[str, object] | None = None
     stale: bool = False
     controls: list[InstanceRecord] = []
-    peers: list[InstanceRecord] = []
+    coordinators: list[InstanceRecord] = []
+    instances: int = 0
 
 
 class SettingsHolder:
--- a/reachlink/membership/tests/test_roster.py
+++ b/reachlink/membership/tests/test_roster.py
@@ -1,5 +1,7 @@
 """Which entry instances exchange load."""
 
+from collections import Counter
+
 from reachlink.membership import InstanceRecord, Roster
 
 
@@ -14,18 +16,32 @@
     assert [r.name for r in roster.present(5.0)] == ["e2"]
 
 
-def test_a_few_instances_all_know_each_other():
+def test_a_few_instances_all_coordinate():
     roster = Roster()
     roster.note([record("e1"), record("e2", "b"), record("e3", "c")], 0.0)
-    assert [r.name for r in roster.peers_of(record("e2", "b"), 0.0)] == ["e1", "e3"]
+    assert [r.name for r in roster.coordinators(0.0)] == ["e1", "e2", "e3"]
+
+
+def test_of_many_instances_some_of_each_zone_coordinate():
+    roster = Roster()
+    roster.note([record(f"e{i:03d}", "abcde"[i % 5]) for i in range(400)], 0.0)
+    chosen = roster.coordinators(0.0)
+    assert Counter(r.availability_zone for r in chosen) == dict.fromkeys("abcde", 2)
 
 
-def test_many_instances_know_a_bounded_number_of_neighbours_both_ways():
+def test_an_instance_that_comes_or_goes_changes_one_coordinator_at_most():
+    many = [record(f"e{i:03d}", "abc"[i % 3]) for i in range(60)]
     roster = Roster()
-    many = [record(f"e{i:03d}", "ab"[i % 2]) for i in range(400)]
     roster.note(many, 0.0)
-    known = {r.name: {p.name for p in roster.peers_of(r, 0.0)} for r in many}
-    assert all(len(peers) == 24 for peers in known.values())
-    assert all(name in known[peer] for name, peers in known.items() for peer in peers)
-    zones = {r.name: r.availability_zone for r in many}
-    assert all(zones[n] == zones[p] for n, peers in known.items() for p in peers)
+    before = {r.name for r in roster.coordinators(0.0)}
+    for gone in many:
+        others = Roster()
+        others.note([r for r in many if r is not gone], 0.0)
+        after = {r.name for r in others.coordinators(0.0)}
+        assert len(before - after) == (1 if gone.name in before else 0)
+
+
+def test_every_zone_keeps_coordinators_however_few_it_has_left():
+    roster = Roster()
+    roster.note([record(f"e{i:03d}") for i in range(40)] + [record("f1", "b")], 0.0)
+    assert "f1" in {r.name for r in roster.coordinators(0.0)}
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -6,14 +6,19 @@
 from reachlink.requests._departures import NOTICE_S, Departures
 from reachlink.requests._model import AnswerSink, CallerRequest
 from reachlink.requests._parts import Directory, RetryTerms, RunnerParts
+from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
+from reachlink.requests._placing import Placing
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shared_load import (
     ListedReplica,
     LoadNote,
     MemoryNote,
     ReplicaNews,
+    ReplicaOutcome,
     ReplicaShare,
     SharedLoad,
+    shortened,
+    total,
 )
 from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
 
@@ -29,8 +34,13 @@
     "MemoryNote",
     "NOTICE_S",
     "Option",
+    "PlaceAnswer",
+    "PlaceQuestion",
+    "Placing",
+    "Purpose",
     "ReplicaBook",
     "ReplicaNews",
+    "ReplicaOutcome",
     "ReplicaShare",
     "ReplicaState",
     "RetryTerms",
@@ -42,4 +52,6 @@
     "SharedLoad",
     "StreamCutError",
     "choose",
+    "shortened",
+    "total",
 ]
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -1,13 +1,18 @@
 """What an entry instance knows of each replica's load and health."""
 
 import zlib
+from collections import deque
 from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
 
 from reachlink.placement import Health
 from reachlink.requests._shared_load import (
     JOIN_SETTLES_S,
     MemoryNote,
     ReplicaNews,
+    ReplicaOutcome,
     ReplicaShare,
 )
 from reachlink.upstreams import LoadSample
@@ -16,6 +21,12 @@
 SAMPLE_KEPT_S = 1.0
 # Memory in use, as a report tells it, says little after this many seconds.
 REPORT_KEPT_S = 1.0
+# What a coordinator says of a replica's health counts for this long, in seconds: it
+# says so about once a second.
+ALLOWANCE_KEPT_S = 2.5
+# Outcomes that are kept until a coordinator is told; with one request a second and
+# a telling a second, one or two.
+MAX_OUTCOMES = 64
 
 
 @dataclass(slots=True, eq=False)
@@ -90,6 +101,9 @@
         Load that it told last, at monotonic time `sampled_at`.
     own_at_sample : int
         How many flights this instance had there then.
+    told_allowance : float
+        Share of its usual load that it may get by what a coordinator said at
+        monotonic time `told_at`.
     """
 
     flights: set[Flight] = field(default_factory=set)
@@ -99,6 +113,8 @@
     sample: LoadSample | None = None
     sampled_at: float = float("-inf")
     own_at_sample: int = 0
+    told_allowance: float = 1.0
+    told_at: float = float("-inf")
 
     @property
     def own_tokens(self) -> int:
@@ -145,6 +161,10 @@
         times = [f.joins_at for f in self.flights if f.joins_at is not None]
         return min((at for at in times if at + JOIN_SETTLES_S > now), default=None)
 
+    def allowance_told(self, now: float) -> float:
+        """Return the share of its usual load that it may get by what a coordinator said."""
+        return self.told_allowance if now - self.told_at < ALLOWANCE_KEPT_S else 1.0
+
     def running(self, now: float, others_running: int = 0) -> int:
         """Return how many requests are likely there, waiting ones included.
 
@@ -175,6 +195,12 @@
         self.report, self.reported_at = news, read_at
         return True
 
+    def news(self, now: float) -> ReplicaNews | None:
+        """Return what its report said last, with its age as of now."""
+        if self.report is None:
+            return None
+        return msgspec.structs.replace(self.report, age_s=round(now - self.reported_at, 3))
+
     def take_sample(self, sample: LoadSample, now: float) -> None:
         """Note the load that the replica told."""
         self.sample, self.sampled_at = sample, now
@@ -187,6 +213,7 @@
     def __init__(self) -> None:
         self._states: dict[str, ReplicaState] = {}
         self._changes = 0
+        self._outcomes: deque[ReplicaOutcome] = deque(maxlen=MAX_OUTCOMES)
 
     def state(self, name: str) -> ReplicaState:
         """Return the state of a replica, a fresh one where it is new."""
@@ -195,6 +222,24 @@
             found = self._states[name] = ReplicaState()
         return found
 
+    def note_outcome(self, outcome: ReplicaOutcome, now: float, random: Random) -> None:
+        """Note how a request went at a replica, here or at an instance that tells."""
+        health = self.state(outcome.replica).health
+        if outcome.good:
+            health.on_success(now)
+        else:
+            health.on_failure(now, random)
+
+    def keep_outcome(self, outcome: ReplicaOutcome) -> None:
+        """Keep an outcome of an own request for the next note to a coordinator."""
+        self._outcomes.append(outcome)
+
+    def take_outcomes(self) -> list[ReplicaOutcome]:
+        """Return the outcomes that no note had so far."""
+        outcomes = list(self._outcomes)
+        self._outcomes.clear()
+        return outcomes
+
     @property
     def changes(self) -> int:
         """Counter that rises with every change that the other instances should know soon."""
--- a/reachlink/requests/_copy_targets.py
+++ b/reachlink/requests/_copy_targets.py
@@ -1,8 +1,8 @@
 """Where copies of one generation's memory may go."""
 
-from reachlink.requests._choice import COPY, COPY_HOME, RESCUE, Terms
 from reachlink.requests._dispatch import Dispatch
 from reachlink.requests._model import CallerRequest
+from reachlink.requests._place_question import Purpose
 from reachlink.upstreams import Replica
 
 # How long a generation orders no copy at a replica that has refused one or where
@@ -32,7 +32,7 @@
         """Order no copy at a replica for a while."""
         self._avoided_until[replica.name] = self._dispatch.now() + NO_ROOM_S
 
-    def standing(self, home: Replica, excluded: set[str], used_tokens: int) -> Replica | None:
+    async def standing(self, home: Replica, excluded: set[str], used_tokens: int) -> Replica | None:
         """Return where a copy should go while the home stays, if anywhere.
 
         Parameters
@@ -44,24 +44,26 @@
         used_tokens : int
             Memory that the generation takes now, in tokens.
         """
-        terms = COPY if self._placing.is_near(home) else COPY_HOME
-        return self._place(home, excluded, used_tokens, terms)
+        near = self._placing.is_near(home)
+        purpose = Purpose.STANDING_COPY if near else Purpose.COPY_AT_HOME
+        return await self._place(home, excluded, used_tokens, purpose)
 
-    def rescue(self, home: Replica, excluded: set[str], used_tokens: int) -> Replica | None:
+    async def rescue(self, home: Replica, excluded: set[str], used_tokens: int) -> Replica | None:
         """Return where a copy should go from a home that leaves, if anywhere."""
         # Time is short, and within the replica's zone a copy takes half of it.
-        return self._place(home, excluded, used_tokens, RESCUE, home.availability_zone)
+        zone = home.availability_zone
+        return await self._place(home, excluded, used_tokens, Purpose.RESCUE, zone)
 
-    def _place(
+    async def _place(
         self,
         home: Replica,
         excluded: set[str],
         used_tokens: int,
-        terms: Terms,
+        purpose: Purpose,
         zone: str = "",
     ) -> Replica | None:
         left_out = {home.name, *excluded, *self._avoided()}
-        return self._placing.place_copy(self._request.service, left_out, used_tokens, terms, zone)
+        return await self._placing.place_copy(self._request, left_out, used_tokens, purpose, zone)
 
     def _avoided(self) -> set[str]:
         now = self._dispatch.now()
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -9,6 +9,7 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placing import Placing, need_tokens
+from reachlink.requests._shared_load import ReplicaOutcome
 from reachlink.requests.exceptions import RequestFailedError
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
@@ -148,12 +149,16 @@
 
     def distrust(self, replica: Replica) -> None:
         """Note that a replica failed."""
-        state = self._parts.book.state(replica.name)
-        state.health.on_failure(self._parts.clock(), self._parts.random)
+        self._note_outcome(ReplicaOutcome(replica.name, good=False))
 
     def succeeded(self, replica: Replica) -> None:
         """Note that a replica delivered."""
-        self._parts.book.state(replica.name).health.on_success(self._parts.clock())
+        self._note_outcome(ReplicaOutcome(replica.name, good=True))
+
+    def _note_outcome(self, outcome: ReplicaOutcome) -> None:
+        parts = self._parts
+        parts.book.note_outcome(outcome, parts.clock(), parts.random)
+        parts.book.keep_outcome(outcome)
 
     def begin(self, request: CallerRequest) -> AttemptLog:
         """Return the empty log of a request's attempts, which earns its share of retries."""
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -96,12 +96,12 @@
         """Whether there is a backup or a shadow, be its memory there yet or not."""
         return self._backup is not None or self._shadow is not None
 
-    def begin(self, replica: Replica) -> None:
+    async def begin(self, replica: Replica) -> None:
         """Begin at a replica, with a backup where there is need and room for one."""
         self._home = self._occupy(replica, reads=True)
-        self._backup = self._choose_backup(set())
+        self._backup = await self._choose_backup(set())
 
-    def move_to(self, target: Replica) -> Replica:
+    async def move_to(self, target: Replica) -> Replica:
         """Make a replica the home, with a new backup; return the home before."""
         lost = self._home
         assert lost is not None
@@ -110,7 +110,7 @@
         self._drop_shadow()
         self._home = self._occupy(target)
         self._leaving_since = None
-        self._backup = self._choose_backup({target.name}, lost.replica)
+        self._backup = await self._choose_backup({target.name}, lost.replica)
         return lost.replica
 
     def note_prompt_read(self) -> None:
@@ -149,16 +149,16 @@
         while True:
             await asyncio.sleep(WATCH_S)
             if self._home is not None and self._joint.last >= 0:
-                self._look()
+                await self._look()
 
-    def _look(self) -> None:
+    async def _look(self) -> None:
         """Drop a shadow that is of no use, and begin one where it is needed."""
         leaving = self._note_leaving()
         if self._shadow is not None and not self._may_keep_shadow(leaving):
             self._drop_shadow()
         self._note_cover()
         if self._shadow is None and self._needs_shadow(leaving) and self._is_due():
-            self._begin_shadow(leaving)
+            await self._begin_shadow(leaving)
 
     def _note_leaving(self) -> bool:
         """Return whether the home leaves, and note since when."""
@@ -239,10 +239,12 @@
         worth_from = RESCUE_FROM_TOKENS if leaving else COPY_FROM_TOKENS
         return self._outlook().remaining_tokens >= worth_from
 
-    def _begin_shadow(self, leaving: bool) -> None:
+    async def _begin_shadow(self, leaving: bool) -> None:
         """Order a shadow where there is a replica for it."""
-        target = self._choose_shadow_target(leaving)
-        if target is None:
+        home = self._home
+        target = await self._choose_shadow_target(leaving)
+        # The generation may have gone on elsewhere while a coordinator was asked.
+        if target is None or self._home is not home:
             return
         self._log_shadow(target, leaving)
         self._shadow_place = self._occupy(target, copy=True)
@@ -259,10 +261,10 @@
             self._dispatch.now,
         )
 
-    def _choose_shadow_target(self, leaving: bool) -> Replica | None:
+    async def _choose_shadow_target(self, leaving: bool) -> Replica | None:
         excluded = {self._backup.replica.name} if self._backup is not None else set()
         choose = self._targets.rescue if leaving else self._targets.standing
-        return choose(self.home, excluded, self._outlook().used_tokens)
+        return await choose(self.home, excluded, self._outlook().used_tokens)
 
     def _log_shadow(self, target: Replica, leaving: bool) -> None:
         self._dispatch.log.info(
@@ -300,7 +302,9 @@
         near = self._home is None or self._placing.is_near(self._home.replica)
         return self._outlook().stake(near)
 
-    def _choose_backup(self, excluded: set[str], before: Replica | None = None) -> _Place | None:
+    async def _choose_backup(
+        self, excluded: set[str], before: Replica | None = None
+    ) -> _Place | None:
         """Choose a backup, if there is need and room for one, and note the copy there.
 
         The home before, where it stays, is as good a backup as any.
@@ -313,7 +317,7 @@
         home = self.home
         if before is not None and self._may_be_backup(before, home):
             return self._occupy(before, copy=True)
-        found = self._targets.standing(home, excluded, self._outlook().used_tokens)
+        found = await self._targets.standing(home, excluded, self._outlook().used_tokens)
         return self._occupy(found, copy=True) if found is not None else None
 
     def _may_be_backup(self, before: Replica, home: Replica) -> bool:
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -9,6 +9,7 @@
 from reachlink.requests._book import ReplicaBook
 from reachlink.requests._departures import Departures
 from reachlink.requests._model import CallerRequest
+from reachlink.requests._place_question import AskCoordinator, decide_here
 from reachlink.requests._shared_load import SharedLoad
 from reachlink.upstreams import RelayAdapter, Replica
 
@@ -25,6 +26,9 @@
     def may_get_work(self, name: str) -> bool:
         """Return whether a replica may get new work now."""
 
+    def know(self, name: str, upstream: str, zone: str, address: str) -> Replica:
+        """Return a replica that another instance has named, noting it where it is new."""
+
     def leaving(self, upstream: str, since: float) -> list[str]:
         """Return the replicas of a service that were found to leave since then."""
 
@@ -82,6 +86,8 @@
         Called with the name of a replica that seems to leave.
     cut_off : callable
         Returns whether this instance's zone is cut off from the others.
+    ask_coordinator : callable
+        Asks who knows what all instances have at the replicas.
     """
 
     zone: str
@@ -98,3 +104,4 @@
     silent_zones: Callable[[], Set[str]] = frozenset
     departures: Departures = field(default_factory=Departures)
     clock: Callable[[], float] = time.monotonic
+    ask_coordinator: AskCoordinator = decide_here
--- /dev/null
+++ b/reachlink/requests/_place_question.py
@@ -0,0 +1,117 @@
+"""What an instance asks its coordinator before it sends something to a model engine.
+
+The structs go over the wire as arrays: the order of their fields is the format,
+and new fields go to the end with a default.
+"""
+
+import zlib
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import msgspec
+
+from reachlink.requests._choice import COPY, COPY_HOME, REQUEST, RESCUE, Terms
+from reachlink.requests._shared_load import ListedReplica, MemoryNote, ReplicaShare
+
+
+class Purpose(Enum):
+    """What is to be placed."""
+
+    REQUEST = "request"
+    STANDING_COPY = "standing copy"
+    COPY_AT_HOME = "copy at home"
+    RESCUE = "rescue"
+
+
+_TERMS = {
+    Purpose.REQUEST: REQUEST,
+    Purpose.STANDING_COPY: COPY,
+    Purpose.COPY_AT_HOME: COPY_HOME,
+    Purpose.RESCUE: RESCUE,
+}
+
+
+class PlaceQuestion(msgspec.Struct, array_like=True, frozen=True):
+    """Where a request, or a copy of a generation, should go.
+
+    Attributes
+    ----------
+    instance : str
+        Who asks.
+    request_id : str
+        The request.
+    service : str
+        Its service.
+    purpose : Purpose
+        What is to be placed.
+    tokens : int
+        Memory that it needs, in tokens: of a request at its end, of a copy now.
+    prompt_tokens : int
+        Prompt that a request has to have read, in tokens; 0 for copies.
+    excluded : tuple of str
+        Replicas that it must not go to.
+    zone : str
+        Zone whose replicas are preferred.
+    calm_only : bool
+        Whether it must not go where a generation is about to go on.
+    insist : bool
+        Whether a coordinator that knows little so far should decide nevertheless.
+    """
+
+    instance: str
+    request_id: str
+    service: str
+    purpose: Purpose
+    tokens: int
+    prompt_tokens: int = 0
+    excluded: tuple[str, ...] = ()
+    zone: str = ""
+    calm_only: bool = False
+    insist: bool = False
+
+    @property
+    def terms(self) -> Terms:
+        """On what terms an engine's memory is given."""
+        return _TERMS[self.purpose]
+
+    def occupies(self, replica: str) -> ReplicaShare:
+        """Return what the answer takes at a replica until the asker tells of it itself."""
+        if self.purpose is Purpose.REQUEST:
+            return ReplicaShare(
+                replica,
+                running=1,
+                tokens=self.tokens,
+                unread_tokens=self.prompt_tokens,
+                used_tokens=self.prompt_tokens,
+            )
+        if self.purpose is Purpose.RESCUE:
+            return ReplicaShare(
+                replica, running=0, tokens=self.tokens, used_tokens=self.tokens, arriving=1
+            )
+        copy = MemoryNote(zlib.crc32(self.request_id.encode()), self.tokens, 0)
+        return ReplicaShare(replica, running=0, tokens=0, copies=(copy,), arriving=1)
+
+
+class PlaceAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """Where to, as a coordinator decides.
+
+    Attributes
+    ----------
+    settled : bool
+        Whether it has been up for long enough to have heard of the others' load.
+        One that has not decides only where the question insists.
+    replica : ListedReplica, optional
+        The replica; None where none is fit.
+    """
+
+    settled: bool
+    replica: ListedReplica | None = None
+
+
+AskCoordinator = Callable[[PlaceQuestion], Awaitable[PlaceAnswer | None]]
+"""Asks a coordinator; None where this instance is to decide by itself."""
+
+
+async def decide_here(question: PlaceQuestion) -> PlaceAnswer | None:
+    """Ask nobody: this instance is a coordinator, or knows none."""
+    return None
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -3,11 +3,14 @@
 import asyncio
 from typing import Any
 
+from msgspec import structs
+
 from reachlink.placement import allowances
 from reachlink.requests._book import Flight, ReplicaState, time_until
-from reachlink.requests._choice import REQUEST, Option, Terms, choose, is_calm
+from reachlink.requests._choice import Option, choose, is_calm
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
+from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
 from reachlink.requests._stake_order import gives_way, rank
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
@@ -27,6 +30,9 @@
 # How long after a replica's notice its generations go first, in seconds: the
 # longest notice seen is 2.1 s.
 EVACUATION_S = 2.0
+# How long a coordinator is told of a replica that was found here to leave, in
+# seconds: longer than any of its readings of the list and of reports takes to come.
+LEAVING_TOLD_S = 5.0
 
 
 class Placing:
@@ -51,7 +57,7 @@
         """Return whether a replica is there and not known to leave."""
         return self._parts.directory.may_get_work(replica.name)
 
-    def place(
+    async def place(
         self, request: CallerRequest, tried: set[str], calm_only: bool = False
     ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
@@ -67,38 +73,86 @@
             to go on there. Prompts sent in the 0.4 s before made 32 in 100 of these
             (of 69) pause beyond their route's goal, 4 in 100 (of 113) without.
         """
-        options = self._options(request.service, tried)
-        if calm_only:
-            options = [o for o in options if is_calm(o, READING_S)]
-        return self._found(choose(options, need_tokens(request), self._parts.random, REQUEST))
+        question = self.question(request, tried, calm_only)
+        answer = await self._ask(request.service, question)
+        return self.decide(request.service, question) if answer is None else self._named(answer)
+
+    def question(
+        self, request: CallerRequest, tried: set[str], calm_only: bool = False
+    ) -> PlaceQuestion:
+        """Return the question where a request should go; see `place`."""
+        return PlaceQuestion(
+            instance="",
+            request_id=request.request_id,
+            service=request.service.name,
+            purpose=Purpose.REQUEST,
+            tokens=need_tokens(request),
+            prompt_tokens=request.prompt_tokens,
+            excluded=tuple(tried),
+            zone=self._parts.zone,
+            calm_only=calm_only,
+        )
 
-    def place_copy(
-        self, service: Service, excluded: set[str], tokens: int, terms: Terms, zone: str = ""
+    async def place_copy(
+        self, request: CallerRequest, excluded: set[str], tokens: int, purpose: Purpose, zone: str
     ) -> Replica | None:
         """Return the replica that a copy of a generation should go to, if any.
 
         Parameters
         ----------
-        service : Service
-            The generation's service.
+        request : CallerRequest
+            Request that the generation serves.
         excluded : set of str
             Replicas that it must not go to.
         tokens : int
             Memory that the generation takes now, in tokens.
-        terms : Terms
-            On what terms an engine's memory is given.
+        purpose : Purpose
+            What the copy is for.
         zone : str
             Zone whose replicas are preferred; this instance's where empty.
         """
-        return self._choose(service, excluded, tokens, terms, zone)
+        question = PlaceQuestion(
+            instance="",
+            request_id=request.request_id,
+            service=request.service.name,
+            purpose=purpose,
+            tokens=tokens,
+            excluded=tuple(excluded),
+            zone=zone or self._parts.zone,
+        )
+        found = self.decide(request.service, question)
+        # What is known here is a second old at most: good enough not to ask in vain,
+        # many times a second, for copies that are wanted but not needed.
+        if found is None and purpose is not Purpose.RESCUE:
+            return None
+        answer = await self._ask(request.service, question)
+        return found if answer is None else self._named(answer)
 
-    def _choose(
-        self, service: Service, excluded: set[str], tokens: int, terms: Terms, zone: str
-    ) -> Replica | None:
-        options = self._options(service, excluded, zone)
-        return self._found(choose(options, tokens, self._parts.random, terms))
+    def _named(self, answer: PlaceAnswer) -> Replica | None:
+        """Return the replica that a coordinator has named, unless it is known to leave."""
+        listed = answer.replica
+        if listed is None:
+            return None
+        replica = self._parts.directory.know(
+            listed.name, listed.service, listed.availability_zone, listed.address
+        )
+        return replica if self.stays(replica) else None
 
-    def _found(self, name: str | None) -> Replica | None:
+    async def _ask(self, service: Service, question: PlaceQuestion) -> PlaceAnswer | None:
+        if service.engine is None:
+            return None
+        parts = self._parts
+        # The coordinator may not have heard yet of those that are known here to leave.
+        leaving = parts.directory.leaving(service.name, parts.clock() - LEAVING_TOLD_S)
+        excluded = tuple({*question.excluded, *leaving})
+        return await parts.ask_coordinator(structs.replace(question, excluded=excluded))
+
+    def decide(self, service: Service, question: PlaceQuestion) -> Replica | None:
+        """Return what this instance would answer to a question, by what it knows."""
+        options = self._options(service, set(question.excluded), question.zone)
+        if question.calm_only:
+            options = [o for o in options if is_calm(o, READING_S)]
+        name = choose(options, question.tokens, self._parts.random, question.terms)
         return self._parts.directory.find(name) if name is not None else None
 
     def evacuating(self, service: Service) -> bool:
@@ -138,7 +192,7 @@
         until = request.arrived_at + request.route.objective_s * WAIT_SHARE
         while True:
             waits = parts.clock() < until
-            replica = self.place(request, tried, calm_only=waits)
+            replica = await self.place(request, tried, calm_only=waits)
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
@@ -157,7 +211,8 @@
         now = parts.clock()
         live = [r for r in self._reachable(service.name, now) if r.name not in tried]
         states = {r.name: parts.book.state(r.name) for r in live}
-        trust = allowances({name: s.health for name, s in states.items()}, now)
+        own_trust = allowances({name: s.health for name, s in states.items()}, now)
+        trust = {name: min(own_trust[name], s.allowance_told(now)) for name, s in states.items()}
         near = zone or parts.zone
         return [self._option(service, r, states[r.name], trust[r.name], near, now) for r in live]
 
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -6,6 +6,7 @@
 from reachlink.requests._dispatch import Dispatch
 from reachlink.requests._model import AnswerSink, CallerRequest
 from reachlink.requests._parts import RunnerParts
+from reachlink.requests._placing import Placing
 from reachlink.requests._streams import StreamRunner
 from reachlink.requests._whole import WholeRunner
 from reachlink.requests.exceptions import RequestFailedError, StreamCutError
@@ -27,6 +28,11 @@
         self._whole = WholeRunner(self._dispatch)
         self._streams = StreamRunner(self._dispatch)
 
+    @property
+    def placing(self) -> Placing:
+        """Chooses replicas."""
+        return self._dispatch.placing
+
     def out_of_reach(self, service: str) -> bool:
         """Return whether this zone is cut off and has no replica of a service."""
         return self._dispatch.placing.out_of_reach(service)
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -132,6 +132,21 @@
     leaving: bool
 
 
+class ReplicaOutcome(msgspec.Struct, array_like=True, frozen=True):
+    """How a request went at a replica.
+
+    Attributes
+    ----------
+    replica : str
+        The replica.
+    good : bool
+        Whether it delivered.
+    """
+
+    replica: str
+    good: bool
+
+
 class LoadNote(msgspec.Struct, array_like=True, frozen=True):
     """All of an instance's own requests, and what it read in reports and the list lately.
 
@@ -170,53 +185,114 @@
     >>> load.take(LoadNote("e1", [ReplicaShare("r1", running=2, tokens=7000)]), 0.0)
     >>> load.at("r1", 1.0).tokens
     7000
+    >>> load.at("r1", 1.0, without="e1").tokens
+    0
     >>> load.at("r1", 9.0).tokens
     0
     """
 
     def __init__(self) -> None:
         self._told: dict[str, _Told] = {}
+        # Which instances have requests at a replica: a sum over some ten of them in
+        # place of all that tell.
+        self._present: dict[str, set[str]] = {}
         # Kept longer than what was told, to know for how long an instance is silent.
         self._heard: dict[str, float] = {}
 
     def take(self, note: LoadNote, now: float) -> None:
         """Take what one instance tells, in place of what it told before."""
         self._heard[note.instance] = now
+        self._drop(note.instance)
         self._told[note.instance] = _Told({s.replica: s for s in note.shares}, now)
+        for share in note.shares:
+            self._present.setdefault(share.replica, set()).add(note.instance)
+
+    def add(self, instance: str, share: ReplicaShare, now: float) -> None:
+        """Add to what an instance told, until it tells again.
+
+        For a request that was just placed for it: its own note follows some
+        milliseconds later, and others are placed meanwhile.
+        """
+        if instance in self._told and now - self._told[instance].at > KEPT_S:
+            self._drop(instance)
+        told = self._told.setdefault(instance, _Told({}, now))
+        before = told.shares.get(share.replica)
+        told.shares[share.replica] = total([before, share]) if before else share
+        self._present.setdefault(share.replica, set()).add(instance)
+
+    def forget(self, instance: str) -> None:
+        """Drop what an instance told: it tells another one from now on, or is gone."""
+        self._drop(instance)
+        self._heard.pop(instance, None)
 
     def last_heard(self, instance: str) -> float:
         """Return when an instance told something last, in monotonic seconds."""
         return self._heard.get(instance, float("-inf"))
 
-    def at(self, replica: str, now: float) -> ReplicaShare:
-        """Return the sum of the other instances' requests at a replica."""
-        running = tokens = unread = used = arriving = 0
-        joins: list[float] = []
-        copies: list[MemoryNote] = []
-        uncovered: list[MemoryNote] = []
-        for name, told in list(self._told.items()):
+    def told_by(self, instance: str, now: float) -> list[ReplicaShare]:
+        """Return what one instance told, with times as of now."""
+        told = self._told.get(instance)
+        if told is None or now - told.at > KEPT_S:
+            return []
+        return [_later(share, now - told.at) for share in told.shares.values()]
+
+    def at(self, replica: str, now: float, without: str = "") -> ReplicaShare:
+        """Return the sum of the other instances' requests at a replica.
+
+        Parameters
+        ----------
+        replica : str
+            The replica.
+        now : float
+            Monotonic time in seconds.
+        without : str
+            Instance whose requests are left out.
+        """
+        shares: list[ReplicaShare] = []
+        for name in list(self._present.get(replica, ())):
+            told = self._told[name]
             if now - told.at > KEPT_S:
-                del self._told[name]
-                continue
-            share = told.shares.get(replica)
-            if share is not None:
-                running += share.running
-                tokens += share.tokens
-                unread += share.unread_tokens
-                used += share.used_tokens
-                copies.extend(share.copies)
-                uncovered.extend(share.uncovered)
-                arriving += share.arriving
-                if share.joins_in_s is not None:
-                    joins.append(share.joins_in_s - (now - told.at))
-        return ReplicaShare(
-            replica=replica,
-            running=running,
-            tokens=tokens,
-            unread_tokens=unread,
-            used_tokens=used,
-            copies=tuple(copies),
-            uncovered=tuple(uncovered),
-            arriving=arriving,
-            joins_in_s=min((s for s in joins if s + JOIN_SETTLES_S > 0.0), default=None),
-        )
+                self._drop(name)
+            elif name != without:
+                shares.append(_later(told.shares[replica], now - told.at))
+        return total(shares) if shares else ReplicaShare(replica, 0, 0)
+
+    def _drop(self, instance: str) -> None:
+        told = self._told.pop(instance, None)
+        for replica in told.shares if told else ():
+            self._present[replica].discard(instance)
+
+
+def total(shares: list[ReplicaShare]) -> ReplicaShare:
+    """Return the sum of several instances' requests at one replica; there must be some."""
+    joins = [s.joins_in_s for s in shares if s.joins_in_s is not None]
+    return ReplicaShare(
+        replica=shares[0].replica,
+        running=sum(s.running for s in shares),
+        tokens=sum(s.tokens for s in shares),
+        unread_tokens=sum(s.unread_tokens for s in shares),
+        used_tokens=sum(s.used_tokens for s in shares),
+        copies=tuple(copy for s in shares for copy in s.copies),
+        uncovered=tuple(note for s in shares for note in s.uncovered),
+        arriving=sum(s.arriving for s in shares),
+        joins_in_s=min((s for s in joins if s + JOIN_SETTLES_S > 0.0), default=None),
+    )
+
+
+def shortened(share: ReplicaShare) -> ReplicaShare:
+    """Return a share whose copies and generations are one sum each, for who has none there."""
+    return msgspec.structs.replace(
+        share, copies=_sum_of(share.copies), uncovered=_sum_of(share.uncovered)
+    )
+
+
+def _sum_of(notes: tuple[MemoryNote, ...]) -> tuple[MemoryNote, ...]:
+    if not notes:
+        return ()
+    return (MemoryNote(0, sum(n.tokens for n in notes), max(n.stake for n in notes)),)
+
+
+def _later(share: ReplicaShare, passed_s: float) -> ReplicaShare:
+    if share.joins_in_s is None:
+        return share
+    return msgspec.structs.replace(share, joins_in_s=round(share.joins_in_s - passed_s, 3))
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -75,7 +75,7 @@
         """Begin at a replica and follow to the end; return why it did not begin, if so."""
         watch = asyncio.create_task(self._places.watch())
         try:
-            self._places.begin(replica)
+            await self._places.begin(replica)
             return await self._run()
         finally:
             watch.cancel()
@@ -121,7 +121,7 @@
 
     async def _continue_at(self, target: Replica, memory: MovedMemory) -> RelayAnswer | None:
         """Ask a replica to go on; return None where it cannot."""
-        lost = self._places.move_to(target)
+        lost = await self._places.move_to(target)
         self._moves += 1
         self._moved = True
         self._dispatch.log.info(
--- /dev/null
+++ b/reachlink/requests/tests/test_shared_load.py
@@ -0,0 +1,54 @@
+"""The sum of what the others have is the sum, whatever comes in whatever order."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reachlink.requests import LoadNote, ReplicaShare, SharedLoad
+
+KEPT_S = 3.0
+INSTANCES = st.sampled_from(["e1", "e2", "e3"])
+SHARES = st.lists(
+    st.builds(
+        ReplicaShare,
+        replica=st.sampled_from(["r1", "r2"]),
+        running=st.integers(0, 3),
+        tokens=st.integers(0, 9_000),
+    ),
+    max_size=2,
+    unique_by=lambda share: share.replica,
+)
+STEPS = st.one_of(
+    st.tuples(st.just("take"), INSTANCES, SHARES),
+    st.tuples(st.just("add"), INSTANCES, SHARES),
+    st.tuples(st.just("forget"), INSTANCES),
+    st.tuples(st.just("wait"), st.sampled_from([0.5, 2.0, 3.5])),
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(STEPS, max_size=20))
+def test_the_sum_is_that_of_what_each_told_last_and_not_too_long_ago(steps):
+    load, now = SharedLoad(), 0.0
+    told: dict[str, tuple[float, dict[str, int]]] = {}
+    for step in steps:
+        match step:
+            case ("take", name, shares):
+                load.take(LoadNote(name, shares), now)
+                told[name] = (now, {s.replica: s.tokens for s in shares})
+            case ("add", name, shares):
+                for share in shares:
+                    load.add(name, share, now)
+                    _, tokens = told.setdefault(name, (now, {}))
+                    tokens[share.replica] = tokens.get(share.replica, 0) + share.tokens
+            case ("forget", name):
+                load.forget(name)
+                told.pop(name, None)
+            case ("wait", seconds):
+                now += seconds
+        told = {n: (at, t) for n, (at, t) in told.items() if now - at <= KEPT_S}
+        for replica in ("r1", "r2"):
+            for without in ("", "e1"):
+                expected = sum(
+                    tokens.get(replica, 0) for n, (_, tokens) in told.items() if n != without
+                )
+                assert load.at(replica, now, without).tokens == expected
