Idle instances rest: changes wake those that tell, readers of reports are remembered

Cause: each instance woke 33 times a second for its notes whether anything had changed, and hashed every replica with every reader five times a second. At a start all 195 read the platform's list at once, which answers 44 a second.

Change: a change wakes the teller; who reads a replica is remembered until the readers change; an instance waits 1 to 2 s to learn whether another reads the list for it.

--- a/reachlink/coordination/_member.py
+++ b/reachlink/coordination/_member.py
@@ -89,6 +89,9 @@
         self._clock = clock
         self._picture: Picture | None = None
         self._pictured_at = float("-inf")
+        self._has_list = False
+        self._changed = asyncio.Event()
+        book.listen(self._changed.set)
         self._log: Any = get_logger()
 
     @property
@@ -98,6 +101,11 @@
             return None
         return self._picture
 
+    @property
+    def has_list(self) -> bool:
+        """Whether a coordinator keeps the list of replicas up to date here."""
+        return self._has_list and self.picture is not None
+
     async def ask(self, question: PlaceQuestion) -> PlaceAnswer | None:
         """Return what a coordinator decides; None where this instance should.
 
@@ -162,15 +170,14 @@
 
     async def _tell(self) -> None:
         """Tell of each change at once."""
-        told = self._book.changes
         while True:
+            await self._changed.wait()
+            self._changed.clear()
+            if self._attachment.is_member:
+                coordinator = self._attachment.preferred(self._clock())[0]
+                note = encode(self._note(coordinator.name, 0.0))
+                self._bus.send(coordinator.address, CHANNEL_MEMBER, note)
             await asyncio.sleep(FASTEST_S)
-            if self._book.changes == told or not self._attachment.is_member:
-                continue
-            told = self._book.changes
-            coordinator = self._attachment.preferred(self._clock())[0]
-            note = encode(self._note(coordinator.name, 0.0))
-            self._bus.send(coordinator.address, CHANNEL_MEMBER, note)
 
     def _note(self, coordinator: str, wait_s: float) -> MemberNote:
         load = LoadNote(self._name, self._book.shares(self._clock()), self._tell_news())
@@ -187,7 +194,8 @@
             self._log.info("coordinator_followed", coordinator=picture.coordinator)
         self._picture, self._pictured_at = picture, now
         self._shared.take(LoadNote(picture.coordinator, picture.shares), now)
-        if picture.listed is not None:
+        if picture.listed:
+            self._has_list = True
             self._directory.update(as_instances(picture.listed), now)
         self._take_news(picture.news)
         for replica, allowance in picture.allowances.items():
--- a/reachlink/coordination/_messages.py
+++ b/reachlink/coordination/_messages.py
@@ -52,7 +52,8 @@
     list_digest : int
         Digest of the list of replicas.
     listed : list of ListedReplica, optional
-        That list, where the member has another.
+        That list, where the member has another; empty where the coordinator has
+        not read it yet.
     silent_zones : list of str
         Zones that cannot be reached.
     cut_off : bool
--- a/reachlink/entry/_list_reader.py
+++ b/reachlink/entry/_list_reader.py
@@ -7,6 +7,8 @@
 import asyncio
 import time
 from collections.abc import Callable
+from enum import Enum
+from random import Random
 
 from reachlink.entry._list_news import ListNews
 from reachlink.membership import (
@@ -22,9 +24,15 @@
 # Longest time between two readings that sharing leads to, in seconds: an instance
 # that hears nothing of the others is not further behind.
 LONGEST_TURN_S = 3.0
-# How long until an instance that another reads for looks whether it still does, in
-# seconds.
+# How long until an instance that another reads for looks whether it still does, and
+# how often one that does not know yet whether another will looks, in seconds.
 LOOK_S = 0.5
+FIRST_LOOK_S = 0.05
+# How long an instance waits to learn that, in seconds, and by how much more at the
+# most, by chance: where all start at once, some 200 readings would meet a platform
+# that answers 44 a second.
+PATIENCE_S = 1.0
+PATIENCE_SPREAD_S = 1.0
 # Factor on the wait for each refusal by a busy platform, and for each answer.
 SLOWER = 1.6
 FASTER = 0.95
@@ -32,6 +40,14 @@
 MOST_SLOWDOWN = 12.0
 
 
+class ReadingRole(Enum):
+    """Whether an instance reads the list itself."""
+
+    READS = "reads"
+    TOLD = "told by another"
+    UNKNOWN = "not known yet"
+
+
 class ListReader:
     """Keeps a directory up to date.
 
@@ -49,8 +65,10 @@
         Shortest time between two readings here, in seconds.
     shared_interval_s : float
         Time between two readings by any of them, in seconds.
-    told_by_another : callable
-        Returns whether another instance reads the list for this one.
+    role : callable
+        Returns whether this instance reads the list itself.
+    random : random.Random
+        Source of jitter.
     """
 
     def __init__(
@@ -61,7 +79,8 @@
         instances: Callable[[], int],
         interval_s: float,
         shared_interval_s: float,
-        told_by_another: Callable[[], bool] = lambda: False,
+        role: Callable[[], ReadingRole],
+        random: Random,
     ) -> None:
         self._platform = platform
         self._directory = directory
@@ -69,7 +88,8 @@
         self._instances = instances
         self._shortest_s = interval_s
         self._shared_s = shared_interval_s
-        self._told_by_another = told_by_another
+        self._role = role
+        self._random = random
         self._slowdown = 1.0
         self._log = get_logger()
         self._has_read = False
@@ -79,20 +99,31 @@
     @property
     def has_read(self) -> bool:
         """Whether the list was read, here or for this instance, at least once."""
-        self._has_read = self._has_read or self._told_by_another()
+        self._has_read = self._has_read or self._role() is ReadingRole.TOLD
         return self._has_read
 
     async def run(self) -> None:
         """Work until cancelled."""
         while True:
-            if self._told_by_another():
-                await asyncio.sleep(LOOK_S)
-                continue
+            await self._wait_for_turn()
             started = time.monotonic()
             await self._read_once()
             passed = time.monotonic() - started
             await asyncio.sleep(max(0.0, self._interval_s() - passed))
 
+    async def _wait_for_turn(self) -> None:
+        """Wait while another instance reads, and for a while to learn whether one does."""
+        patience = PATIENCE_S + self._random.random() * PATIENCE_SPREAD_S
+        unknown_since = time.monotonic()
+        while (role := self._role()) is not ReadingRole.READS:
+            if role is ReadingRole.TOLD:
+                unknown_since = time.monotonic()
+                await asyncio.sleep(LOOK_S)
+                continue
+            if time.monotonic() - unknown_since > patience:
+                return
+            await asyncio.sleep(FIRST_LOOK_S)
+
     def _interval_s(self) -> float:
         """Return the time between two readings here, in seconds."""
         turn = self._shared_s * self._instances()
--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -57,13 +57,14 @@
     ) -> None:
         self._name = name
         self._bus = bus
-        self._book = book
         self._shares = shares
         self._shared = shared
         self._reports = reports
         self._listed = listed
         self._clock = clock
         self._peers: list[InstanceRecord] = []
+        self._changed = asyncio.Event()
+        book.listen(self._changed.set)
         bus.handle(CHANNEL_LOAD, self._on_note)
 
     @property
@@ -89,18 +90,25 @@
 
     async def run(self) -> None:
         """Work until cancelled."""
-        # The book's count of changes when the last note was sent; none was yet.
-        told = -1
-        told_at = self._clock()
         while True:
+            await self._wait_for_change()
+            self._changed.clear()
+            if self._peers:
+                self._tell()
             await asyncio.sleep(FASTEST_S + FASTEST_PER_PEER_S * len(self._peers))
-            changes = self._book.changes
-            if changes == told and self._clock() - told_at < SLOWEST_S:
-                continue
-            told, told_at = changes, self._clock()
-            note = encode(self._note())
-            for peer in self._peers:
-                self._bus.send(peer.address, CHANNEL_LOAD, note)
+
+    async def _wait_for_change(self) -> None:
+        try:
+            async with asyncio.timeout(SLOWEST_S):
+                await self._changed.wait()
+        except TimeoutError:
+            # Nothing has changed: the others are told that this instance is there.
+            return
+
+    def _tell(self) -> None:
+        note = encode(self._note())
+        for peer in self._peers:
+            self._bus.send(peer.address, CHANNEL_LOAD, note)
 
     def _note(self) -> LoadNote:
         return LoadNote(
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from random import Random
 
 from aiohttp import web
 
@@ -40,7 +41,8 @@
             self._node.list_readers,
             config.platform.interval_s,
             config.platform.shared_interval_s,
-            self._node.is_told,
+            self._node.reading_role,
+            Random(),
         )
         self._border: CallerBorder = CALLER_BORDERS.get(config.border)(self._node)
         self._runners: list[web.AppRunner] = []
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -10,6 +10,7 @@
 from reachlink.coordination import Attachment, Coordinator, Member
 from reachlink.entry._isolation import Isolation
 from reachlink.entry._list_news import ListNews
+from reachlink.entry._list_reader import ReadingRole
 from reachlink.entry._load_teller import LoadTeller
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_metrics import RelayMetrics
@@ -213,9 +214,13 @@
         """Return how many instances read the platform's list by turns."""
         return max(1, len(self.attachment.coordinators))
 
-    def is_told(self) -> bool:
-        """Return whether a coordinator tells this instance what it has to know."""
-        return self.attachment.is_member and self.member.picture is not None
+    def reading_role(self) -> ReadingRole:
+        """Return whether this instance reads the platform's list itself."""
+        if not self.attachment.coordinators:
+            return ReadingRole.UNKNOWN
+        if not self.attachment.is_member:
+            return ReadingRole.READS
+        return ReadingRole.TOLD if self.member.has_list else ReadingRole.UNKNOWN
 
     def cut_off(self) -> bool:
         """Return whether this instance's zone is cut off from the others."""
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -67,6 +67,8 @@
         self._clock = clock
         self._zone = zone
         self._readers = [name]
+        # Who reads each replica: asked for five times a second, changes with the readers.
+        self._reader_of: dict[str, str] = {}
         self._own: dict[str, tuple[float, ReplicaNews]] = {}
         self._departures = departures
         # Called when a replica is found to leave.
@@ -77,7 +79,10 @@
 
     def take_readers(self, names: Iterable[str]) -> None:
         """Take the instances that share the reading, this one included if it does."""
-        self._readers = sorted(names)
+        readers = sorted(names)
+        if readers != self._readers:
+            self._readers = readers
+            self._reader_of.clear()
 
     def news(self) -> list[ReplicaNews]:
         """Return what was read here lately."""
@@ -109,10 +114,12 @@
                 task.add_done_callback(self._tasks.discard)
 
     def _due(self) -> list[Replica]:
+        carrying = set(self._book.carrying())
+        if not carrying and self._name not in self._readers:
+            return []
         engines = self._engines()
         replicas = [r for service in engines for r in self._directory.live(service)]
         replicas += self._leaving_soon(engines)
-        carrying = set(self._book.carrying())
         return [
             r for r in replicas if r.name not in self._reading and self._falls_here(r, carrying)
         ]
@@ -125,18 +132,21 @@
         return [replica for replica in found if replica is not None]
 
     def _falls_here(self, replica: Replica, carrying: set[str]) -> bool:
-        if self._reader_of(replica.name) == self._name:
+        if self._usual_reader(replica.name) == self._name:
             return True
         silent = self._clock() - self._book.state(replica.name).reported_at
         near = self._name in self._readers and replica.availability_zone == self._zone
         return silent > OTHERS_SILENT_S and (near or replica.name in carrying)
 
-    def _reader_of(self, replica: str) -> str:
+    def _usual_reader(self, replica: str) -> str:
         """Return the instance that reads a replica: the highest hash of both names."""
-        return max(
-            self._readers,
-            key=lambda name: hashlib.blake2b(f"{name} {replica}".encode(), digest_size=8).digest(),
-        )
+        found = self._reader_of.get(replica)
+        if found is None:
+            found = self._reader_of[replica] = max(
+                self._readers,
+                key=lambda n: hashlib.blake2b(f"{n} {replica}".encode(), digest_size=8).digest(),
+            )
+        return found
 
     async def _read(self, replica: Replica) -> None:
         try:
--- a/reachlink/entry/tests/test_list_news.py
+++ b/reachlink/entry/tests/test_list_news.py
@@ -1,7 +1,9 @@
 """Reading the platform's list by turns."""
 
+from random import Random
+
 from reachlink.entry._list_news import TOLD_S, ListNews
-from reachlink.entry._list_reader import LONGEST_TURN_S, ListReader
+from reachlink.entry._list_reader import LONGEST_TURN_S, ListReader, ReadingRole
 from reachlink.membership import InstanceState, ListedInstance, ReplicaDirectory
 
 NEW = ListedInstance("r1", "chat", "a", "r1:1")
@@ -36,7 +38,16 @@
 def reader(instances: int) -> ListReader:
     directory = ReplicaDirectory()
     news = ListNews(directory, lambda: None)
-    return ListReader(None, directory, news, lambda: instances, 0.5, 0.125)  # type: ignore[arg-type]
+    return ListReader(
+        None,  # type: ignore[arg-type]
+        directory,
+        news,
+        lambda: instances,
+        0.5,
+        0.125,
+        lambda: ReadingRole.READS,
+        Random(1),
+    )
 
 
 def test_the_more_instances_share_the_reading_the_seldomer_each_reads():
