Number of coordinators is a setting; memory is bounded as replicas come and go

Questions to coordinators are counted by how they end on the metrics page.

They are forgotten with the replica, beyond 2,000 names, and after 600 s.

--- a/reachlink/control/_config.py
+++ b/reachlink/control/_config.py
@@ -1,9 +1,12 @@
 """Configuration file of a control daemon."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
+from reachlink.membership import CoordinationLimits
+
 
 class ControlConfig(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
     """What a control daemon must know.
@@ -16,7 +19,9 @@
     instances look after their membership themselves, with ``voters`` voters;
     on the ``first_start`` of the whole system the seeds are the founders.
     ``borders`` are more operators' interfaces to serve, by their names, and
-    ``metrics_port`` is a port for the metrics page alone; 0 for none.
+    ``metrics_port`` is a port for the metrics page alone; 0 for none. Up to
+    ``coordinators_up_to`` entry instances all coordinate placement, beyond that
+    ``coordinators_per_zone`` of each zone do.
     """
 
     name: str
@@ -33,6 +38,13 @@
     first_start: bool = False
     borders: list[str] = []
     metrics_port: int = 0
+    coordinators_up_to: Annotated[int, msgspec.Meta(ge=0)] = CoordinationLimits().all_up_to
+    coordinators_per_zone: Annotated[int, msgspec.Meta(ge=1)] = CoordinationLimits().per_zone
+
+    @property
+    def coordination(self) -> CoordinationLimits:
+        """How many entry instances coordinate placement."""
+        return CoordinationLimits(self.coordinators_up_to, self.coordinators_per_zone)
 
     @property
     def folder(self) -> Path:
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -65,7 +65,12 @@
             started_at=process_started_at(),
         )
         self._server = ControlServer(
-            self._service, self._machine, self._storage, self._bus, self._clock
+            self._service,
+            self._machine,
+            self._storage,
+            self._bus,
+            self._clock,
+            config.coordination,
         )
         self._metrics = Metrics("control", config.name, config.availability_zone)
         self._runners: list[web.AppRunner] = []
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -41,7 +41,7 @@
 )
 from reachlink.control._watchers import Watchers
 from reachlink.kernel import Clock
-from reachlink.membership import InstanceRecord, SettingsAnswer
+from reachlink.membership import CoordinationLimits, InstanceRecord, SettingsAnswer
 from reachlink.messaging import Bus, MessagingError, PeerUnreachableError, decode, encode
 from reachlink.settings import SettingsTree
 
@@ -70,6 +70,8 @@
         For forwarding to the leader.
     clock : Clock
         Source of time.
+    limits : CoordinationLimits, optional
+        How many entry instances coordinate placement.
     """
 
     def __init__(
@@ -79,13 +81,14 @@
         storage: Storage,
         bus: Bus,
         clock: Clock,
+        limits: CoordinationLimits | None = None,
     ) -> None:
         self._service = service
         self._machine = machine
         self._storage = storage
         self._bus = bus
         self._clock = clock
-        self._watchers = Watchers()
+        self._watchers = Watchers(limits)
         self._announcements = Announcements()
         self._changed = asyncio.Event()
 
--- a/reachlink/control/_watchers.py
+++ b/reachlink/control/_watchers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from reachlink.control._protocol import WatcherStatus, WatchRequest
-from reachlink.membership import InstanceRecord, Roster
+from reachlink.membership import CoordinationLimits, InstanceRecord, Roster
 
 # A watcher that has not asked for this long is left out of the status, in seconds.
 WATCHER_FORGOTTEN_S = 60.0
@@ -20,11 +20,17 @@
 
 
 class Watchers:
-    """The entry instances that watch this control instance, and the roster of all."""
+    """The entry instances that watch this control instance, and the roster of all.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    limits : CoordinationLimits, optional
+        How many entry instances coordinate placement.
+    """
+
+    def __init__(self, limits: CoordinationLimits | None = None) -> None:
         self._watchers: dict[str, _Watcher] = {}
-        self._roster = Roster()
+        self._roster = Roster(limits)
 
     def note(self, request: WatchRequest, now: float) -> None:
         """Note that an instance asks for settings."""
--- a/reachlink/coordination/_member.py
+++ b/reachlink/coordination/_member.py
@@ -66,6 +66,8 @@
         Takes what was read in reports.
     tell_news : callable
         Returns what this instance found out itself.
+    count : callable
+        Is told how each question ended: ``"placed"``, ``"no_room"`` or ``"silent"``.
     clock : callable
         Monotonic time in seconds.
     """
@@ -80,6 +82,7 @@
         directory: ReplicaDirectory,
         take_news: Callable[[Iterable[ReplicaNews]], None],
         tell_news: Callable[[], list[ReplicaNews]],
+        count: Callable[[str], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._attachment = attachment
@@ -90,6 +93,7 @@
         self._directory = directory
         self._take_news = take_news
         self._tell_news = tell_news
+        self._count = count
         self._clock = clock
         self._picture: Picture | None = None
         self._pictured_at = float("-inf")
@@ -127,7 +131,15 @@
         """
         if not self._attachment.is_member:
             return None
-        question = structs.replace(question, instance=self._name)
+        answer = await self._ask_in_turn(structs.replace(question, instance=self._name))
+        if answer is None:
+            self._count("silent")
+            self._log.info("coordinators_silent", request_id=question.request_id)
+        else:
+            self._count("no_room" if answer.replica is None else "placed")
+        return answer
+
+    async def _ask_in_turn(self, question: PlaceQuestion) -> PlaceAnswer | None:
         unsettled: InstanceRecord | None = None
         for coordinator in self._attachment.preferred(self._clock())[:ASKED]:
             answer = await self._ask_one(coordinator, question)
@@ -136,7 +148,6 @@
             if answer is not None:
                 unsettled = unsettled or coordinator
         if unsettled is None:
-            self._log.info("coordinators_silent", request_id=question.request_id)
             return None
         return await self._ask_one(unsettled, structs.replace(question, insist=True))
 
--- a/reachlink/coordination/tests/test_coordination.py
+++ b/reachlink/coordination/tests/test_coordination.py
@@ -50,11 +50,13 @@
 def test_what_was_just_placed_counts_before_the_member_tells_of_it():
     async def play():
         _, _, (m1, m2) = fleet(coordinators=1)
-        return [(await m.member.ask(question(20_000))).replica for m in (m1, m2, m1)]
+        placed = [(await m.member.ask(question(20_000))).replica for m in (m1, m2, m1)]
+        return placed, m1.outcomes
 
-    first, second, third = asyncio.run(play())
+    (first, second, third), outcomes = asyncio.run(play())
     assert {first.name, second.name} == {"r1", "r2"}
     assert third is None
+    assert outcomes == ["placed", "no_room"]
 
 
 def test_what_was_placed_counts_once_when_the_member_has_told_of_it():
--- a/reachlink/coordination/tests/world.py
+++ b/reachlink/coordination/tests/world.py
@@ -69,6 +69,7 @@
         self.directory = ReplicaDirectory()
         self.attachment = Attachment(name, zone)
         self.news: list[object] = []
+        self.outcomes: list[str] = []
         bus = MemoryBus(network, name)
         self.member = Member(
             self.attachment,
@@ -79,6 +80,7 @@
             self.directory,
             self.news.extend,
             list,
+            self.outcomes.append,
             self.clock,
         )
         parts = RunnerParts(
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -15,6 +15,9 @@
         self.duration = self._metrics.histogram(
             "reachlink_request_duration", "s", "Time from request to the end of its answer."
         )
+        self.questions = self._metrics.counter(
+            "reachlink_placement_questions", "1", "Questions to coordinators by how they ended."
+        )
 
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -75,6 +75,7 @@
             self.directory,
             self.reports.take,
             self.reports.news,
+            lambda outcome: self.metrics.questions.add(1, {"outcome": outcome}),
         )
         self._instances = 1
         self.teller = LoadTeller(
@@ -289,9 +290,18 @@
         self.teller.take_peers(peers, coordinators)
         self.coordinator.take_role(not member and bool(coordinators))
         self._isolation.take_peers(peers, time.monotonic())
+        self._forget_the_gone()
         if coordinators:
             self.reports.take_readers(record.name for record in coordinators)
 
+    def _forget_the_gone(self) -> None:
+        """Keep memory bounded however many replicas and instances come and go.
+
+        A replica that is replaced each 3 s leaves 28,800 states of some 1 KB a day.
+        """
+        self.book.forget_gone(self.directory.names)
+        self.shared.forget_silent(time.monotonic())
+
     def on_settings(self) -> None:
         """Put a newer routing table in force."""
         published = self.tree.routing
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -21,6 +21,8 @@
 # heard of no other reading for this long, in seconds; and so do those that share the
 # reading where it is in their zone: its usual reader may be beyond a cut.
 OTHERS_SILENT_S = 0.7
+# Replicas whose reader is remembered: well above the 710 of the largest fleet.
+MAX_REMEMBERED = 2000
 # Readings younger than this are passed on, in seconds.
 TOLD_S = 0.4
 
@@ -142,6 +144,8 @@
         """Return the instance that reads a replica: the highest hash of both names."""
         found = self._reader_of.get(replica)
         if found is None:
+            if len(self._reader_of) >= MAX_REMEMBERED:
+                self._reader_of.clear()
             found = self._reader_of[replica] = max(
                 self._readers,
                 key=lambda n: hashlib.blake2b(f"{n} {replica}".encode(), digest_size=8).digest(),
--- a/reachlink/membership/__init__.py
+++ b/reachlink/membership/__init__.py
@@ -3,7 +3,7 @@
 from reachlink.membership import _http_platform  # noqa: F401  (registers itself)
 from reachlink.membership._directory import LeavingSource, ReplicaDirectory
 from reachlink.membership._platform import PLATFORMS, InstanceState, ListedInstance, PlatformAdapter
-from reachlink.membership._roster import Roster
+from reachlink.membership._roster import CoordinationLimits, Roster
 from reachlink.membership._spreading import (
     Delta,
     InstanceRecord,
@@ -19,6 +19,7 @@
 
 __all__ = [
     "PLATFORMS",
+    "CoordinationLimits",
     "Delta",
     "InstanceRecord",
     "InstanceState",
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -5,7 +5,7 @@
 does not take back what was heard since.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, KeysView, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -183,6 +183,11 @@
         entry = self._entries.get(name)
         return entry.replica if entry else None
 
+    @property
+    def names(self) -> KeysView[str]:
+        """Names of all instances that are remembered, also those gone for a while."""
+        return self._entries.keys()
+
     def all(self) -> list[Replica]:
         """Return every instance that the platform's latest list has."""
         return [entry.replica for entry in self._entries.values() if not entry.gone]
--- a/reachlink/membership/_roster.py
+++ b/reachlink/membership/_roster.py
@@ -9,12 +9,24 @@
 # An instance that no control instance has heard of for this long is left out,
 # in seconds: instances ask again about once a second.
 ABSENT_S = 4.0
-# Up to this many instances are all coordinators: each tells all others its load,
-# which at 24 is 24 notes of 0.1 to 1 KB a second and more when busy.
-MAX_COORDINATORS = 24
-# Coordinators of a zone where there are more instances than that: one that plans
-# and one that is there at once when the first is lost.
-COORDINATORS_A_ZONE = 2
+
+
+@dataclass(slots=True, frozen=True)
+class CoordinationLimits:
+    """How many entry instances coordinate placement.
+
+    Attributes
+    ----------
+    all_up_to : int
+        Up to this many instances are all coordinators: each tells all others its
+        load, which at 24 is 24 notes of 0.1 to 1 KB a second and more when busy.
+    per_zone : int
+        Coordinators of a zone where there are more instances than that: by
+        default one, and one more that is there at once when the first is lost.
+    """
+
+    all_up_to: int = 24
+    per_zone: int = 2
 
 
 @dataclass(slots=True)
@@ -26,6 +38,11 @@
 class Roster:
     """The entry instances, by name.
 
+    Parameters
+    ----------
+    limits : CoordinationLimits, optional
+        How many of them coordinate.
+
     Examples
     --------
     >>> roster = Roster()
@@ -36,7 +53,8 @@
     []
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: CoordinationLimits | None = None) -> None:
+        self._limits = limits or CoordinationLimits()
         self._heard: dict[str, _Heard] = {}
 
     def note(self, records: Iterable[InstanceRecord], now: float) -> None:
@@ -53,19 +71,18 @@
     def coordinators(self, now: float) -> list[InstanceRecord]:
         """Return the instances that coordinate placement, in order of name.
 
-        A few instances all do. Of many, the `COORDINATORS_A_ZONE` with the highest
-        hash of their names do in each zone, so that one that comes or goes changes
-        at most one of them.
+        A few instances all do. Of many, those with the highest hash of their names
+        do in each zone, so that one that comes or goes changes at most one of them.
         """
         present = self.present(now)
-        if len(present) <= MAX_COORDINATORS:
+        if len(present) <= self._limits.all_up_to:
             return present
         by_zone: dict[str, list[InstanceRecord]] = {}
         for record in present:
             by_zone.setdefault(record.availability_zone, []).append(record)
         chosen: list[InstanceRecord] = []
         for records in by_zone.values():
-            chosen += sorted(records, key=_hash, reverse=True)[:COORDINATORS_A_ZONE]
+            chosen += sorted(records, key=_hash, reverse=True)[: self._limits.per_zone]
         return sorted(chosen, key=lambda record: record.name)
 
 
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -2,7 +2,7 @@
 
 import zlib
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 from random import Random
 
@@ -278,6 +278,12 @@
         """Have something called with every change that the others should know soon."""
         self._listeners.append(listener)
 
+    def forget_gone(self, known: Container[str]) -> None:
+        """Drop what is known of replicas that are not there and carry nothing."""
+        gone = [n for n, s in self._states.items() if n not in known and not s.flights]
+        for name in gone:
+            del self._states[name]
+
     def carrying(self) -> list[str]:
         """Return the replicas that have requests of this instance with memory."""
         return [name for name, state in self._states.items() if state.own_tokens]
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -11,6 +11,9 @@
 # How long what an instance told last counts, in seconds: each tells its load at
 # least once a second.
 KEPT_S = 3.0
+# How long it is known when a silent instance was heard last, in seconds: longer than
+# any zone is waited for to come back.
+HEARD_KEPT_S = 600.0
 # How long after a generation was expected to go on at another replica it may still
 # do so, in seconds: what the expected time is off by, and its first event.
 JOIN_SETTLES_S = 0.12
@@ -259,6 +262,11 @@
         self._drop(instance)
         self._heard.pop(instance, None)
 
+    def forget_silent(self, now: float) -> None:
+        """Drop the instances that have told nothing for long: names come and go."""
+        for instance in [n for n, at in self._heard.items() if now - at > HEARD_KEPT_S]:
+            self.forget(instance)
+
     def last_heard(self, instance: str) -> float:
         """Return when an instance told something last, in monotonic seconds."""
         return self._heard.get(instance, float("-inf"))
