Tidying of the coordination code; a closed connection fails its calls

Cause: the bus cancelled the calls that wait on a connection that is closed, which ends the task that made them: a member that follows a coordinator that the roster drops would stop following for good. So far nothing closed a connection that a member uses; former coordinators stayed connected for ever.

Reach in place of a pair; messages of load and the sum of them in two modules; the list's encoding once in place of twice.

--- a/reachlink/coordination/__init__.py
+++ b/reachlink/coordination/__init__.py
@@ -10,7 +10,7 @@
 from reachlink.coordination._coordinator import Coordinator
 from reachlink.coordination._member import Member
 from reachlink.coordination._messages import MemberNote, Picture
-from reachlink.coordination._replica_list import as_instances, digest_of, listed_replicas
+from reachlink.coordination._replica_list import as_instances, as_listed, digest_of, listed_replicas
 
 __all__ = [
     "Attachment",
@@ -19,6 +19,7 @@
     "MemberNote",
     "Picture",
     "as_instances",
+    "as_listed",
     "digest_of",
     "listed_replicas",
 ]
--- a/reachlink/coordination/_coordinator.py
+++ b/reachlink/coordination/_coordinator.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable, Iterable, Set
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from reachlink.coordination._messages import CHANNEL_MEMBER, CHANNEL_PLACE, MemberNote, Picture
 from reachlink.coordination._replica_list import digest_of, listed_replicas
@@ -35,6 +35,18 @@
 LEAVING_TOLD_S = 5.0
 
 
+class ZoneReach(Protocol):
+    """Which zones can be reached from this instance."""
+
+    @property
+    def silent_zones(self) -> Set[str]:
+        """Zones that it seems to be cut off from."""
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether these are all other zones."""
+
+
 class Coordinator:
     """Answers members.
 
@@ -57,8 +69,8 @@
         Returns the model engines' services.
     take_news : callable
         Takes what a member found out.
-    zones : callable
-        Returns the zones that cannot be reached, and whether this zone is cut off.
+    reach : callable
+        Returns which zones can be reached.
     random : random.Random
         Source of jitter.
     clock : callable
@@ -75,7 +87,7 @@
         placing: Placing,
         services: Callable[[], list[Service]],
         take_news: Callable[[Iterable[ReplicaNews]], None],
-        zones: Callable[[], tuple[Set[str], bool]],
+        reach: Callable[[], ZoneReach],
         random: Random,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -86,7 +98,7 @@
         self._placing = placing
         self._services = services
         self._take_news = take_news
-        self._zones = zones
+        self._reach = reach
         self._random = random
         self._clock = clock
         self._members: dict[str, float] = {}
@@ -190,7 +202,7 @@
         told = [r for r in replicas if note.whole or r.name in present]
         listed = listed_replicas(self._directory)
         digest = digest_of(listed)
-        silent, cut_off = self._zones()
+        reach = self._reach()
         return Picture(
             coordinator=self._name,
             shares=self._shares_for(member, told, present),
@@ -198,8 +210,8 @@
             news=self._news(replicas, present),
             list_digest=digest,
             listed=listed if digest != note.list_digest else None,
-            silent_zones=sorted(silent),
-            cut_off=cut_off,
+            silent_zones=sorted(reach.silent_zones),
+            cut_off=reach.cut_off,
             allowances=self._allowances(),
         )
 
--- a/reachlink/coordination/_member.py
+++ b/reachlink/coordination/_member.py
@@ -125,8 +125,11 @@
         return self._has_list and self.picture is not None
 
     def take_roster(self, coordinators: Iterable[InstanceRecord]) -> None:
-        """Take the coordinators that there are."""
+        """Take the coordinators that there are, and close connections to those that were."""
+        before = {record.address for record in self._attachment.coordinators}
         self._attachment.take(coordinators)
+        for address in before - {record.address for record in self._attachment.coordinators}:
+            self._bus.forget(address)
         if self._attachment.is_member:
             self._follows.set()
         else:
--- a/reachlink/coordination/_replica_list.py
+++ b/reachlink/coordination/_replica_list.py
@@ -34,15 +34,26 @@
     return zlib.crc32("\n".join(lines).encode()) | 1 << 32
 
 
+def as_listed(instance: ListedInstance) -> ListedReplica:
+    """Return one line of the platform's list as instances tell it."""
+    return ListedReplica(
+        name=instance.name,
+        service=instance.upstream,
+        availability_zone=instance.availability_zone,
+        address=instance.address,
+        leaving=instance.state is InstanceState.LEAVING,
+    )
+
+
 def as_instances(listed: Iterable[ListedReplica]) -> list[ListedInstance]:
-    """Return a told list as the platform's would be."""
+    """Return what another instance has told as lines of the platform's list."""
     return [
         ListedInstance(
-            name=replica.name,
-            upstream=replica.service,
-            availability_zone=replica.availability_zone,
-            address=replica.address,
-            state=InstanceState.LEAVING if replica.leaving else InstanceState.LIVE,
+            replica.name,
+            replica.service,
+            replica.availability_zone,
+            replica.address,
+            InstanceState.LEAVING if replica.leaving else InstanceState.LIVE,
         )
         for replica in listed
     ]
--- a/reachlink/coordination/tests/test_coordination.py
+++ b/reachlink/coordination/tests/test_coordination.py
@@ -215,3 +215,12 @@
 
     (share,) = asyncio.run(play())
     assert (share.running, share.tokens) == (3, 7_000)
+
+
+def test_connections_to_former_coordinators_are_closed():
+    async def play():
+        network, (c1, c2), (m1, _) = fleet()
+        m1.take_roster(c2)
+        return network.forgotten
+
+    assert asyncio.run(play()) == ["c1"]
--- a/reachlink/coordination/tests/world.py
+++ b/reachlink/coordination/tests/world.py
@@ -31,6 +31,15 @@
     handlers: dict[str, dict[str, Handler]] = field(default_factory=dict)
     silent: set[str] = field(default_factory=set)
     calls: list[tuple[str, str]] = field(default_factory=list)
+    forgotten: list[str] = field(default_factory=list)
+
+
+@dataclass
+class Reached:
+    """All zones can be reached."""
+
+    silent_zones: frozenset[str] = frozenset()
+    cut_off: bool = False
 
 
 class MemoryBus:
@@ -50,6 +59,9 @@
             raise CallTimeoutError(f"{channel} at {address}")
         return await self._network.handlers[address][channel](self._name, body) or b""
 
+    def forget(self, address: str) -> None:
+        self._network.forgotten.append(address)
+
     def send(self, address: str, channel: str, body: bytes) -> bool:
         if address in self._network.silent:
             return False
@@ -104,7 +116,7 @@
             self.placing,
             lambda: [SERVICE],
             self.news.extend,
-            lambda: (frozenset(), False),
+            Reached,
             Random(1),
             self.clock,
         )
--- a/reachlink/entry/_isolation.py
+++ b/reachlink/entry/_isolation.py
@@ -17,6 +17,22 @@
 SILENT_S = 1.6
 
 
+@dataclass(slots=True, frozen=True)
+class Reach:
+    """Which zones can be reached from an instance.
+
+    Attributes
+    ----------
+    silent_zones : frozenset of str
+        Zones that it seems to be cut off from.
+    cut_off : bool
+        Whether these are all other zones that are known.
+    """
+
+    silent_zones: frozenset[str] = frozenset()
+    cut_off: bool = False
+
+
 @dataclass(slots=True, frozen=True)
 class _Peer:
     """An instance of another zone, and since when it is known, in monotonic seconds."""
@@ -69,10 +85,15 @@
                 kept[peer.name] = self._peers.get(peer.name) or _Peer(peer.availability_zone, now)
         self._peers = kept
 
+    def reach(self, now: float) -> Reach:
+        """Return which zones are silent, and whether all others are, if there are some."""
+        zones = {peer.zone for peer in self._peers.values()}
+        silent = self.silent_zones(now)
+        return Reach(frozenset(silent), bool(zones) and zones == silent)
+
     def cut_off(self, now: float) -> bool:
         """Return whether every other zone is silent, though there are some."""
-        zones = {peer.zone for peer in self._peers.values()}
-        return bool(zones) and zones == self.silent_zones(now)
+        return self.reach(now).cut_off
 
     def silent_zones(self, now: float) -> Set[str]:
         """Return the zones of which no instance is heard and no replica answers.
--- a/reachlink/entry/_list_news.py
+++ b/reachlink/entry/_list_news.py
@@ -7,7 +7,8 @@
 import time
 from collections.abc import Callable, Iterable
 
-from reachlink.membership import InstanceState, ListedInstance, ReplicaDirectory
+from reachlink.coordination import as_instances, as_listed
+from reachlink.membership import ListedInstance, ReplicaDirectory
 from reachlink.requests import ListedReplica
 
 # How long a finding is told, in seconds: several notes carry it, so that one may
@@ -42,7 +43,7 @@
 
     def tell(self, found: Iterable[ListedInstance]) -> None:
         """Tell the others what a reading here has found."""
-        items = [(self._clock(), _encode(instance)) for instance in found]
+        items = [(self._clock(), as_listed(instance)) for instance in found]
         if items:
             self._found.extend(items)
             self._on_news()
@@ -55,19 +56,4 @@
 
     def take(self, listed: Iterable[ListedReplica]) -> None:
         """Take what another instance has found."""
-        self._directory.hear((_decode(item) for item in listed), self._clock())
-
-
-def _encode(instance: ListedInstance) -> ListedReplica:
-    return ListedReplica(
-        name=instance.name,
-        service=instance.upstream,
-        availability_zone=instance.availability_zone,
-        address=instance.address,
-        leaving=instance.state is InstanceState.LEAVING,
-    )
-
-
-def _decode(item: ListedReplica) -> ListedInstance:
-    state = InstanceState.LEAVING if item.leaving else InstanceState.LIVE
-    return ListedInstance(item.name, item.service, item.availability_zone, item.address, state)
+        self._directory.hear(as_instances(listed), self._clock())
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -8,7 +8,7 @@
 
 from reachlink.control import ControlClient
 from reachlink.coordination import Attachment, Coordinator, Member
-from reachlink.entry._isolation import Isolation
+from reachlink.entry._isolation import Isolation, Reach
 from reachlink.entry._list_news import ListNews
 from reachlink.entry._list_reader import ReadingRole
 from reachlink.entry._load_teller import LoadTeller
@@ -91,8 +91,8 @@
         self._isolation = Isolation(config.availability_zone, self.shared, self._zone_answered_at)
         self._was_cut_off = False
         self._silent_zones: Set[str] = frozenset()
-        # The same and whether they are all others, as judged here last.
-        self._zones_found: tuple[Set[str], bool] = (frozenset(), False)
+        # As judged here last.
+        self._reach = Reach()
         self.ready = False
         self.not_ready_reason = "starting: no settings yet"
         self.draining_since: float | None = None
@@ -128,7 +128,7 @@
             self._runner.placing,
             self._engine_services,
             self.reports.take,
-            self._unreachable_zones,
+            self.reach,
             Random(),
         )
         self.reports.on_departure = self.coordinator.wake_members
@@ -227,7 +227,7 @@
 
     def cut_off(self) -> bool:
         """Return whether this instance's zone is cut off from the others."""
-        found = self._unreachable_zones()[1]
+        found = self.reach().cut_off
         if found != self._was_cut_off:
             self._was_cut_off = found
             self.log.info("zone_cut_off" if found else "zone_rejoined", zone=self.zone)
@@ -235,23 +235,22 @@
 
     def silent_zones(self) -> Set[str]:
         """Return the zones that this instance seems to be cut off from."""
-        found = self._unreachable_zones()[0]
+        found = self.reach().silent_zones
         if found != self._silent_zones:
             self._silent_zones = found
             self.log.info("zones_silent", zones=",".join(sorted(found)))
         return found
 
-    def _unreachable_zones(self) -> tuple[Set[str], bool]:
-        """Return the zones that cannot be reached, and whether these are all others."""
+    def reach(self) -> Reach:
+        """Return which zones can be reached, as a coordinator says or as is heard here."""
         picture = self.member.picture if self.attachment.is_member else None
         if picture is not None:
-            return frozenset(picture.silent_zones), picture.cut_off
-        now = time.monotonic()
-        found = self._isolation.silent_zones(now), self._isolation.cut_off(now)
-        if found != self._zones_found:
+            return Reach(frozenset(picture.silent_zones), picture.cut_off)
+        found = self._isolation.reach(time.monotonic())
+        if found != self._reach:
             # With the usual wait members learned of a cut up to 1.4 s later, and sent
             # requests into it meanwhile.
-            self._zones_found = found
+            self._reach = found
             self.coordinator.wake_members()
         return found
 
--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -163,7 +163,11 @@
             peer.calls.pop(number, None)
 
     def forget(self, address: str) -> None:
-        """Close the connection to an address that is not used any more."""
+        """Close the connection to an address that is not used any more.
+
+        Calls that wait for an answer from there fail: a call that was cancelled in
+        place of that would end the task that made it.
+        """
         peer = self._peers.pop(address, None)
         if peer is not None:
             self._close(peer)
@@ -217,7 +221,8 @@
         self._loop.remove_reader(watched.descriptor)
         watched.socket.close(linger=0)
         for call in watched.calls.values():
-            call.cancel()
+            if not call.done():
+                call.set_exception(PeerUnreachableError("the connection was closed"))
 
     def _put(
         self,
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -4,22 +4,22 @@
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
 from reachlink.requests._choice import Option, choose
 from reachlink.requests._departures import NOTICE_S, Departures
-from reachlink.requests._model import AnswerSink, CallerRequest
-from reachlink.requests._parts import Directory, RetryTerms, RunnerParts
-from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
-from reachlink.requests._placing import Placing
-from reachlink.requests._runner import RequestRunner
-from reachlink.requests._shared_load import (
+from reachlink.requests._load_notes import (
     ListedReplica,
     LoadNote,
     MemoryNote,
     ReplicaNews,
     ReplicaOutcome,
     ReplicaShare,
-    SharedLoad,
     shortened,
     total,
 )
+from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._parts import Directory, RetryTerms, RunnerParts
+from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
+from reachlink.requests._placing import Placing
+from reachlink.requests._runner import RequestRunner
+from reachlink.requests._shared_load import SharedLoad
 from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
 
 __all__ = [
--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from reachlink.placement import Health
-from reachlink.requests._shared_load import (
+from reachlink.requests._load_notes import (
     JOIN_SETTLES_S,
     MemoryNote,
     ReplicaNews,
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -6,10 +6,10 @@
 from reachlink.limits import RetryBudget
 from reachlink.requests._attempts import AttemptLog, Setback
 from reachlink.requests._book import Flight
+from reachlink.requests._load_notes import ReplicaOutcome
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placing import Placing, need_tokens
-from reachlink.requests._shared_load import ReplicaOutcome
 from reachlink.requests.exceptions import RequestFailedError
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
--- a/reachlink/requests/_place_question.py
+++ b/reachlink/requests/_place_question.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from reachlink.requests._choice import COPY, COPY_HOME, REQUEST, RESCUE, Terms
-from reachlink.requests._shared_load import ListedReplica, MemoryNote, ReplicaShare
+from reachlink.requests._load_notes import ListedReplica, MemoryNote, ReplicaShare
 
 
 class Purpose(Enum):
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -8,10 +8,10 @@
 from reachlink.placement import allowances
 from reachlink.requests._book import Flight, ReplicaState
 from reachlink.requests._choice import Option, choose, is_calm
+from reachlink.requests._load_notes import total
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
-from reachlink.requests._shared_load import total
 from reachlink.requests._stake_order import gives_way, rank
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
--- a/reachlink/requests/_stake_order.py
+++ b/reachlink/requests/_stake_order.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from reachlink.requests._shared_load import MemoryNote
+from reachlink.requests._load_notes import MemoryNote
 
 # Share of a replica's memory, from 0 to 1, beyond which copies give way: the rest
 # is for what grows until all instances have heard of it.
--- a/reachlink/requests/tests/test_departures.py
+++ b/reachlink/requests/tests/test_departures.py
@@ -8,7 +8,7 @@
 from reachlink.requests import Departures, Flight, LoadNote, ReplicaBook, ReplicaShare, SharedLoad
 from reachlink.requests._choice import Option, choose, is_calm
 from reachlink.requests._departures import KEPT_S, NOTICE_S, REPORT_AGE_S
-from reachlink.requests._shared_load import JOIN_SETTLES_S
+from reachlink.requests._load_notes import JOIN_SETTLES_S
 from reachlink.requests.tests.world import answering, everywhere, stream
 from reachlink.routing import RequestKind
 
