Sight: questions for settings that come to nothing, answers that come too late

Cause: in the incident an instance said nothing about a question for settings that was given up, and nothing counted what came over the bus: a control instance that is behind and an answer that is too slow for its time-out look the same.

Change: settings_unanswered and settings_answered at the ends of a row of failed questions (two lines a row, however long); bytes sent, received and received late on the metrics pages.

--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -22,7 +22,7 @@
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
 from reachlink.kernel import SystemClock, process_started_at
-from reachlink.messaging import Bus
+from reachlink.messaging import Bus, export_traffic
 from reachlink.telemetry import Metrics, get_logger
 
 _SEPARATOR = "@"
@@ -73,6 +73,7 @@
             config.coordination,
         )
         self._metrics = Metrics("control", config.name, config.availability_zone)
+        export_traffic(self._metrics, self._bus.traffic)
         self._runners: list[web.AppRunner] = []
         self._seeds = list(config.seeds)
         self._tasks: list[asyncio.Task[None]] = []
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -90,6 +90,8 @@
     def __init__(self, node: FollowingNode) -> None:
         self._node = node
         self._started = asyncio.get_running_loop().time()
+        self._unanswered = 0
+        self._unanswered_since = 0.0
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -119,12 +121,13 @@
         request = WatchRequest(
             node.name, node.tree.revision, wait, not node.ready, node.address, node.zone
         )
+        asked = node.control.addresses[0]
         try:
-            answer = await node.control.ask(
-                node.control.addresses[0], request, wait + WATCH_MARGIN_S
-            )
-        except MessagingError:
+            answer = await node.control.ask(asked, request, wait + WATCH_MARGIN_S)
+        except MessagingError as error:
+            self._note_unanswered(asked, str(error))
             return False
+        self._note_answered(asked)
         if not isinstance(answer, SettingsAnswer):
             return False
         self._take(answer)
@@ -137,6 +140,30 @@
             self._accept_stale()
         return node.ready and not answer.stale
 
+    def _note_unanswered(self, asked: str, reason: str) -> None:
+        """Log the first of a row of questions that came to nothing."""
+        now = asyncio.get_running_loop().time()
+        if not self._unanswered:
+            self._unanswered_since = now
+            revision = self._node.tree.revision
+            self._node.log.info(
+                "settings_unanswered", control=asked, revision=revision, reason=reason
+            )
+        self._unanswered += 1
+
+    def _note_answered(self, asked: str) -> None:
+        """Log the end of a row of questions that came to nothing."""
+        if not self._unanswered:
+            return
+        silent = asyncio.get_running_loop().time() - self._unanswered_since
+        self._node.log.info(
+            "settings_answered",
+            control=asked,
+            questions=self._unanswered,
+            silent_s=round(silent, 3),
+        )
+        self._unanswered = 0
+
     def _accept_stale(self) -> None:
         """Where the newest cannot be confirmed for long, serve what a control instance has."""
         waited = asyncio.get_running_loop().time() - self._started
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -1,13 +1,22 @@
 """Counters and latencies of a relaying entry instance."""
 
 from reachlink.entry._relay_config import RelayConfig
+from reachlink.messaging import Traffic, export_traffic
 from reachlink.telemetry import Metrics
 
 
 class RelayMetrics:
-    """Instruments of a relaying entry instance."""
+    """Instruments of a relaying entry instance.
 
-    def __init__(self, config: RelayConfig) -> None:
+    Parameters
+    ----------
+    config : RelayConfig
+        Configuration of the process.
+    traffic : Traffic
+        Counters of its bus.
+    """
+
+    def __init__(self, config: RelayConfig, traffic: Traffic) -> None:
         self._metrics = Metrics("entry", config.name, config.availability_zone)
         self.requests = self._metrics.counter(
             "reachlink_requests", "1", "Requests by route and outcome."
@@ -18,6 +27,7 @@
         self.questions = self._metrics.counter(
             "reachlink_placement_questions", "1", "Questions to coordinators by how they ended."
         )
+        export_traffic(self._metrics, traffic)
 
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -97,7 +97,7 @@
         self.not_ready_reason = "starting: no settings yet"
         self.draining_since: float | None = None
         self.running_requests = 0
-        self.metrics = RelayMetrics(config)
+        self.metrics = RelayMetrics(config, self.bus.traffic)
         self._seeds = list(config.seeds)
         self._index: RoutingIndex | None = None
         self._has_index = asyncio.Event()
--- a/reachlink/messaging/__init__.py
+++ b/reachlink/messaging/__init__.py
@@ -2,6 +2,7 @@
 
 from reachlink.messaging._bus import Bus, Handler
 from reachlink.messaging._codec import decode, encode
+from reachlink.messaging._traffic import Traffic, export_traffic
 from reachlink.messaging.exceptions import (
     CallFailedError,
     CallTimeoutError,
@@ -16,6 +17,8 @@
     "Handler",
     "MessagingError",
     "PeerUnreachableError",
+    "Traffic",
     "decode",
     "encode",
+    "export_traffic",
 ]
--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -21,6 +21,7 @@
 import zmq
 from zmq.utils import z85
 
+from reachlink.messaging._traffic import Traffic
 from reachlink.messaging.exceptions import (
     CallFailedError,
     CallTimeoutError,
@@ -64,17 +65,6 @@
 _decode_header = msgspec.msgpack.Decoder(_Header).decode
 
 
-@dataclass(slots=True)
-class Traffic:
-    """Counters of one bus; bytes without the framing of the transport."""
-
-    sent: int = 0
-    sent_bytes: int = 0
-    received: int = 0
-    received_bytes: int = 0
-    dropped: int = 0
-
-
 @dataclass(slots=True)
 class _Socket:
     socket: zmq.Socket[bytes]
@@ -264,7 +254,11 @@
             self.traffic.dropped += 1
             return
         if header.kind in (Kind.ANSWER, Kind.FAILURE):
-            _resolve(watched.calls.pop(header.number, None), header.kind, body)
+            call = watched.calls.pop(header.number, None)
+            if call is None:
+                self.traffic.late += 1
+                self.traffic.late_bytes += len(body)
+            _resolve(call, header.kind, body)
             return
         to = route[0] if route else None
         task = self._loop.create_task(self._run(watched, header, body, to))
--- /dev/null
+++ b/reachlink/messaging/_traffic.py
@@ -0,0 +1,35 @@
+"""What a process sends and receives over the bus, counted."""
+
+from dataclasses import dataclass
+
+from reachlink.telemetry import Metrics
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Counters of one bus; bytes without the framing of the transport.
+
+    `late` are answers that came when nobody waited for them any more: their bytes
+    were carried for nothing.
+    """
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+    late: int = 0
+    late_bytes: int = 0
+
+
+def export_traffic(metrics: Metrics, traffic: Traffic) -> None:
+    """Put the counters of a bus on a process's metrics page."""
+    export = metrics.observed_counter
+    export("reachlink_bus_sent", "By", "Bytes sent.", lambda: traffic.sent_bytes)
+    export("reachlink_bus_received", "By", "Bytes received.", lambda: traffic.received_bytes)
+    export(
+        "reachlink_bus_late",
+        "By",
+        "Bytes of answers that nobody waited for any more.",
+        lambda: traffic.late_bytes,
+    )
--- a/reachlink/telemetry/_metrics.py
+++ b/reachlink/telemetry/_metrics.py
@@ -1,8 +1,10 @@
 """OpenTelemetry metrics with a Prometheus page and optional OTLP export."""
 
+from collections.abc import Callable
 from typing import Any
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader, PeriodicExportingMetricReader
 from opentelemetry.sdk.resources import Resource
@@ -47,6 +49,14 @@
         """Return a histogram."""
         return self._meter.create_histogram(name, unit=unit, description=description)
 
+    def observed_counter(
+        self, name: str, unit: str, description: str, read: Callable[[], int]
+    ) -> None:
+        """Export a counter that something else keeps; `read` returns it."""
+        self._meter.create_observable_counter(
+            name, [lambda options: [Observation(read())]], unit=unit, description=description
+        )
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
