--- /dev/null
+++ b/reachlink/entry/tests/settings_world.py
@@ -0,0 +1,235 @@
+"""Control instances, small links and followers of settings, on virtual time."""
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+from reachlink.agreement import Member
+from reachlink.control import ControlMachine, PublishCommand
+from reachlink.control._protocol import Answer, Request
+from reachlink.control._server import ControlServer
+from reachlink.entry._follower import SettingsFollower
+from reachlink.membership import InstanceRecord, SettingsHolder
+from reachlink.messaging import CallTimeoutError, PeerUnreachableError, decode, encode
+from reachlink.routing import (
+    NATIVE_FORMAT,
+    Backend,
+    PublishedTable,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+    Workspace,
+)
+
+MBIT = 125_000.0
+DELAY_S = 0.001
+CONTROLS = [Member(f"c{i}", f"c{i}:7200", zone, True) for i, zone in enumerate("abc")]
+LETTERS = "abcdefghijklmnopqrstuvwxyz0123456789"
+
+
+class Names:
+    """Names without a pattern, as random as those that operators' tools make."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self._random = Random(seed)
+
+    def name(self, length: int = 8) -> str:
+        return "".join(self._random.choices(LETTERS, k=length))
+
+
+def routes(count: int, names: Names) -> tuple[Route, ...]:
+    """Return routes of one service, each of its own host."""
+    return tuple(
+        Route(
+            name=f"r-{names.name()}",
+            host=f"{names.name(6)}.example",
+            path_prefix=f"/{names.name()}/",
+            kind=RequestKind.REPEATABLE,
+            backends=(Backend("app", 1.0),),
+            timeout_s=6.0,
+            objective_s=1.5,
+        )
+        for _ in range(count)
+    )
+
+
+def published(
+    number: int, table_routes: tuple[Route, ...], workspaces: tuple[Workspace, ...] = ()
+) -> PublishedTable:
+    """Return a table as an operator publishes it."""
+    services = (Service("app", "/health", 100),)
+    table = RoutingTable(number, table_routes, services, workspaces)
+    return PublishedTable(number, NATIVE_FORMAT, msgspec.json.encode(table).decode())
+
+
+class Link:
+    """What an instance receives comes one after the other, at a rate in bytes a second."""
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._free_at = 0.0
+        self.carried = 0
+
+    async def carry(self, size: int) -> None:
+        """Return once that many bytes have come."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / self._rate
+        self.carried += size
+        await asyncio.sleep(self._free_at - now + DELAY_S)
+
+
+class LoopClock:
+    """The loop's time as a clock."""
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return self.monotonic()
+
+
+class ControlInstance:
+    """One control instance's server over a state machine of its own."""
+
+    def __init__(self) -> None:
+        state = SimpleNamespace(members=CONTROLS, node_id="c0", leader="c0")
+        service: Any = SimpleNamespace(
+            hears_leader=True, core=SimpleNamespace(is_leader=True, state=state)
+        )
+        nothing: Any = None
+        self.machine = ControlMachine()
+        self.server = ControlServer(service, self.machine, nothing, nothing, LoopClock())
+        self.silent = False
+        self._applied = 0
+
+    def publish(self, table: PublishedTable) -> None:
+        """Apply a table that was accepted."""
+        self._applied += 1
+        command = PublishCommand(table, "operator", "here", 1.0)
+        self.machine.apply(self._applied, 1, encode(command))
+        self.server.on_applied()
+
+
+class LinkedControls:
+    """An entry instance's way to the control instances, over its own link.
+
+    As over real connections, an answer that nobody waits for any more still comes.
+    """
+
+    def __init__(self, instances: dict[str, ControlInstance], link: Link) -> None:
+        self._instances = instances
+        self._link = link
+        self._addresses = list(instances)
+        self._underway: set[asyncio.Task[bytes]] = set()
+
+    @property
+    def addresses(self) -> list[str]:
+        return list(self._addresses)
+
+    def rotate(self) -> None:
+        self._addresses.append(self._addresses.pop(0))
+
+    async def ask(self, address: str, request: Request, timeout_s: float) -> Answer:
+        instance = self._instances[address]
+        if instance.silent:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnreachableError(address)
+        task = asyncio.create_task(self._answer(instance, encode(request)))
+        self._underway.add(task)
+        task.add_done_callback(self._underway.discard)
+        try:
+            raw = await asyncio.wait_for(asyncio.shield(task), timeout_s)
+        except TimeoutError as error:
+            raise CallTimeoutError(f"control at {address}") from error
+        return decode(raw, Answer)  # type: ignore[arg-type]
+
+    async def _answer(self, instance: ControlInstance, body: bytes) -> bytes:
+        raw = await instance.server.handle("entry", body)
+        await self._link.carry(len(raw))
+        return raw
+
+
+class Lines:
+    """Takes log lines."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, dict[str, Any]]] = []
+
+    def info(self, event: str, **values: Any) -> None:
+        self.events.append((event, values))
+
+    error = warning = info
+
+
+class EntryInstance:
+    """What a follower needs of its instance; notes when each table was in force."""
+
+    def __init__(self, name: str, controls: dict[str, ControlInstance], rate: float) -> None:
+        self.name = name
+        self.address = f"{name}:7200"
+        self.zone = "a"
+        self.link = Link(rate)
+        self.control: Any = LinkedControls(controls, self.link)
+        self.bus: Any = None
+        self.settings = SettingsHolder()
+        self.log: Any = Lines()
+        self.ready = True
+        self.not_ready_reason = ""
+        self.watch_wait_s = 0.7
+        self.accepts_stale = True
+        self.in_force: dict[int, float] = {}
+        self.follower = SettingsFollower(self)
+
+    @property
+    def tree(self):
+        return self.settings.tree
+
+    @property
+    def table(self) -> PublishedTable | None:
+        return self.tree.routing
+
+    def zone_peers(self) -> list[str]:
+        return []
+
+    def on_controls(self, controls: list[InstanceRecord]) -> None:
+        """Know them already."""
+
+    def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
+        """Need no coordinators."""
+
+    def on_settings(self) -> None:
+        assert self.table is not None
+        self.in_force[self.table.number] = asyncio.get_running_loop().time()
+
+
+class Deployment:
+    """Three control instances and some entry instances; made on a running loop."""
+
+    def __init__(self, entries: int, rate: float) -> None:
+        self.controls = {member.address: ControlInstance() for member in CONTROLS}
+        self.entries = [EntryInstance(f"e{i}", self.controls, rate) for i in range(entries)]
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> "Deployment":
+        for position, entry in enumerate(self.entries):
+            self._tasks.append(asyncio.create_task(self._follow(position, entry)))
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def publish(self, table: PublishedTable) -> None:
+        """Have a table accepted and applied at every control instance."""
+        for instance in self.controls.values():
+            instance.publish(table)
+
+    async def _follow(self, position: int, entry: EntryInstance) -> None:
+        # Instances ask at moments of their own.
+        await asyncio.sleep(0.7 * position / len(self.entries))
+        await entry.follower.run()
--- a/reachlink/testing/__init__.py
+++ b/reachlink/testing/__init__.py
@@ -9,6 +9,7 @@
 from reachlink.testing._config import EngineConfig, PlatformConfig, ServiceConfig, WeightsConfig
 from reachlink.testing._fleet import Fleet, FleetError
 from reachlink.testing._scenario import Scenario, WorkspaceScenario
+from reachlink.testing._virtual_loop import VirtualTimeLoop, run_virtually
 
 __all__ = [
     "BatchModel",
@@ -23,6 +24,8 @@
     "ReceivedEvent",
     "Scenario",
     "ServiceConfig",
+    "VirtualTimeLoop",
     "WeightsConfig",
     "WorkspaceScenario",
+    "run_virtually",
 ]
