A control instance that is behind is passed over while a table is fetched

Cause: while pieces of a content were being fetched, any answer counted as progress. One without a piece, of a control instance that had not applied the table yet, was followed by the next question at once.

Change: only a piece that was taken asks on without a pause; else the next control instance is asked after the usual pause.

--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -161,8 +161,11 @@
         if answer.controls:
             node.on_controls(answer.controls)
             node.on_roster(answer.coordinators, answer.instances)
-        if self._inbox.progress.content:
+        if self._inbox.progress != request.progress:
             return True
+        if request.progress.content:
+            # Who was asked is behind: it has nothing of what is being fetched.
+            return False
         if answer.fresh and node.tree.revision >= answer.revision:
             self._become_ready("confirmed by the control instances")
         elif answer.stale:
--- a/reachlink/entry/tests/test_settings_over_small_links.py
+++ b/reachlink/entry/tests/test_settings_over_small_links.py
@@ -19,10 +19,10 @@
 
 import asyncio
 
-from reachlink.entry.tests.settings_world import MBIT, Deployment, Names, published, routes
 from reachlink.membership._transfers import PIECE_BYTES
 from reachlink.routing import Workspace
 from reachlink.testing import run_virtually
+from reachlink.testing._settings_world import MBIT, Deployment, Names, published, routes
 
 # How long an accepted table may take to every instance, in seconds.
 IN_FORCE_S = 2.5
@@ -116,3 +116,26 @@
             assert entry.table.number >= 38
 
     run_virtually(play())
+
+
+def test_a_control_instance_that_is_behind_is_passed_over_and_not_pressed():
+    async def play():
+        names = Names()
+        first, later = published(1, routes(40, names)), published(2, routes(10_000, names))
+        async with Deployment(entries=1, rate=1 * MBIT) as deployment:
+            entry = deployment.entries[0]
+            deployment.publish(first)
+            await asyncio.sleep(2.0)
+            ahead, *behind = deployment.controls
+            deployment.controls[ahead].publish(later)
+            await asyncio.sleep(0.4)
+            questions = entry.control.questions
+            deployment.controls[ahead].silent = True
+            await asyncio.sleep(4.0)
+            assert entry.table == first
+            assert entry.control.questions - questions < 20
+            deployment.controls[ahead].silent = False
+            await asyncio.sleep(8.0)
+            assert entry.table == later
+
+    run_virtually(play())
--- a/reachlink/entry/tests/settings_world.py
+++ b/reachlink/testing/_settings_world.py
@@ -24,6 +24,7 @@
     Service,
     Workspace,
 )
+from reachlink.settings import SettingsTree
 
 MBIT = 125_000.0
 DELAY_S = 0.001
@@ -125,6 +126,7 @@
         self._link = link
         self._addresses = list(instances)
         self._underway: set[asyncio.Task[bytes]] = set()
+        self.questions = 0
 
     @property
     def addresses(self) -> list[str]:
@@ -134,6 +136,7 @@
         self._addresses.append(self._addresses.pop(0))
 
     async def ask(self, address: str, request: Request, timeout_s: float) -> Answer:
+        self.questions += 1
         instance = self._instances[address]
         if instance.silent:
             await asyncio.sleep(timeout_s)
@@ -185,7 +188,7 @@
         self.follower = SettingsFollower(self)
 
     @property
-    def tree(self):
+    def tree(self) -> SettingsTree:
         return self.settings.tree
 
     @property
--- a/reachlink/testing/_virtual_loop.py
+++ b/reachlink/testing/_virtual_loop.py
@@ -43,8 +43,5 @@
 
 def run_virtually(work: Coroutine[Any, Any, Any]) -> Any:
     """Run a coroutine on a loop of its own and return its result."""
-    loop = VirtualTimeLoop()
-    try:
-        return loop.run_until_complete(work)
-    finally:
-        loop.close()
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(work)
