Tables are read in slices, only what changed; a lookup does not walk a host's routes

Cause: reading a new table held the loop that serves requests: 88 ms of processor time for 10,000 routes as the platform writes them, 13 ms for 1,440, twice that on half a core, five times in a burst of changes; and each request walked the routes of its host one by one.

Change: formats tell where routes are written and read one at a time; a reader keeps the routes of the table before, reads those that changed and indexes in steps, and the daemon goes back to the loop each 2 ms (kernel.in_slices). Nothing newer is asked for meanwhile, so numbers that came and went come as one. Accepted tables are not checked a second time.

Tests: test_reading (a row of tables reads as each by itself, the longest prefix as by walking, 499 of 500 routes not read again), test_relay_node (requests are decided by the table before while a large one is read), test_publishing (a restored state leads on). test_relay_node waits for the reading in two tests, for it takes its turns now; the message for a wrong field of a route names its number now (routes[0].timeout_ms).

--- a/reachlink/control/tests/test_publishing.py
+++ b/reachlink/control/tests/test_publishing.py
@@ -86,3 +86,20 @@
     assert holder.tree.routing == PublishedTable(6, NATIVE_FORMAT, "six")
     assert not holder.take(SettingsAnswer(1, True, values={}))
     assert holder.tree.routing.number == 6
+
+
+def test_a_restored_state_leads_on_from_the_same_revisions():
+    machine, other = ControlMachine(), ControlMachine()
+    routes = ",".join(f'{{"r":{i}}}' for i in range(50))
+    for number in range(1, 6):
+        publish(machine, number, f'{{"n":{number}}},{routes}')
+    other.restore(machine.snapshot())
+    assert other.deltas_since(3) is not None
+    assert other.deltas_since(3) == machine.deltas_since(3)
+    holder = SettingsHolder()
+    values = {
+        ROUTING_PATH: {"number": 3, "format": NATIVE_FORMAT, "document": f'{{"n":3}},{routes}'}
+    }
+    assert holder.take(SettingsAnswer(3, True, values=values))
+    assert holder.take(SettingsAnswer(5, True, other.deltas_since(3)))
+    assert holder.tree.routing == machine.tree.routing
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -92,8 +92,8 @@
     def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
         """Take the entry instances that coordinate placement, and the number of all."""
 
-    def on_settings(self) -> None:
-        """Newer settings are in force."""
+    async def on_settings(self) -> None:
+        """Newer settings have come; nothing newer is asked for before this returns."""
 
 
 class SettingsFollower:
@@ -157,7 +157,7 @@
             return False
         took_s = asyncio.get_running_loop().time() - started
         self._margin_s = _margin_after(took_s - request.wait_s)
-        self._take(answer, self._inbox)
+        await self._take(answer, self._inbox)
         if answer.controls:
             node.on_controls(answer.controls)
             node.on_roster(answer.coordinators, answer.instances)
@@ -255,9 +255,9 @@
     async def _fetch(self, address: str, answer: SettingsAnswer) -> None:
         """Take an answer of a peer, with the pieces that follow its first one."""
         inbox = Inbox()
-        self._take(answer, inbox)
+        await self._take(answer, inbox)
         while inbox.progress.content:
-            self._take(await self._ask_peer(address, inbox.progress), inbox)
+            await self._take(await self._ask_peer(address, inbox.progress), inbox)
 
     async def _ask_peer(self, address: str, progress: Progress) -> SettingsAnswer:
         node = self._node
@@ -266,7 +266,7 @@
         raw = await node.bus.call(address, CHANNEL_SETTINGS, encode(request), PEER_TIMEOUT_S)
         return decode(raw, SettingsAnswer)
 
-    def _take(self, answer: SettingsAnswer, inbox: Inbox) -> None:
+    async def _take(self, answer: SettingsAnswer, inbox: Inbox) -> None:
         """Put what an answer brings in force, once all of it has come."""
         node = self._node
         content = unpack_answer(inbox, answer)
@@ -279,7 +279,7 @@
                 deltas=len(content.deltas),
                 bytes=answer.piece.size if answer.piece else 0,
             )
-            node.on_settings()
+            await node.on_settings()
         elif node.settings.needs_whole:
             node.log.warning("settings_misfit", held=node.tree.revision, offered=content.revision)
 
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -120,7 +120,7 @@
     def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
         """Peers are told by the configuration here."""
 
-    def on_settings(self) -> None:
+    async def on_settings(self) -> None:
         """Newer settings are in force: what waits may have room now."""
         self.pump()
 
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -15,6 +15,7 @@
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_metrics import RelayMetrics
 from reachlink.entry._report_reader import ReportReader
+from reachlink.kernel import in_slices
 from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus
 from reachlink.requests import (
@@ -27,7 +28,7 @@
     RunnerParts,
     SharedLoad,
 )
-from reachlink.routing import RequestKind, RoutingError, RoutingIndex, Service
+from reachlink.routing import RequestKind, RoutingError, RoutingIndex, Service, TableReader
 from reachlink.settings import SettingsTree
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import RELAY_ADAPTERS, HttpClient
@@ -99,6 +100,7 @@
         self.running_requests = 0
         self.metrics = RelayMetrics(config, self.bus.traffic)
         self._seeds = list(config.seeds)
+        self._tables = TableReader()
         self._index: RoutingIndex | None = None
         self._has_index = asyncio.Event()
         self._runner = RequestRunner(
@@ -309,19 +311,28 @@
         self.book.forget_gone(self.directory.names)
         self.shared.forget_silent(time.monotonic())
 
-    def on_settings(self) -> None:
-        """Put a newer routing table in force."""
+    async def on_settings(self) -> None:
+        """Put a newer routing table in force, once it is read.
+
+        Requests are decided by the table before meanwhile. It is read in slices: in one
+        go, 1,440 routes held up streams and requests for 13 ms of processor time.
+        """
         published = self.tree.routing
         if published is None or (self._index and self._index.number >= published.number):
             return
+        started = time.monotonic()
         try:
-            self._index = RoutingIndex(published.decode())
+            index = await in_slices(self._tables.steps(published))
         except RoutingError as error:
             # It was checked before it was accepted: this is a fault of this version.
             self.log.error("routing_table_unreadable", number=published.number, reason=str(error))
             return
+        if self._index is not None and self._index.number >= index.number:
+            return
+        self._index = index
         self._has_index.set()
-        self.log.info("routing_table_in_force", number=published.number)
+        took_ms = round(1000.0 * (time.monotonic() - started), 1)
+        self.log.info("routing_table_in_force", number=published.number, took_ms=took_ms)
 
     def _on_list_news(self) -> None:
         """The platform's list has told of replicas that come or leave."""
--- a/reachlink/entry/tests/test_relay_node.py
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -11,6 +11,8 @@
 from reachlink.requests import ReplicaNews
 from reachlink.routing import NATIVE_FORMAT, PublishedTable, RequestKind, RoutingTable
 from reachlink.settings import ROUTING_PATH
+from reachlink.testing._settings_world import Names, routes
+from reachlink.testing._settings_world import published as published_table
 from reachlink.upstreams import RELAY_ADAPTERS
 
 ITSELF = InstanceRecord("e1", "127.0.0.1:0", "a")
@@ -53,7 +55,7 @@
     assert node.index is None
     for number, revision in ((4, 1), (9, 2), (7, 1)):
         node.settings.take(published(number, revision))
-        node.on_settings()
+        asyncio.run(node.on_settings())
     assert node.index is not None and node.index.number == 9
 
 
@@ -62,9 +64,11 @@
         asyncio.get_running_loop().call_soon(then)
         return await node.first_index(patience_s) is not None
 
+    reading = []
+
     def publish() -> None:
         node.settings.take(published(4, 1))
-        node.on_settings()
+        reading.append(asyncio.create_task(node.on_settings()))
 
     async def both() -> tuple[bool, bool]:
         return await waiting(0.001, lambda: None), await waiting(60.0, publish)
@@ -72,6 +76,28 @@
     assert asyncio.run(both()) == (False, True)
 
 
+def test_requests_are_decided_by_the_table_before_while_a_large_one_is_read(node):
+    names = Names()
+    large = routes(3000, names)
+
+    async def play() -> list[int]:
+        node.settings.take(published(1, 1))
+        await node.on_settings()
+        values = {ROUTING_PATH: msgspec.to_builtins(published_table(2, large))}
+        node.settings.take(SettingsAnswer(2, True, values=values))
+        reading = asyncio.create_task(node.on_settings())
+        seen = []
+        while not reading.done():
+            seen.append(node.index.number)
+            await asyncio.sleep(0)
+        return [*seen, node.index.number]
+
+    seen = asyncio.run(play())
+    assert seen[0] == 1 and seen[-1] == 2 and seen == sorted(seen)
+    assert seen.count(1) > 3
+    assert node.index.route(large[-1].host, large[-1].path_prefix) == large[-1]
+
+
 def test_a_stopping_instance_takes_no_stream_and_soon_nothing(node):
     assert node.accepts(RequestKind.STREAM)
     node.begin_drain()
--- a/reachlink/kernel/__init__.py
+++ b/reachlink/kernel/__init__.py
@@ -4,6 +4,7 @@
 from reachlink.kernel._config import load_config
 from reachlink.kernel._lifecycle import run_daemon
 from reachlink.kernel._registry import Registry
+from reachlink.kernel._slices import in_slices
 from reachlink.kernel._web import bearer_key, json_response
 from reachlink.kernel.exceptions import ConfigError, ReachlinkError, UnknownPluginError
 
@@ -15,6 +16,7 @@
     "SystemClock",
     "UnknownPluginError",
     "bearer_key",
+    "in_slices",
     "json_response",
     "load_config",
     "process_started_at",
--- a/reachlink/routing/__init__.py
+++ b/reachlink/routing/__init__.py
@@ -1,6 +1,14 @@
 """Routing tables: hosts and prefixes to services, limits, callers' keys."""
 
-from reachlink.routing._formats import NATIVE_FORMAT, TABLE_FORMATS, PublishedTable
+from reachlink.routing._formats import (
+    NATIVE_FORMAT,
+    TABLE_FORMATS,
+    PublishedTable,
+    TableFormat,
+    TableOutline,
+    TableReader,
+    decoded,
+)
 from reachlink.routing._index import RoutingIndex
 from reachlink.routing._patch import TablePatch, patch_between
 from reachlink.routing._table import (
@@ -31,8 +39,12 @@
     "RoutingIndex",
     "RoutingTable",
     "Service",
+    "TableFormat",
+    "TableOutline",
     "TablePatch",
+    "TableReader",
     "Workspace",
     "check_table",
+    "decoded",
     "patch_between",
 ]
--- a/reachlink/routing/_index.py
+++ b/reachlink/routing/_index.py
@@ -1,9 +1,43 @@
 """Looking up what a routing table says of one request; pure."""
 
+from collections.abc import Generator
 from random import Random
 
 from reachlink.routing._table import Route, RoutingTable, Service, Workspace
 
+# Routes that are indexed in one step: 0.5 ms (1 us each, 10,000 routes, one run).
+ROUTES_A_STEP = 500
+
+
+class _Host:
+    """The routes of one host by their prefixes.
+
+    A look-up takes a step for each length that prefixes have, not for each route: one
+    host may have thousands.
+    """
+
+    __slots__ = ("_lengths", "_routes")
+
+    def __init__(self) -> None:
+        self._routes: dict[str, Route] = {}
+        self._lengths: list[int] = []
+
+    def add(self, route: Route) -> None:
+        """Add a route; the first one with a prefix counts."""
+        length = len(route.path_prefix)
+        if length not in self._lengths:
+            self._lengths.append(length)
+            self._lengths.sort(reverse=True)
+        self._routes.setdefault(route.path_prefix, route)
+
+    def route(self, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for length in self._lengths:
+            route = self._routes.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
 
 class RoutingIndex:
     """A routing table prepared for look-ups.
@@ -20,12 +54,26 @@
     """
 
     def __init__(self, table: RoutingTable) -> None:
+        for _ in self._prepare(table):
+            pass
+
+    @classmethod
+    def steps(cls, table: RoutingTable) -> Generator[None, None, "RoutingIndex"]:
+        """Make an index of a large table; the work may pause at each yield."""
+        index = cls.__new__(cls)
+        yield from index._prepare(table)
+        return index
+
+    def _prepare(self, table: RoutingTable) -> Generator[None, None, None]:
         self._table = table
-        self._hosts: dict[str, list[Route]] = {}
-        for route in sorted(table.routes, key=lambda r: -len(r.path_prefix)):
-            self._hosts.setdefault(route.host.lower(), []).append(route)
+        self._hosts: dict[str, _Host] = {}
+        for position, route in enumerate(table.routes):
+            self._hosts.setdefault(route.host.lower(), _Host()).add(route)
+            if position % ROUTES_A_STEP == ROUTES_A_STEP - 1:
+                yield
         self._services = {service.name: service for service in table.services}
         self._keys = {key: w for w in table.workspaces for key in w.keys}
+        yield
         self._ranks = _ranks(table)
 
     @property
@@ -46,10 +94,8 @@
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix that begins the path."""
         name = host.partition(":")[0].lower()
-        for route in self._hosts.get(name, ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        found = self._hosts.get(name)
+        return found.route(path) if found is not None else None
 
     def service(self, name: str) -> Service | None:
         """Return a service by name."""
--- a/reachlink/testing/_settings_world.py
+++ b/reachlink/testing/_settings_world.py
@@ -204,7 +204,7 @@
     def on_roster(self, coordinators: list[InstanceRecord], instances: int) -> None:
         """Need no coordinators."""
 
-    def on_settings(self) -> None:
+    async def on_settings(self) -> None:
         assert self.table is not None
         self.in_force[self.table.number] = asyncio.get_running_loop().time()
 
