What nobody has any more is not asked for for ever; the follower in three parts

Cause, found by reading: pieces of a content were kept until it was whole. Where newer settings came by another way, or nobody had that content any more, an instance went on asking for it and, if it was not ready yet, never asked whether its settings are the newest. A peer that had dropped a content was asked again without a pause.

The test of a control instance that is behind ends with that one catching up now: before, it ended with the silent one coming back while the others stayed behind for ever, which no follower of a living leader does.

--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -12,10 +12,11 @@
 from reachlink.entry._chat import ChatHandlers
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, PlacementNote
-from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
+from reachlink.entry._follower import SettingsFollower
 from reachlink.entry._guardians import CarriedReport
 from reachlink.entry._http import error_middleware
 from reachlink.entry._node import CHANNEL_CARRIED, CHANNEL_PLACED, EntryNode
+from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry.exceptions import RequestError
 from reachlink.kernel import json_response
@@ -60,7 +61,7 @@
         node.bus.handle(CHANNEL_DIGEST, self._on_digest)
         node.bus.handle(CHANNEL_PLACED, self._on_placed)
         node.bus.handle(CHANNEL_CARRIED, self._on_carried)
-        node.bus.handle(CHANNEL_SETTINGS, self._follower.answer_peer)
+        node.bus.handle(CHANNEL_SETTINGS, self._follower.peers.answer)
         node.bus.bind(config.bus_address)
         self._tasks = [
             asyncio.create_task(self._follower.run()),
@@ -170,7 +171,7 @@
         if digest.revision > self._node.tree.revision:
             addresses = [p.address for p in self._config.peers if p.name == digest.instance]
             for address in addresses:
-                await self._follower.catch_up_from(address)
+                await self._follower.peers.fetch_from(address)
 
     async def _read_reports(self) -> None:
         await asyncio.gather(
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -11,32 +11,18 @@
 from typing import Any, Protocol
 
 from reachlink.control import ControlClient, WatchRequest
+from reachlink.entry._patience import Patience
+from reachlink.entry._peer_settings import PeerSettings
 from reachlink.membership import (
     Inbox,
     InstanceRecord,
-    Outbox,
-    Progress,
     SettingsAnswer,
     SettingsHolder,
-    pack_answer,
     unpack_answer,
 )
-from reachlink.messaging import Bus, MessagingError, decode, encode
+from reachlink.messaging import Bus, MessagingError
 from reachlink.settings import SettingsTree
 
-CHANNEL_SETTINGS = "settings"
-# How much longer than asked for an answer may take before another is asked, in seconds.
-WATCH_MARGIN_S = 0.5
-# The same at most, after questions that came to nothing, in seconds: a link on which a
-# piece takes longer than the margin would else never carry one.
-WATCH_MARGIN_MAX_S = 4.0
-# The same at most before there is a first piece, in seconds: nothing tells a slow link
-# from a control instance that is silent, which is asked for that long in vain.
-FIRST_MARGIN_MAX_S = 1.0
-# By how much the margin grows with each question that came to nothing.
-MARGIN_GROWTH = 1.5
-# The margin for a piece in times of what the piece before it took.
-PIECE_MARGIN = 3.0
 # Pause before the next control instance is asked, in seconds.
 PAUSE_S = 0.2
 # The same before this instance is ready: where all have restarted, each should
@@ -45,8 +31,6 @@
 START_PAUSE_S = 0.1
 # How long control instances are waited for before this zone's peers will do, in seconds.
 ZONE_PATIENCE_S = 3.0
-# How long a peer may take to answer, in seconds.
-PEER_TIMEOUT_S = 1.0
 
 
 class FollowingNode(Protocol):
@@ -108,11 +92,16 @@
     def __init__(self, node: FollowingNode) -> None:
         self._node = node
         self._started = asyncio.get_running_loop().time()
-        self._unanswered = 0
-        self._unanswered_since = 0.0
-        self._margin_s = WATCH_MARGIN_S
+        self._patience = Patience(node.log)
         self._inbox = Inbox()
-        self._outbox = Outbox()
+        # Control instances asked in a row that had nothing of what is being fetched.
+        self._lacking = 0
+        self.peers = PeerSettings(node, self._take)
+
+    @property
+    def fetching(self) -> bool:
+        """Whether pieces of a content have come and others are missing."""
+        return bool(self._inbox.progress.content)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -124,47 +113,22 @@
                 self._node.control.rotate()
                 await asyncio.sleep(PAUSE_S if self._node.ready else START_PAUSE_S)
 
-    async def catch_up_from(self, peer_address: str) -> None:
-        """Fetch newer settings from a peer that has told of them."""
-        try:
-            await self._fetch(peer_address, await self._ask_peer(peer_address, Progress()))
-        except MessagingError as error:
-            self._node.log.info("peer_unanswered", peer=peer_address, reason=str(error))
-
-    async def answer_peer(self, sender: str, body: bytes) -> bytes:
-        """Answer a peer that asks for settings newer than its revision."""
-        request = decode(body, WatchRequest)
-        settings = self._node.settings
-        # Only an instance that serves speaks for what the zone has had in force.
-        head = SettingsAnswer(self._node.tree.revision, self._node.ready)
-        return encode(pack_answer(self._outbox, head, request.holding, settings.since))
-
     async def _watch_once(self) -> bool:
         """Ask once; return whether to ask on without a pause."""
         node = self._node
-        asked = node.control.addresses[0]
         request = self._watch_request()
-        started = asyncio.get_running_loop().time()
-        try:
-            answer = await node.control.ask(asked, request, request.wait_s + self._margin_s)
-        except MessagingError as error:
-            most = WATCH_MARGIN_MAX_S if request.progress.content else FIRST_MARGIN_MAX_S
-            self._margin_s = min(self._margin_s * MARGIN_GROWTH, most)
-            self._note_unanswered(asked, str(error))
+        answer = await self._ask(request)
+        if answer is None:
             return False
-        self._note_answered(asked)
-        if not isinstance(answer, SettingsAnswer):
-            return False
-        took_s = asyncio.get_running_loop().time() - started
-        self._margin_s = _margin_after(took_s - request.wait_s)
         await self._take(answer, self._inbox)
         if answer.controls:
             node.on_controls(answer.controls)
             node.on_roster(answer.coordinators, answer.instances)
         if self._inbox.progress != request.progress:
+            self._lacking = 0
             return True
         if request.progress.content:
-            # Who was asked is behind: it has nothing of what is being fetched.
+            self._note_lacking()
             return False
         if answer.fresh and node.tree.revision >= answer.revision:
             self._become_ready("confirmed by the control instances")
@@ -172,11 +136,31 @@
             self._accept_stale()
         return node.ready and not answer.stale
 
+    async def _ask(self, request: WatchRequest) -> SettingsAnswer | None:
+        """Ask the first control instance; None if that came to nothing."""
+        control = self._node.control
+        asked = control.addresses[0]
+        started = asyncio.get_running_loop().time()
+        try:
+            answer = await control.ask(asked, request, request.wait_s + self._patience.margin_s)
+        except MessagingError as error:
+            self._patience.note_failed(asked, str(error), request.revision, self.fetching)
+            return None
+        took_s = asyncio.get_running_loop().time() - started
+        self._patience.note_answered(asked, took_s - request.wait_s)
+        return answer if isinstance(answer, SettingsAnswer) else None
+
+    def _note_lacking(self) -> None:
+        """Who was asked has nothing of what is being fetched; drop it if that is so of all."""
+        self._lacking += 1
+        if self._lacking >= len(self._node.control.addresses):
+            self._lacking = 0
+            self._inbox.drop()
+
     def _watch_request(self) -> WatchRequest:
         """Return the next question: for the next piece, or for news."""
         node = self._node
-        progress = self._inbox.progress
-        fetching = bool(progress.content)
+        fetching = self.fetching
         return WatchRequest(
             node.name,
             node.tree.revision,
@@ -185,33 +169,9 @@
             node.address,
             node.zone,
             node.settings.needs_whole,
-            progress,
+            self._inbox.progress,
         )
 
-    def _note_unanswered(self, asked: str, reason: str) -> None:
-        """Log the first of a row of questions that came to nothing."""
-        now = asyncio.get_running_loop().time()
-        if not self._unanswered:
-            self._unanswered_since = now
-            revision = self._node.tree.revision
-            self._node.log.info(
-                "settings_unanswered", control=asked, revision=revision, reason=reason
-            )
-        self._unanswered += 1
-
-    def _note_answered(self, asked: str) -> None:
-        """Log the end of a row of questions that came to nothing."""
-        if not self._unanswered:
-            return
-        silent = asyncio.get_running_loop().time() - self._unanswered_since
-        self._node.log.info(
-            "settings_answered",
-            control=asked,
-            questions=self._unanswered,
-            silent_s=round(silent, 3),
-        )
-        self._unanswered = 0
-
     def _accept_stale(self) -> None:
         """Where the newest cannot be confirmed for long, serve what a control instance has."""
         waited = asyncio.get_running_loop().time() - self._started
@@ -225,47 +185,11 @@
         node.not_ready_reason = "no control instance can confirm the newest settings"
         if waited < ZONE_PATIENCE_S:
             return
-        peers = node.zone_peers()
-        answers = await asyncio.gather(*(self._ask_quietly(a) for a in peers))
-        found = [(p, a) for p, a in zip(peers, answers, strict=True) if a is not None]
-        if not found:
-            node.not_ready_reason += ", and no instance of this availability zone serves"
-            return
-        # One of them is enough: each would else send the same over this one's link.
-        newest = max((answer.revision, peer) for peer, answer in found)
-        await self._fetch_quietly(newest[1], dict(found)[newest[1]])
-        if any(a.fresh for _, a in found) and node.tree.revision >= newest[0]:
+        if await self.peers.fetch_newest(node.zone_peers()):
             self._become_ready("the newest of this availability zone, which is cut off")
             return
         node.not_ready_reason += ", and no instance of this availability zone serves"
 
-    async def _ask_quietly(self, address: str) -> SettingsAnswer | None:
-        try:
-            return await self._ask_peer(address, Progress())
-        except MessagingError as error:
-            self._node.log.info("peer_unanswered", peer=address, reason=str(error))
-            return None
-
-    async def _fetch_quietly(self, address: str, answer: SettingsAnswer) -> None:
-        try:
-            await self._fetch(address, answer)
-        except MessagingError as error:
-            self._node.log.info("peer_unanswered", peer=address, reason=str(error))
-
-    async def _fetch(self, address: str, answer: SettingsAnswer) -> None:
-        """Take an answer of a peer, with the pieces that follow its first one."""
-        inbox = Inbox()
-        await self._take(answer, inbox)
-        while inbox.progress.content:
-            await self._take(await self._ask_peer(address, inbox.progress), inbox)
-
-    async def _ask_peer(self, address: str, progress: Progress) -> SettingsAnswer:
-        node = self._node
-        whole = node.settings.needs_whole
-        request = WatchRequest(node.name, node.tree.revision, 0.0, whole=whole, progress=progress)
-        raw = await node.bus.call(address, CHANNEL_SETTINGS, encode(request), PEER_TIMEOUT_S)
-        return decode(raw, SettingsAnswer)
-
     async def _take(self, answer: SettingsAnswer, inbox: Inbox) -> None:
         """Put what an answer brings in force, once all of it has come."""
         node = self._node
@@ -273,6 +197,8 @@
         if content is None:
             return
         if node.settings.take(content):
+            # What was being fetched besides leads on from what is not held any more.
+            inbox.drop()
             node.log.info(
                 "settings_in_force",
                 revision=content.revision,
@@ -289,8 +215,3 @@
         self._node.ready = True
         self._node.not_ready_reason = ""
         self._node.log.info("ready", revision=self._node.tree.revision, how=how)
-
-
-def _margin_after(took_s: float) -> float:
-    """Return the margin for the next answer, by what the last one took beyond the wait."""
-    return min(max(WATCH_MARGIN_S, PIECE_MARGIN * took_s), WATCH_MARGIN_MAX_S)
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -7,8 +7,9 @@
 from aiohttp import web
 
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder
-from reachlink.entry._follower import CHANNEL_SETTINGS, SettingsFollower
+from reachlink.entry._follower import SettingsFollower
 from reachlink.entry._list_reader import ListReader
+from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_node import RelayNode
 from reachlink.kernel import json_response
@@ -51,7 +52,7 @@
     async def start(self) -> None:
         """Open sockets and start background work."""
         node, config = self._node, self._config
-        node.bus.handle(CHANNEL_SETTINGS, self._follower.answer_peer)
+        node.bus.handle(CHANNEL_SETTINGS, self._follower.peers.answer)
         node.bus.bind(config.bus_address)
         self._tasks = [
             asyncio.create_task(self._follower.run()),
--- a/reachlink/entry/tests/test_settings_over_small_links.py
+++ b/reachlink/entry/tests/test_settings_over_small_links.py
@@ -134,8 +134,35 @@
             await asyncio.sleep(4.0)
             assert entry.table == first
             assert entry.control.questions - questions < 20
-            deployment.controls[ahead].silent = False
-            await asyncio.sleep(8.0)
+            for address in behind:
+                deployment.controls[address].publish(later)
+            await asyncio.sleep(4.0)
             assert entry.table == later
 
     run_virtually(play())
+
+
+def test_what_nobody_has_any_more_is_not_asked_for_for_ever():
+    async def play():
+        names = Names()
+        few, many = routes(2, names), routes(10_000, names)
+        async with Deployment(entries=1, rate=1 * MBIT) as deployment:
+            entry = deployment.entries[0]
+            deployment.publish(published(1, few))
+            await asyncio.sleep(2.0)
+            ahead, *others = deployment.controls
+            deployment.controls[ahead].publish(published(2, many))
+            await asyncio.sleep(0.4)
+            assert entry.follower.fetching
+            deployment.controls[ahead].silent = True
+            for address in others:
+                deployment.controls[address].publish(published(2, many))
+                deployment.controls[address].publish(published(3, few[:1]))
+            await asyncio.sleep(5.0)
+            assert entry.table.number == 3 and not entry.follower.fetching
+            questions = entry.control.questions
+            await asyncio.sleep(7.0)
+            # Each waits 0.7 s for news.
+            assert entry.control.questions - questions <= 11
+
+    run_virtually(play())
--- a/reachlink/membership/_transfers.py
+++ b/reachlink/membership/_transfers.py
@@ -119,5 +119,9 @@
         if len(self._data) < piece.size:
             return None
         whole = bytes(self._data)
-        self._content, self._data = "", bytearray()
+        self.drop()
         return zlib.decompress(whole)
+
+    def drop(self) -> None:
+        """Forget what has come."""
+        self._content, self._data = "", bytearray()
