A row of patches costs about what one does; pieces are checked against their name

Cause, found by reading: an instance that comes back after many changes cut, put together and digested the whole document for each; and pieces of one name that do not belong together would have ended the task that follows settings.

Change: a row of patches is applied to the cut document and checked by the last digest; a content whose digest is not its name is fetched anew.

Figures (by hand, 10,000 routes, beside load): 24 patches 12 ms, one 10 ms; before, 24 times one. Tests: a row of patches makes the last document (property), one left out is refused, pieces that do not belong together.

--- a/reachlink/membership/_spreading.py
+++ b/reachlink/membership/_spreading.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from reachlink.membership._transfers import Inbox, Outbox, Piece, Progress
-from reachlink.routing import PatchMismatchError, TablePatch
+from reachlink.routing import PatchMismatchError, PublishedTable, TablePatch, apply_patches
 from reachlink.settings import ROUTING_PATH, Change, SettingsTree
 
 REMEMBERED_DELTAS = 256
@@ -58,13 +58,14 @@
     PatchMismatchError
         If a patch was made for another table than the one held.
     """
-    for delta in deltas:
-        changes = list(delta.changes)
-        if delta.table is not None:
-            table = delta.table.apply(tree.routing)
-            changes.append(Change(ROUTING_PATH, msgspec.to_builtins(table)))
-        tree = tree.with_changes(changes, delta.revision)
-    return tree
+    deltas = list(deltas)
+    changes = [change for delta in deltas for change in delta.changes]
+    patches = [delta.table for delta in deltas if delta.table is not None]
+    if patches:
+        first = _first_table(changes) or tree.routing
+        table = apply_patches(first, patches)
+        changes.append(Change(ROUTING_PATH, msgspec.to_builtins(table)))
+    return tree.with_changes(changes, deltas[-1].revision) if deltas else tree
 
 
 def table_size(tree: SettingsTree) -> int:
@@ -72,6 +73,12 @@
     return len(tree.routing.document) if tree.routing else 0
 
 
+def _first_table(changes: Iterable[Change]) -> PublishedTable | None:
+    """Return the table that stands in changes whole: only the first of all does."""
+    whole = [change.value for change in changes if change.path == ROUTING_PATH]
+    return msgspec.convert(whole[-1], PublishedTable) if whole else None
+
+
 def _table_size(delta: Delta) -> int:
     """Return what a delta holds of routing tables, in characters."""
     if delta.table is not None:
--- a/reachlink/membership/_transfers.py
+++ b/reachlink/membership/_transfers.py
@@ -76,7 +76,7 @@
     def keep(self, key: Hashable, raw: bytes) -> Piece:
         """Keep a content under a key and return its first piece."""
         data = zlib.compress(raw, COMPRESSION)
-        name = hashlib.blake2b(data, digest_size=NAME_BYTES).hexdigest()
+        name = _name_of(data)
         self._contents[name] = data
         self._contents.move_to_end(name)
         if len(self._contents) > KEPT_CONTENTS:
@@ -120,8 +120,13 @@
             return None
         whole = bytes(self._data)
         self.drop()
-        return zlib.decompress(whole)
+        # Pieces of one name that do not belong together are fetched anew.
+        return zlib.decompress(whole) if _name_of(whole) == piece.content else None
 
     def drop(self) -> None:
         """Forget what has come."""
         self._content, self._data = "", bytearray()
+
+
+def _name_of(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=NAME_BYTES).hexdigest()
--- a/reachlink/membership/tests/test_transfers.py
+++ b/reachlink/membership/tests/test_transfers.py
@@ -56,6 +56,15 @@
     assert found == LARGE[::-1]
 
 
+def test_pieces_that_do_not_belong_together_are_fetched_anew():
+    outbox, inbox = Outbox(), Inbox()
+    first = outbox.keep("key", LARGE)
+    inbox.take(msgspec.structs.replace(first, data=first.data[::-1]))
+    while inbox.progress.content:
+        assert inbox.take(outbox.resume(inbox.progress)) is None
+    assert inbox.take(first) is None and inbox.progress.held == PIECE_BYTES
+
+
 def test_only_the_latest_contents_are_kept():
     outbox = Outbox()
     for number in range(3 * KEPT_CONTENTS):
--- a/reachlink/routing/__init__.py
+++ b/reachlink/routing/__init__.py
@@ -10,7 +10,7 @@
     decoded,
 )
 from reachlink.routing._index import RoutingIndex
-from reachlink.routing._patch import TablePatch, patch_between
+from reachlink.routing._patch import TablePatch, apply_patches, patch_between
 from reachlink.routing._table import (
     Backend,
     CallerLimits,
@@ -44,6 +44,7 @@
     "TablePatch",
     "TableReader",
     "Workspace",
+    "apply_patches",
     "check_table",
     "decoded",
     "patch_between",
--- a/reachlink/routing/_patch.py
+++ b/reachlink/routing/_patch.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import re
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -15,6 +16,7 @@
 from reachlink.routing._formats import PublishedTable
 from reachlink.routing.exceptions import PatchMismatchError
 
+_CLOSE = "}"
 _PART = re.compile(r"[^}]*\}|[^}]+")
 # Enough that two documents of one number never share a digest by chance.
 DIGEST_BYTES = 16
@@ -54,22 +56,38 @@
         texts = sum(len(part) for part in self.parts if isinstance(part, str))
         return DIGEST_BYTES + KEPT_BYTES * len(self.parts) + texts
 
-    def apply(self, table: PublishedTable | None) -> PublishedTable:
-        """Return the later table.
 
-        Raises
-        ------
-        PatchMismatchError
-            If it was made for another table than this one.
-        """
-        if table is None or table.number != self.base:
-            held = table.number if table else None
-            raise PatchMismatchError(f"changes table {self.base}, {held} is held")
-        old = _split(table.document)
-        text = "".join(_text(part, old) for part in self.parts)
-        if _digest(text) != self.digest:
-            raise PatchMismatchError(f"does not make table {self.number} of what is held")
-        return PublishedTable(self.number, self.format, text)
+def apply_patches(table: PublishedTable | None, patches: Sequence[TablePatch]) -> PublishedTable:
+    """Return the table that a row of patches makes.
+
+    The document is cut, put together and digested once for all of them, for an instance
+    that comes back after many: 24 take 12 ms where one takes 10 (10,000 routes, one run
+    beside load).
+
+    Parameters
+    ----------
+    table : PublishedTable or None
+        The table that the first patch changes.
+    patches : sequence of TablePatch
+        At least one, each on the table that the one before it makes.
+
+    Raises
+    ------
+    PatchMismatchError
+        If one of them was made for another table.
+    """
+    if table is None:
+        raise PatchMismatchError(f"changes table {patches[0].base}, none is held")
+    number, parts = table.number, _split(table.document)
+    for patch in patches:
+        if patch.base != number:
+            raise PatchMismatchError(f"changes table {patch.base}, {number} is held")
+        number, parts = patch.number, _patched(parts, patch)
+    last = patches[-1]
+    document = "".join(parts)
+    if _digest(document) != last.digest:
+        raise PatchMismatchError(f"does not make table {number} of what is held")
+    return PublishedTable(number, last.format, document)
 
 
 def patch_between(old: PublishedTable, new: PublishedTable) -> TablePatch:
@@ -137,11 +155,21 @@
     return _PART.findall(document)
 
 
-def _text(part: Kept | str, old: list[str]) -> str:
-    if isinstance(part, str):
-        return part
-    first, count = part
-    return "".join(old[first : first + count])
+def _patched(old: list[str], patch: TablePatch) -> list[str]:
+    """Return the parts of the document that a patch makes, cut as the whole would be."""
+    parts: list[str] = []
+    for part in patch.parts:
+        if isinstance(part, str):
+            following = _split(part)
+        else:
+            first, count = part
+            following = old[first : first + count]
+        if parts and following and not parts[-1].endswith(_CLOSE):
+            # What was the end of a document goes with what follows it now.
+            parts[-1] += following[0]
+            following = following[1:]
+        parts += following
+    return parts
 
 
 def _digest(document: str) -> bytes:
--- a/reachlink/routing/tests/test_patch.py
+++ b/reachlink/routing/tests/test_patch.py
@@ -4,7 +4,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from reachlink.routing import NATIVE_FORMAT, PatchMismatchError, PublishedTable, patch_between
+from reachlink.routing import (
+    NATIVE_FORMAT,
+    PatchMismatchError,
+    PublishedTable,
+    apply_patches,
+    patch_between,
+)
 
 PARTS = st.lists(st.sampled_from(['{"a":1}', ',{"b":2}', ',{"c":{"d":3}}', "[", "]", "æ}"]))
 
@@ -22,7 +28,7 @@
 @given(PARTS, PARTS)
 def test_a_patch_makes_the_document_character_for_character(old, new):
     before, after = table(1, "".join(old)), table(2, "".join(new))
-    assert patch_between(before, after).apply(before) == after
+    assert apply_patches(before, [patch_between(before, after)]) == after
 
 
 @settings(derandomize=True, max_examples=300)
@@ -31,16 +37,31 @@
     before, after = table(1, "".join(old)), table(2, "".join(new))
     patch = patch_between(before, after)
     try:
-        assert patch.apply(table(1, "".join(other))) == after
+        assert apply_patches(table(1, "".join(other)), [patch]) == after
     except PatchMismatchError:
         assert other != old
 
 
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(PARTS, min_size=2, max_size=6))
+def test_a_row_of_patches_makes_the_last_document(documents):
+    tables = [table(number, "".join(parts)) for number, parts in enumerate(documents)]
+    patches = [patch_between(a, b) for a, b in zip(tables, tables[1:], strict=False)]
+    assert apply_patches(tables[0], patches) == tables[-1]
+
+
+def test_a_row_of_patches_that_leaves_one_out_is_refused():
+    tables = [many(count, count) for count in range(1, 5)]
+    patches = [patch_between(a, b) for a, b in zip(tables, tables[1:], strict=False)]
+    with pytest.raises(PatchMismatchError):
+        apply_patches(tables[0], [patches[0], patches[2]])
+
+
 def test_a_patch_of_another_number_is_refused():
     patch = patch_between(many(3, 1), many(4, 2))
     for held in (None, many(3, 7)):
         with pytest.raises(PatchMismatchError):
-            patch.apply(held)
+            apply_patches(held, [patch])
 
 
 def test_the_size_of_a_patch_is_that_of_the_change_and_not_of_the_table():
@@ -52,5 +73,5 @@
     old = table(1, '{"a":1},{"b":2},{"c":3}')
     new = table(2, ',{"c":3},{"b":2}{"a":1}')
     patch = patch_between(old, new)
-    assert patch.apply(old) == new
+    assert apply_patches(old, [patch]) == new
     assert all(isinstance(part, tuple) for part in patch.parts)
