--- a/benchmarks/bench_tables.py
+++ b/benchmarks/bench_tables.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 import msgspec
 from cyclopts import App
@@ -38,6 +38,7 @@
 from reachlink.testing._settings_world import MBIT, Deployment, Names, published, routes
 
 T = TypeVar("T")
+F = TypeVar("F")
 
 RESULTS = Path(__file__).parent / "results"
 COSTS = RESULTS / "table_costs.json"
@@ -60,6 +61,13 @@
 app = App(help=__doc__)
 
 
+class Saved(msgspec.Struct, Generic[F]):
+    """A results file."""
+
+    environment: dict[str, object]
+    figures: list[F]
+
+
 class ChangeFigures(msgspec.Struct, kw_only=True):
     """What one change costs; bytes, and milliseconds of processor time."""
 
@@ -316,6 +324,12 @@
 Figures = ChangeFigures | LookupFigures | VoterFigures | RestartFigures | ForceFigures
 
 
+def read_figures(path: Path, kind: type[F]) -> list[F]:
+    """Return figures that were written."""
+    found: list[F] = msgspec.json.decode(path.read_bytes(), type=Saved[kind]).figures  # type: ignore[valid-type]
+    return found
+
+
 def save(path: Path, figures: Sequence[Figures]) -> None:
     """Print figures and write them with what they were measured on."""
     for figure in figures:
--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -12,6 +12,15 @@
 from cyclopts import App
 
 from benchmarks._slope import Slope
+from benchmarks.bench_tables import (
+    COSTS,
+    RESTARTS,
+    VOTERS,
+    ChangeFigures,
+    RestartFigures,
+    VoterFigures,
+    read_figures,
+)
 from benchmarks.slopes import RESULTS
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
@@ -31,6 +40,8 @@
 GROUP_PEERS = 7
 CLAIM_SHARE = 0.01
 CLAIM_HOURS = 24
+CHANGES_A_DAY = 1200
+DAY_S = 86_400
 
 app = App(help=__doc__)
 
@@ -64,6 +75,32 @@
     return msgspec.json.decode(RESULTS.read_bytes(), type=Results)
 
 
+def table_rows() -> list[Row]:
+    """Return the figures of the largest routing table that was measured."""
+    changes = read_figures(COSTS, ChangeFigures)
+    restarts = read_figures(RESTARTS, RestartFigures)
+    voters = read_figures(VOTERS, VoterFigures)
+    size = max(figures.routes for figures in changes)
+    change = next(f for f in changes if f.routes == size)
+    start = max((f for f in restarts if f.routes == size), key=lambda f: f.watchers)
+    voter = next(f for f in voters if f.routes == size)
+    own, held, way = "entry daemon", "control voter", "today's: differences, pieces (spreading)"
+    per_day = f"measured at {size} routes, {CHANGES_A_DAY} a day"
+    return [
+        Row(own, "changes of the routing table", per_day,
+            CHANGES_A_DAY * change.instance_ms / 1000 / DAY_S * 100, "% of a core", 1.7, way),
+        Row(own, "changes of the routing table, received", per_day,
+            CHANGES_A_DAY * change.pieces_bytes / 1000 / DAY_S, "KB/s", 3, way),
+        Row(own, "longest hold of the loop by a change", f"measured at {size} routes",
+            change.longest_hold_ms, "ms", 5, way),
+        Row(own, "the routing table after a start of all",
+            f"measured at {size} routes, {start.watchers} daemons, 5 Mbit/s each",
+            start.last_ms / 1000, "s", 5, way),
+        Row(held, "a snapshot of the routing table", f"measured at {size} routes",
+            voter.snapshot_bytes / 1e6, "MB", 0, "today's: snapshots (agreement)"),
+    ]  # fmt: skip
+
+
 def rows(results: Results) -> list[Row]:
     """Return every figure, worked out from the slopes."""
     by_name = {slope.name: slope for slope in results.slopes}
@@ -123,6 +160,7 @@
             more("claim memory", claims), "MB", 1024, f"{today}: does not carry it"),
         Row(voter, "snapshot of claims", f"slope x {claims / 1e6:.1f} million kept",
             more("claim snapshot", claims), "MB", 64, f"{today}: does not carry it"),
+        *table_rows(),
     ]  # fmt: skip
 
 
