Zones out of service: an operator's order that outlives everything, in force at every instance

Change: a zone's last order stands in the settings tree (sites.ZONE.zone_order: out or back, since, by whom, why), made by a command of its own in the replicated log. It names the order that it was given on, so that one held up on a silent connection changes nothing after it was taken back; the same order again is acknowledged. Spread as settings are, put in force in one step before any table is read. Nothing is placed, copied, retried or continued in such a zone; what runs there ends there; copies there are freed and made elsewhere; where every zone of a service is out, callers are refused at once with when to come back. `reachlink zones`, /v1/zones and the platform's two orders are borders of it. Publishing and orders share one way of proposing.

A document with a value that is a table of fields reads back as one setting (export and apply of settings would have taken it apart).

--- a/reachlink/cli/_main.py
+++ b/reachlink/cli/_main.py
@@ -5,6 +5,7 @@
 from reachlink import __version__
 from reachlink.cli import _logs, _operations
 from reachlink.cli._settings import app as settings_app
+from reachlink.cli._zones import app as zones_app
 
 app = App(
     name="reachlink",
@@ -15,6 +16,7 @@
     ),
 )
 app.command(settings_app)
+app.command(zones_app)
 app.command(_operations.members_app)
 app.command(_operations.status)
 app.command(_operations.audit)
--- a/reachlink/cli/tests/test_cli.py
+++ b/reachlink/cli/tests/test_cli.py
@@ -78,3 +78,20 @@
     done = reachlink("settings", "get", key="nobody")
     assert done.returncode == 2
     assert "invalid_key" in done.stderr
+
+
+def test_a_zone_is_taken_out_of_service_and_back(reachlink):
+    done = reachlink("zones", "out", "sal-tre", "--reason", "power works")
+    assert done.returncode == 0 and "status=accepted" in done.stdout
+    listed = reachlink("zones", "list").stdout
+    assert "zone=sal-tre" in listed and "out_of_service=true" in listed
+    assert "power works" in listed
+    assert "status=held" in reachlink("zones", "out", "sal-tre").stdout
+    assert "status=accepted" in reachlink("zones", "back", "sal-tre").stdout
+    assert "out_of_service=false" in reachlink("zones", "list").stdout
+
+
+def test_an_order_about_a_zone_is_not_edited(reachlink):
+    done = reachlink("settings", "set", 'sites.sal-tre.zone_order={"out_of_service":true}')
+    assert done.returncode == 2
+    assert "sites.sal-tre.zone_order" in done.stderr
--- a/reachlink/control/__init__.py
+++ b/reachlink/control/__init__.py
@@ -20,18 +20,23 @@
     PublishResult,
     PublishStatus,
     StoredAnswer,
+    ZoneCommand,
+    ZoneResult,
+    ZoneStatus,
 )
 from reachlink.control._config import ControlConfig
 from reachlink.control._daemon import ControlDaemon, found_cluster, founding_id
 from reachlink.control._machine import ControlMachine
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._protocol import StatusAnswer, StatusRequest, WatchRequest
-from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
+from reachlink.control._publishing import OPERATOR_BORDERS, OperatorTools, TablePublisher
+from reachlink.control._zone_orders import Issuer, ZoneOrders
 from reachlink.control.exceptions import (
     ControlError,
     ControlUnavailableError,
     OperatorError,
     OutcomeUnknownError,
+    UnknownZoneError,
 )
 
 
@@ -68,14 +73,21 @@
     "EditStatus",
     "FenceCommand",
     "FenceResult",
+    "Issuer",
     "NoteCommand",
     "OperatorError",
     "OperatorHandlers",
+    "OperatorTools",
     "OutcomeUnknownError",
     "StatusAnswer",
     "StatusRequest",
     "StoredAnswer",
+    "UnknownZoneError",
     "WatchRequest",
+    "ZoneCommand",
+    "ZoneOrders",
+    "ZoneResult",
+    "ZoneStatus",
     "check_chain",
     "found_cluster",
     "founding_id",
--- a/reachlink/control/_commands.py
+++ b/reachlink/control/_commands.py
@@ -99,7 +99,32 @@
     at: float
 
 
-Command = EditCommand | ClaimCommand | CompleteCommand | NoteCommand | FenceCommand | PublishCommand
+class ZoneCommand(msgspec.Struct, tag="zone", frozen=True):
+    """Take an availability zone out of service, or back.
+
+    `base` is the revision of the order about the zone that this one was given on, 0
+    for none: an order that was held up on its way while others overtook it changes
+    nothing.
+    """
+
+    zone: str
+    out_of_service: bool
+    base: int
+    author: str
+    source: str
+    reason: str
+    at: float
+
+
+Command = (
+    EditCommand
+    | ClaimCommand
+    | CompleteCommand
+    | NoteCommand
+    | FenceCommand
+    | PublishCommand
+    | ZoneCommand
+)
 
 
 class ChangeRecord(msgspec.Struct, frozen=True):
@@ -173,7 +198,22 @@
     revision: int
 
 
-Result = EditResult | ClaimResult | FenceResult | NoteResult | PublishResult
+class ZoneStatus(Enum):
+    """What became of an order about a zone."""
+
+    ACCEPTED = "accepted"
+    HELD = "held"
+    OVERTAKEN = "overtaken"
+
+
+class ZoneResult(msgspec.Struct, tag="zone ordered", frozen=True):
+    """Answer to an order about a zone; `revision` is that of the order in force after it."""
+
+    status: ZoneStatus
+    revision: int
+
+
+Result = EditResult | ClaimResult | FenceResult | NoteResult | PublishResult | ZoneResult
 
 
 class AuditRecord(msgspec.Struct, frozen=True):
--- a/reachlink/control/_config.py
+++ b/reachlink/control/_config.py
@@ -21,7 +21,8 @@
     ``borders`` are more operators' interfaces to serve, by their names, and
     ``metrics_port`` is a port for the metrics page alone; 0 for none. Up to
     ``coordinators_up_to`` entry instances all coordinate placement, beyond that
-    ``coordinators_per_zone`` of each zone do.
+    ``coordinators_per_zone`` of each zone do. ``zones`` are the availability zones of
+    the deployment, so that an order about any other is refused; empty for any.
     """
 
     name: str
@@ -37,6 +38,7 @@
     voters: int = 3
     first_start: bool = False
     borders: list[str] = []
+    zones: list[str] = []
     metrics_port: int = 0
     coordinators_up_to: Annotated[int, msgspec.Meta(ge=0)] = CoordinationLimits().all_up_to
     coordinators_per_zone: Annotated[int, msgspec.Meta(ge=1)] = CoordinationLimits().per_zone
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -17,10 +17,12 @@
 from reachlink.control._config import ControlConfig
 from reachlink.control._machine import ControlMachine
 from reachlink.control._operator_http import OperatorHandlers
+from reachlink.control._proposals import propose_through
 from reachlink.control._protocol import CHANNEL_CONTROL, CHANNEL_LOG, CHANNEL_ROSTER
-from reachlink.control._publishing import OPERATOR_BORDERS, TablePublisher
+from reachlink.control._publishing import OPERATOR_BORDERS, OperatorTools, TablePublisher
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
+from reachlink.control._zone_orders import ZoneOrders
 from reachlink.kernel import SystemClock, process_started_at
 from reachlink.messaging import Bus, export_traffic
 from reachlink.telemetry import Metrics, get_logger
@@ -89,14 +91,16 @@
             self._tasks.append(asyncio.create_task(self._steward().run()))
         client = ControlClient(self._bus, [self._config.bus_address])
         handlers = OperatorHandlers(
-            client, lambda: self._machine.tree, self._config.bootstrap_key_hash
+            client,
+            lambda: self._machine.tree,
+            self._config.bootstrap_key_hash,
+            self._config.zones,
         )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.add_routes(handlers.routes())
         app.add_routes([web.get("/healthz", self._health), web.get("/metrics", self._page)])
-        publisher = TablePublisher(self._server)
         for border in self._config.borders:
-            app.add_routes(OPERATOR_BORDERS.get(border)(publisher))
+            app.add_routes(OPERATOR_BORDERS.get(border)(self._operator_tools()))
         await self._serve(app, self._config.port)
         if self._config.metrics_port:
             page = web.Application()
@@ -128,6 +132,14 @@
         """Take other addresses where control instances may be found."""
         self._seeds[:] = seeds
 
+    def _operator_tools(self) -> OperatorTools:
+        zones = ZoneOrders(
+            lambda command: propose_through(self._server, command),
+            lambda: self._machine.tree,
+            self._config.zones,
+        )
+        return OperatorTools(TablePublisher(self._server), zones)
+
     def _steward(self) -> Steward:
         config = self._config
         own = Candidate(self._identity.node_id, config.bus_address, config.availability_zone)
--- a/reachlink/control/_machine.py
+++ b/reachlink/control/_machine.py
@@ -33,15 +33,23 @@
     PublishResult,
     PublishStatus,
     Result,
+    ZoneCommand,
+    ZoneResult,
+    ZoneStatus,
 )
+from reachlink.control._zones import new_order, status_of
 from reachlink.membership import Delta, deltas_after, remember_delta, table_size
 from reachlink.routing import PublishedTable, patch_between
 from reachlink.settings import (
     ROUTING_PATH,
+    ZONE_ORDER,
     Change,
     InvalidSettingsError,
     Problem,
     SettingsTree,
+    UnknownPathError,
+    parse_path,
+    zone_order_path,
 )
 
 REMEMBERED_EDITS = 4096
@@ -196,6 +204,41 @@
         )
         return result
 
+    @_run.register
+    def _(self, command: ZoneCommand, index: int, term: int) -> ZoneResult:
+        held = self._tree.zone_orders.get(command.zone)
+        status = status_of(command, held)
+        if status is not ZoneStatus.ACCEPTED:
+            return ZoneResult(status, held.revision if held else 0)
+        order = new_order(command, self._tree.revision + 1)
+        change = Change(zone_order_path(command.zone), msgspec.to_builtins(order))
+        records = _records(self._tree, [change])
+        self._take([change])
+        self._record_zone_order(command, records)
+        return ZoneResult(status, order.revision)
+
+    def _take(self, changes: list[Change]) -> None:
+        """Put changes in force that need no more checks."""
+        self._tree = self._tree.with_changes(changes, self._tree.revision + 1)
+        delta = Delta(self._tree.revision, changes)
+        remember_delta(self._deltas, delta, table_size(self._tree))
+
+    def _record_zone_order(self, command: ZoneCommand, records: list[ChangeRecord]) -> None:
+        self._audit.add(
+            AuditRecord(
+                0,
+                command.at,
+                "zone",
+                command.author,
+                command.source,
+                "",
+                self._tree.revision,
+                True,
+                command.reason,
+                records,
+            )
+        )
+
     def _publish(self, table: PublishedTable) -> PublishResult:
         held = self._tree.routing
         revision = self._tree.revision
@@ -220,7 +263,7 @@
             self._record_edit(command, result, [], f"made on {command.base_revision}")
             return result
         try:
-            _refuse_routing(command.changes)
+            _refuse_unedited(command.changes)
             tree = self._tree.edited(command.changes, revision + 1)
         except InvalidSettingsError as error:
             problems = [ProblemRecord(p.path, p.message) for p in error.problems]
@@ -272,10 +315,23 @@
     return [ChangeRecord(c.path, tree.values.get(c.path), c.value) for c in changes]
 
 
-def _refuse_routing(changes: list[Change]) -> None:
-    """A routing table has a number of its own and is published, not edited."""
-    if any(change.path == ROUTING_PATH for change in changes):
-        raise InvalidSettingsError([Problem(ROUTING_PATH, "is published as a whole, not edited")])
+def _refuse_unedited(changes: list[Change]) -> None:
+    """Refuse what has commands of its own: routing tables and orders about zones."""
+    for change in changes:
+        if change.path == ROUTING_PATH:
+            problem = Problem(ROUTING_PATH, "is published as a whole, not edited")
+            raise InvalidSettingsError([problem])
+        if _is_zone_order(change.path):
+            problem = Problem(change.path, "is ordered (reachlink zones), not edited")
+            raise InvalidSettingsError([problem])
+
+
+def _is_zone_order(path: str) -> bool:
+    try:
+        return parse_path(path).setting.name == ZONE_ORDER
+    except UnknownPathError:
+        # Named with the edit's other problems, when it is checked.
+        return False
 
 
 def _summary(table: PublishedTable) -> str:
--- a/reachlink/control/_operator_http.py
+++ b/reachlink/control/_operator_http.py
@@ -2,7 +2,7 @@
 
 import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from functools import wraps
 from typing import Any
 
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from reachlink.control._client import ControlClient
-from reachlink.control._commands import EditCommand, EditResult, EditStatus
+from reachlink.control._commands import Command, EditCommand, EditResult, EditStatus, Result
 from reachlink.control._protocol import (
     AuditAnswer,
     AuditRequest,
@@ -20,10 +20,12 @@
     StatusAnswer,
     StatusRequest,
 )
+from reachlink.control._zone_orders import Issuer, ZoneOrders
 from reachlink.control.exceptions import (
     ControlUnavailableError,
     OperatorError,
     OutcomeUnknownError,
+    UnknownZoneError,
 )
 from reachlink.kernel import bearer_key, json_response
 from reachlink.messaging import MessagingError
@@ -57,6 +59,13 @@
     availability_zone: str = ""
 
 
+class ZoneBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /v1/zones/ZONE``."""
+
+    out_of_service: bool
+    reason: str = ""
+
+
 def _answering(handler: _Handler) -> _Handler:
     """Turn this layer's errors into responses."""
 
@@ -72,6 +81,8 @@
             return _error(OperatorError(400, "invalid_body", str(error)))
         except ControlUnavailableError as error:
             return _error(OperatorError(503, "control_unavailable", str(error)))
+        except UnknownZoneError as error:
+            return _error(OperatorError(404, "unknown_zone", str(error)))
         except OutcomeUnknownError as error:
             return _error(OperatorError(504, "outcome_unknown", str(error)))
 
@@ -89,14 +100,21 @@
         Returns the settings in force at this instance.
     bootstrap_key_hash : str
         Hash of the key that acts as an operator until the settings name one.
+    zones : collection of str
+        The availability zones of the deployment; where empty, any name will do.
     """
 
     def __init__(
-        self, control: ControlClient, tree: Callable[[], SettingsTree], bootstrap_key_hash: str
+        self,
+        control: ControlClient,
+        tree: Callable[[], SettingsTree],
+        bootstrap_key_hash: str,
+        zones: Collection[str] = (),
     ) -> None:
         self._control = control
         self._tree = tree
         self._bootstrap = bootstrap_key_hash
+        self._zones = ZoneOrders(self._propose, tree, zones)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes that these handlers serve."""
@@ -107,6 +125,8 @@
             web.get("/v1/audit", self.audit),
             web.get("/v1/status", self.status),
             web.post("/v1/members", self.members),
+            web.get("/v1/zones", self.show_zones),
+            web.post("/v1/zones/{zone}", self.order_zone),
         ]
 
     def authorize(self, request: web.Request, write: bool) -> str:
@@ -209,6 +229,26 @@
         assert isinstance(answer, MembersAnswer)
         return json_response({"members": answer.members})
 
+    @_answering
+    async def show_zones(self, request: web.Request) -> web.StreamResponse:
+        """Return the last order about each availability zone that there was one about."""
+        self.authorize(request, write=False)
+        tree = self._tree()
+        return json_response({"revision": tree.revision, "zones": tree.zone_orders})
+
+    @_answering
+    async def order_zone(self, request: web.Request) -> web.StreamResponse:
+        """Take an availability zone out of service, or back."""
+        author = self.authorize(request, write=True)
+        zone = request.match_info["zone"]
+        body = msgspec.json.decode(await request.read(), type=ZoneBody)
+        issuer = Issuer(author, request.remote or "", body.reason)
+        result = await self._zones.order(zone, body.out_of_service, issuer)
+        return json_response({"status": result.status.value, "revision": result.revision})
+
+    async def _propose(self, command: Command) -> Result:
+        return await self._control.propose(command, EDIT_TIMEOUT_S)
+
     async def _ask_once(self, change: Request) -> object:
         # A membership change is not repeated blindly: the operator looks first.
         return await self._control.request(change, EDIT_TIMEOUT_S)
--- a/reachlink/control/_publishing.py
+++ b/reachlink/control/_publishing.py
@@ -3,23 +3,22 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
 
 from reachlink.control._commands import PublishCommand, PublishResult
-from reachlink.control._protocol import LostAnswer, ProposeAnswer, ProposeRequest, RefusedAnswer
+from reachlink.control._proposals import PAUSE_S, propose_through
 from reachlink.control._server import ControlServer
-from reachlink.control.exceptions import ControlUnavailableError, OutcomeUnknownError
+from reachlink.control._zone_orders import ZoneOrders
+from reachlink.control.exceptions import ControlUnavailableError
 from reachlink.kernel import Registry
 from reachlink.routing import PublishedTable
 
-# How long one call tries, in seconds: operators' clients turn to another
-# instance after one second without an answer.
-PUBLISH_TIMEOUT_S = 0.85
+# How long one call tries to be sure of the newest table, in seconds: operators'
+# clients turn to another instance after one second without an answer.
 READ_TIMEOUT_S = 0.85
-# Pause before an attempt that was refused is repeated, in seconds.
-PAUSE_S = 0.08
 
 
 class TablePublisher:
@@ -45,25 +44,9 @@
             It may have been done.
         """
         command = PublishCommand(table, author, source, time.time())
-        deadline = time.monotonic() + PUBLISH_TIMEOUT_S
-        maybe_done = False
-        reason = "no leader in reach"
-        while (left := deadline - time.monotonic()) > 0:
-            try:
-                async with asyncio.timeout(left):
-                    answer = await self._server.answer(ProposeRequest(command))
-            except TimeoutError:
-                maybe_done = True
-                break
-            if isinstance(answer, ProposeAnswer) and isinstance(answer.result, PublishResult):
-                return answer.result
-            maybe_done = maybe_done or isinstance(answer, LostAnswer)
-            if isinstance(answer, LostAnswer | RefusedAnswer):
-                reason = answer.reason
-            await asyncio.sleep(PAUSE_S)
-        if maybe_done:
-            raise OutcomeUnknownError(reason)
-        raise ControlUnavailableError(reason)
+        result = await propose_through(self._server, command)
+        assert isinstance(result, PublishResult)
+        return result
 
     async def newest(self) -> PublishedTable | None:
         """Return the newest accepted table, or None where none was ever accepted.
@@ -85,7 +68,15 @@
         raise ControlUnavailableError("cannot be sure of the newest routing table")
 
 
-OperatorBorder = Callable[[TablePublisher], list[web.RouteDef]]
+@dataclass(slots=True, frozen=True)
+class OperatorTools:
+    """What an operators' border works with."""
+
+    tables: TablePublisher
+    zones: ZoneOrders
+
+
+OperatorBorder = Callable[[OperatorTools], list[web.RouteDef]]
 """Makes the HTTP routes of one operators' interface."""
 
 OPERATOR_BORDERS: Registry[Any] = Registry("operators' border")
--- a/reachlink/control/exceptions.py
+++ b/reachlink/control/exceptions.py
@@ -2,7 +2,13 @@
 
 from reachlink.kernel import ReachlinkError
 
-__all__ = ["ControlError", "ControlUnavailableError", "OperatorError", "OutcomeUnknownError"]
+__all__ = [
+    "ControlError",
+    "ControlUnavailableError",
+    "OperatorError",
+    "OutcomeUnknownError",
+    "UnknownZoneError",
+]
 
 
 class ControlError(ReachlinkError):
@@ -20,6 +26,10 @@
     """
 
 
+class UnknownZoneError(ControlError):
+    """An order names an availability zone that does not exist."""
+
+
 class OperatorError(ControlError):
     """A request of an operator that cannot be done.
 
--- a/reachlink/coordination/_coordinator.py
+++ b/reachlink/coordination/_coordinator.py
@@ -220,8 +220,8 @@
         since = self._clock() - LEAVING_TOLD_S
         names = self._directory.leaving(service, since)
         leaving = [r for r in map(self._directory.find, names) if r is not None]
-        live = self._directory.live(service)
-        return live + [r for r in leaving if r not in live]
+        staying = self._directory.staying(service)
+        return staying + [r for r in leaving if r not in staying]
 
     def _shares_for(
         self, member: str, replicas: list[Replica], present: Set[str]
@@ -241,7 +241,7 @@
         now = self._clock()
         found = []
         for replica in replicas:
-            leaves = not self._directory.may_get_work(replica.name)
+            leaves = not self._directory.stays(replica.name)
             if leaves or replica.name in present:
                 news = self._book.state(replica.name).news(now)
                 if news is not None:
--- a/reachlink/coordination/_replica_list.py
+++ b/reachlink/coordination/_replica_list.py
@@ -15,7 +15,7 @@
             service=replica.upstream,
             availability_zone=replica.availability_zone,
             address=replica.address,
-            leaving=not directory.may_get_work(replica.name),
+            leaving=not directory.stays(replica.name),
         )
         for replica in directory.all()
     ]
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -317,6 +317,7 @@
         Requests are decided by the table before meanwhile. It is read in slices: in one
         go, 1,440 routes held up streams and requests for 13 ms of processor time.
         """
+        self._put_zones_in_force()
         published = self.tree.routing
         if published is None or (self._index and self._index.number >= published.number):
             return
@@ -334,6 +335,26 @@
         took_ms = round(1000.0 * (time.monotonic() - started), 1)
         self.log.info("routing_table_in_force", number=published.number, took_ms=took_ms)
 
+    def _put_zones_in_force(self) -> None:
+        """Send nothing more to zones out of service, from this very step on."""
+        zones = self.tree.zones_out_of_service
+        before = self.directory.out_of_service
+        if zones == before:
+            return
+        self.directory.take_out_of_service(zones)
+        self.log.info(
+            "zones_out_of_service",
+            zones=",".join(sorted(zones)),
+            back=",".join(sorted(before - zones)),
+            revision=self.tree.revision,
+            running_there=self._running_in(zones),
+        )
+
+    def _running_in(self, zones: Set[str]) -> int:
+        """Return how many requests of this instance run at replicas of some zones."""
+        there = (r.name for r in self.directory.all() if r.availability_zone in zones)
+        return sum(self.book.state(name).own_running for name in there)
+
     def _on_list_news(self) -> None:
         """The platform's list has told of replicas that come or leave."""
         self.book.touch()
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -120,7 +120,7 @@
         if not carrying and self._name not in self._readers:
             return []
         engines = self._engines()
-        replicas = [r for service in engines for r in self._directory.live(service)]
+        replicas = [r for service in engines for r in self._directory.staying(service)]
         replicas += self._leaving_soon(engines)
         return [
             r for r in replicas if r.name not in self._reading and self._falls_here(r, carrying)
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -5,7 +5,7 @@
 does not take back what was heard since.
 """
 
-from collections.abc import Iterable, KeysView, Mapping
+from collections.abc import Iterable, KeysView, Mapping, Set
 from dataclasses import dataclass
 from enum import Enum
 
@@ -87,6 +87,17 @@
         # Live replicas by upstream, kept between changes: they are asked for with
         # every decision and change a few times an hour.
         self._live: dict[str, list[Replica]] = {}
+        self._out_of_service: frozenset[str] = frozenset()
+
+    @property
+    def out_of_service(self) -> frozenset[str]:
+        """Availability zones whose instances get nothing more, by an operator's order."""
+        return self._out_of_service
+
+    def take_out_of_service(self, zones: Set[str]) -> None:
+        """Take the availability zones that are out of service from now on."""
+        self._out_of_service = frozenset(zones)
+        self._live.clear()
 
     def update(self, listed: Iterable[ListedInstance], now: float) -> list[ListedInstance]:
         """Take a new copy of the platform's list; return what is new in it.
@@ -165,19 +176,32 @@
     def may_get_work(self, name: str) -> bool:
         """Return whether an instance may get new work, to be asked at dispatch."""
         entry = self._entries.get(name)
-        return entry is not None and _is_live(entry)
+        return entry is not None and _stays(entry) and self._in_service(entry.replica)
+
+    def stays(self, name: str) -> bool:
+        """Return whether an instance is there and not known to leave.
+
+        Work that runs there may go on, also where its zone is out of service.
+        """
+        entry = self._entries.get(name)
+        return entry is not None and _stays(entry)
 
     def live(self, upstream: str) -> list[Replica]:
         """Return the instances of an upstream that may get new work."""
         found = self._live.get(upstream)
         if found is None:
-            found = self._live[upstream] = [
-                entry.replica
-                for entry in self._entries.values()
-                if entry.replica.upstream == upstream and _is_live(entry)
-            ]
+            staying = self.staying(upstream)
+            found = self._live[upstream] = [r for r in staying if self._in_service(r)]
         return found
 
+    def staying(self, upstream: str) -> list[Replica]:
+        """Return the instances of an upstream that do not leave, in service or not."""
+        return [
+            entry.replica
+            for entry in self._entries.values()
+            if entry.replica.upstream == upstream and _stays(entry)
+        ]
+
     def find(self, name: str) -> Replica | None:
         """Return an instance by name, leaving or not."""
         entry = self._entries.get(name)
@@ -192,6 +216,9 @@
         """Return every instance that the platform's latest list has."""
         return [entry.replica for entry in self._entries.values() if not entry.gone]
 
+    def _in_service(self, replica: Replica) -> bool:
+        return replica.availability_zone not in self._out_of_service
+
     def _update_one(self, instance: ListedInstance, now: float) -> bool:
         """Take one line of the list; return whether it is news to the other instances."""
         address = self._routes.get(instance.address, instance.address)
@@ -222,5 +249,5 @@
             del self._entries[name]
 
 
-def _is_live(entry: _Entry) -> bool:
+def _stays(entry: _Entry) -> bool:
     return entry.listed is InstanceState.LIVE and entry.marked is None and not entry.gone
--- a/reachlink/membership/tests/test_membership.py
+++ b/reachlink/membership/tests/test_membership.py
@@ -109,3 +109,23 @@
     assert directory.may_get_work("r2")
     directory.update([one("r1")], 2.5)
     assert not directory.may_get_work("r2")
+
+
+def test_a_zone_out_of_service_gets_nothing_and_its_instances_stay():
+    directory = ReplicaDirectory()
+    directory.update(
+        [
+            ListedInstance("r1", "chat", "a", "127.0.0.1:1"),
+            ListedInstance("r2", "chat", "b", "127.0.0.1:2"),
+        ],
+        0.0,
+    )
+    directory.take_out_of_service({"b"})
+    assert [r.name for r in directory.live("chat")] == ["r1"]
+    assert not directory.may_get_work("r2") and directory.stays("r2")
+    assert {r.name for r in directory.staying("chat")} == {"r1", "r2"}
+    # One that comes later finds the order in force.
+    directory.hear([ListedInstance("r3", "chat", "b", "127.0.0.1:3")], 1.0)
+    assert not directory.may_get_work("r3")
+    directory.take_out_of_service(set())
+    assert {r.name for r in directory.live("chat")} == {"r1", "r2", "r3"}
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -142,10 +142,10 @@
         found: list[tuple[Replica, MovedMemory]] = []
         if self._shadow is not None and self._shadow_place is not None:
             memory = await self._shadow.take()
-            if memory is not None:
+            if memory is not None and self._placing.is_in_service(self._shadow_place.replica):
                 found.append((self._shadow_place.replica, memory))
             self._shadow = None
-        if self._backup is not None:
+        if self._backup is not None and self._placing.is_in_service(self._backup.replica):
             replica = self._backup.replica
             found.append((replica, MovedMemory(replica.address, self._request.request_id)))
         return found
@@ -203,6 +203,8 @@
         if self._shadow.failed:
             self._note_failed_shadow(self._shadow)
             return False
+        if not self._placing.is_in_service(self._shadow.target):
+            return False
         target_stays = self._placing.stays(self._shadow.target)
         if leaving:
             self._dispatch.hold(self._shadow_place.flight)
@@ -255,7 +257,7 @@
         engine = self._request.service.engine
         if engine is None or not engine.moves:
             return False
-        if self._backup is not None and self._placing.stays(self._backup.replica):
+        if self._backup is not None and self._placing.takes_work(self._backup.replica):
             return False
         if not leaving and self._placing.evacuating(self._request.service):
             return False
@@ -349,7 +351,7 @@
 
     def _may_be_backup(self, before: Replica, home: Replica) -> bool:
         """Return whether the home before may be the backup."""
-        if before.name == home.name or not self._placing.stays(before):
+        if before.name == home.name or not self._placing.takes_work(before):
             return False
         return self._placing.is_near(before) or self._placing.is_near(home)
 
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -17,6 +17,10 @@
 class Directory(Protocol):
     """Which replicas exist and may get new work."""
 
+    @property
+    def out_of_service(self) -> Set[str]:
+        """Availability zones whose replicas get nothing more."""
+
     def live(self, upstream: str) -> list[Replica]:
         """Return the replicas of a service that may get new work."""
 
@@ -26,6 +30,12 @@
     def may_get_work(self, name: str) -> bool:
         """Return whether a replica may get new work now."""
 
+    def stays(self, name: str) -> bool:
+        """Return whether a replica is there and not known to leave."""
+
+    def staying(self, upstream: str) -> list[Replica]:
+        """Return the replicas of a service that do not leave, in service or not."""
+
     def know(self, name: str, upstream: str, zone: str, address: str) -> Replica:
         """Return a replica that another instance has named, noting it where it is new."""
 
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -59,8 +59,21 @@
 
     def stays(self, replica: Replica) -> bool:
         """Return whether a replica is there and not known to leave."""
+        return self._parts.directory.stays(replica.name)
+
+    def is_in_service(self, replica: Replica) -> bool:
+        """Return whether a replica's zone is not out of service by an operator's order."""
+        return replica.availability_zone not in self._parts.directory.out_of_service
+
+    def takes_work(self, replica: Replica) -> bool:
+        """Return whether a replica stays and its zone is in service."""
         return self._parts.directory.may_get_work(replica.name)
 
+    def all_out_of_service(self, service: str) -> bool:
+        """Return whether a service has replicas and all are in zones out of service."""
+        directory = self._parts.directory
+        return not directory.live(service) and bool(directory.staying(service))
+
     async def place(
         self, request: CallerRequest, tried: set[str], calm_only: bool = False
     ) -> Replica | None:
@@ -140,7 +153,7 @@
         replica = self._parts.directory.know(
             listed.name, listed.service, listed.availability_zone, listed.address
         )
-        return replica if self.stays(replica) else None
+        return replica if self.takes_work(replica) else None
 
     async def _ask(self, service: Service, question: PlaceQuestion) -> PlaceAnswer | None:
         if service.engine is None:
@@ -200,11 +213,15 @@
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
-            if not waits or self.out_of_reach(request.service.name):
+            if not waits or self._surely_none(request.service.name):
                 self._log_no_room(request, tried)
                 return None
             await asyncio.sleep(WAIT_STEP_S)
 
+    def _surely_none(self, service: str) -> bool:
+        """Return whether waiting for room is in vain: no replica may get anything."""
+        return self.out_of_reach(service) or self.all_out_of_service(service)
+
     def note_unreachable(self, replica: Replica) -> None:
         """Note that no connection to a replica could be made: its zone may be cut off."""
         if not self.is_near(replica):
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -54,7 +54,7 @@
                 return
             if not dispatch.may_retry(request, replica, setback, attempts):
                 break
-        raise dispatch.failure(attempts)
+        raise dispatch.failure(request.service, attempts)
 
 
 class _Stream:
--- /dev/null
+++ b/reachlink/requests/tests/test_zones.py
@@ -0,0 +1,93 @@
+"""Zones out of service: nothing goes there any more, and nobody there is cut."""
+
+import asyncio
+
+import pytest
+
+from reachlink.delivery import Outcome
+from reachlink.requests import RequestFailedError
+from reachlink.requests.tests.world import (
+    BACKUP_ENGINE,
+    BROKEN,
+    answering,
+    everywhere,
+    stream,
+    until,
+)
+from reachlink.routing import RequestKind
+from reachlink.upstreams import MovedMemory, MoveResult
+
+MOVED = MoveResult(MovedMemory("m1:1", "h1"), True)
+
+
+def test_requests_go_to_zones_in_service_only():
+    made = everywhere("a a b", script=answering(200, b"whole"))
+    made.directory.take_out_of_service({"a"})
+    for _ in range(10):
+        asyncio.run(made.run(RequestKind.REPEATABLE))
+    assert {sent.replica for sent in made.adapter.sent} == {"p3"}
+
+
+def test_where_every_zone_is_out_of_service_callers_learn_it_at_once():
+    made = everywhere("a b", "m", script=answering(200, stream(1, 3)))
+    made.directory.take_out_of_service({"a", "b"})
+
+    async def scenario():
+        started = asyncio.get_running_loop().time()
+        with pytest.raises(RequestFailedError) as caught:
+            await made.run(RequestKind.STREAM)
+        return caught.value, asyncio.get_running_loop().time() - started
+
+    error, took_s = asyncio.run(scenario())
+    assert (error.status, error.outcome) == (503, Outcome.NOT_RUN)
+    assert error.retry_after_s == 2.0 and not made.adapter.sent
+    # The wait for room would be 0.22 s here.
+    assert took_s < 0.1
+
+
+def test_what_runs_in_a_zone_that_is_taken_out_ends_there_and_is_not_copied_away():
+    made = everywhere("a b b", "m", script=answering(200, stream(1, 3), 0.4, stream(4, 5)))
+    made.adapter.move_result = MOVED
+
+    async def scenario():
+        running = asyncio.create_task(made.run(RequestKind.STREAM, output_tokens=150))
+        await until(lambda: made.adapter.sent)
+        made.directory.take_out_of_service({made.zones[made.adapter.sent[0].replica]})
+        return await running
+
+    sink = asyncio.run(scenario())
+    assert sink.body == stream(1, 5) and sink.ended
+    assert len(made.adapter.sent) == 1 and not made.adapter.moves
+
+
+def test_a_copy_in_a_zone_that_is_taken_out_is_freed_and_one_elsewhere_made():
+    made = everywhere("a b c", "m", script=answering(200, stream(1, 3), 1.5, stream(4, 5)))
+    made.adapter.move_result = MOVED
+
+    async def scenario():
+        running = asyncio.create_task(made.run(RequestKind.STREAM))
+        await until(lambda: made.adapter.moves)
+        _, target, _ = made.adapter.moves[0]
+        made.directory.take_out_of_service({made.zones[target]})
+        await until(lambda: {t for _, t, _ in made.adapter.moves} - {target})
+        running.cancel()
+        return target
+
+    target = asyncio.run(scenario())
+    later = [t for _, t, _ in made.adapter.moves]
+    assert target not in later[later.index(next(t for t in later if t != target)) :]
+
+
+def test_a_generation_does_not_go_on_in_a_zone_that_was_taken_out():
+    """Its copy is there: going on would send a request to the zone."""
+    made = everywhere("a b", "m", script=answering(200, stream(1, 3), 0.3, BROKEN))
+    made.engine = BACKUP_ENGINE
+
+    async def scenario():
+        running = asyncio.create_task(made.run(RequestKind.STREAM))
+        await until(lambda: made.adapter.sent)
+        made.directory.take_out_of_service({made.zones[made.adapter.sent[0].backup]})
+        await asyncio.gather(running, return_exceptions=True)
+
+    asyncio.run(scenario())
+    assert len(made.adapter.sent) == 1
--- a/reachlink/settings/__init__.py
+++ b/reachlink/settings/__init__.py
@@ -8,11 +8,13 @@
 from reachlink.settings._schema import SETTINGS, Setting, setting_named
 from reachlink.settings._tree import ROUTING_PATH, Origin, SettingsTree
 from reachlink.settings._validation import Problem, check_changes, check_values
+from reachlink.settings._zone_orders import ZONE_ORDER, ZoneOrder, zone_order_path
 from reachlink.settings.exceptions import InvalidSettingsError, SettingsError, UnknownPathError
 
 __all__ = [
     "ROUTING_PATH",
     "SETTINGS",
+    "ZONE_ORDER",
     "Change",
     "InvalidSettingsError",
     "Origin",
@@ -26,6 +28,7 @@
     "SettingsError",
     "SettingsTree",
     "UnknownPathError",
+    "ZoneOrder",
     "check_changes",
     "check_values",
     "diff_values",
@@ -36,4 +39,5 @@
     "parse_path",
     "setting_named",
     "to_document",
+    "zone_order_path",
 ]
--- a/reachlink/settings/_documents.py
+++ b/reachlink/settings/_documents.py
@@ -52,11 +52,19 @@
 ) -> None:
     for name, value in node.items():
         path = f"{prefix}{name}"
-        if isinstance(value, Mapping):
+        problem = _problem_at(path)
+        if isinstance(value, Mapping) and problem is not None:
             _flatten(f"{path}.", value, values, problems)
             continue
-        try:
-            parse_path(path)
-        except UnknownPathError as error:
-            problems.append(Problem(path, str(error)))
+        if problem is not None:
+            problems.append(problem)
         values[path] = value
+
+
+def _problem_at(path: str) -> Problem | None:
+    """Return why no setting can stand at a path, or None where one can."""
+    try:
+        parse_path(path)
+    except UnknownPathError as error:
+        return Problem(path, str(error))
+    return None
--- a/reachlink/settings/_schema.py
+++ b/reachlink/settings/_schema.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from reachlink.routing import PublishedTable
+from reachlink.settings._zone_orders import ZONE_ORDER, ZoneOrder
 
 _INHERITED = frozenset(
     {
@@ -92,6 +93,7 @@
     Setting("answers.keep_s", Seconds, 86_400.0, _INHERITED, "How long claims are kept, in s."),
     Setting("answers.grace_s", Seconds, 10.0, _INHERITED, "Time to reconnect before a cancel."),
     Setting("region", Name, "", _SITE, "Region that the availability zone belongs to."),
+    Setting(ZONE_ORDER, ZoneOrder, None, _SITE, "Last order that took it out of service, or back."),
     Setting("key_hashes", list[KeyHash], [], _WORKSPACE, "SHA-256 of its bearer keys, in hex."),
     Setting("key_hash", KeyHash, "", _OPERATOR, "SHA-256 of the operator's key, in hex."),
     Setting("role", Literal["reader", "operator"], "reader", _OPERATOR, "What the key may do."),
--- a/reachlink/settings/_tree.py
+++ b/reachlink/settings/_tree.py
@@ -20,6 +20,7 @@
 from reachlink.settings._policies import ServiceInfo, ServiceKind, ServicePolicy
 from reachlink.settings._schema import SETTINGS, setting_named
 from reachlink.settings._validation import check_changes, check_values
+from reachlink.settings._zone_orders import ZONE_ORDER, ZoneOrder
 from reachlink.settings.exceptions import InvalidSettingsError, UnknownPathError
 
 CACHE_SIZE = 512
@@ -176,6 +177,20 @@
         names = {p.split(".")[1] for p in self._values if p.startswith("services.")}
         return {name: self._read_service(name) for name in sorted(names)}
 
+    @cached_property
+    def zone_orders(self) -> dict[str, ZoneOrder]:
+        """The last order about each availability zone that there was one about."""
+        return {
+            path.split(".")[1]: msgspec.convert(value, ZoneOrder)
+            for path, value in self._values.items()
+            if path.startswith("sites.") and path.endswith(f".{ZONE_ORDER}")
+        }
+
+    @property
+    def zones_out_of_service(self) -> frozenset[str]:
+        """Availability zones whose replicas get nothing more."""
+        return frozenset(zone for zone, order in self.zone_orders.items() if order.out_of_service)
+
     @cached_property
     def workspace_by_key(self) -> dict[str, str]:
         """Workspace names by key hash.
