Cold replicas get what they bear, homes bind, and a refusal says what stands in the way

Cause: nothing read how long a replica is cold, what it bears meanwhile, or the regions that a route or a workspace is bound to; a replica that is sent well above what it bears falls over, and all instances together count.

Change: coldness comes from the list, is told among instances like departures, and is assumed for 4 s after a zone is taken back, until every reader of the list can have seen it. Regions of a route and of its workspace both bind, for requests and their copies; coordinators are told. Refusals name their obstacle (zones out of service, home regions out of reach, zone cut off) and its time to come back.

--- a/reachlink/coordination/_coordinator.py
+++ b/reachlink/coordination/_coordinator.py
@@ -200,7 +200,7 @@
         replicas = [r for s in self._services() for r in self._engines(s.name)]
         present = {share.replica for share in note.load.shares}
         told = [r for r in replicas if note.whole or r.name in present]
-        listed = listed_replicas(self._directory)
+        listed = listed_replicas(self._directory, self._clock())
         digest = digest_of(listed)
         reach = self._reach()
         return Picture(
@@ -213,6 +213,7 @@
             silent_zones=sorted(reach.silent_zones),
             cut_off=reach.cut_off,
             allowances=self._allowances(),
+            cold={r.name: r.cold_s for r in listed if r.cold_s > 0.0},
         )
 
     def _engines(self, service: str) -> list[Replica]:
--- a/reachlink/coordination/_member.py
+++ b/reachlink/coordination/_member.py
@@ -242,6 +242,8 @@
         if picture.listed:
             self._has_list = True
             self._directory.update(as_instances(picture.listed), now)
+        for replica, cold_s in picture.cold.items():
+            self._directory.note_cold(replica, cold_s, now)
         self._take_news(picture.news)
         for replica, allowance in picture.allowances.items():
             state = self._book.state(replica)
--- a/reachlink/coordination/_messages.py
+++ b/reachlink/coordination/_messages.py
@@ -67,6 +67,8 @@
     allowances : dict of str to float
         Share of its usual load that a replica may get, from 0 to 1, where it is
         not all: requests of members have failed there.
+    cold : dict of str to float
+        How long replicas are still cold, in seconds, of those that are.
     """
 
     coordinator: str
@@ -78,3 +80,4 @@
     silent_zones: list[str] = []
     cut_off: bool = False
     allowances: dict[str, float] = {}
+    cold: dict[str, float] = {}
--- a/reachlink/coordination/_replica_list.py
+++ b/reachlink/coordination/_replica_list.py
@@ -7,8 +7,8 @@
 from reachlink.requests import ListedReplica
 
 
-def listed_replicas(directory: ReplicaDirectory) -> list[ListedReplica]:
-    """Return every replica that is there, with whether it is known to leave."""
+def listed_replicas(directory: ReplicaDirectory, now: float) -> list[ListedReplica]:
+    """Return every replica that is there, with whether it is known to leave, and cold."""
     return [
         ListedReplica(
             name=replica.name,
@@ -16,6 +16,7 @@
             availability_zone=replica.availability_zone,
             address=replica.address,
             leaving=not directory.stays(replica.name),
+            cold_s=round(directory.cold_s(replica.name, now), 3),
         )
         for replica in directory.all()
     ]
@@ -24,6 +25,8 @@
 def digest_of(listed: Iterable[ListedReplica]) -> int:
     """Return a number that differs where the lists differ; never 0.
 
+    How long replicas are cold is left out: that differs at every moment.
+
     Examples
     --------
     >>> one = ListedReplica("r1", "chat", "a", "r1:1", False)
@@ -42,6 +45,7 @@
         availability_zone=instance.availability_zone,
         address=instance.address,
         leaving=instance.state is InstanceState.LEAVING,
+        cold_s=instance.cold_s,
     )
 
 
@@ -54,6 +58,7 @@
             replica.availability_zone,
             replica.address,
             InstanceState.LEAVING if replica.leaving else InstanceState.LIVE,
+            replica.cold_s,
         )
         for replica in listed
     ]
--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -1,6 +1,7 @@
 """Callers' interfaces that relay requests, as plug-ins."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Set
 from typing import Any, Protocol
 
 from reachlink.kernel import Registry
@@ -26,6 +27,9 @@
     def closing(self) -> bool:
         """Whether callers should come back on another connection."""
 
+    def zones_in(self, regions: Set[str]) -> frozenset[str]:
+        """Return the availability zones of some regions."""
+
     def accepts(self, kind: RequestKind) -> bool:
         """Return whether a request may begin here."""
 
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -122,7 +122,7 @@
 
     async def on_settings(self) -> None:
         """Newer settings are in force: what waits may have room now."""
-        self.directory.take_out_of_service(self.tree.zones_out_of_service)
+        self.directory.take_out_of_service(self.tree.zones_out_of_service, time.monotonic())
         self.pump()
 
     def adapter(self, name: str) -> Any:
--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -48,6 +48,8 @@
         one time.
     connect_timeout_s : float
         Longest time to make a connection to a replica, in seconds.
+    zone_regions : dict of str to str
+        The availability zones of the deployment, each with its region.
     """
 
     name: str
@@ -70,3 +72,4 @@
     retry_share: float = 0.1
     retry_burst: float = 20.0
     connect_timeout_s: float = 0.25
+    zone_regions: dict[str, str] = {}
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -20,6 +20,7 @@
 from reachlink.messaging import Bus
 from reachlink.requests import (
     CallerRequest,
+    Deciders,
     Departures,
     ReplicaBook,
     ReplicaShare,
@@ -119,6 +120,7 @@
                 silent_zones=self.silent_zones,
                 departures=departures,
                 ask_coordinator=self.member.ask,
+                deciders=self.deciders,
             )
         )
         self.coordinator = Coordinator(
@@ -168,6 +170,11 @@
         self.draining_since = time.monotonic()
         self.log.info("draining", running=self.running_requests)
 
+    def zones_in(self, regions: Set[str]) -> frozenset[str]:
+        """Return the availability zones of some regions."""
+        found = self.config.zone_regions.items()
+        return frozenset(zone for zone, region in found if region in regions)
+
     def accepts(self, kind: RequestKind) -> bool:
         """Return whether a request may begin here: one that a stop would cut off may not."""
         if self.draining_since is None:
@@ -215,6 +222,11 @@
         """Return how many entry instances there are, this one included."""
         return self._instances
 
+    def deciders(self) -> Deciders:
+        """Return the instances that choose replicas."""
+        coordinators = tuple(record.name for record in self.attachment.coordinators)
+        return Deciders(self.name, coordinators, self._instances)
+
     def list_readers(self) -> int:
         """Return how many instances read the platform's list by turns."""
         return max(1, len(self.attachment.coordinators))
@@ -341,7 +353,7 @@
         before = self.directory.out_of_service
         if zones == before:
             return
-        self.directory.take_out_of_service(zones)
+        self.directory.take_out_of_service(zones, time.monotonic())
         self.log.info(
             "zones_out_of_service",
             zones=",".join(sorted(zones)),
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -20,6 +20,10 @@
 # How long an instance that another reader has found counts as listed though the
 # list read here lacks it, in seconds: that list may have been asked for before.
 HEARD_KEPT_S = 1.0
+# How long the instances of a zone that is taken back into service count as cold whatever
+# the list says, in seconds: it trails by 0.8 s, and each of many readers asks for it each
+# 3 s, so that what turned cold just before is known to all by then.
+COLD_ASSUMED_S = 4.0
 
 
 class LeavingSource(Enum):
@@ -53,6 +57,8 @@
         When another reader's finding made it known.
     noticed_at : float
         When it was last found to leave, from whatever source.
+    cold_until : float
+        Until when it is cold, as the lists have said so far.
     """
 
     replica: Replica
@@ -63,6 +69,7 @@
     gone_at: float = 0.0
     heard_at: float = float("-inf")
     noticed_at: float = float("-inf")
+    cold_until: float = float("-inf")
 
 
 class ReplicaDirectory:
@@ -88,14 +95,17 @@
         # every decision and change a few times an hour.
         self._live: dict[str, list[Replica]] = {}
         self._out_of_service: frozenset[str] = frozenset()
+        # When zones were taken back into service.
+        self._back_at: dict[str, float] = {}
 
     @property
     def out_of_service(self) -> frozenset[str]:
         """Availability zones whose instances get nothing more, by an operator's order."""
         return self._out_of_service
 
-    def take_out_of_service(self, zones: Set[str]) -> None:
+    def take_out_of_service(self, zones: Set[str], now: float) -> None:
         """Take the availability zones that are out of service from now on."""
+        self._back_at.update(dict.fromkeys(self._out_of_service - zones, now))
         self._out_of_service = frozenset(zones)
         self._live.clear()
 
@@ -105,7 +115,7 @@
         Returns
         -------
         list of ListedInstance
-            Instances that were not known before, and those that leave by now.
+            Instances that were not known before, and those that leave or are cold by now.
         """
         names: set[str] = set()
         news: list[ListedInstance] = []
@@ -130,7 +140,9 @@
                 self._update_one(instance, now)
                 self._entries[instance.name].heard_at = now
                 self._live.clear()
-            elif instance.state is InstanceState.LEAVING:
+                continue
+            _note_cold(entry, instance.cold_s, now)
+            if instance.state is InstanceState.LEAVING:
                 self.mark_leaving(instance.name, LeavingSource.LIST, now)
 
     def know(self, name: str, upstream: str, zone: str, address: str) -> Replica:
@@ -186,6 +198,19 @@
         entry = self._entries.get(name)
         return entry is not None and _stays(entry)
 
+    def cold_s(self, name: str, now: float) -> float:
+        """Return how long an instance is still cold, in seconds; 0 for a warm one."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return 0.0
+        back_at = self._back_at.get(entry.replica.availability_zone, float("-inf"))
+        return max(0.0, entry.cold_until - now, back_at + COLD_ASSUMED_S - now)
+
+    def note_cold(self, name: str, cold_s: float, now: float) -> bool:
+        """Note that an instance is cold for some seconds; return whether that is news."""
+        entry = self._entries.get(name)
+        return entry is not None and _note_cold(entry, cold_s, now)
+
     def live(self, upstream: str) -> list[Replica]:
         """Return the instances of an upstream that may get new work."""
         found = self._live.get(upstream)
@@ -225,8 +250,10 @@
         replica = Replica(instance.name, instance.upstream, instance.availability_zone, address)
         entry = self._entries.get(instance.name)
         if entry is None:
-            self._entries[instance.name] = _Entry(replica, instance.state)
+            entry = self._entries[instance.name] = _Entry(replica, instance.state)
+            _note_cold(entry, instance.cold_s, now)
             return True
+        turned_cold = _note_cold(entry, instance.cold_s, now)
         came_back = entry.gone or entry.listed is InstanceState.LEAVING
         unconfirmed = entry.marked is not None and now - entry.marked_at > self._unconfirmed_mark_s
         if instance.state is InstanceState.LIVE and (came_back or unconfirmed):
@@ -236,7 +263,7 @@
             entry.noticed_at = now
         entry.replica = replica
         entry.listed = instance.state
-        return left
+        return left or turned_cold
 
     def _note_absence(self, name: str, entry: _Entry, gone: bool, now: float) -> None:
         """Take whether the list lacks an instance; forget it after a while."""
@@ -251,3 +278,12 @@
 
 def _stays(entry: _Entry) -> bool:
     return entry.listed is InstanceState.LIVE and entry.marked is None and not entry.gone
+
+
+def _note_cold(entry: _Entry, cold_s: float, now: float) -> bool:
+    """Note how long an instance is cold; return whether it was taken for warm before."""
+    was_cold = entry.cold_until > now
+    # Never sooner than a list before said: one that trails may not know of it yet.
+    if cold_s > 0.0:
+        entry.cold_until = max(entry.cold_until, now + cold_s)
+    return entry.cold_until > now and not was_cold
--- a/reachlink/membership/_platform.py
+++ b/reachlink/membership/_platform.py
@@ -17,13 +17,17 @@
 
 @dataclass(slots=True, frozen=True)
 class ListedInstance:
-    """One upstream instance in the platform's list."""
+    """One upstream instance in the platform's list.
+
+    `cold_s` tells how long it is still cold, in seconds.
+    """
 
     name: str
     upstream: str
     availability_zone: str
     address: str
     state: InstanceState = InstanceState.LIVE
+    cold_s: float = 0.0
 
 
 class PlatformAdapter(ABC):
--- a/reachlink/membership/tests/test_membership.py
+++ b/reachlink/membership/tests/test_membership.py
@@ -120,12 +120,41 @@
         ],
         0.0,
     )
-    directory.take_out_of_service({"b"})
+    directory.take_out_of_service({"b"}, 0.0)
     assert [r.name for r in directory.live("chat")] == ["r1"]
     assert not directory.may_get_work("r2") and directory.stays("r2")
     assert {r.name for r in directory.staying("chat")} == {"r1", "r2"}
     # One that comes later finds the order in force.
     directory.hear([ListedInstance("r3", "chat", "b", "127.0.0.1:3")], 1.0)
     assert not directory.may_get_work("r3")
-    directory.take_out_of_service(set())
+    directory.take_out_of_service(set(), 0.0)
     assert {r.name for r in directory.live("chat")} == {"r1", "r2", "r3"}
+
+
+def test_a_zone_taken_back_counts_as_cold_until_the_list_can_have_told():
+    directory = ReplicaDirectory()
+    directory.update([ListedInstance("r1", "chat", "a", "127.0.0.1:1")], 0.0)
+    directory.take_out_of_service({"a"}, 1.0)
+    assert directory.cold_s("r1", 2.0) == 0.0
+    directory.take_out_of_service(set(), 5.0)
+    assert directory.cold_s("r1", 5.0) == 4.0
+    assert directory.cold_s("r1", 9.5) == 0.0
+
+
+def test_a_list_that_trails_does_not_make_a_cold_instance_warm():
+    directory = ReplicaDirectory()
+    cold = ListedInstance("r1", "chat", "a", "127.0.0.1:1", cold_s=3.0)
+    warm = ListedInstance("r1", "chat", "a", "127.0.0.1:1")
+    directory.update([warm], 0.0)
+    # News to the others: they would send as much as to a warm one.
+    assert directory.update([cold], 1.0) == [cold]
+    assert directory.update([warm], 1.5) == []
+    assert directory.cold_s("r1", 2.0) == 2.0
+    assert directory.cold_s("r1", 4.5) == 0.0
+
+
+def test_what_another_reader_has_found_cold_is_cold_here():
+    directory = ReplicaDirectory()
+    directory.update([ListedInstance("r1", "chat", "a", "127.0.0.1:1")], 0.0)
+    directory.hear([ListedInstance("r1", "chat", "a", "127.0.0.1:1", cold_s=2.0)], 1.0)
+    assert directory.cold_s("r1", 1.0) == 2.0
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -3,6 +3,7 @@
 from reachlink.requests._attempts import AttemptLog, Setback
 from reachlink.requests._book import Flight, ReplicaBook, ReplicaState
 from reachlink.requests._choice import Option, choose
+from reachlink.requests._cold_rates import Deciders
 from reachlink.requests._departures import NOTICE_S, Departures
 from reachlink.requests._load_notes import (
     ListedReplica,
@@ -26,6 +27,7 @@
     "AnswerSink",
     "AttemptLog",
     "CallerRequest",
+    "Deciders",
     "Departures",
     "Directory",
     "Flight",
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -28,13 +28,6 @@
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
-# The same where this instance's zone is cut off, in seconds: the balancer takes
-# two of its questions, a second apart, to turn to other zones.
-ELSEWHERE_AFTER_S = 1.2
-# The same where every zone of a service is out of service, in seconds: that ends by an
-# operator's order, which takes up to a second to be in force everywhere. Sooner asks in
-# vain; much later keeps callers away when it is over.
-IN_SERVICE_AFTER_S = 2.0
 
 
 class Dispatch:
@@ -201,19 +194,14 @@
         attempts.reason = f"{setback.value}_no_budget"
         return False
 
-    def failure(self, service: Service, attempts: AttemptLog) -> RequestFailedError:
+    def failure(self, request: CallerRequest, attempts: AttemptLog) -> RequestFailedError:
         """Return the final answer after the last attempt."""
         if attempts.may_have_run:
             return RequestFailedError(502, attempts.reason, Outcome.UNKNOWN)
-        return RequestFailedError(
-            503, attempts.reason, Outcome.NOT_RUN, self._come_back_in_s(service)
-        )
-
-    def _come_back_in_s(self, service: Service) -> float:
-        """Return when a caller that was refused should come back, in seconds."""
-        if self._placing.all_out_of_service(service.name):
-            return IN_SERVICE_AFTER_S
-        return ELSEWHERE_AFTER_S if self._parts.cut_off() else RETRY_AFTER_S
+        obstacle = self._placing.obstacle(request)
+        if obstacle is None:
+            return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, RETRY_AFTER_S)
+        return RequestFailedError(503, obstacle.value, Outcome.NOT_RUN, obstacle.come_back_in_s)
 
     def _budget(self, service: Service) -> RetryBudget:
         budget = self._budgets.get(service.name)
--- a/reachlink/requests/_load_notes.py
+++ b/reachlink/requests/_load_notes.py
@@ -118,6 +118,8 @@
         Host and port as the platform lists them.
     leaving : bool
         Whether the list says that it leaves.
+    cold_s : float
+        How long it is still cold, in seconds.
     """
 
     name: str
@@ -125,6 +127,7 @@
     availability_zone: str
     address: str
     leaving: bool
+    cold_s: float = 0.0
 
 
 class ReplicaOutcome(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/requests/_model.py
+++ b/reachlink/requests/_model.py
@@ -23,6 +23,8 @@
         When it was read, in monotonic seconds.
     patience_s : float
         How long its caller waits from then on, in seconds.
+    zones : frozenset of str, optional
+        Availability zones that it may run in; None for any.
     """
 
     relay: RelayRequest
@@ -30,6 +32,7 @@
     service: Service
     arrived_at: float
     patience_s: float
+    zones: frozenset[str] | None = None
 
     @property
     def request_id(self) -> str:
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from reachlink.requests._book import ReplicaBook
+from reachlink.requests._cold_rates import Deciders
 from reachlink.requests._departures import Departures
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._place_question import AskCoordinator, decide_here
@@ -36,6 +37,9 @@
     def staying(self, upstream: str) -> list[Replica]:
         """Return the replicas of a service that do not leave, in service or not."""
 
+    def cold_s(self, name: str, now: float) -> float:
+        """Return how long a replica is still cold, in seconds; 0 for a warm one."""
+
     def know(self, name: str, upstream: str, zone: str, address: str) -> Replica:
         """Return a replica that another instance has named, noting it where it is new."""
 
@@ -98,6 +102,8 @@
         Returns whether this instance's zone is cut off from the others.
     ask_coordinator : callable
         Asks who knows what all instances have at the replicas.
+    deciders : callable
+        Returns the instances that choose replicas.
     """
 
     zone: str
@@ -115,3 +121,4 @@
     departures: Departures = field(default_factory=Departures)
     clock: Callable[[], float] = time.monotonic
     ask_coordinator: AskCoordinator = decide_here
+    deciders: Callable[[], Deciders] = lambda: Deciders("", ("",))
--- a/reachlink/requests/_place_question.py
+++ b/reachlink/requests/_place_question.py
@@ -56,6 +56,8 @@
         Whether it must not go where a generation is about to go on.
     insist : bool
         Whether a coordinator that knows little so far should decide nevertheless.
+    zones : tuple of str, optional
+        Zones that it may go to; None for any.
     """
 
     instance: str
@@ -68,6 +70,7 @@
     zone: str = ""
     calm_only: bool = False
     insist: bool = False
+    zones: tuple[str, ...] | None = None
 
     @property
     def terms(self) -> Terms:
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -1,6 +1,7 @@
 """Which replica a request goes to, out of what this instance knows of all of them."""
 
 import asyncio
+from collections.abc import Set
 from typing import Any
 
 from msgspec import structs
@@ -8,8 +9,10 @@
 from reachlink.placement import allowances
 from reachlink.requests._book import Flight, ReplicaState
 from reachlink.requests._choice import Option, choose, is_calm
+from reachlink.requests._cold_rates import ColdRates, share_of
 from reachlink.requests._load_notes import total
 from reachlink.requests._model import CallerRequest
+from reachlink.requests._obstacles import Obstacle
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
 from reachlink.requests._stake_order import gives_way, rank
@@ -51,6 +54,7 @@
     def __init__(self, parts: RunnerParts) -> None:
         self._parts = parts
         self._cut_off: dict[str, float] = {}
+        self._cold_rates = ColdRates()
         self._log: Any = get_logger()
 
     def is_near(self, replica: Replica) -> bool:
@@ -69,11 +73,6 @@
         """Return whether a replica stays and its zone is in service."""
         return self._parts.directory.may_get_work(replica.name)
 
-    def all_out_of_service(self, service: str) -> bool:
-        """Return whether a service has replicas and all are in zones out of service."""
-        directory = self._parts.directory
-        return not directory.live(service) and bool(directory.staying(service))
-
     async def place(
         self, request: CallerRequest, tried: set[str], calm_only: bool = False
     ) -> Replica | None:
@@ -108,6 +107,7 @@
             excluded=tuple(tried),
             zone=self._parts.zone,
             calm_only=calm_only,
+            zones=_in_order(request.zones),
         )
 
     async def place_copy(
@@ -136,6 +136,7 @@
             tokens=tokens,
             excluded=tuple(excluded),
             zone=zone or self._parts.zone,
+            zones=_in_order(request.zones),
         )
         found = self.decide(request.service, question)
         # What is known here is a second old at most: good enough not to ask in vain,
@@ -166,11 +167,49 @@
 
     def decide(self, service: Service, question: PlaceQuestion) -> Replica | None:
         """Return what this instance would answer to a question, by what it knows."""
-        options = self._options(service, set(question.excluded), question.zone)
+        excluded = set(question.excluded)
+        if question.purpose is Purpose.REQUEST:
+            excluded.update(self._too_cold(service))
+        options = self._options(service, excluded, question.zone)
+        if question.zones is not None:
+            options = [o for o in options if self._zone_of(o.name) in question.zones]
         if question.calm_only:
             options = [o for o in options if is_calm(o, READING_S)]
         name = choose(options, question.tokens, self._parts.random, question.terms)
-        return self._parts.directory.find(name) if name is not None else None
+        if name is None:
+            return None
+        if question.purpose is Purpose.REQUEST:
+            self._note_sent(name)
+        return self._parts.directory.find(name)
+
+    def _zone_of(self, name: str) -> str:
+        replica = self._parts.directory.find(name)
+        return replica.availability_zone if replica is not None else ""
+
+    def _too_cold(self, service: Service) -> list[str]:
+        """Return the replicas that this instance may not send another request to now."""
+        bears = service.cold_requests_per_s
+        if not bears:
+            return []
+        parts = self._parts
+        now = parts.clock()
+        live = parts.directory.live(service.name)
+        cold = [r for r in live if parts.directory.cold_s(r.name, now)]
+        if not cold:
+            return []
+        deciders = parts.deciders()
+        asked = service.engine is not None
+        return [
+            r.name
+            for r in cold
+            if not self._cold_rates.may_send(r.name, share_of(r.name, bears, deciders, asked), now)
+        ]
+
+    def _note_sent(self, replica: str) -> None:
+        """Note a request that is about to go to a replica, if it is cold."""
+        now = self._parts.clock()
+        if self._parts.directory.cold_s(replica, now):
+            self._cold_rates.note_sent(replica, now)
 
     def evacuating(self, service: Service) -> bool:
         """Return whether generations have yet to be copied away from a leaving replica."""
@@ -213,14 +252,29 @@
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
-            if not waits or self._surely_none(request.service.name):
+            if not waits or self.obstacle(request) is not None:
                 self._log_no_room(request, tried)
                 return None
             await asyncio.sleep(WAIT_STEP_S)
 
-    def _surely_none(self, service: str) -> bool:
-        """Return whether waiting for room is in vain: no replica may get anything."""
-        return self.out_of_reach(service) or self.all_out_of_service(service)
+    def obstacle(self, request: CallerRequest) -> Obstacle | None:
+        """Return why waiting for room is in vain, if it is: no replica may get the request."""
+        service = request.service.name
+        if self._all_out_of_service(service):
+            return Obstacle.OUT_OF_SERVICE
+        if request.zones is not None and not self._reaches(service, request.zones):
+            return Obstacle.HOME_OUT_OF_REACH
+        return Obstacle.CUT_OFF if self.out_of_reach(service) else None
+
+    def _all_out_of_service(self, service: str) -> bool:
+        """Return whether a service has replicas and all are in zones out of service."""
+        directory = self._parts.directory
+        return not directory.live(service) and bool(directory.staying(service))
+
+    def _reaches(self, service: str, zones: Set[str]) -> bool:
+        """Return whether a replica of a service can be reached in some zones."""
+        reachable = self._reachable(service, self._parts.clock())
+        return any(replica.availability_zone in zones for replica in reachable)
 
     def note_unreachable(self, replica: Replica) -> None:
         """Note that no connection to a replica could be made: its zone may be cut off."""
@@ -330,3 +384,7 @@
         return 0
     expected = facts.expected_output_tokens or facts.max_output_tokens
     return facts.prompt_tokens + min(expected, facts.max_output_tokens)
+
+
+def _in_order(zones: Set[str] | None) -> tuple[str, ...] | None:
+    return None if zones is None else tuple(sorted(zones))
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -54,7 +54,7 @@
                 return
             if not dispatch.may_retry(request, replica, setback, attempts):
                 break
-        raise dispatch.failure(request.service, attempts)
+        raise dispatch.failure(request, attempts)
 
 
 class _Stream:
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -54,7 +54,7 @@
         if held is not None:
             await sink.whole(*held)
             return
-        raise self._dispatch.failure(request.service, attempts)
+        raise self._dispatch.failure(request, attempts)
 
     async def _ask(
         self, request: CallerRequest, replica: Replica, attempts: AttemptLog
--- /dev/null
+++ b/reachlink/requests/tests/test_homes.py
@@ -0,0 +1,67 @@
+"""Requests that are bound to regions run there or not at all, and callers learn why."""
+
+import asyncio
+from collections.abc import Set
+
+import pytest
+
+from reachlink.delivery import Outcome
+from reachlink.requests import RequestFailedError
+from reachlink.requests.tests.world import MemorySink, World, answering, everywhere, stream, until
+from reachlink.routing import RequestKind, Route, Workspace, home_regions
+from reachlink.upstreams import MovedMemory, MoveResult
+
+
+def route(*regions: str) -> Route:
+    return Route("r", "h", "/r/", RequestKind.ONCE, (), 1.0, 1.0, regions=regions)
+
+
+def test_both_homes_bind():
+    assert home_regions(route(), Workspace("w", ())) is None
+    assert home_regions(route(), None) is None
+    assert home_regions(route("north", "south"), Workspace("w", ())) == {"north", "south"}
+    north = Workspace("w", (), regions=("north",))
+    assert home_regions(route("north", "south"), north) == {"north"}
+    assert home_regions(route("south"), north) == frozenset()
+
+
+async def run(made: World, zones: Set[str]) -> MemorySink:
+    request = made.request(RequestKind.STREAM)
+    request.zones = frozenset(zones)
+    sink = MemorySink()
+    await made.runner.run(request, sink)
+    return sink
+
+
+def test_requests_run_at_home_however_busy_it_is():
+    made = everywhere("a a b", "m", script=answering(200, stream(1, 2)))
+
+    async def scenario():
+        return [await run(made, {"b"}) for _ in range(10)]
+
+    asyncio.run(scenario())
+    assert {sent.replica for sent in made.adapter.sent} == {"m3"}
+
+
+def test_copies_stay_at_home_too():
+    made = everywhere("a b b c c", "m", script=answering(200, stream(1, 3), 0.6, stream(4, 5)))
+    made.adapter.move_result = MoveResult(MovedMemory("m1:1", "h1"), True)
+
+    async def scenario():
+        running = asyncio.create_task(run(made, {"b"}))
+        await until(lambda: made.adapter.moves)
+        await running
+
+    asyncio.run(scenario())
+    assert {t for _, t, _ in made.adapter.moves} <= {"m2", "m3"}
+
+
+@pytest.mark.parametrize("zones", [{"elsewhere"}, set()])
+def test_without_a_home_in_reach_callers_learn_it_at_once(zones):
+    made = everywhere("a b", "m", script=answering(200, stream(1, 2)))
+    with pytest.raises(RequestFailedError) as caught:
+        asyncio.run(run(made, zones))
+    error = caught.value
+    assert (error.status, error.outcome) == (503, Outcome.NOT_RUN)
+    assert "home_regions_out_of_reach" in str(error)
+    assert error.retry_after_s == 1.2 and not made.adapter.sent
--- a/reachlink/requests/tests/test_zones.py
+++ b/reachlink/requests/tests/test_zones.py
@@ -22,7 +22,7 @@
 
 def test_requests_go_to_zones_in_service_only():
     made = everywhere("a a b", script=answering(200, b"whole"))
-    made.directory.take_out_of_service({"a"})
+    made.directory.take_out_of_service({"a"}, 0.0)
     for _ in range(10):
         asyncio.run(made.run(RequestKind.REPEATABLE))
     assert {sent.replica for sent in made.adapter.sent} == {"p3"}
@@ -30,7 +30,7 @@
 
 def test_where_every_zone_is_out_of_service_callers_learn_it_at_once():
     made = everywhere("a b", "m", script=answering(200, stream(1, 3)))
-    made.directory.take_out_of_service({"a", "b"})
+    made.directory.take_out_of_service({"a", "b"}, 0.0)
 
     async def scenario():
         started = asyncio.get_running_loop().time()
@@ -52,7 +52,7 @@
     async def scenario():
         running = asyncio.create_task(made.run(RequestKind.STREAM, output_tokens=150))
         await until(lambda: made.adapter.sent)
-        made.directory.take_out_of_service({made.zones[made.adapter.sent[0].replica]})
+        made.directory.take_out_of_service({made.zones[made.adapter.sent[0].replica]}, 0.0)
         return await running
 
     sink = asyncio.run(scenario())
@@ -68,7 +68,7 @@
         running = asyncio.create_task(made.run(RequestKind.STREAM))
         await until(lambda: made.adapter.moves)
         _, target, _ = made.adapter.moves[0]
-        made.directory.take_out_of_service({made.zones[target]})
+        made.directory.take_out_of_service({made.zones[target]}, 0.0)
         await until(lambda: {t for _, t, _ in made.adapter.moves} - {target})
         running.cancel()
         return target
@@ -86,7 +86,7 @@
     async def scenario():
         running = asyncio.create_task(made.run(RequestKind.STREAM))
         await until(lambda: made.adapter.sent)
-        made.directory.take_out_of_service({made.zones[made.adapter.sent[0].backup]})
+        made.directory.take_out_of_service({made.zones[made.adapter.sent[0].backup]}, 0.0)
         await asyncio.gather(running, return_exceptions=True)
 
     asyncio.run(scenario())
--- a/reachlink/routing/__init__.py
+++ b/reachlink/routing/__init__.py
@@ -9,6 +9,7 @@
     TableReader,
     decode_or_refuse,
 )
+from reachlink.routing._homes import home_regions
 from reachlink.routing._index import RoutingIndex
 from reachlink.routing._patch import TablePatch, apply_patches, patch_between
 from reachlink.routing._table import (
@@ -47,5 +48,6 @@
     "apply_patches",
     "check_table",
     "decode_or_refuse",
+    "home_regions",
     "patch_between",
 ]
--- a/reachlink/routing/_table.py
+++ b/reachlink/routing/_table.py
@@ -50,6 +50,8 @@
         Longest pause between events that is in time, in seconds; 0 for none.
     resumable : bool
         Whether a new run may continue a broken stream.
+    regions : tuple of str
+        Regions that its requests may run in; empty for any.
     """
 
     name: str
@@ -64,6 +66,7 @@
     public: bool = False
     event_gap_s: float = 0.0
     resumable: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
@@ -117,21 +120,38 @@
         Connections that one replica takes from all callers together.
     engine : EngineLimits, optional
         None for a plain service.
+    cold_requests_per_s : float
+        Requests a second that one replica bears while it is cold, those of all callers
+        together; 0 where it bears as many as when it is warm.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineLimits | None = None
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
 class Workspace:
-    """A customer with its keys; `priority` goes before a route's."""
+    """A customer with its keys.
+
+    Attributes
+    ----------
+    name : str
+        Name for logs and replicas.
+    keys : tuple of str
+        Keys that its callers send.
+    priority : int, optional
+        Goes before a route's.
+    regions : tuple of str
+        Regions that its requests may run in; empty for any.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
