--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -15,6 +15,7 @@
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_metrics import RelayMetrics
 from reachlink.entry._report_reader import ReportReader
+from reachlink.entry._zones_in_force import ZonesInForce
 from reachlink.kernel import in_slices
 from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus
@@ -54,6 +55,7 @@
         self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
         self.book = ReplicaBook()
         self.shared = SharedLoad()
+        self._zones = ZonesInForce(self.directory, self.book, self.log)
         adapter = RELAY_ADAPTERS.get(config.upstream)(self.client)
         departures = Departures()
         self.reports = ReportReader(
@@ -329,7 +331,7 @@
         Requests are decided by the table before meanwhile. It is read in slices: in one
         go, 1,440 routes held up streams and requests for 13 ms of processor time.
         """
-        self._put_zones_in_force()
+        self._zones.take(self.tree)
         published = self.tree.routing
         if published is None or (self._index and self._index.number >= published.number):
             return
@@ -347,26 +349,6 @@
         took_ms = round(1000.0 * (time.monotonic() - started), 1)
         self.log.info("routing_table_in_force", number=published.number, took_ms=took_ms)
 
-    def _put_zones_in_force(self) -> None:
-        """Send nothing more to zones out of service, from this very step on."""
-        zones = self.tree.zones_out_of_service
-        before = self.directory.out_of_service
-        if zones == before:
-            return
-        self.directory.take_out_of_service(zones, time.monotonic())
-        self.log.info(
-            "zones_out_of_service",
-            zones=",".join(sorted(zones)),
-            back=",".join(sorted(before - zones)),
-            revision=self.tree.revision,
-            running_there=self._running_in(zones),
-        )
-
-    def _running_in(self, zones: Set[str]) -> int:
-        """Return how many requests of this instance run at replicas of some zones."""
-        there = (r.name for r in self.directory.all() if r.availability_zone in zones)
-        return sum(self.book.state(name).own_running for name in there)
-
     def _on_list_news(self) -> None:
         """The platform's list has told of replicas that come or leave."""
         self.book.touch()
