A replica whose address another one has is gone for good, for all instances

Cause: where replicas crash and come back within two seconds under other names, lists have the names before for seconds.

Change: that answer means that the name is gone. It is never taken back by a list, told to the other instances, and the request goes on to another replica: it was sent to none that was meant for it. It takes from the retry budget, which counts what arrives.

Tried and not kept: more of the platform's retry budget (share 0.9 and burst 0.75 of it in place of 0.4).

--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -118,6 +118,7 @@
                 retries=RetryTerms(config.retry_share, config.retry_burst),
                 instances=self.sharing_instances,
                 on_leaving=self.reports.tell_leaving,
+                on_gone=self.reports.tell_gone,
                 cut_off=self.cut_off,
                 silent_zones=self.silent_zones,
                 departures=departures,
--- a/reachlink/entry/_report_reader.py
+++ b/reachlink/entry/_report_reader.py
@@ -100,6 +100,12 @@
         self._own[replica] = (self._clock(), ReplicaNews(replica, True, 0, 0, 0.0))
         self._book.touch()
 
+    def tell_gone(self, replica: str) -> None:
+        """Tell the others of a replica that is gone for good."""
+        self._own[replica] = (self._clock(), ReplicaNews(replica, True, 0, 0, 0.0, gone=True))
+        self._book.touch()
+        self.on_departure()
+
     def take(self, news: Iterable[ReplicaNews]) -> None:
         """Take what another instance has read."""
         for item in news:
@@ -173,6 +179,9 @@
         self._note(news, now)
 
     def _note(self, news: ReplicaNews, read_at: float) -> None:
+        if news.gone:
+            self._note_gone(news.replica)
+            return
         if not self._book.state(news.replica).take_report(news, read_at) or not news.leaving:
             return
         self._note_departure(news, read_at)
@@ -181,6 +190,12 @@
             self._book.touch()
             self.on_departure()
 
+    def _note_gone(self, replica: str) -> None:
+        if self._directory.mark_gone(replica, self._clock()):
+            self._log.info("upstream_gone", replica=replica, source="another instance")
+            # Passed on: who found it tells its coordinator, which tells its members.
+            self.tell_gone(replica)
+
     def _note_departure(self, news: ReplicaNews, read_at: float) -> None:
         if news.leaves_in_s is None:
             self._departures.notice(news.replica, read_at)
--- a/reachlink/entry/tests/test_report_reader.py
+++ b/reachlink/entry/tests/test_report_reader.py
@@ -5,7 +5,7 @@
 
 from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import ListedInstance, ReplicaDirectory
-from reachlink.requests import Departures, ReplicaBook
+from reachlink.requests import Departures, ReplicaBook, ReplicaNews
 from reachlink.requests.tests.world import MemoryAdapter, until
 from reachlink.upstreams import LoadReport, Replica
 
@@ -42,3 +42,16 @@
     assert read == 4
     assert not directory.may_get_work("r1")
     assert departures.expected("r1") is not None
+
+
+def test_a_replica_that_is_gone_for_good_is_passed_on_once():
+    directory, book = ReplicaDirectory(), ReplicaBook()
+    directory.update([ListedInstance("r1", "chat", "a", "r1:1")], 0.0)
+    reader = ReportReader("e1", Reports(), directory, book, list, lambda: 5.0, Departures())
+    woken = []
+    reader.on_departure = lambda: woken.append(True)
+    reader.take([ReplicaNews("r1", True, 0, 0, 0.1, gone=True)])
+    assert not directory.may_get_work("r1")
+    assert [news.gone for news in reader.news()] == [True]
+    reader.take([ReplicaNews("r1", True, 0, 0, 0.1, gone=True)])
+    assert woken == [True]
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -33,6 +33,7 @@
     REPORT = "load report"
     REFUSAL = "refusal"
     CLOSING = "closing connections"
+    REPLACED = "another one at its address"
 
 
 @dataclass(slots=True)
@@ -169,6 +170,20 @@
         self._live.clear()
         return True
 
+    def mark_gone(self, name: str, now: float) -> bool:
+        """Note that another instance has an instance's address; return whether that is news.
+
+        Names are used once, so that no list takes it back: one that lags has the name for
+        some seconds.
+        """
+        entry = self._entries.get(name)
+        if entry is None or entry.marked is LeavingSource.REPLACED:
+            return False
+        entry.marked, entry.marked_at = LeavingSource.REPLACED, now
+        entry.noticed_at = now
+        self._live.clear()
+        return True
+
     def leaving(self, upstream: str, since: float) -> list[str]:
         """Return the instances of an upstream that were found to leave since then.
 
@@ -256,7 +271,8 @@
         turned_cold = _note_cold(entry, instance.cold_s, now)
         came_back = entry.gone or entry.listed is InstanceState.LEAVING
         unconfirmed = entry.marked is not None and now - entry.marked_at > self._unconfirmed_mark_s
-        if instance.state is InstanceState.LIVE and (came_back or unconfirmed):
+        for_good = entry.marked is LeavingSource.REPLACED
+        if instance.state is InstanceState.LIVE and (came_back or unconfirmed) and not for_good:
             entry.marked = None
         left = instance.state is InstanceState.LEAVING and entry.listed is InstanceState.LIVE
         if left and entry.marked is None:
--- a/reachlink/membership/tests/test_membership.py
+++ b/reachlink/membership/tests/test_membership.py
@@ -158,3 +158,13 @@
     directory.update([ListedInstance("r1", "chat", "a", "127.0.0.1:1")], 0.0)
     directory.hear([ListedInstance("r1", "chat", "a", "127.0.0.1:1", cold_s=2.0)], 1.0)
     assert directory.cold_s("r1", 1.0) == 2.0
+
+
+def test_a_name_that_is_gone_for_good_is_not_taken_back_by_a_list():
+    directory = ReplicaDirectory(unconfirmed_mark_s=2.0)
+    directory.update(listed(), 0.0)
+    assert directory.mark_gone("a", 1.0)
+    assert not directory.mark_gone("a", 1.1)
+    for now in (2.0, 5.0, 9.0):
+        directory.update(listed(), now)
+        assert not directory.may_get_work("a") and not directory.stays("a")
--- a/reachlink/requests/_attempts.py
+++ b/reachlink/requests/_attempts.py
@@ -10,13 +10,16 @@
     """Why an attempt brought no answer."""
 
     UNREACHABLE = "unreachable"
+    GONE = "gone"
     NOT_RUN = "not_run"
     BROKEN = "broken"
     FAILED = "failed"
     SLOW = "slow"
 
 
-_NEVER_RAN = frozenset({Setback.UNREACHABLE, Setback.NOT_RUN})
+_NEVER_RAN = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.NOT_RUN})
+# The replica that was meant did not get the request.
+_NOT_SENT = frozenset({Setback.UNREACHABLE, Setback.GONE})
 
 
 @dataclass(slots=True)
@@ -51,7 +54,7 @@
     def note(self, setback: Setback) -> None:
         """An attempt ended without an answer to give."""
         self.reason = setback.value
-        if setback is not Setback.UNREACHABLE:
+        if setback not in _NOT_SENT:
             self.sent += 1
         if setback not in _NEVER_RAN:
             self.may_have_run = True
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -14,6 +14,7 @@
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import (
+    AnswerHead,
     Continuation,
     RelayAdapter,
     RelayAnswer,
@@ -149,6 +150,18 @@
         self.distrust(replica)
         self._placing.note_unreachable(replica)
 
+    def refused(self, replica: Replica, head: AnswerHead) -> Setback:
+        """Return what it means that a replica did not run a request, and note it."""
+        if not head.misdirected:
+            return Setback.NOT_RUN
+        # Ten replicas came back under other names after two seconds: 40 of 943 chats and
+        # 42 of 1,802 checks were refused in the next two, sent one after the other to the
+        # names before, which the list still had (61 instances, one day's logs).
+        if self._parts.directory.mark_gone(replica.name, self._parts.clock()):
+            self._log.info("upstream_gone", replica=replica.name)
+            self._parts.on_gone(replica.name)
+        return Setback.GONE
+
     def distrust(self, replica: Replica) -> None:
         """Note that a replica gave no answer, or none that counts."""
         self._note_outcome(ReplicaOutcome(replica.name, good=False, answered=False))
--- a/reachlink/requests/_load_notes.py
+++ b/reachlink/requests/_load_notes.py
@@ -93,6 +93,8 @@
         are not compared.
     leaves_in_s : float, optional
         Time from then until it is taken away, in seconds, where it said so.
+    gone : bool
+        Whether another replica has its address by now.
     """
 
     replica: str
@@ -101,6 +103,7 @@
     running: int
     age_s: float
     leaves_in_s: float | None = None
+    gone: bool = False
 
 
 class ListedReplica(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -46,6 +46,9 @@
     def leaving(self, upstream: str, since: float) -> list[str]:
         """Return the replicas of a service that were found to leave since then."""
 
+    def mark_gone(self, name: str, now: float) -> bool:
+        """Note that a replica is gone for good; return whether that is news."""
+
     def suspect_leaving(self, name: str, now: float) -> bool:
         """Note a sign that a replica leaves; return whether that is news."""
 
@@ -98,6 +101,8 @@
         Returns how many entry instances share what `retries` allows.
     on_leaving : callable
         Called with the name of a replica that seems to leave.
+    on_gone : callable
+        Called with the name of a replica that is gone for good.
     cut_off : callable
         Returns whether this instance's zone is cut off from the others.
     ask_coordinator : callable
@@ -116,6 +121,7 @@
     retries: RetryTerms = RetryTerms()
     instances: Callable[[], int] = lambda: 1
     on_leaving: Callable[[str], None] = lambda name: None
+    on_gone: Callable[[str], None] = lambda name: None
     cut_off: Callable[[], bool] = lambda: False
     silent_zones: Callable[[], Set[str]] = frozenset
     departures: Departures = field(default_factory=Departures)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -90,7 +90,7 @@
             return Setback.BROKEN
         try:
             if answer.head.not_run:
-                return Setback.NOT_RUN
+                return self._dispatch.refused(self._places.home, answer.head)
             if answer.head.success and not answer.head.genuine:
                 return Setback.BROKEN
             if not answer.head.success:
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -67,7 +67,7 @@
                 answer = await self._dispatch.open(request, replica)
                 if answer.head.not_run:
                     answer.close()
-                    return Setback.NOT_RUN
+                    return self._dispatch.refused(replica, answer.head)
                 body = await read_whole(answer)
         except UpstreamUnreachableError:
             self._dispatch.unreachable(replica)
--- a/reachlink/requests/tests/test_runner.py
+++ b/reachlink/requests/tests/test_runner.py
@@ -179,3 +179,30 @@
     asyncio.run(scenario())
     assert made.outcomes == ["cancelled"]
     assert all(not made.book.state(n).flights for n in made.zones)
+
+
+MISDIRECTED = answering(421, not_run=True, misdirected=True)
+
+
+def test_replicas_that_came_back_under_other_names_cost_no_caller_anything():
+    """Ten of a zone's replicas crash and come back: lists have the names before for seconds."""
+    made = everywhere("a " * 10 + "b", script=MISDIRECTED)
+    made.adapter.scripts["p11"] = [OK]
+    made.runner._dispatch._parts.retries = RetryTerms(share=10.0, burst=20.0)
+    for _ in range(20):
+        assert asyncio.run(made.run(RequestKind.ONCE, max_attempts=1)).body == b"whole"
+        # A list that lags says that all are there.
+        made.list_replicas()
+    misdirected = [sent.replica for sent in made.adapter.sent if sent.replica != "p11"]
+    assert len(misdirected) == len(set(misdirected))
+
+
+def test_what_was_misdirected_takes_from_the_retry_budget():
+    made = everywhere("a a", script=MISDIRECTED)
+    parts = made.runner._dispatch._parts
+    parts.retries, parts.instances = RetryTerms(share=0.0, burst=1.0), lambda: 1
+    error = refused(made, RequestKind.ONCE, max_attempts=1)
+    assert (error.status, error.outcome) == (503, Outcome.NOT_RUN)
+    assert len(made.adapter.sent) == 2
+    error = refused(made, RequestKind.ONCE, max_attempts=1)
+    assert len(made.adapter.sent) == 2
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -137,6 +137,8 @@
         Whether it carries what every whole answer of a replica has.
     not_run : bool
         Whether the replica says that it did not run the request.
+    misdirected : bool
+        Whether another replica has the address by now: the one meant is gone.
     leaving : bool
         Whether the replica closes its connections, as those do that leave.
     load : LoadSample, optional
@@ -149,6 +151,7 @@
     not_run: bool = False
     leaving: bool = False
     load: LoadSample | None = None
+    misdirected: bool = False
 
     @property
     def success(self) -> bool:
