--- a/reachlink/testing/_fleet.py
+++ b/reachlink/testing/_fleet.py
@@ -187,6 +187,15 @@
         async with self.session.patch(url, json=body, headers=headers) as response:
             return await response.json()
 
+    async def order_zone(
+        self, name: str, zone: str, *, out_of_service: bool, reason: str = ""
+    ) -> Any:
+        """Take an availability zone out of service, or back, through an instance."""
+        url = f"http://{self.plan(name).address}/v1/zones/{zone}"
+        body = {"out_of_service": out_of_service, "reason": reason}
+        async with self.session.post(url, json=body, headers=self.operator_headers()) as response:
+            return await response.json()
+
     async def restore(self) -> None:
         """Undo every fault and start whatever was ended."""
         for plan in self.layout.processes:
--- a/reachlink/testing/fleet.py
+++ b/reachlink/testing/fleet.py
@@ -79,6 +79,22 @@
             print(response.status, await response.text())
 
 
+async def show_zone_order(fleet: Fleet, entry: str, workspace: str) -> None:
+    """Take a zone of the plain service out of service, show who answers, take it back."""
+    service = fleet.scenario.plain_service
+    zones = {p.name: p.availability_zone for p in fleet.layout.upstreams}
+    zone = fleet.plan(entry).availability_zone
+    print(f"\n> the operator takes {zone} out of service, then {workspace} calls {service} there")
+    print(await fleet.order_zone(entry, zone, out_of_service=True, reason="demonstration"))
+    url = f"http://{fleet.plan(entry).address}/{service}/status"
+    headers = fleet.workspace_headers(workspace)
+    async with fleet.session.post(url, json={}, headers=headers) as response:
+        answer = msgspec.json.decode(await response.read())
+    by = answer.get("by", "")
+    print(f"{response.status} answered by {by} of {zones.get(by, 'no zone')}")
+    print(await fleet.order_zone(entry, zone, out_of_service=False))
+
+
 def show_help(fleet: Fleet) -> None:
     """Print how to send requests."""
     address = fleet.layout.entries[0].address
@@ -127,6 +143,7 @@
             await show_stream(fleet, entry, workspaces[i % len(workspaces)], text)
         if scenario.plain_replicas:
             await show_call(fleet, fleet.layout.entries[0].name, workspaces[0])
+            await show_zone_order(fleet, fleet.layout.entries[0].name, workspaces[0])
         show_help(fleet)
         if not once:
             await stopped.wait()
