--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -1,5 +1,6 @@
 """Callers' interfaces that relay requests, as plug-ins."""
 
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Set
 from typing import Any, Protocol
@@ -49,8 +50,16 @@
     """Decodes callers' requests and encodes their answers."""
 
     @abstractmethod
-    async def start(self, host: str, port: int) -> None:
-        """Listen."""
+    async def start(self, host: str, port: int, listener: socket.socket | None = None) -> None:
+        """Listen.
+
+        Parameters
+        ----------
+        host, port : str, int
+            Where callers come.
+        listener : socket.socket, optional
+            Listens there already.
+        """
 
     @abstractmethod
     async def close(self) -> None:
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -1,6 +1,7 @@
 """The relaying entry daemon: a callers' border, readiness, and background work."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -28,10 +29,13 @@
     ----------
     config : RelayConfig
         Configuration of the process.
+    listener : socket.socket, optional
+        Listens where callers come since before this process had loaded its libraries.
     """
 
-    def __init__(self, config: RelayConfig) -> None:
+    def __init__(self, config: RelayConfig, listener: socket.socket | None = None) -> None:
         self._config = config
+        self._listener = listener
         self._node = RelayNode(config)
         self._follower = SettingsFollower(self._node)
         self._platform = PLATFORMS.get(config.platform.adapter)(config.platform.url)
@@ -61,7 +65,7 @@
             asyncio.create_task(node.member.run()),
             asyncio.create_task(node.reports.run()),
         ]
-        await self._border.start(config.host, config.port)
+        await self._border.start(config.host, config.port, self._listener)
         await self._serve(config.readiness_path, self._readiness, config.readiness_port)
         if config.metrics_port:
             await self._serve("/metrics", self._metrics_page, config.metrics_port)
