--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -22,6 +22,7 @@
     read_figures,
 )
 from benchmarks.slopes import RESULTS
+from benchmarks.sweep_figures import newest_sweeps, sweep_tables
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- generated: {} -->"
@@ -213,6 +214,7 @@
         "environment": environment_line(results),
         "slopes": slope_table(results),
         "budgets": budget_table(results),
+        "sweeps": sweep_tables(newest_sweeps()),
     }
     for name, text in parts.items():
         start = page.index(BEGIN.format(name)) + len(BEGIN.format(name))
