--- a/reachlink/entry/_answer_timeout.py
+++ b/reachlink/entry/_answer_timeout.py
@@ -36,6 +36,12 @@
         self._margin_s = MARGIN_S
         self._failed = 0
         self._failed_since = 0.0
+        self._answered_at = _now()
+
+    @property
+    def unanswered_s(self) -> float:
+        """Time since an answer came, in seconds; since the start before the first."""
+        return _now() - self._answered_at
 
     @property
     def margin_s(self) -> float:
@@ -66,6 +72,7 @@
     def note_answered(self, asked: str, took_s: float) -> None:
         """Note an answer, and how long it took beyond the time asked for, in seconds."""
         self._margin_s = min(max(MARGIN_S, PIECE_MARGIN * took_s), MARGIN_MAX_S)
+        self._answered_at = _now()
         if not self._failed:
             return
         silent_s = round(_now() - self._failed_since, 3)
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -100,6 +100,11 @@
         self._lacking = 0
         self.peers = PeerSettings(node, self._take)
 
+    @property
+    def unanswered_s(self) -> float:
+        """Time since a control instance has answered, in seconds."""
+        return self._timeout.unanswered_s
+
     @property
     def fetching(self) -> bool:
         """Whether pieces of a content have come and others are missing."""
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -38,6 +38,11 @@
         self._listener = listener
         self._node = RelayNode(config)
         self._follower = SettingsFollower(self._node)
+        self._node.metrics.export_settings(
+            lambda: self._node.index.number if self._node.index else 0,
+            lambda: self._node.tree.revision,
+            lambda: self._follower.unanswered_s,
+        )
         self._platform = PLATFORMS.get(config.platform.adapter)(config.platform.url)
         self._reader = ListReader(
             self._platform,
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -1,5 +1,7 @@
 """Counters and latencies of a relaying entry instance."""
 
+from collections.abc import Callable
+
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.messaging import Traffic, export_traffic
 from reachlink.telemetry import Metrics
@@ -29,6 +31,36 @@
         )
         export_traffic(self._metrics, traffic)
 
+    def export_settings(
+        self,
+        table: Callable[[], float],
+        revision: Callable[[], float],
+        unanswered_s: Callable[[], float],
+    ) -> None:
+        """Export what is in force here, and how old it may be.
+
+        Parameters
+        ----------
+        table : callable
+            Returns the number of the routing table in force; 0 before there is one.
+        revision : callable
+            Returns the revision of the settings in force.
+        unanswered_s : callable
+            Returns the time since a control instance has answered, in seconds.
+        """
+        self._metrics.gauge(
+            "reachlink_routing_table_number", "1", "Number of the table in force.", table
+        )
+        self._metrics.gauge(
+            "reachlink_settings_revision", "1", "Revision of the settings in force.", revision
+        )
+        self._metrics.gauge(
+            "reachlink_settings_unanswered",
+            "s",
+            "Time since a control instance has answered; settings may be that old and more.",
+            unanswered_s,
+        )
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.page()
--- a/reachlink/telemetry/_metrics.py
+++ b/reachlink/telemetry/_metrics.py
@@ -57,6 +57,12 @@
             name, [lambda options: [Observation(read())]], unit=unit, description=description
         )
 
+    def gauge(self, name: str, unit: str, description: str, read: Callable[[], float]) -> None:
+        """Export a value that something else keeps; `read` returns it."""
+        self._meter.create_observable_gauge(
+            name, [lambda options: [Observation(read())]], unit=unit, description=description
+        )
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
