A generation that outlives its guess is counted with what it will take yet

Cause: callers' guesses of lengths are far off, and the promised memory of a generation stayed its guess.

Change: beyond its guess a generation is promised what it has made and a quarter more.

Measured: the test plays full engines with long tails: preempted 0.089 -> 0.005 of all chats, refused 0.083 -> 0.102, whole without a pause 0.831 -> 0.850.

--- a/reachlink/requests/_book.py
+++ b/reachlink/requests/_book.py
@@ -42,7 +42,8 @@
     request_id : str
         The request.
     tokens : int
-        Memory that it is expected to need at its end, in tokens; fixed.
+        Memory that it is expected to need at its end, in tokens; grows where a
+        generation outlives what was expected.
     unread_tokens : int
         Prompt that the replica still has to read, in tokens; 0 from the first
         event on, and for copies.
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -125,11 +125,17 @@
         self._dispatch.has_read(self._home.flight)
 
     def note_progress(self) -> None:
-        """Note how much memory the generation takes by now."""
-        used = self._outlook().used_tokens
+        """Note how much memory the generation takes by now, and will at its end.
+
+        One that outlives its guess is counted with what is expected to come yet: at full
+        engines 0.089 of all chats were preempted without this, 0.005 with it, 0.083 and
+        0.102 refused, 0.831 and 0.850 whole without a pause (test_promise_load).
+        """
+        outlook = self._outlook()
         for place in (self._home, self._backup, self._shadow_place):
             if place is not None:
-                place.flight.used_tokens = used
+                place.flight.used_tokens = outlook.used_tokens
+                place.flight.tokens = max(place.flight.tokens, outlook.end_tokens)
 
     def leave(self) -> None:
         """Free every replica."""
--- a/reachlink/requests/_outlook.py
+++ b/reachlink/requests/_outlook.py
@@ -72,6 +72,11 @@
         expected = self.expected_tokens or self.max_tokens
         return min(self.longest_remaining_tokens, max(expected - made, round(made * MORE_SHARE)))
 
+    @property
+    def end_tokens(self) -> int:
+        """Memory that the generation is expected to take at its end, in tokens."""
+        return self.used_tokens + self.remaining_tokens
+
     def stake(self, near: bool) -> int:
         """Return what is at stake: the work lost with the generation, by its risk.
 
--- a/reachlink/requests/tests/test_outlook.py
+++ b/reachlink/requests/tests/test_outlook.py
@@ -35,6 +35,12 @@
     assert outlook(150).remaining_tokens == round(600 * MORE_SHARE) == 150
 
 
+def test_what_outlives_its_guess_is_expected_to_take_more():
+    assert outlook(25).end_tokens == 3400
+    assert outlook(150).end_tokens == 3750
+    assert outlook(240).end_tokens == 4000
+
+
 def test_no_more_than_the_longest_output_remains():
     assert outlook(0, expected=2000).remaining_tokens == 1000
     assert outlook(240).remaining_tokens == 40
--- /dev/null
+++ b/reachlink/requests/tests/test_promise_load.py
@@ -0,0 +1,133 @@
+"""Long answers of unknown length on crowded engines: what their promised memory does."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+
+from reachlink.requests._choice import Option, choose
+from reachlink.requests._outlook import Outlook
+
+# Engines as in the shifted deployment, those that take work at a time of trouble.
+REPLICAS, CAPACITY_TOKENS, SLOTS = 14, 21_878, 24
+# Chats: prompts of some 3,000 tokens; answers of 744 tokens in the mean with a long tail,
+# at most 1,756, made at 10 ms a token; callers' guesses are off by a factor of 3 and more.
+CHATS_PER_S, PROMPT_TOKENS, MEAN_TOKENS, MOST_TOKENS = 13.0, 3000, 744.0, 1756
+SPREAD, GUESS_SPREAD = 1.344, 1.2
+STEP_S, TOKENS_A_STEP = 0.1, 10
+TOKENS_PER_EVENT = 4
+LENGTH_S = 120.0
+
+Promise = Callable[[Outlook], int]
+
+
+@dataclass(eq=False)
+class Chat:
+    """One generation: what it will make, and what its caller guessed."""
+
+    length: int
+    guess: int
+    made: int = 0
+    # Whether it was preempted: its caller saw a pause of a prompt's reading and more.
+    paused: bool = False
+
+    @property
+    def outlook(self) -> Outlook:
+        last_event = self.made // TOKENS_PER_EVENT
+        return Outlook(PROMPT_TOKENS, self.guess, MOST_TOKENS, last_event, TOKENS_PER_EVENT)
+
+
+@dataclass
+class Engines:
+    """Engines that run chats, and preempt the newest where their memory runs out."""
+
+    promise: Promise
+    seed: int
+    # Those whose callers got a whole answer without such a pause.
+    whole: int = 0
+    asked: int = 0
+    refused: int = 0
+    preempted: int = 0
+    running: list[list[Chat]] = field(default_factory=lambda: [[] for _ in range(REPLICAS)])
+
+    def play(self) -> "Engines":
+        random = Random(self.seed)
+        for _ in range(int(LENGTH_S / STEP_S)):
+            arrivals = sum(random.random() < CHATS_PER_S * STEP_S / 4 for _ in range(4))
+            for _ in range(arrivals):
+                self.asked += 1
+                self._start(self._chat(random), random)
+            for chats in self.running:
+                self._step(chats, random)
+        return self
+
+    def _chat(self, random: Random) -> Chat:
+        middle = MEAN_TOKENS / 2.0
+        length = min(MOST_TOKENS, round(middle * random.lognormvariate(0.0, SPREAD)) + 1)
+        guess = min(MOST_TOKENS, round(length * random.lognormvariate(0.0, GUESS_SPREAD)) + 1)
+        return Chat(length, guess)
+
+    def _start(self, chat: Chat, random: Random) -> None:
+        need = PROMPT_TOKENS + chat.guess
+        name = choose(
+            [self._option(i, chats) for i, chats in enumerate(self.running)], need, random
+        )
+        if name is None:
+            self.refused += 1
+        else:
+            self.running[int(name)].append(chat)
+
+    def _option(self, number: int, chats: list[Chat]) -> Option:
+        used = sum(chat.outlook.used_tokens for chat in chats)
+        return Option(
+            str(number),
+            near=True,
+            running=len(chats),
+            slots=SLOTS,
+            tokens=max(used, sum(self.promise(chat.outlook) for chat in chats)),
+            used_tokens=used,
+            capacity_tokens=CAPACITY_TOKENS,
+        )
+
+    def _step(self, chats: list[Chat], random: Random) -> None:
+        for chat in chats:
+            chat.made += TOKENS_A_STEP
+        ended = [chat for chat in chats if chat.made >= chat.length]
+        self.whole += sum(not chat.paused for chat in ended)
+        chats[:] = [chat for chat in chats if chat.made < chat.length]
+        preempted = []
+        while sum(chat.outlook.used_tokens for chat in chats) > CAPACITY_TOKENS:
+            # Its prompt and all that it has made are read anew.
+            preempted.append(min(chats, key=lambda chat: chat.made))
+            preempted[-1].paused = True
+            chats.remove(preempted[-1])
+        self.preempted += len(preempted)
+        for chat in preempted:
+            self._start(chat, random)
+
+
+def fixed(outlook: Outlook) -> int:
+    return outlook.prompt_tokens + outlook.expected_tokens
+
+
+def growing(outlook: Outlook) -> int:
+    return max(fixed(outlook), outlook.end_tokens)
+
+
+def shares(promise: Promise) -> tuple[float, float, float]:
+    """Return preempted, refused and whole chats as shares of those asked for."""
+    plays = [Engines(promise, seed).play() for seed in range(4)]
+    asked = sum(p.asked for p in plays)
+    return (
+        sum(p.preempted for p in plays) / asked,
+        sum(p.refused for p in plays) / asked,
+        sum(p.whole for p in plays) / asked,
+    )
+
+
+def test_more_callers_get_whole_answers_without_a_pause():
+    """Engines that are full: who outlives its guess is counted with what it will take yet."""
+    before, now = shares(fixed), shares(growing)
+    assert before == pytest.approx((0.089, 0.083, 0.831), abs=0.005)
+    assert now == pytest.approx((0.005, 0.102, 0.850), abs=0.005)
