--- a/reachlink/control/_machine.py
+++ b/reachlink/control/_machine.py
@@ -37,7 +37,7 @@
     ZoneResult,
     ZoneStatus,
 )
-from reachlink.control._zones import new_order, status_of
+from reachlink.control._zones import new_order, status_of, zone_record
 from reachlink.membership import Delta, deltas_after, remember_delta, table_size
 from reachlink.routing import PublishedTable, patch_between
 from reachlink.settings import (
@@ -214,7 +214,7 @@
         change = Change(zone_order_path(command.zone), msgspec.to_builtins(order))
         records = _records(self._tree, [change])
         self._take([change])
-        self._record_zone_order(command, records)
+        self._audit.add(zone_record(command, order.revision, records))
         return ZoneResult(status, order.revision)
 
     def _take(self, changes: list[Change]) -> None:
@@ -223,22 +223,6 @@
         delta = Delta(self._tree.revision, changes)
         remember_delta(self._deltas, delta, table_size(self._tree))
 
-    def _record_zone_order(self, command: ZoneCommand, records: list[ChangeRecord]) -> None:
-        self._audit.add(
-            AuditRecord(
-                0,
-                command.at,
-                "zone",
-                command.author,
-                command.source,
-                "",
-                self._tree.revision,
-                True,
-                command.reason,
-                records,
-            )
-        )
-
     def _publish(self, table: PublishedTable) -> PublishResult:
         held = self._tree.routing
         revision = self._tree.revision
--- a/reachlink/control/_zones.py
+++ b/reachlink/control/_zones.py
@@ -1,6 +1,6 @@
 """Orders about availability zones in the replicated state; pure."""
 
-from reachlink.control._commands import ZoneCommand, ZoneStatus
+from reachlink.control._commands import AuditRecord, ChangeRecord, ZoneCommand, ZoneStatus
 from reachlink.settings import ZoneOrder
 
 
@@ -21,3 +21,19 @@
 def new_order(command: ZoneCommand, revision: int) -> ZoneOrder:
     """Return the order that a command makes at a revision."""
     return ZoneOrder(command.out_of_service, revision, command.at, command.author, command.reason)
+
+
+def zone_record(command: ZoneCommand, revision: int, changes: list[ChangeRecord]) -> AuditRecord:
+    """Return what the audit trail keeps of an order that was accepted."""
+    return AuditRecord(
+        sequence=0,
+        at=command.at,
+        action="zone",
+        author=command.author,
+        source=command.source,
+        edit_id="",
+        revision=revision,
+        accepted=True,
+        reason=command.reason,
+        changes=changes,
+    )
--- /dev/null
+++ b/reachlink/requests/_cold_replicas.py
@@ -0,0 +1,41 @@
+"""Keeps requests from replicas that are cold and have had what they bear."""
+
+from reachlink.requests._cold_rates import ColdRates, share_of
+from reachlink.requests._parts import RunnerParts
+from reachlink.routing import Service
+
+
+class ColdReplicas:
+    """Says which cold replicas may not get another request of this instance now.
+
+    Parameters
+    ----------
+    parts : RunnerParts
+        Knows the replicas, how long they are cold, and who else decides.
+    """
+
+    def __init__(self, parts: RunnerParts) -> None:
+        self._parts = parts
+        self._rates = ColdRates()
+
+    def full(self, service: Service) -> list[str]:
+        """Return the replicas of a service that may get no other request now."""
+        bears = service.cold_requests_per_s
+        if not bears:
+            return []
+        parts = self._parts
+        now = parts.clock()
+        live = parts.directory.live(service.name)
+        cold = [r.name for r in live if parts.directory.cold_s(r.name, now)]
+        if not cold:
+            return []
+        deciders = parts.deciders()
+        asked = service.engine is not None
+        shares = {name: share_of(name, bears, deciders, asked) for name in cold}
+        return [name for name in cold if not self._rates.may_send(name, shares[name], now)]
+
+    def note_sent(self, replica: str) -> None:
+        """Note a request that is about to go to a replica, if it is cold."""
+        now = self._parts.clock()
+        if self._parts.directory.cold_s(replica, now):
+            self._rates.note_sent(replica, now)
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -9,7 +9,7 @@
 from reachlink.placement import allowances
 from reachlink.requests._book import Flight, ReplicaState
 from reachlink.requests._choice import Option, choose, is_calm
-from reachlink.requests._cold_rates import ColdRates, share_of
+from reachlink.requests._cold_replicas import ColdReplicas
 from reachlink.requests._load_notes import total
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._obstacles import Obstacle
@@ -54,7 +54,7 @@
     def __init__(self, parts: RunnerParts) -> None:
         self._parts = parts
         self._cut_off: dict[str, float] = {}
-        self._cold_rates = ColdRates()
+        self._cold = ColdReplicas(parts)
         self._log: Any = get_logger()
 
     def is_near(self, replica: Replica) -> bool:
@@ -169,7 +169,7 @@
         """Return what this instance would answer to a question, by what it knows."""
         excluded = set(question.excluded)
         if question.purpose is Purpose.REQUEST:
-            excluded.update(self._too_cold(service))
+            excluded.update(self._cold.full(service))
         options = self._options(service, excluded, question.zone)
         if question.zones is not None:
             options = [o for o in options if self._zone_of(o.name) in question.zones]
@@ -179,38 +179,13 @@
         if name is None:
             return None
         if question.purpose is Purpose.REQUEST:
-            self._note_sent(name)
+            self._cold.note_sent(name)
         return self._parts.directory.find(name)
 
     def _zone_of(self, name: str) -> str:
         replica = self._parts.directory.find(name)
         return replica.availability_zone if replica is not None else ""
 
-    def _too_cold(self, service: Service) -> list[str]:
-        """Return the replicas that this instance may not send another request to now."""
-        bears = service.cold_requests_per_s
-        if not bears:
-            return []
-        parts = self._parts
-        now = parts.clock()
-        live = parts.directory.live(service.name)
-        cold = [r for r in live if parts.directory.cold_s(r.name, now)]
-        if not cold:
-            return []
-        deciders = parts.deciders()
-        asked = service.engine is not None
-        return [
-            r.name
-            for r in cold
-            if not self._cold_rates.may_send(r.name, share_of(r.name, bears, deciders, asked), now)
-        ]
-
-    def _note_sent(self, replica: str) -> None:
-        """Note a request that is about to go to a replica, if it is cold."""
-        now = self._parts.clock()
-        if self._parts.directory.cold_s(replica, now):
-            self._cold_rates.note_sent(replica, now)
-
     def evacuating(self, service: Service) -> bool:
         """Return whether generations have yet to be copied away from a leaving replica."""
         parts = self._parts
