The log tells when a replica asks for rest

Change: HttpClient, which all requests, reports and orders to replicas pass, reads Retry-After of 429 and 503 (seconds, fractions, dates; not finite, negative and unreadable ones each have an answer) and logs rest_asked. Nothing is decided by it yet.

--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -1,15 +1,19 @@
 """The HTTP client side, shared by the adapters."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
+from typing import Any
 
 import aiohttp
 import msgspec
 from multidict import CIMultiDict
 from yarl import URL
 
+from reachlink.telemetry import get_logger
 from reachlink.upstreams._connections import ReplicaConnector
+from reachlink.upstreams._retry_after import asked_rest_s
 from reachlink.upstreams.exceptions import (
     UpstreamBrokenError,
     UpstreamRefusedError,
@@ -22,6 +26,8 @@
 CONTROL_TIMEOUT_S = 2.0
 MAX_ERROR_BYTES = 64 << 10
 MAX_LINE_BYTES = 1 << 20
+# Most of an unreadable field that a log line shows, in characters.
+SHOWN_TEXT = 40
 
 # Statuses with which an upstream says that it did not run the request.
 REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
@@ -57,6 +63,7 @@
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_s
         self._opened: aiohttp.ClientSession | None = None
+        self._log: Any = get_logger()
 
     @property
     def _session(self) -> aiohttp.ClientSession:
@@ -86,7 +93,7 @@
             The connection failed after the request was sent.
         """
         with _upstream_errors():
-            return await self._session.request(
+            response = await self._session.request(
                 method,
                 url,
                 headers=dict(headers),
@@ -94,6 +101,8 @@
                 allow_redirects=False,
                 middlewares=(SingleDispatch(),),
             )
+        self._note_answer(response)
+        return response
 
     async def relay(
         self, method: str, url: str, headers: list[tuple[str, str]], body: bytes
@@ -108,7 +117,7 @@
             The connection failed after the request was sent.
         """
         with _upstream_errors(ValueError):
-            return await self._session.request(
+            response = await self._session.request(
                 method,
                 URL(url, encoded=True),
                 headers=CIMultiDict(headers),
@@ -117,6 +126,8 @@
                 allow_redirects=False,
                 middlewares=(SingleDispatch(),),
             )
+        self._note_answer(response)
+        return response
 
     async def connect(self, address: str) -> None:
         """Connect to an address and close the connection.
@@ -142,8 +153,23 @@
         with _upstream_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 async with self._session.request(method, url, data=body) as response:
+                    self._note_answer(response)
                     yield response
 
+    def _note_answer(self, response: aiohttp.ClientResponse) -> None:
+        """Log what an answer says of when its replica wants to be asked again."""
+        address = f"{response.url.host}:{response.url.port}"
+        try:
+            rest_s = asked_rest_s(response.status, response.headers, time.time())
+        except ValueError as error:
+            reason = str(error)[:SHOWN_TEXT]
+            self._log.info("rest_unreadable", address=address, reason=reason)
+            return
+        if rest_s is not None:
+            self._log.info(
+                "rest_asked", address=address, status=response.status, rest_s=round(rest_s, 3)
+            )
+
 
 @contextmanager
 def _upstream_errors(*broken: type[Exception]) -> Iterator[None]:
