Failing tests: replicas at rest and replicas that leave still get requests

Change: tests on both ways of a request (the platform's with the real client, adapter and runner in one process; the product's own with real processes, whose stand-ins learn to ask for rest), and of a replica that says in its answers that it leaves.

--- a/reachlink/testing/_fleet.py
+++ b/reachlink/testing/_fleet.py
@@ -208,7 +208,7 @@
             await self.fault("heal", availability_zone=zone)
         for plan in self.layout.processes:
             await self.fault("heal", process=plan.name)
-            if plan.module == "engine":
+            if plan.module in ("engine", "service"):
                 await self.post(plan.name, "/faults", {})
         await self.wait_ready([plan.name for plan in self.layout.entries])
 
--- a/reachlink/testing/service.py
+++ b/reachlink/testing/service.py
@@ -4,11 +4,13 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import uvloop
 from aiohttp import web
 
 from reachlink.kernel import json_response, load_config
 from reachlink.testing._config import ServiceConfig
+from reachlink.testing._wire import FaultBody
 from reachlink.testing.engine import refusal
 
 
@@ -24,6 +26,8 @@
         self._calls: list[dict[str, str]] = []
         self._running = 0
         self._leaving = False
+        self._faults = FaultBody()
+        self._refused = 0
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -33,6 +37,7 @@
                 web.get("/calls", self._list),
                 web.get("/v1/load", self._load),
                 web.post("/leave", self._leave),
+                web.post("/faults", self._set_faults),
                 web.get("/healthz", self._health),
                 web.route("*", "/{path:.*}", self._run),
             ]
@@ -42,6 +47,9 @@
     async def _run(self, request: web.Request) -> web.Response:
         if self._leaving:
             return refusal(503, "leaving", "this instance is leaving")
+        if self._faults.rest_s:
+            self._refused += 1
+            return refusal(503, "overloaded", "this instance wants rest", self._faults.rest_s)
         body = await request.text()
         self._calls.append(
             {
@@ -68,12 +76,16 @@
     async def _load(self, request: web.Request) -> web.Response:
         return json_response({"running": self._running, "leaving": self._leaving})
 
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self._faults = msgspec.json.decode(await request.read(), type=FaultBody)
+        return json_response({})
+
     async def _leave(self, request: web.Request) -> web.Response:
         self._leaving = True
         return json_response({})
 
     async def _health(self, request: web.Request) -> web.Response:
-        return json_response({})
+        return json_response({"refused": self._refused})
 
 
 def main() -> None:
