--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -31,10 +31,10 @@
     Replica,
     TokenEvent,
     TokenStream,
+    UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamRefusedError,
-    UpstreamRestsError,
     UpstreamUnreachableError,
 )
 
@@ -113,8 +113,8 @@
     def _failed(self, reason: str) -> RequestError:
         """Return the final answer after the last attempt."""
         job = self._job
-        rest_s = self._node.rest_left_s(job.service.upstream, job.ticket.excluded)
-        return upstream_failed(reason, self._outcome(), rest_s)
+        wait_s = self._node.backoff_left_s(job.service.upstream, job.ticket.excluded)
+        return upstream_failed(reason, self._outcome(), wait_s)
 
     def _given_nothing(self) -> bool:
         """Return whether the caller has no token yet."""
@@ -160,10 +160,10 @@
         health = self._node.ledger.replica(replica.name).health
         self._sent_at = steady_time()
         self._offset_when_sent = self._delivery.next_offset
-        self._node.client.rests.note_sent(replica.address, self._sent_at)
+        self._node.client.backoffs.note_sent(replica.address, self._sent_at)
         try:
             stream = await self._adapter.open(replica, job.request)
-        except UpstreamRestsError:
+        except UpstreamBackoffError:
             # It asked for that after it was chosen: nothing was sent, nor is it excluded.
             return None
         except UpstreamUnreachableError as error:
@@ -350,7 +350,7 @@
                     return await self._adapter.resume(replica, self._delivery.generation, offset)
             except GenerationUnknownError as error:
                 raise _LostError("the engine dropped the generation") from error
-            except UpstreamRestsError as error:
+            except UpstreamBackoffError as error:
                 # The replica runs on meanwhile, and is not to blame.
                 last = str(error)
                 await asyncio.sleep(min(error.left_s, RESUME_TIMEOUT_S))
@@ -393,8 +393,8 @@
         self._node.carried.remove(generation)
 
     async def _cancel(self, replica: Replica, generation: str) -> None:
-        # Held back while the replica rests: what is forgotten there runs on for nobody.
-        await asyncio.sleep(self._node.client.rests.left_s(replica.address, steady_time()))
+        # Held back while the replica backoffs: what is forgotten there runs on for nobody.
+        await asyncio.sleep(self._node.client.backoffs.left_s(replica.address, steady_time()))
         with contextlib.suppress(UpstreamError):
             await self._adapter.cancel(replica, generation, if_detached=True)
 
--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -96,9 +96,9 @@
         Source of tie-breaks.
     clock : callable
         Monotonic time in seconds.
-    rest_left_s : callable
-        Returns the time until the first replica that a ticket may go to has rested, in
-        seconds; None where not all of them rest.
+    backoff_left_s : callable
+        Returns the time until the first replica that a ticket may go to is out of backoff, in
+        seconds; None where not all of them are in backoff.
     """
 
     def __init__(
@@ -108,9 +108,9 @@
         reserve: Callable[[Ticket, str], None],
         random: Random,
         clock: Callable[[], float],
-        rest_left_s: Callable[[Ticket], float | None] = lambda ticket: None,
+        backoff_left_s: Callable[[Ticket], float | None] = lambda ticket: None,
     ) -> None:
-        self._rest_left_s = rest_left_s
+        self._backoff_left_s = backoff_left_s
         self._policy = policy
         self._candidates = candidates
         self._reserve = reserve
@@ -138,7 +138,7 @@
             if decision.verdict is Verdict.PLACE:
                 return decision
             if decision.verdict is Verdict.NONE_ALIVE:
-                self._check_rest(ticket)
+                self._check_backoff(ticket)
         pending = _Pending(ticket, asyncio.get_running_loop().create_future())
         waiting = self._enqueue(pending)
         self._arm()
@@ -177,24 +177,24 @@
     def _check_pending(self, waiting: Waiting[_Pending]) -> None:
         """Refuse a waiting request that no replica will take in time."""
         try:
-            self._check_rest(waiting.item.ticket)
+            self._check_backoff(waiting.item.ticket)
         except RequestError as error:
             self._queue.remove(waiting)
             _refuse(waiting.item, error)
 
-    def _check_rest(self, ticket: Ticket) -> None:
-        """Make sure that a ticket without any replica only waits for one that rests.
+    def _check_backoff(self, ticket: Ticket) -> None:
+        """Make sure that a ticket without any replica only waits for one that backoffs.
 
         Raises
         ------
         RequestError
-            If there is none, or all rest beyond its deadline.
+            If there is none, or all are in backoff beyond its deadline.
         """
-        rest_s = self._rest_left_s(ticket)
-        if rest_s is None:
+        wait_s = self._backoff_left_s(ticket)
+        if wait_s is None:
             raise no_replica()
-        if self._clock() + rest_s > ticket.deadline:
-            raise replicas_rest(rest_s)
+        if self._clock() + wait_s > ticket.deadline:
+            raise replicas_in_backoff(wait_s)
 
     def _try(self, ticket: Ticket) -> Decision:
         decision = self._policy.choose(ticket.request, self._candidates(ticket), self._random)
@@ -264,9 +264,11 @@
     )
 
 
-def replicas_rest(left_s: float, outcome: Outcome = Outcome.NOT_RUN) -> RequestError:
-    """Return the error for an upstream whose replicas all rest for some seconds."""
-    return RequestError(503, "replicas_rest", "all replicas of this service rest", outcome, left_s)
+def replicas_in_backoff(left_s: float, outcome: Outcome = Outcome.NOT_RUN) -> RequestError:
+    """Return the error for an upstream whose replicas all are in backoff for some seconds."""
+    return RequestError(
+        503, "replicas_in_backoff", "the replicas are all in backoff", outcome, left_s
+    )
 
 
 def _resolve(pending: _Pending, decision: Decision) -> None:
--- /dev/null
+++ b/reachlink/entry/_entry_metrics.py
@@ -0,0 +1,44 @@
+"""Counters and latencies of an entry instance of the product's own interface."""
+
+from collections.abc import Callable
+
+from reachlink.entry._config import EntryConfig
+from reachlink.entry._relay_metrics import BACKOFF_DESCRIPTION
+from reachlink.telemetry import Metrics
+
+
+class EntryMetrics:
+    """Instruments of an entry instance."""
+
+    def __init__(self, config: EntryConfig) -> None:
+        self._metrics = Metrics(
+            "entry", config.name, config.availability_zone, config.otlp_endpoint
+        )
+        make = self._metrics.counter
+        self.requests = make("reachlink_requests", "1", "Requests by service and outcome.")
+        self.tokens = make("reachlink_tokens", "1", "Tokens passed on to callers.")
+        self.repeats = make("reachlink_repeated_events", "1", "Repeated events dropped.")
+        self.foreign = make("reachlink_foreign_events", "1", "Foreign events refused.")
+        self.resumes = make("reachlink_resumes", "1", "Streams resumed after a break.")
+        self.retries = make("reachlink_retries", "1", "Requests dispatched again.")
+        self.first_token = self._metrics.histogram(
+            "reachlink_first_token", "s", "Time from request to first token."
+        )
+
+    def export_held(self, held: Callable[[], float]) -> None:
+        """Export how many requests are held since replicas crash under them."""
+        self._metrics.gauge(
+            "reachlink_requests_held", "1", "Requests that replicas crash under.", held
+        )
+
+    def export_backoffs(self, backing_off: Callable[[], float]) -> None:
+        """Export from how many replicas this instance backs off, as they asked."""
+        self._metrics.gauge("reachlink_replicas_in_backoff", "1", BACKOFF_DESCRIPTION, backing_off)
+
+    def page(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return self._metrics.page()
+
+    def close(self) -> None:
+        """Export what is pending and stop."""
+        self._metrics.close()
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -13,6 +13,7 @@
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
 from reachlink.entry._dispatcher import Dispatcher, Ticket
+from reachlink.entry._entry_metrics import EntryMetrics
 from reachlink.entry._guardians import (
     CarriedBook,
     CarriedGeneration,
@@ -34,7 +35,7 @@
 )
 from reachlink.quarantine import CrashGuard, Fingerprinter, Quarantine
 from reachlink.settings import ServiceInfo, SettingsTree
-from reachlink.telemetry import Metrics, get_logger
+from reachlink.telemetry import get_logger
 from reachlink.upstreams import ADAPTERS, HttpClient, Replica, UpstreamError
 
 EXPLAINED_DECISIONS = 2048
@@ -62,7 +63,7 @@
         self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
         self.control = ControlClient(self.bus, config.controls)
         self.client = HttpClient()
-        self.directory = ReplicaDirectory(config.routes, rests=self.client.rests)
+        self.directory = ReplicaDirectory(config.routes, backoffs=self.client.backoffs)
         self.lengths = LengthEstimator()
         self.ledger = Ledger(self.lengths)
         self.digests = DigestBook(config.availability_zone)
@@ -79,6 +80,7 @@
         self.quarantine.listen(self._tell_crashes)
         self.metrics = EntryMetrics(config)
         self.metrics.export_held(lambda: len(self.quarantine.held(steady_time())))
+        self.metrics.export_backoffs(lambda: self.client.backoffs.count(steady_time()))
         self.ready = False
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
@@ -160,7 +162,7 @@
                 self._reserve,
                 self.random,
                 steady_time,
-                lambda ticket: self.rest_left_s(upstream, ticket.excluded),
+                lambda ticket: self.backoff_left_s(upstream, ticket.excluded),
             )
         return found
 
@@ -305,15 +307,15 @@
         ]
 
     def admitted(self, upstream: str) -> list[Replica]:
-        """Return the live replicas of an upstream that do not rest."""
+        """Return the live replicas of an upstream not in backoff."""
         live = self.directory.live(upstream)
-        if self.client.rests.is_empty:
+        if self.client.backoffs.is_empty:
             return live
         now = steady_time()
-        return [r for r in live if self.client.rests.admits(r.address, now)]
+        return [r for r in live if self.client.backoffs.admits(r.address, now)]
 
-    def rest_left_s(self, upstream: str, excluded: Set[str]) -> float | None:
-        """Return when the first replica of an upstream has rested, where all others rest.
+    def backoff_left_s(self, upstream: str, excluded: Set[str]) -> float | None:
+        """Return when the first replica is out of backoff, where all of them are in one.
 
         Parameters
         ----------
@@ -326,14 +328,10 @@
         -------
         float or None
             Time until then, in seconds, 0 where one is coming back from it; None where
-            there is no replica or one that does not rest.
+            there is no replica or one not in backoff.
         """
-        rests = self.client.rests
         usable = [r.address for r in self.directory.live(upstream) if r.name not in excluded]
-        if not usable or not all(rests.knows(address) for address in usable):
-            return None
-        now = steady_time()
-        return min(rests.left_s(address, now) for address in usable)
+        return self.client.backoffs.left_of_all_s(usable, steady_time())
 
     def _sampled(self, upstream: str, live: list[Replica]) -> list[Replica]:
         """Return some replicas of many, this zone's for the most part.
@@ -373,36 +371,3 @@
             return True
         models = self.ledger.replica(replica.name).report.models
         return not models or ticket.version in models
-
-
-class EntryMetrics:
-    """Instruments of an entry instance."""
-
-    def __init__(self, config: EntryConfig) -> None:
-        self._metrics = Metrics(
-            "entry", config.name, config.availability_zone, config.otlp_endpoint
-        )
-        make = self._metrics.counter
-        self.requests = make("reachlink_requests", "1", "Requests by service and outcome.")
-        self.tokens = make("reachlink_tokens", "1", "Tokens passed on to callers.")
-        self.repeats = make("reachlink_repeated_events", "1", "Repeated events dropped.")
-        self.foreign = make("reachlink_foreign_events", "1", "Foreign events refused.")
-        self.resumes = make("reachlink_resumes", "1", "Streams resumed after a break.")
-        self.retries = make("reachlink_retries", "1", "Requests dispatched again.")
-        self.first_token = self._metrics.histogram(
-            "reachlink_first_token", "s", "Time from request to first token."
-        )
-
-    def export_held(self, held: Callable[[], float]) -> None:
-        """Export how many requests are held since replicas crash under them."""
-        self._metrics.gauge(
-            "reachlink_requests_held", "1", "Requests that replicas crash under.", held
-        )
-
-    def page(self) -> bytes:
-        """Return the metrics in the Prometheus text format."""
-        return self._metrics.page()
-
-    def close(self) -> None:
-        """Export what is pending and stop."""
-        self._metrics.close()
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -43,6 +43,8 @@
             lambda: self._node.tree.revision,
             lambda: self._follower.unanswered_s,
         )
+        backoffs = self._node.client.backoffs
+        self._node.metrics.export_backoffs(lambda: backoffs.count(steady_time()))
         self._node.metrics.export_quarantine(
             lambda: len(self._node.quarantine.held(steady_time())),
             lambda: len(self._node.quarantine.fingerprints),
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -6,6 +6,8 @@
 from reachlink.messaging import Traffic, export_traffic
 from reachlink.telemetry import Metrics
 
+BACKOFF_DESCRIPTION = "Replicas that turned requests away and asked this instance to wait."
+
 
 class RelayMetrics:
     """Instruments of a relaying entry instance.
@@ -78,6 +80,10 @@
             "reachlink_requests_suspected", "1", "Requests that a crash counts against.", kept
         )
 
+    def export_backoffs(self, backing_off: Callable[[], float]) -> None:
+        """Export from how many replicas this instance backs off, as they asked."""
+        self._metrics.gauge("reachlink_replicas_in_backoff", "1", BACKOFF_DESCRIPTION, backing_off)
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.page()
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -54,7 +54,7 @@
         self.control = ControlClient(self.bus, list(config.seeds))
         self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
         self.directory = ReplicaDirectory(
-            unconfirmed_mark_s=config.leaving_mark_s, rests=self.client.rests
+            unconfirmed_mark_s=config.leaving_mark_s, backoffs=self.client.backoffs
         )
         self.book = ReplicaBook()
         self.shared = SharedLoad()
@@ -132,7 +132,7 @@
                 ask_coordinator=self.member.ask,
                 deciders=self.deciders,
                 quarantine=self.quarantine,
-                rests=self.client.rests,
+                backoffs=self.client.backoffs,
             )
         )
         self.coordinator = Coordinator(
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -53,7 +53,7 @@
 FAILED_RETRY_S = 1.0
 
 
-def upstream_failed(reason: str, outcome: Outcome, rest_s: float | None) -> RequestError:
+def upstream_failed(reason: str, outcome: Outcome, wait_s: float | None) -> RequestError:
     """Return the final answer after every attempt has failed.
 
     Parameters
@@ -63,12 +63,12 @@
     outcome : Outcome
         What is known of all of them. What has surely not run gets the status that
         promises so: with 502 callers had to take it for run, 45 of 756 calls in a second
-        in which one of three replicas asked for rest (140 calls a second).
-    rest_s : float, optional
-        Time until the first replica has rested, where all rest, in seconds.
+        in which one of three replicas asked for a backoff (140 calls a second).
+    wait_s : float, optional
+        Time until the first replica is out of backoff, where all are in backoff, in seconds.
     """
     status = 503 if outcome is Outcome.NOT_RUN else 502
-    retry_s = FAILED_RETRY_S if rest_s is None else rest_s
+    retry_s = FAILED_RETRY_S if wait_s is None else wait_s
     return RequestError(status, "upstream_failed", reason, outcome, retry_s)
 
 
--- a/reachlink/entry/tests/test_replicas_at_rest.py
+++ b/reachlink/entry/tests/test_replicas_in_backoff.py
@@ -1,4 +1,4 @@
-"""A replica that asked an entry instance for rest, on the way of the product's own interface.
+"""A replica that asked an entry instance for backoff, on the way of the product's own interface.
 
 The story and the evidence stand with the test of the same name of the relayed requests. Here
 the time that a replica asked for was dropped with the refusal that told it, too; besides,
@@ -11,7 +11,7 @@
 
 ENTRY = "entry-1"
 # Longer than the test takes: who keeps to it sends nothing more.
-REST_S = 60.0
+BACKOFF_S = 60.0
 # Tries until each replica has got one by chance, and after that.
 MANY = 200
 MORE = 40
@@ -45,11 +45,11 @@
     return [(await fleet.get(name, "/healthz"))["refused"] for name in names(fleet, module)]
 
 
-async def let_rest(fleet: Fleet, module: str, replicas: list[str]) -> list[int]:
-    """Have replicas ask for rest, and an entry instance hear it; return the counts then."""
+async def let_backoff(fleet: Fleet, module: str, replicas: list[str]) -> list[int]:
+    """Have replicas ask for a backoff, and an entry instance hear it; return the counts then."""
     before = await turned_away(fleet, module)
     for name in replicas:
-        await fleet.post(name, "/faults", {"rest_s": REST_S})
+        await fleet.post(name, "/faults", {"wait_s": BACKOFF_S})
     asked = [names(fleet, module).index(name) for name in replicas]
     for _ in range(MANY):
         await ask(fleet, module)
@@ -61,18 +61,18 @@
 
 @pytest.fixture
 def forgetful(run, fleet):
-    """The fleet, whose entry instance starts anew afterwards: it would keep to the rest."""
+    """The fleet, whose entry instance starts anew afterwards: it would keep to the backoff."""
     yield fleet
     run(fleet.kill(ENTRY))
 
 
 @pytest.mark.parametrize("module", KINDS)
-def test_a_replica_that_asked_for_rest_gets_nothing_meanwhile(run, forgetful, module):
+def test_a_replica_that_asked_for_backoff_gets_nothing_meanwhile(run, forgetful, module):
     fleet = forgetful
 
     async def story():
-        resting = names(fleet, module)[:1]
-        before = await let_rest(fleet, module, resting)
+        backed_off = names(fleet, module)[:1]
+        before = await let_backoff(fleet, module, backed_off)
         answers = [await ask(fleet, module) for _ in range(MORE)]
         return before, await turned_away(fleet, module), answers
 
--- a/reachlink/kernel/tests/test_layers.py
+++ b/reachlink/kernel/tests/test_layers.py
@@ -45,6 +45,7 @@
     ROOT / "requests" / "_cold_rates.py",
     ROOT / "requests" / "_joint.py",
     ROOT / "requests" / "_model.py",
+    ROOT / "requests" / "_patience.py",
     ROOT / "requests" / "_shared_load.py",
     ROOT / "control" / "_machine.py",
     ROOT / "control" / "_claims.py",
@@ -56,6 +57,8 @@
     ROOT / "membership" / "_roster.py",
     ROOT / "membership" / "_spreading.py",
     ROOT / "membership" / "_transfers.py",
+    ROOT / "upstreams" / "_backoffs.py",
+    ROOT / "upstreams" / "_retry_after.py",
     ROOT / "entry" / "_digests.py",
     ROOT / "entry" / "_guardians.py",
 ]
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from reachlink.membership._platform import InstanceState, ListedInstance
-from reachlink.upstreams import Replica, RestBook
+from reachlink.upstreams import BackoffBook, Replica
 
 # How long a mark as leaving counts that no list confirms, in seconds: after that it
 # was a mistake, or its instance has come back.
@@ -92,17 +92,17 @@
         Addresses to use in place of listed ones.
     unconfirmed_mark_s : float
         How long a mark that no list confirms counts, in seconds.
-    rests : RestBook, optional
-        The instances that have asked for rest; is told of those that start again.
+    backoffs : BackoffBook, optional
+        The instances that have asked for a backoff; is told of those that start again.
     """
 
     def __init__(
         self,
         routes: Mapping[str, str] | None = None,
         unconfirmed_mark_s: float = UNCONFIRMED_MARK_S,
-        rests: RestBook | None = None,
+        backoffs: BackoffBook | None = None,
     ) -> None:
-        self._rests = RestBook(Random()) if rests is None else rests
+        self._backoffs = BackoffBook(Random()) if backoffs is None else backoffs
         self._unconfirmed_mark_s = unconfirmed_mark_s
         self._routes = dict(routes or {})
         self._entries: dict[str, _Entry] = {}
@@ -223,7 +223,7 @@
             entry.noticed_at = float("-inf")
             entry.listed = InstanceState.LIVE
             self._live.clear()
-            self._rests.start_again(entry.replica.address, now)
+            self._backoffs.start_again(entry.replica.address, now)
             self._on_started_again(name)
         return started_again
 
@@ -320,7 +320,7 @@
             entry = self._entries[instance.name] = _Entry(replica, instance.state)
             entry.born = instance.born
             # What the address asked for before was asked for by another one.
-            self._rests.replace(address)
+            self._backoffs.replace(address)
             _note_cold(entry, instance.cold_s, now)
             return True
         if 0 < instance.born < entry.born:
@@ -366,7 +366,7 @@
     Where it does not say when it started, a list that has it again after one that had it
     leave, or had it not, tells of a new start. A mark by its own word that ended after
     30 s, as one by a closing connection does, sent it new requests in the life in which it
-    had said that it leaves (test_replicas_at_rest).
+    had said that it leaves (test_replicas_in_backoff).
     """
     if entry.marked is LeavingSource.REFUSAL:
         # Names of who refuses so are kept over starts: without their times nobody can tell.
--- a/reachlink/membership/tests/test_membership.py
+++ b/reachlink/membership/tests/test_membership.py
@@ -16,7 +16,7 @@
     SettingsHolder,
 )
 from reachlink.settings import Change
-from reachlink.upstreams import RestBook
+from reachlink.upstreams import BackoffBook
 
 
 def listed(state: InstanceState = InstanceState.LIVE) -> list[ListedInstance]:
@@ -74,16 +74,16 @@
     assert directory.may_get_work("a")
 
 
-def test_rests_end_with_the_address_and_the_life_that_asked():
-    rests = RestBook(Random(1))
-    directory = ReplicaDirectory(rests=rests)
+def test_backoffs_end_with_the_address_and_the_life_that_asked():
+    backoffs = BackoffBook(Random(1))
+    directory = ReplicaDirectory(backoffs=backoffs)
     directory.update(born(InstanceState.LIVE, 1000), 0.0)
-    rests.ask("127.0.0.1:1", 3600.0, 0.0)
+    backoffs.ask("127.0.0.1:1", 3600.0, 0.0)
     directory.update(born(InstanceState.LIVE, 2000), 100.0)
-    assert rests.admits("127.0.0.1:1", 100.0)
-    rests.ask("127.0.0.1:1", 3600.0, 100.0)
+    assert backoffs.admits("127.0.0.1:1", 100.0)
+    backoffs.ask("127.0.0.1:1", 3600.0, 100.0)
     directory.update([ListedInstance("b", "up", "z1", "127.0.0.1:1")], 101.0)
-    assert rests.admits("127.0.0.1:1", 101.0)
+    assert backoffs.admits("127.0.0.1:1", 101.0)
 
 
 def test_an_instance_that_left_is_still_found_for_its_generations():
--- a/reachlink/requests/_attempts.py
+++ b/reachlink/requests/_attempts.py
@@ -11,18 +11,18 @@
 
     UNREACHABLE = "unreachable"
     GONE = "gone"
-    RESTS = "rests"
+    BACKOFF = "in_backoff"
     NOT_RUN = "not_run"
     BROKEN = "broken"
     FAILED = "failed"
     SLOW = "slow"
 
 
-_NEVER_RAN = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.RESTS, Setback.NOT_RUN})
+_NEVER_RAN = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.BACKOFF, Setback.NOT_RUN})
 # The replica that was meant did not get the request.
-_NOT_SENT = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.RESTS})
+_NOT_SENT = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.BACKOFF})
 # Nor did any other: another attempt is no repeat.
-NO_REPEAT = frozenset({Setback.UNREACHABLE, Setback.RESTS})
+NO_REPEAT = frozenset({Setback.UNREACHABLE, Setback.BACKOFF})
 
 
 @dataclass(slots=True)
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -33,10 +33,10 @@
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
-# How long a stream that has lost its replica waits for the one with its copy to have
-# rested, in seconds: callers leave after two seconds of silence, of which 0.8 may have
+# How long a stream that has lost its replica waits for the one with its copy to be
+# out of backoff, in seconds: callers leave after two seconds of silence, of which 0.8 may have
 # passed before the loss was noticed.
-REST_BORNE_S = 1.0
+BACKOFF_BORNE_S = 1.0
 
 
 class Dispatch:
@@ -87,17 +87,17 @@
         """Return a random number from 0 to 1."""
         return self._parts.random.random()
 
-    async def has_rested(self, replica: Replica) -> bool:
-        """Return whether a replica rests no more, after a wait that a stream's caller bears."""
-        left_s = self.rest_left_s(replica)
-        if left_s > REST_BORNE_S:
+    async def wait_for_backoff(self, replica: Replica) -> bool:
+        """Return whether a replica is out of backoff, after a wait that callers bear."""
+        left_s = self.backoff_left_s(replica)
+        if left_s > BACKOFF_BORNE_S:
             return False
         await asyncio.sleep(left_s)
         return True
 
-    def rest_left_s(self, replica: Replica) -> float:
-        """Return how long a replica still rests, in seconds."""
-        return self._parts.rests.left_s(replica.address, self.now())
+    def backoff_left_s(self, replica: Replica) -> float:
+        """Return how long a replica is still in backoff, in seconds."""
+        return self._parts.backoffs.left_s(replica.address, self.now())
 
     async def open(
         self,
@@ -112,13 +112,13 @@
         ------
         HeldRequestError
             If replicas crash under it: whatever attempt, copy or repeat this is.
-        UpstreamRestsError
-            If the replica has asked for rest meanwhile.
+        UpstreamBackoffError
+            If the replica has asked for a backoff meanwhile.
         """
         parts = self._parts
         await self._guard.admit(request.relay.fingerprint, request.request_id)
         left = request.give_up_at - parts.clock()
-        parts.rests.note_sent(replica.address, parts.clock())
+        parts.backoffs.note_sent(replica.address, parts.clock())
         answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
         now = parts.clock()
         if answer.head.load is not None:
@@ -270,6 +270,7 @@
             replica=replica.name,
             reason=setback.value,
             sent=attempts.sent,
+            backoff_left_s=round(self.backoff_left_s(replica), 3),
         )
         if not attempts.may_go_on():
             return False
@@ -288,10 +289,10 @@
         if obstacle is not None:
             wait = obstacle.come_back_in_s
             return RequestFailedError(503, obstacle.value, Outcome.NOT_RUN, wait)
-        rest_s = self._placing.rest_left_s(request, tried)
-        if rest_s is not None:
-            wait = max(RETRY_AFTER_S, rest_s)
-            return RequestFailedError(503, Setback.RESTS.value, Outcome.NOT_RUN, wait)
+        wait_s = self._placing.backoff_left_s(request, tried)
+        if wait_s is not None:
+            wait = max(RETRY_AFTER_S, wait_s)
+            return RequestFailedError(503, Setback.BACKOFF.value, Outcome.NOT_RUN, wait)
         wait = ELSEWHERE_AFTER_S if self._parts.cut_off() else RETRY_AFTER_S
         return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, wait)
 
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -14,7 +14,7 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._place_question import AskCoordinator, decide_here
 from reachlink.requests._shared_load import SharedLoad
-from reachlink.upstreams import RelayAdapter, Replica, RestBook
+from reachlink.upstreams import BackoffBook, RelayAdapter, Replica
 
 
 class Directory(Protocol):
@@ -116,8 +116,8 @@
         Returns the instances that choose replicas.
     quarantine : Quarantine
         What all instances know of crashes.
-    rests : RestBook
-        The replicas that have asked this instance for rest; `adapter` keeps to it, too.
+    backoffs : BackoffBook
+        The replicas that have asked this instance for a backoff; `adapter` keeps to it, too.
     """
 
     zone: str
@@ -138,4 +138,4 @@
     ask_coordinator: AskCoordinator = decide_here
     deciders: Callable[[], Deciders] = lambda: Deciders("", ("",))
     quarantine: Quarantine = field(default_factory=lambda: Quarantine(Random()))
-    rests: RestBook = field(default_factory=lambda: RestBook(Random()))
+    backoffs: BackoffBook = field(default_factory=lambda: BackoffBook(Random()))
--- /dev/null
+++ b/reachlink/requests/_patience.py
@@ -0,0 +1,46 @@
+"""How long a request waits for a replica before it is refused; pure."""
+
+from reachlink.requests._model import CallerRequest
+
+# How long a request waits for room, as a share of its objective: a refusal
+# after that would come too late for another attempt in time.
+WAIT_SHARE = 0.22
+# How often it looks for room meanwhile, in seconds.
+WAIT_STEP_S = 0.02
+# The same where all its replicas are in backoff or come back from it: up to there it may
+# still be answered in time, as what it waits for is known and short. Beyond, who is told
+# the exact time at once may meet another instance, which was not asked for a backoff.
+BACKOFF_WAIT_SHARE = 0.5
+# How often such a one looks for a replica not in backoff, in seconds.
+BACKOFF_LOOK_S = 0.1
+
+
+def may_wait_for_room(request: CallerRequest, now: float) -> bool:
+    """Return whether a request may wait for room still, at a monotonic time in seconds."""
+    return now < request.arrived_at + request.route.objective_s * WAIT_SHARE
+
+
+def pause_before_look(request: CallerRequest, now: float, backoff_s: float | None) -> float | None:
+    """Return when a request should look for a replica again; None for it not to.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request.
+    now : float
+        Monotonic time in seconds.
+    backoff_s : float, optional
+        Time until the first of its replicas is out of backoff, in seconds; None where
+        that is not what keeps it waiting.
+
+    Returns
+    -------
+    float or None
+        Pause in seconds.
+    """
+    if backoff_s is None:
+        return WAIT_STEP_S if may_wait_for_room(request, now) else None
+    until = request.arrived_at + request.route.objective_s * BACKOFF_WAIT_SHARE
+    if now + backoff_s >= until:
+        return None
+    return max(WAIT_STEP_S, min(backoff_s, BACKOFF_LOOK_S))
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -15,6 +15,7 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._obstacles import Obstacle
 from reachlink.requests._parts import RunnerParts
+from reachlink.requests._patience import may_wait_for_room, pause_before_look
 from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
 from reachlink.requests._stake_order import gives_way, rank
 from reachlink.routing import Service
@@ -24,17 +25,6 @@
 # How long a zone is left alone after one of its replicas could not be reached,
 # in seconds: a cut costs each request at most one vain attempt.
 CUT_OFF_S = 1.0
-# How long a request waits for room, as a share of its objective: a refusal
-# after that would come too late for another attempt in time.
-WAIT_SHARE = 0.22
-# How often it looks for room meanwhile, in seconds.
-WAIT_STEP_S = 0.02
-# The same where all its replicas rest or come back from it: up to there it may still be
-# answered in time, as what it waits for is known and short. Beyond, who is told the exact
-# time at once may meet another instance, that was not asked for rest.
-REST_WAIT_SHARE = 0.5
-# How often such a one looks for a replica that does not rest, in seconds.
-REST_LOOK_S = 0.1
 # How long a prompt holds up what joins after it, in seconds: the reading of 5,000
 # tokens at the 14 a millisecond of the users' engines, two usual prompts.
 READING_S = 0.35
@@ -232,34 +222,23 @@
     async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
         """Return the replica that a request should go to, after a short wait for room."""
         parts = self._parts
-        until = request.arrived_at + request.route.objective_s * WAIT_SHARE
         while True:
-            replica = await self.place(request, tried, calm_only=parts.clock() < until)
+            calm_only = may_wait_for_room(request, parts.clock())
+            replica = await self.place(request, tried, calm_only)
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
-            pause_s = self._pause_s(request, tried)
+            pause_s = None
+            if self.obstacle(request) is None:
+                backoff_s = self.backoff_left_s(request, tried)
+                pause_s = pause_before_look(request, parts.clock(), backoff_s)
             if pause_s is None:
                 self._log_no_room(request, tried)
                 return None
             await asyncio.sleep(pause_s)
 
-    def _pause_s(self, request: CallerRequest, tried: set[str]) -> float | None:
-        """Return when to look for a replica again, in seconds; None where that is in vain."""
-        if self.obstacle(request) is not None:
-            return None
-        left = request.arrived_at - self._parts.clock()
-        rest_s = self.rest_left_s(request, tried)
-        if rest_s is None:
-            left += request.route.objective_s * WAIT_SHARE
-            return WAIT_STEP_S if left > 0.0 else None
-        left += request.route.objective_s * REST_WAIT_SHARE
-        if rest_s >= left:
-            return None
-        return max(WAIT_STEP_S, min(rest_s, REST_LOOK_S))
-
-    def rest_left_s(self, request: CallerRequest, tried: Set[str]) -> float | None:
-        """Return when the first of the replicas that may get a request has rested.
+    def backoff_left_s(self, request: CallerRequest, tried: Set[str]) -> float | None:
+        """Return when the first of the replicas that may get a request is out of backoff.
 
         Parameters
         ----------
@@ -272,10 +251,10 @@
         -------
         float or None
             Time until then, in seconds, 0 where one is coming back from it; None where
-            there is no replica or one that does not rest.
+            there is no replica or one not in backoff.
         """
         parts = self._parts
-        if parts.rests.is_empty:
+        if parts.backoffs.is_empty:
             return None
         now = parts.clock()
         zones = request.zones
@@ -284,21 +263,19 @@
             for replica in self._reachable(request.service.name, now)
             if replica.name not in tried and (zones is None or replica.availability_zone in zones)
         ]
-        if not usable or not all(parts.rests.knows(address) for address in usable):
-            return None
-        return min(parts.rests.left_s(address, now) for address in usable)
+        return parts.backoffs.left_of_all_s(usable, now)
 
     def _not_admitted(self, service: Service) -> set[str]:
-        """Return the replicas of a service that rest, or get little yet after a rest.
+        """Return the replicas of a service in backoff, or get little yet after a backoff.
 
         Who asks a coordinator names them to it: it does not know whom a replica told.
         """
         parts = self._parts
-        if parts.rests.is_empty:
+        if parts.backoffs.is_empty:
             return set()
         now = parts.clock()
         replicas = parts.directory.live(service.name)
-        return {r.name for r in replicas if not parts.rests.admits(r.address, now)}
+        return {r.name for r in replicas if not parts.backoffs.admits(r.address, now)}
 
     def obstacle(self, request: CallerRequest) -> Obstacle | None:
         """Return why waiting for room is in vain, if it is: no replica may get the request."""
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -10,8 +10,8 @@
     MoveResult,
     RelayAdapter,
     Replica,
+    UpstreamBackoffError,
     UpstreamError,
-    UpstreamRestsError,
 )
 
 # Pause between two copies, in seconds: each brings only what is new, and what
@@ -147,15 +147,15 @@
         return True
 
     async def _order(self) -> MoveResult | None:
-        """Order a move; None where the source rests: it runs on, and is asked again later."""
+        """Order a move; None where the source backoffs: it runs on, and is asked again later."""
         try:
             return await self._adapter.move(self._source, self._request_id, self._target, False)
-        except UpstreamRestsError as error:
+        except UpstreamBackoffError as error:
             self._log.info(
                 "shadow_waits",
                 request_id=self._request_id,
                 source=self._source.name,
-                rest_left_s=round(error.left_s, 3),
+                backoff_left_s=round(error.left_s, 3),
             )
             return None
 
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -21,9 +21,9 @@
     MovedMemory,
     RelayAnswer,
     Replica,
+    UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
-    UpstreamRestsError,
     UpstreamUnreachableError,
 )
 
@@ -102,8 +102,8 @@
     async def _run(self) -> Setback | None:
         try:
             answer = await self._open(self._places.home, None)
-        except UpstreamRestsError:
-            return Setback.RESTS
+        except UpstreamBackoffError:
+            return Setback.BACKOFF
         except UpstreamUnreachableError:
             return Setback.UNREACHABLE
         except UpstreamBrokenError:
@@ -130,10 +130,10 @@
     async def _go_on(self) -> bool:
         """Continue where the generation's memory is; return whether the stream ended."""
         options = await self._places.continuations()
-        options.sort(key=lambda option: self._dispatch.rest_left_s(option[0]))
+        options.sort(key=lambda option: self._dispatch.backoff_left_s(option[0]))
         for target, memory in options:
-            if not await self._dispatch.has_rested(target):
-                self._log_stuck(target, "rests")
+            if not await self._dispatch.wait_for_backoff(target):
+                self._log_stuck(target, "in_backoff")
                 continue
             answer = await self._continue_at(target, memory)
             if answer is None:
@@ -216,7 +216,7 @@
             return await self._dispatch.open(
                 self._request, replica, continuation, self._places.backup
             )
-        except UpstreamRestsError:
+        except UpstreamBackoffError:
             raise
         except UpstreamUnreachableError:
             self._dispatch.unreachable(replica)
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -8,8 +8,8 @@
 from reachlink.upstreams import (
     AnswerHead,
     Replica,
+    UpstreamBackoffError,
     UpstreamBrokenError,
-    UpstreamRestsError,
     UpstreamUnreachableError,
 )
 
@@ -72,8 +72,8 @@
                     answer.close()
                     return self._dispatch.refused(replica, answer.head)
                 body = await read_whole(answer)
-        except UpstreamRestsError:
-            return Setback.RESTS
+        except UpstreamBackoffError:
+            return Setback.BACKOFF
         except UpstreamUnreachableError:
             self._dispatch.unreachable(replica)
             return Setback.UNREACHABLE
--- a/reachlink/requests/tests/test_rests.py
+++ b/reachlink/requests/tests/test_backoffs.py
@@ -1,4 +1,4 @@
-"""Replicas that rest, seen from one request: placing, repeats, copies, continuations."""
+"""Replicas in backoff, seen from one request: placing, repeats, copies, continuations."""
 
 import asyncio
 
@@ -19,15 +19,15 @@
     world,
 )
 from reachlink.routing import RequestKind
-from reachlink.upstreams import MovedMemory, MoveResult, UpstreamRestsError
+from reachlink.upstreams import MovedMemory, MoveResult, UpstreamBackoffError
 
 LONG_S = 300.0
 SHORT_S = 0.2
 
 
-def rest(made: World, *names: str, rest_s: float = LONG_S) -> None:
+def back_off(made: World, *names: str, wait_s: float = LONG_S) -> None:
     for name in names:
-        made.rests.ask(f"{name}:1", rest_s, made.now())
+        made.backoffs.ask(f"{name}:1", wait_s, made.now())
 
 
 def sent_to(made: World) -> list[str]:
@@ -35,10 +35,10 @@
 
 
 @pytest.mark.parametrize("kind", list(RequestKind))
-def test_a_request_goes_to_one_that_does_not_rest(kind):
+def test_a_request_goes_to_one_that_is_not_in_backoff(kind):
     made = everywhere("a a a", "m" if kind is RequestKind.STREAM else "p", script=OK)
     first, second, third = made.zones
-    rest(made, first, third)
+    back_off(made, first, third)
     for _ in range(5):
         if kind is RequestKind.STREAM:
             made.adapter.scripts[second] = [answering(200, stream(1, 2))]
@@ -50,7 +50,7 @@
 def test_what_a_replica_was_chosen_for_before_it_asked_goes_elsewhere_for_free(kind):
     """No connection was used, so that neither the attempts nor the budget are: there is none."""
     prefix = "m" if kind is RequestKind.STREAM else "p"
-    made = everywhere("a a a", prefix, script=failing(UpstreamRestsError(LONG_S)))
+    made = everywhere("a a a", prefix, script=failing(UpstreamBackoffError(LONG_S)))
     last = list(made.zones)[-1]
     made.adapter.scripts[last] = [answering(200, stream(1, 2))]
     made.parts.retries = RetryTerms(0.0, 0.0)
@@ -62,31 +62,31 @@
 
 def test_who_cannot_wait_is_told_at_once_when_to_come_back():
     made = world("a a")
-    rest(made, "p1", rest_s=LONG_S)
-    rest(made, "p2", rest_s=LONG_S / 2)
+    back_off(made, "p1", wait_s=LONG_S)
+    back_off(made, "p2", wait_s=LONG_S / 2)
     began = made.now()
     with pytest.raises(RequestFailedError) as caught:
         asyncio.run(made.run(RequestKind.ONCE))
     assert made.now() - began < 0.5
-    assert (caught.value.status, caught.value.reason) == (503, "rests")
+    assert (caught.value.status, caught.value.reason) == (503, "in_backoff")
     assert LONG_S / 2 - 1.0 < caught.value.retry_after_s < LONG_S / 2 + 1.0
     assert not made.adapter.sent
 
 
 def test_one_that_is_only_distrusted_is_used_rather_than_refusing():
     made = world("a a")
-    rest(made, "p1")
+    back_off(made, "p1")
     assert asyncio.run(made.run(RequestKind.ONCE)).body == b"whole"
     assert sent_to(made) == ["p2"]
 
 
-def test_no_copy_is_ordered_towards_a_replica_that_rests():
+def test_no_copy_is_ordered_towards_a_replica_in_backoff():
     made = everywhere("a a a", "m", script=answering(200, stream(1, 3), 0.4, stream(4, 5)))
     made.adapter.move_result = MoveResult(MovedMemory("m1:1", "h1"), True)
-    resting = "m3"
+    backed_off = "m3"
 
     async def scenario():
-        rest(made, resting)
+        back_off(made, backed_off)
         running = asyncio.create_task(made.run(RequestKind.STREAM, output_tokens=300))
         while not made.adapter.sent:
             await asyncio.sleep(0.01)
@@ -95,40 +95,40 @@
 
     asyncio.run(scenario())
     assert made.adapter.moves
-    assert resting not in {target for _, target, _ in made.adapter.moves}
+    assert backed_off not in {target for _, target, _ in made.adapter.moves}
 
 
-async def first_then_rest(sent):
+async def first_then_others(sent):
     """Break after three events; a continuation brings the others."""
     if sent.continuation is None:
         return await answering(200, stream(1, 3), event(4)[:5], BROKEN)(sent)
     return await answering(200, stream(sent.continuation.after_event + 1, 6))(sent)
 
 
-def interrupted(rest_s: float) -> World:
-    """Return a world whose stream breaks while the replica of its copy rests."""
-    made = everywhere("a a", "m", script=first_then_rest)
+def interrupted(wait_s: float) -> World:
+    """Return a world whose stream breaks while the replica of its copy backoffs."""
+    made = everywhere("a a", "m", script=first_then_others)
     made.engine = BACKUP_ENGINE
     begin = made.adapter.open
 
     async def opening(replica, request, left_s, continuation=None, backup=None):
         if backup is not None:
-            rest(made, backup.name, rest_s=rest_s)
+            back_off(made, backup.name, wait_s=wait_s)
         return await begin(replica, request, left_s, continuation, backup)
 
     made.adapter.open = opening  # type: ignore[method-assign]
     return made
 
 
-def test_a_stream_goes_on_at_its_copy_once_that_has_rested():
+def test_a_stream_goes_on_at_its_copy_once_that_wait_for_backoff():
     made = interrupted(SHORT_S)
     began = made.now()
     assert asyncio.run(made.run(RequestKind.STREAM)).body == stream(1, 6)
     assert made.now() - began >= SHORT_S
 
 
-def test_a_stream_whose_copy_rests_for_longer_than_callers_bear_is_cut():
-    made = interrupted(dispatch.REST_BORNE_S + LONG_S)
+def test_a_stream_whose_copy_is_in_backoff_for_longer_than_callers_bear_is_cut():
+    made = interrupted(dispatch.BACKOFF_BORNE_S + LONG_S)
     with pytest.raises(StreamCutError):
         asyncio.run(made.run(RequestKind.STREAM))
     assert len(made.adapter.sent) == 1
@@ -144,13 +144,13 @@
         return None
 
     made.parts.ask_coordinator = ask
-    rest(made, "m1")
+    back_off(made, "m1")
     made.adapter.scripts["m2"] = [answering(200, stream(1, 2))]
     asyncio.run(made.run(RequestKind.STREAM))
     assert "m1" in asked[0].excluded
 
 
-def test_an_order_to_copy_waits_for_the_source_to_have_rested():
+def test_an_order_to_copy_waits_for_the_source_to_be_out_of_backoff():
     """The generation runs on there; its copy is not given up."""
     made = everywhere("a a", "m", script=answering(200, stream(1, 3), 0.9, stream(4, 5)))
     made.adapter.move_result = MoveResult(MovedMemory("m1:1", "h1"), True)
@@ -160,7 +160,7 @@
     async def moving(source, request_id, target, last):
         if not refused:
             refused.append(target.name)
-            raise UpstreamRestsError(SHORT_S)
+            raise UpstreamBackoffError(SHORT_S)
         return await moved(source, request_id, target, last)
 
     made.adapter.move = moving
--- /dev/null
+++ b/reachlink/requests/tests/test_patience.py
@@ -0,0 +1,37 @@
+"""How long a request waits for a replica: for room, and where all are in backoff."""
+
+import pytest
+
+from reachlink.requests import _patience as patience
+from reachlink.requests.tests.world import world
+from reachlink.routing import RequestKind
+
+# Of the route that the world's calls take, in seconds.
+OBJECTIVE_S = 0.2
+
+
+@pytest.mark.parametrize(
+    "share,backoff_s,looks",
+    [
+        (0.1, None, True),
+        (0.3, None, False),
+        # Room is not what it waits for.
+        (0.3, 0.0, True),
+        (0.1, 0.3 * OBJECTIVE_S, True),
+        (0.1, 0.5 * OBJECTIVE_S, False),
+        (0.6, 0.0, False),
+        (0.0, 300.0, False),
+    ],
+)
+def test_it_looks_again_while_that_may_help(share, backoff_s, looks):
+    request = world().request(RequestKind.ONCE)
+    now = request.arrived_at + share * request.route.objective_s
+    assert request.route.objective_s == OBJECTIVE_S
+    assert (patience.pause_before_look(request, now, backoff_s) is not None) == looks
+
+
+def test_it_looks_no_later_than_a_backoff_ends():
+    request = world().request(RequestKind.STREAM)
+    pause_s = patience.pause_before_look(request, request.arrived_at, 0.06)
+    assert pause_s == 0.06
+    assert patience.pause_before_look(request, request.arrived_at, 0.4) == patience.BACKOFF_LOOK_S
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -19,6 +19,7 @@
 from reachlink.routing import Backend, EngineLimits, RequestKind, Route, Service
 from reachlink.upstreams import (
     AnswerHead,
+    BackoffBook,
     Continuation,
     GenerationFacts,
     LoadReport,
@@ -28,7 +29,6 @@
     RelayAnswer,
     RelayRequest,
     Replica,
-    RestBook,
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
@@ -213,7 +213,7 @@
         self.shared = SharedLoad()
         self.departures = Departures()
         self.quarantine = Quarantine(Random(1))
-        self.rests = RestBook(Random(1))
+        self.backoffs = BackoffBook(Random(1))
         parts = RunnerParts(
             "a",
             self.adapter,
@@ -224,7 +224,7 @@
             lambda request, code, duration: self.outcomes.append(code),
             departures=self.departures,
             quarantine=self.quarantine,
-            rests=self.rests,
+            backoffs=self.backoffs,
         )
         self.parts = parts
         self.runner = RequestRunner(parts)
--- a/reachlink/testing/_rest_load.py
+++ b/reachlink/testing/_backoff_load.py
@@ -1,7 +1,7 @@
-"""Replicas that ask for rest, and what reaches them during it and after, in simulated time.
+"""Replicas that ask for a backoff, and what reaches them during it and after, in simulated time.
 
 Entry instances send short calls to replicas, each to the one where it has the fewest. For
-a second some replicas turn all calls away and ask for rest; one that is full does the same.
+a second some replicas turn all calls away and ask for a backoff; one that is full does the same.
 What an instance does with that is one of several ways.
 """
 
@@ -12,74 +12,74 @@
 from functools import partial
 from random import Random
 
-from reachlink.upstreams import RestBook
+from reachlink.upstreams import BackoffBook
 
 LENGTH_S = 12.0
 # When some replicas begin to turn all calls away, and for how long, in seconds.
 OVERLOADED_AT_S = 2.0
 OVERLOADED_S = 1.0
-# The rest that they ask for, in seconds.
-REST_S = 3.0
+# The backoff that they ask for, in seconds.
+BACKOFF_S = 3.0
 # How long a replica works on a call and how long a call is on its way, in seconds.
 WORK_S = 0.09
 WAY_S = 0.002
 # Calls that a replica works on at once, and as many wait there at the most.
 SLOTS = 6
 QUEUED = 6
-# How long a call waits for a replica that does not rest, and how often it looks, in seconds.
+# How long a call waits for a replica not in backoff, and how often it looks, in seconds.
 PATIENCE_S = 0.15
 LOOK_S = 0.02
 ATTEMPTS = 2
-# What is counted as sent into a rest: later than this after it was asked for, in seconds.
+# What is counted as sent into a backoff: later than this after it was asked for, in seconds.
 UNDER_WAY_S = 0.5
 # Time until all know what one was told, where instances tell each other, in seconds.
 TOLD_AFTER_S = 0.1
-# Length of the windows in which arrivals after a rest are counted, in seconds.
+# Length of the windows in which arrivals after a backoff are counted, in seconds.
 WINDOW_S = 0.1
 
 
-class ForgetRests(RestBook):
-    """Remembers nothing: the next call is sent as if no rest had been asked for."""
+class ForgetBackoffs(BackoffBook):
+    """Remembers nothing: the next call is sent as if no backoff had been asked for."""
 
-    def ask(self, address: str, rest_s: float, now: float) -> None:
+    def ask(self, address: str, wait_s: float, now: float) -> None:
         """Drop what a replica asks for."""
 
 
-class ExactRests(RestBook):
+class ExactBackoffs(BackoffBook):
     """Keeps to the moment and no longer: all who waited come back at once."""
 
     def __init__(self, random: Random) -> None:
         super().__init__(random)
         self._until: dict[str, float] = {}
 
-    def ask(self, address: str, rest_s: float, now: float) -> None:
+    def ask(self, address: str, wait_s: float, now: float) -> None:
         """Take that a replica wants nothing more for some seconds."""
-        self._until[address] = max(now + rest_s, self._until.get(address, 0.0))
+        self._until[address] = max(now + wait_s, self._until.get(address, 0.0))
 
     def admits(self, address: str, now: float) -> bool:
-        """Return whether the rest is over."""
+        """Return whether the backoff is over."""
         return now >= self._until.get(address, 0.0)
 
 
-class TrialRests(RestBook):
+class TrialBackoffs(BackoffBook):
     """One first and then more and more, from the exact end on."""
 
-    def ask(self, address: str, rest_s: float, now: float) -> None:
+    def ask(self, address: str, wait_s: float, now: float) -> None:
         """Take that a replica wants nothing more for some seconds."""
-        super().ask(address, rest_s, now)
-        self._rests[address].until = min(self._rests[address].until, now + rest_s)
+        super().ask(address, wait_s, now)
+        self._backoffs[address].until = min(self._backoffs[address].until, now + wait_s)
 
 
-class SpreadRests(RestBook):
-    """Draws the rest out by chance, and then sends as usual."""
+class SpreadBackoffs(BackoffBook):
+    """Draws the backoff out by chance, and then sends as usual."""
 
     def admits(self, address: str, now: float) -> bool:
-        """Return whether the rest is over."""
+        """Return whether the backoff is over."""
         return self.left_s(address, now) == 0.0
 
 
 @dataclass(slots=True, frozen=True)
-class RestLoad:
+class BackoffLoad:
     """What is played.
 
     Attributes
@@ -105,24 +105,24 @@
 
 
 @dataclass(slots=True)
-class RestFigures:
+class BackoffFigures:
     """What came of it.
 
     Attributes
     ----------
-    into_rests : int
-        Most calls that one instance sent to one replica within a rest that it was asked
+    into_backoffs : int
+        Most calls that one instance sent to one replica within a backoff that it was asked
         for, later than half a second after that.
     turned_away : int
         Calls that replicas turned away.
     peak : float
-        Most calls that reached a replica in a tenth of the second after its first rest
+        Most calls that reached a replica in a tenth of the second after its first backoff
         ended, as a multiple of what it can do in that time.
     refused : float
         Share of calls that were refused.
     """
 
-    into_rests: int = 0
+    into_backoffs: int = 0
     turned_away: int = 0
     peak: float = 0.0
     refused: float = 0.0
@@ -146,20 +146,20 @@
 class _Play:
     """One play of a load."""
 
-    def __init__(self, load: RestLoad, way: Callable[[Random], RestBook], seed: int) -> None:
+    def __init__(self, load: BackoffLoad, way: Callable[[Random], BackoffBook], seed: int) -> None:
         self._load = load
         self._random = Random(seed)
         self._books = [way(Random(seed * 1000 + n)) for n in range(load.instances)]
         self._replicas = [_Replica(n < load.overloaded) for n in range(load.replicas)]
         self._own = [[0] * load.replicas for _ in range(load.instances)]
-        # The rests that an instance was asked for by a replica: from when, until when.
+        # The backoffs that an instance was asked for by a replica: from when, until when.
         self._asked: dict[tuple[int, int], list[tuple[float, float]]] = {}
         self._into: dict[tuple[int, int, float], int] = {}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = itertools.count()
         self._calls = self._refused = self._turned_away = 0
 
-    def run(self) -> RestFigures:
+    def run(self) -> BackoffFigures:
         rate = self._load.share * self._load.replicas * SLOTS / WORK_S
         at = 0.0
         while (at := at + self._random.expovariate(rate)) < LENGTH_S:
@@ -171,7 +171,7 @@
             act(now)
         most = max(self._into.values(), default=0)
         refused = round(self._refused / self._calls, 4)
-        return RestFigures(most, self._turned_away, self._peak(), refused)
+        return BackoffFigures(most, self._turned_away, self._peak(), refused)
 
     def _at(self, at: float, act: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at, next(self._numbers), act))
@@ -196,7 +196,7 @@
     def _arrive(self, call: _Call, chosen: int, now: float) -> None:
         replica = self._replicas[chosen]
         replica.arrivals.append(now)
-        self._note_into_rest(call.instance, chosen, now)
+        self._note_into_backoff(call.instance, chosen, now)
         busy = OVERLOADED_AT_S <= now < OVERLOADED_AT_S + OVERLOADED_S and replica.overloaded
         if busy or replica.running >= SLOTS + QUEUED:
             self._turned_away += 1
@@ -220,21 +220,21 @@
     def _turned(self, call: _Call, chosen: int, now: float) -> None:
         self._own[call.instance][chosen] -= 1
         call.tried.add(chosen)
-        rest_s = REST_S
+        wait_s = BACKOFF_S
         if self._load.one_moment:
-            rest_s = max(0.1, OVERLOADED_AT_S + OVERLOADED_S + REST_S - now)
-        self._asked.setdefault((call.instance, chosen), []).append((now, now + rest_s))
-        self._tell(call.instance, chosen, rest_s, now)
+            wait_s = max(0.1, OVERLOADED_AT_S + OVERLOADED_S + BACKOFF_S - now)
+        self._asked.setdefault((call.instance, chosen), []).append((now, now + wait_s))
+        self._tell(call.instance, chosen, wait_s, now)
         if self._load.told_on:
             for other in set(range(self._load.instances)) - {call.instance}:
-                self._tell(other, chosen, rest_s - TOLD_AFTER_S, now + TOLD_AFTER_S)
+                self._tell(other, chosen, wait_s - TOLD_AFTER_S, now + TOLD_AFTER_S)
         self._place(call, now)
 
-    def _tell(self, instance: int, chosen: int, rest_s: float, at: float) -> None:
+    def _tell(self, instance: int, chosen: int, wait_s: float, at: float) -> None:
         book = self._books[instance]
-        self._at(at, lambda now: book.ask(str(chosen), rest_s, now))
+        self._at(at, lambda now: book.ask(str(chosen), wait_s, now))
 
-    def _note_into_rest(self, instance: int, chosen: int, now: float) -> None:
+    def _note_into_backoff(self, instance: int, chosen: int, now: float) -> None:
         for asked_at, until in self._asked.get((instance, chosen), ()):
             if asked_at + UNDER_WAY_S < now < until:
                 key = (instance, chosen, asked_at)
@@ -245,7 +245,10 @@
         usual = SLOTS / WORK_S * WINDOW_S
         for chosen, replica in enumerate(self._replicas):
             ends = [
-                until for (_, n), rests in self._asked.items() if n == chosen for _, until in rests
+                until
+                for (_, n), backoffs in self._asked.items()
+                if n == chosen
+                for _, until in backoffs
             ]
             if not ends or not replica.overloaded:
                 continue
@@ -257,6 +260,6 @@
         return round(most, 2)
 
 
-def play(load: RestLoad, way: Callable[[Random], RestBook], seed: int) -> RestFigures:
+def play(load: BackoffLoad, way: Callable[[Random], BackoffBook], seed: int) -> BackoffFigures:
     """Play a load once and return what came of it."""
     return _Play(load, way, seed).run()
--- a/reachlink/testing/_wire.py
+++ b/reachlink/testing/_wire.py
@@ -47,8 +47,8 @@
         Factor on the time of a step.
     exit_on : str
         Text in a prompt under which the engine's process ends; empty for none.
-    rest_s : float
-        Rest that an engine or service asks for as it turns all work away, in seconds; 0
+    wait_s : float
+        Backoff that an engine or service asks for as it turns all work away, in seconds; 0
         while it takes work.
     """
 
@@ -59,7 +59,7 @@
     frozen_reports: bool = False
     slow_factor: float = 1.0
     exit_on: str = ""
-    rest_s: float = 0.0
+    wait_s: float = 0.0
 
 
 def prompt_text(body: GenerateBody) -> str:
--- a/reachlink/testing/engine.py
+++ b/reachlink/testing/engine.py
@@ -186,9 +186,9 @@
         if self._leaving:
             self._refused += 1
             return refusal(503, "leaving", "this instance is leaving")
-        if self._faults.rest_s:
+        if self._faults.wait_s:
             self._refused += 1
-            return refusal(503, "overloaded", "this instance wants rest", self._faults.rest_s)
+            return refusal(503, "overloaded", "this instance is busy", self._faults.wait_s)
         if body.model not in self.orders.models():
             return refusal(404, "model_not_loaded", f"model {body.model!r} is not loaded")
         text = prompt_text(body)
@@ -347,10 +347,10 @@
         return json_response({"running": len(self._model.running), "refused": self._refused})
 
 
-def refusal(status: int, code: str, message: str, rest_s: float = 0.0) -> web.Response:
-    """Return an error that says that nothing was run, and asks for rest where it is above 0."""
+def refusal(status: int, code: str, message: str, wait_s: float = 0.0) -> web.Response:
+    """Return an error that says that nothing was run; above 0 it asks for a backoff."""
     body = {"error": {"code": code, "message": message, "type": "refused"}}
-    headers = {"Retry-After": str(rest_s)} if rest_s else None
+    headers = {"Retry-After": str(wait_s)} if wait_s else None
     return json_response(body, status, headers)
 
 
--- a/reachlink/testing/service.py
+++ b/reachlink/testing/service.py
@@ -49,9 +49,9 @@
     async def _run(self, request: web.Request) -> web.Response:
         if self._leaving:
             return refusal(503, "leaving", "this instance is leaving")
-        if self._faults.rest_s:
+        if self._faults.wait_s:
             self._refused += 1
-            return refusal(503, "overloaded", "this instance wants rest", self._faults.rest_s)
+            return refusal(503, "overloaded", "this instance is busy", self._faults.wait_s)
         body = await request.text()
         self._calls.append(
             {
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Adapters to what runs behind reachlink: model engines and plain services."""
 
 from reachlink.upstreams import _chat_engine, _plain_service  # noqa: F401  (register themselves)
+from reachlink.upstreams._backoffs import BackoffBook
 from reachlink.upstreams._base import (
     ADAPTERS,
     CacheChange,
@@ -35,13 +36,12 @@
     RelayAnswer,
     RelayRequest,
 )
-from reachlink.upstreams._rests import RestBook
 from reachlink.upstreams.exceptions import (
     GenerationUnknownError,
+    UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamRefusedError,
-    UpstreamRestsError,
     UpstreamUnreachableError,
 )
 
@@ -75,14 +75,14 @@
     "OrderStatus",
     "PromptDigest",
     "Replica",
-    "RestBook",
+    "BackoffBook",
     "ServiceAdapter",
     "TokenEvent",
     "TokenStream",
     "UpstreamBrokenError",
     "UpstreamError",
     "UpstreamRefusedError",
-    "UpstreamRestsError",
+    "UpstreamBackoffError",
     "UpstreamUnreachableError",
     "digest_prompt",
     "look",
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -11,8 +11,8 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
-from reachlink.upstreams._rests import RestBook
-from reachlink.upstreams.exceptions import UpstreamRestsError
+from reachlink.upstreams._backoffs import BackoffBook
+from reachlink.upstreams.exceptions import UpstreamBackoffError
 
 # A replica that announces no idle time is taken to close connections after
 # this many seconds.
@@ -52,7 +52,7 @@
         super().data_received(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Take the head of an answer, which may tell how long the connection rests."""
+        """Take the head of an answer, which may tell how long the connection backoffs."""
         found = _TIMEOUT.search(data[0].headers.get("Keep-Alive", ""))
         if found is not None:
             self.idle_s = float(found.group(1))
@@ -69,46 +69,46 @@
 class ReplicaConnector(aiohttp.TCPConnector):
     """Pool of `ReplicaConnection`, the most recently used first.
 
-    Whatever is sent to a replica gets its connection here: this is where a replica that
-    rests is left alone, also by what was decided before it asked for that and by what has
+    Whatever is sent to a replica gets its connection here: this is where a replica
+    in backoff is left alone, also by what was decided before it asked for that and by what has
     waited for a connection meanwhile.
 
     Parameters
     ----------
-    rests : RestBook
-        The replicas that have asked for rest.
+    backoffs : BackoffBook
+        The replicas that have asked for a backoff.
     **options : object
         Passed to `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, rests: RestBook, **options: Any) -> None:
+    def __init__(self, backoffs: BackoffBook, **options: Any) -> None:
         super().__init__(**options)
-        self._rests = rests
+        self._backoffs = backoffs
         self._factory: Any = functools.partial(ReplicaConnection, loop=self._loop)
 
     async def connect(
         self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
     ) -> Connection:
-        """Return a connection to a replica that does not rest.
+        """Return a connection to a replica not in backoff.
 
         Raises
         ------
-        UpstreamRestsError
+        UpstreamBackoffError
             If it does; no connection is made then.
         """
         self._check(req)
         connection = await super().connect(req, traces, timeout)
         try:
             self._check(req)
-        except UpstreamRestsError:
+        except UpstreamBackoffError:
             connection.release()
             raise
         return connection
 
     def _check(self, req: aiohttp.ClientRequest) -> None:
-        left_s = self._rests.left_s(address_of(req.url), steady_time())
+        left_s = self._backoffs.left_s(address_of(req.url), steady_time())
         if left_s > 0.0:
-            raise UpstreamRestsError(left_s)
+            raise UpstreamBackoffError(left_s)
 
     async def _get(self, key: Any, traces: Any) -> Connection | None:
         idle = self._conns.get(key)
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -14,9 +14,9 @@
 
 from reachlink.kernel import steady_time
 from reachlink.telemetry import get_logger
+from reachlink.upstreams._backoffs import BackoffBook
 from reachlink.upstreams._connections import ReplicaConnector, address_of
-from reachlink.upstreams._rests import RestBook
-from reachlink.upstreams._retry_after import asked_rest_s
+from reachlink.upstreams._retry_after import requested_backoff_s
 from reachlink.upstreams.exceptions import (
     UpstreamBrokenError,
     UpstreamRefusedError,
@@ -61,14 +61,14 @@
 
     Attributes
     ----------
-    rests : RestBook
-        The replicas that have asked for rest, as all their answers here said.
+    backoffs : BackoffBook
+        The replicas that have asked for a backoff, as all their answers here said.
     """
 
     def __init__(
         self, max_connections: int = 0, connect_timeout_s: float = CONNECT_TIMEOUT_S
     ) -> None:
-        self.rests = RestBook(Random())
+        self.backoffs = BackoffBook(Random())
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_s
         self._opened: aiohttp.ClientSession | None = None
@@ -78,7 +78,7 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._opened is None:
             connector = ReplicaConnector(
-                self.rests, limit=self._max_connections, ttl_dns_cache=None
+                self.backoffs, limit=self._max_connections, ttl_dns_cache=None
             )
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s)
             self._opened = aiohttp.ClientSession(
@@ -98,8 +98,8 @@
 
         Raises
         ------
-        UpstreamRestsError
-            The upstream has asked for rest.
+        UpstreamBackoffError
+            The upstream has asked for a backoff.
         UpstreamUnreachableError
             No connection could be made.
         UpstreamBrokenError
@@ -124,8 +124,8 @@
 
         Raises
         ------
-        UpstreamRestsError
-            The upstream has asked for rest.
+        UpstreamBackoffError
+            The upstream has asked for a backoff.
         UpstreamUnreachableError
             No connection could be made.
         UpstreamBrokenError
@@ -175,17 +175,17 @@
         """Take what an answer says of when its replica wants to be asked again."""
         address = address_of(response.url)
         try:
-            rest_s = asked_rest_s(response.status, response.headers, time.time())
+            wait_s = requested_backoff_s(response.status, response.headers, time.time())
         except ValueError as error:
             reason = str(error)[:SHOWN_TEXT]
-            self._log.info("rest_unreadable", address=address, reason=reason)
+            self._log.info("backoff_unreadable", address=address, reason=reason)
             return
-        if rest_s is None:
-            self.rests.note_answer(address, steady_time())
+        if wait_s is None:
+            self.backoffs.note_answer(address, steady_time())
             return
-        self.rests.ask(address, rest_s, steady_time())
+        self.backoffs.ask(address, wait_s, steady_time())
         self._log.info(
-            "rest_asked", address=address, status=response.status, rest_s=round(rest_s, 3)
+            "backoff_requested", address=address, status=response.status, wait_s=round(wait_s, 3)
         )
 
 
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -218,8 +218,8 @@
 
         Raises
         ------
-        UpstreamRestsError
-            The replica has asked for rest; nothing was dispatched.
+        UpstreamBackoffError
+            The replica has asked for a backoff; nothing was dispatched.
         UpstreamUnreachableError
             Nothing was dispatched.
         UpstreamBrokenError
--- a/reachlink/upstreams/_retry_after.py
+++ b/reachlink/upstreams/_retry_after.py
@@ -4,15 +4,15 @@
 from collections.abc import Mapping
 from email.utils import parsedate_to_datetime
 
-# Statuses whose `Retry-After` asks for rest: turned away for load (RFC 6585, section 4)
+# Statuses whose `Retry-After` asks for a backoff: turned away for load (RFC 6585, section 4)
 # and for the time being (RFC 9110, section 15.6.4).
 TURNED_AWAY_STATUSES = frozenset({429, 503})
-# Longest rest that is kept to, in seconds: longer than any that a sound replica needs. A
+# Longest backoff that is kept to, in seconds: longer than any that a sound replica needs. A
 # number that is wrong by orders of magnitude takes its replica out for an hour.
-LONGEST_REST_S = 3600.0
+LONGEST_BACKOFF_S = 3600.0
 
 
-def asked_rest_s(status: int, headers: Mapping[str, str], wall_s: float) -> float | None:
+def requested_backoff_s(status: int, headers: Mapping[str, str], wall_s: float) -> float | None:
     """Return for how long a replica wants nothing more, as its answer says.
 
     Parameters
@@ -41,7 +41,7 @@
     asked_s = _seconds(text)
     if asked_s is None:
         asked_s = _date(text) - _answered_at(headers, wall_s)
-    return min(asked_s, LONGEST_REST_S) if asked_s > 0.0 else None
+    return min(asked_s, LONGEST_BACKOFF_S) if asked_s > 0.0 else None
 
 
 def _seconds(text: str) -> float | None:
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -7,7 +7,7 @@
     "UpstreamBrokenError",
     "UpstreamError",
     "UpstreamRefusedError",
-    "UpstreamRestsError",
+    "UpstreamBackoffError",
     "UpstreamUnreachableError",
 ]
 
@@ -20,17 +20,17 @@
     """No connection could be made, so nothing was dispatched."""
 
 
-class UpstreamRestsError(UpstreamError):
-    """The upstream has asked for rest, so nothing was sent.
+class UpstreamBackoffError(UpstreamError):
+    """The upstream has asked for a backoff, so nothing was sent.
 
     Parameters
     ----------
     left_s : float
-        Time until the rest is over, in seconds.
+        Time until the backoff is over, in seconds.
     """
 
     def __init__(self, left_s: float) -> None:
-        super().__init__(f"the upstream rests for another {left_s:.3f} s")
+        super().__init__(f"the upstream is in backoff for another {left_s:.3f} s")
         self.left_s = left_s
 
 
--- /dev/null
+++ b/reachlink/upstreams/tests/test_backoffs.py
@@ -0,0 +1,129 @@
+"""Backoffs: until when, for which life, and how a replica comes back; no network."""
+
+from random import Random
+
+import pytest
+
+from reachlink.upstreams import BackoffBook
+from reachlink.upstreams import _backoffs as backoffs
+
+A, B = "10.0.0.1:1", "10.0.0.2:1"
+BACKOFF_S = 3.0
+# The backoff and what it is drawn out by at the most.
+ENDED_S = BACKOFF_S + backoffs.SPREAD_S
+
+
+@pytest.fixture
+def book() -> BackoffBook:
+    return BackoffBook(Random(1))
+
+
+def test_nothing_is_admitted_until_the_backoff_is_over(book):
+    book.ask(A, BACKOFF_S, 10.0)
+    assert not any(book.admits(A, 10.0 + at / 10) for at in range(31))
+    assert BACKOFF_S <= book.left_s(A, 10.0) <= ENDED_S
+    assert book.admits(A, 10.0 + ENDED_S)
+    assert book.admits(B, 10.0)
+
+
+def test_the_latest_end_counts_of_several(book):
+    book.ask(A, 30.0, 10.0)
+    book.ask(A, 1.0, 11.0)
+    assert book.left_s(A, 12.0) >= 28.0
+    book.ask(A, 60.0, 12.0)
+    assert book.left_s(A, 12.0) >= 60.0
+
+
+def test_the_first_request_after_a_backoff_goes_alone(book):
+    book.ask(A, BACKOFF_S, 0.0)
+    assert book.admits(A, ENDED_S)
+    book.note_sent(A, ENDED_S)
+    assert not any(book.admits(A, ENDED_S + backoffs.TRIAL_S * n / 10) for n in range(10))
+
+
+def admitted(book: BackoffBook, since: float, ask_s: float) -> list[int]:
+    """Return how many of 100 looks each tenth of a second are admitted."""
+    return [
+        sum(book.admits(A, since + ask_s + tenth / 10) for _ in range(100)) for tenth in range(10)
+    ]
+
+
+@pytest.mark.parametrize("answered", [True, False], ids=["answered", "no answer yet"])
+def test_after_the_trial_it_gets_more_and_more(book, answered):
+    book.ask(A, BACKOFF_S, 0.0)
+    book.note_sent(A, ENDED_S)
+    if answered:
+        book.note_answer(A, ENDED_S + 0.01)
+    shares = admitted(book, ENDED_S, 0.01 if answered else backoffs.TRIAL_S)
+    assert shares[0] < 30 < 60 < shares[-1]
+    assert book.admits(A, ENDED_S + backoffs.TRIAL_S + backoffs.RAMP_S)
+    # Then nothing is left to remember.
+    assert book.is_empty
+
+
+def test_a_trial_that_is_turned_away_is_the_next_backoff(book):
+    book.ask(A, BACKOFF_S, 0.0)
+    book.note_sent(A, ENDED_S)
+    book.ask(A, BACKOFF_S, ENDED_S + 0.01)
+    assert book.left_s(A, ENDED_S + 0.01) >= BACKOFF_S
+
+
+def test_an_answer_to_what_was_sent_before_ends_no_backoff(book):
+    book.ask(A, BACKOFF_S, 0.0)
+    book.note_answer(A, 0.1)
+    assert not book.admits(A, 0.2)
+
+
+def test_ends_are_spread(book):
+    """Of hundreds that were asked for the same moment, each by its own draw."""
+    ends = sorted(_end(Random(seed)) for seed in range(200))
+    assert ends[0] >= BACKOFF_S and ends[-1] <= ENDED_S
+    assert ends[150] - ends[50] > backoffs.SPREAD_S / 4
+
+
+def _end(random: Random) -> float:
+    book = BackoffBook(random)
+    book.ask(A, BACKOFF_S, 0.0)
+    return book.left_s(A, 0.0)
+
+
+def test_a_new_start_ends_the_backoff_of_the_life_before(book):
+    book.ask(A, 3600.0, 0.0)
+    book.start_again(A, backoffs.START_KNOWN_S + 1.0)
+    assert book.admits(A, backoffs.START_KNOWN_S + 1.0)
+
+
+def test_a_backoff_that_the_new_life_may_have_asked_for_stays(book):
+    """Starts become known seconds late: the replica may have been asked since."""
+    book.ask(A, 60.0, 0.0)
+    book.start_again(A, 2.0)
+    assert not book.admits(A, 2.0)
+
+
+def test_another_replica_at_the_address_has_asked_for_nothing(book):
+    book.ask(A, 60.0, 0.0)
+    book.replace(A)
+    assert book.admits(A, 0.0)
+
+
+def test_memory_is_bounded_and_keeps_the_longest(book):
+    for number in range(backoffs.MAX_REMEMBERED + 50):
+        book.ask(f"10.0.0.1:{number}", 10.0 + number, 0.0)
+    assert book.count(0.0) == backoffs.MAX_REMEMBERED
+    assert book.left_s(f"10.0.0.1:{backoffs.MAX_REMEMBERED + 49}", 0.0) > 0.0
+
+
+def test_a_backoff_that_nobody_tried_out_is_forgotten(book):
+    book.ask(A, BACKOFF_S, 0.0)
+    assert book.admits(A, ENDED_S + backoffs.FORGOTTEN_S)
+    assert book.is_empty
+
+
+def test_all_are_held_up_until_the_first_is_out_of_backoff(book):
+    assert book.left_of_all_s([], 0.0) is None
+    book.ask(A, 30.0, 0.0)
+    assert book.left_of_all_s([A, B], 0.0) is None
+    book.ask(B, 3.0, 0.0)
+    assert 3.0 <= book.left_of_all_s([A, B], 0.0) <= ENDED_S
+    # Out of it, and not used as usual yet.
+    assert book.left_of_all_s([A, B], ENDED_S) == 0.0
--- a/reachlink/upstreams/tests/test_connections.py
+++ b/reachlink/upstreams/tests/test_connections.py
@@ -9,7 +9,7 @@
 import pytest
 
 from reachlink.kernel import steady_time
-from reachlink.upstreams import HttpClient, UpstreamBrokenError, UpstreamRestsError
+from reachlink.upstreams import HttpClient, UpstreamBackoffError, UpstreamBrokenError
 from reachlink.upstreams import _connections as connections
 from reachlink.upstreams._connections import address_of
 
@@ -194,7 +194,7 @@
 
 
 @pytest.mark.parametrize("kept", [False, True], ids=["new connection", "kept connection"])
-def test_what_waits_for_its_connection_is_not_sent_to_a_replica_that_rests(kept, monkeypatch):
+def test_what_waits_for_its_connection_is_not_sent_to_a_replica_in_backoff(kept, monkeypatch):
     """It was decided before the replica asked for that; nothing of it goes out."""
 
     async def scenario():
@@ -214,16 +214,16 @@
 
         async def slow(connector, req, traces, timeout):
             connection = await connect(connector, req, traces, timeout)
-            client.rests.ask(address_of(req.url), 60.0, steady_time())
+            client.backoffs.ask(address_of(req.url), 60.0, steady_time())
             return connection
 
         monkeypatch.setattr(aiohttp.TCPConnector, "connect", slow)
-        with pytest.raises(UpstreamRestsError):
+        with pytest.raises(UpstreamBackoffError):
             await get(client, url)
         monkeypatch.undo()
-        with pytest.raises(UpstreamRestsError):
+        with pytest.raises(UpstreamBackoffError):
             await client.dispatch("GET", url, {}, b"")
-        with pytest.raises(UpstreamRestsError):
+        with pytest.raises(UpstreamBackoffError):
             async with client.control("GET", url):
                 pass
         assert len(received) == before
--- a/reachlink/upstreams/tests/test_retry_after.py
+++ b/reachlink/upstreams/tests/test_retry_after.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from reachlink.upstreams._retry_after import LONGEST_REST_S, asked_rest_s
+from reachlink.upstreams._retry_after import LONGEST_BACKOFF_S, requested_backoff_s
 
 NOW = 1_000_000_000.0
 DATE = "Sun, 09 Sep 2001 01:46:40 GMT"
@@ -10,21 +10,21 @@
 
 
 def asked(text: str, status: int = 503, **headers: str) -> float | None:
-    return asked_rest_s(status, {"Retry-After": text, **headers}, NOW)
+    return requested_backoff_s(status, {"Retry-After": text, **headers}, NOW)
 
 
-@pytest.mark.parametrize("text,rest_s", [("3", 3.0), (" 2.5 ", 2.5), ("0.25", 0.25)])
-def test_seconds_and_their_fractions(text, rest_s):
-    assert asked(text) == rest_s
+@pytest.mark.parametrize("text,wait_s", [("3", 3.0), (" 2.5 ", 2.5), ("0.25", 0.25)])
+def test_seconds_and_their_fractions(text, wait_s):
+    assert asked(text) == wait_s
 
 
 @pytest.mark.parametrize("text", ["", "0", "-1", "-0.5"])
-def test_no_time_is_no_rest(text):
+def test_no_time_is_no_backoff(text):
     assert asked(text) is None
 
 
 def test_an_absurd_time_is_bounded():
-    assert asked("1e300") == asked("86400") == LONGEST_REST_S
+    assert asked("1e300") == asked("86400") == LONGEST_BACKOFF_S
 
 
 def test_a_date_counts_from_the_answers_own_clock():
@@ -40,6 +40,6 @@
         asked(text)
 
 
-@pytest.mark.parametrize("status,rest_s", [(503, 3.0), (429, 3.0), (200, None), (500, None)])
-def test_only_a_refusal_asks(status, rest_s):
-    assert asked("3", status) == rest_s
+@pytest.mark.parametrize("status,wait_s", [(503, 3.0), (429, 3.0), (200, None), (500, None)])
+def test_only_a_refusal_asks(status, wait_s):
+    assert asked("3", status) == wait_s
