The time to come back counts those that a request was sent to

Cause: reading the change: the forecast left out the replica that had just turned the request away, though a caller who comes back may go there; words that the renaming had made odd. Change: the final answer's time is that of the first of all replicas; wording.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -393,7 +393,7 @@
         self._node.carried.remove(generation)
 
     async def _cancel(self, replica: Replica, generation: str) -> None:
-        # Held back while the replica backoffs: what is forgotten there runs on for nobody.
+        # Held back while the replica is in backoff: what is not ended runs on for nobody.
         await asyncio.sleep(self._node.client.backoffs.left_s(replica.address, steady_time()))
         with contextlib.suppress(UpstreamError):
             await self._adapter.cancel(replica, generation, if_detached=True)
--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -183,7 +183,7 @@
             _refuse(waiting.item, error)
 
     def _check_backoff(self, ticket: Ticket) -> None:
-        """Make sure that a ticket without any replica only waits for one that backoffs.
+        """Make sure that a ticket without any replica only waits for one in backoff.
 
         Raises
         ------
@@ -265,7 +265,7 @@
 
 
 def replicas_in_backoff(left_s: float, outcome: Outcome = Outcome.NOT_RUN) -> RequestError:
-    """Return the error for an upstream whose replicas all are in backoff for some seconds."""
+    """Return the error for an upstream all of whose replicas are in backoff."""
     return RequestError(
         503, "replicas_in_backoff", "the replicas are all in backoff", outcome, left_s
     )
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -200,7 +200,7 @@
     async def _choose_in_time(
         self, service: ServiceInfo, excluded: set[str], outcome: Outcome, until: float
     ) -> Replica:
-        """Return the replica for a call, after a wait for one in backoff if all do.
+        """Return the replica for a call, after a wait where all are in backoff.
 
         Raises
         ------
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -33,8 +33,8 @@
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
-# How long a stream that has lost its replica waits for the one with its copy to be
-# out of backoff, in seconds: callers leave after two seconds of silence, of which 0.8 may have
+# How long a stream that has lost its replica waits for the one with its copy to be out of
+# backoff, in seconds: callers leave after two seconds of silence, of which 0.8 may have
 # passed before the loss was noticed.
 BACKOFF_BORNE_S = 1.0
 
@@ -279,9 +279,7 @@
         attempts.reason = f"{setback.value}_no_budget"
         return False
 
-    def failure(
-        self, request: CallerRequest, attempts: AttemptLog, tried: set[str]
-    ) -> RequestFailedError:
+    def failure(self, request: CallerRequest, attempts: AttemptLog) -> RequestFailedError:
         """Return the final answer after the last attempt."""
         if attempts.may_have_run:
             return RequestFailedError(502, attempts.reason, Outcome.UNKNOWN)
@@ -289,9 +287,10 @@
         if obstacle is not None:
             wait = obstacle.come_back_in_s
             return RequestFailedError(503, obstacle.value, Outcome.NOT_RUN, wait)
-        wait_s = self._placing.backoff_left_s(request, tried)
-        if wait_s is not None:
-            wait = max(RETRY_AFTER_S, wait_s)
+        # Those that it was sent to, too: who comes back may go there.
+        backoff_s = self._placing.backoff_left_s(request, frozenset())
+        if backoff_s is not None:
+            wait = max(RETRY_AFTER_S, backoff_s)
             return RequestFailedError(503, Setback.BACKOFF.value, Outcome.NOT_RUN, wait)
         wait = ELSEWHERE_AFTER_S if self._parts.cut_off() else RETRY_AFTER_S
         return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, wait)
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -266,7 +266,7 @@
         return parts.backoffs.left_of_all_s(usable, now)
 
     def _not_admitted(self, service: Service) -> set[str]:
-        """Return the replicas of a service in backoff, or get little yet after a backoff.
+        """Return the replicas of a service that are in backoff or get little yet after it.
 
         Who asks a coordinator names them to it: it does not know whom a replica told.
         """
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -147,7 +147,7 @@
         return True
 
     async def _order(self) -> MoveResult | None:
-        """Order a move; None where the source backoffs: it runs on, and is asked again later."""
+        """Order a move; None where the source is in backoff: it runs on."""
         try:
             return await self._adapter.move(self._source, self._request_id, self._target, False)
         except UpstreamBackoffError as error:
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -56,7 +56,7 @@
                 return
             if not dispatch.may_retry(request, replica, setback, attempts):
                 break
-        raise dispatch.failure(request, attempts, tried)
+        raise dispatch.failure(request, attempts)
 
 
 class _Stream:
@@ -133,7 +133,7 @@
         options.sort(key=lambda option: self._dispatch.backoff_left_s(option[0]))
         for target, memory in options:
             if not await self._dispatch.wait_for_backoff(target):
-                self._log_stuck(target, "in_backoff")
+                self._log_stuck(target, "in backoff")
                 continue
             answer = await self._continue_at(target, memory)
             if answer is None:
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -55,7 +55,7 @@
         if held is not None:
             await sink.whole(*held)
             return
-        raise self._dispatch.failure(request, attempts, tried)
+        raise self._dispatch.failure(request, attempts)
 
     async def _ask(
         self, request: CallerRequest, replica: Replica, attempts: AttemptLog
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -52,7 +52,7 @@
         super().data_received(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Take the head of an answer, which may tell how long the connection backoffs."""
+        """Take the head of an answer, which may tell how long the connection rests."""
         found = _TIMEOUT.search(data[0].headers.get("Keep-Alive", ""))
         if found is not None:
             self.idle_s = float(found.group(1))
@@ -69,9 +69,9 @@
 class ReplicaConnector(aiohttp.TCPConnector):
     """Pool of `ReplicaConnection`, the most recently used first.
 
-    Whatever is sent to a replica gets its connection here: this is where a replica
-    in backoff is left alone, also by what was decided before it asked for that and by what has
-    waited for a connection meanwhile.
+    Whatever is sent to a replica gets its connection here, so that this is where one in
+    backoff is left alone, also by what was decided before it asked for that and by what
+    has waited for a connection meanwhile.
 
     Parameters
     ----------
@@ -89,12 +89,12 @@
     async def connect(
         self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
     ) -> Connection:
-        """Return a connection to a replica not in backoff.
+        """Return a connection to a replica that is not in backoff.
 
         Raises
         ------
         UpstreamBackoffError
-            If it does; no connection is made then.
+            If it is; nothing is sent then.
         """
         self._check(req)
         connection = await super().connect(req, traces, timeout)
