--- a/benchmarks/sweep_figures.py
+++ b/benchmarks/sweep_figures.py
@@ -1,6 +1,6 @@
 """What runs of one load at growing numbers of instances show, from the journal's entries.
 
-Each deployment's newest entry counts. The tables go into ``docs/CAPACITY.md``
+The newest entry of each deployment and commit counts. The tables go into ``docs/CAPACITY.md``
 (``make capacity``).
 """
 
@@ -91,17 +91,17 @@
 
 
 def newest_sweeps(folder: Path = JOURNAL) -> list[Sweep]:
-    """Return the newest whole run of each deployment, in order of their names."""
+    """Return the newest whole run of each deployment and commit, in order of their names."""
     kind = msgspec.json.Decoder(_Kind).decode
     decode = msgspec.json.Decoder(_Entry).decode
-    found: dict[str, _Entry] = {}
+    found: dict[tuple[str, str], _Entry] = {}
     for path in sorted(folder.glob("*.json")):
         raw = path.read_bytes()
         if kind(raw).cmd != "sweep":
             continue
         entry = decode(raw)
         if entry.site and entry.ok and len(entry.days) > 2:
-            found[entry.site] = entry
+            found[entry.site, entry.head] = entry
     return [_sweep(entry) for _, entry in sorted(found.items())]
 
 
