The log tells which limit a replica names, and when that ends

Cause: a replica's limit on what all instances together may send was in no log and no metric, so that an instance which is not told, one that keeps to it alone and one that passes it by look alike. Change: the limit is read from every answer (the platform's field by its adapter); limit_named, limit_ended and limit_unreadable in the log, the gauge reachlink_replicas_limited. What is sent where does not change. Measured: pytest reachlink/pacing reachlink/upstreams and the platform's adapter tests: 165 passed.

--- a/reachlink/entry/_entry_metrics.py
+++ b/reachlink/entry/_entry_metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from reachlink.entry._config import EntryConfig
-from reachlink.entry._relay_metrics import BACKOFF_DESCRIPTION
+from reachlink.entry._relay_metrics import BACKOFF_DESCRIPTION, LIMIT_DESCRIPTION
 from reachlink.telemetry import Metrics
 
 
@@ -35,6 +35,10 @@
         """Export from how many replicas this instance backs off, as they asked."""
         self._metrics.gauge("reachlink_replicas_in_backoff", "1", BACKOFF_DESCRIPTION, backing_off)
 
+    def export_limits(self, limited: Callable[[], float]) -> None:
+        """Export how many replicas have named what they take from all together."""
+        self._metrics.gauge("reachlink_replicas_limited", "1", LIMIT_DESCRIPTION, limited)
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.page()
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -81,6 +81,7 @@
         self.metrics = EntryMetrics(config)
         self.metrics.export_held(lambda: len(self.quarantine.held(steady_time())))
         self.metrics.export_backoffs(lambda: self.client.backoffs.count(steady_time()))
+        self.metrics.export_limits(self.client.limits.count)
         self.ready = False
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -45,6 +45,7 @@
         )
         backoffs = self._node.client.backoffs
         self._node.metrics.export_backoffs(lambda: backoffs.count(steady_time()))
+        self._node.metrics.export_limits(self._node.client.limits.count)
         self._node.metrics.export_quarantine(
             lambda: len(self._node.quarantine.held(steady_time())),
             lambda: len(self._node.quarantine.fingerprints),
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -6,6 +6,7 @@
 from reachlink.messaging import Traffic, export_traffic
 from reachlink.telemetry import Metrics
 
+LIMIT_DESCRIPTION = "Replicas that named how many requests they take from all together."
 BACKOFF_DESCRIPTION = "Replicas that turned requests away and asked this instance to wait."
 
 
@@ -84,6 +85,10 @@
         """Export from how many replicas this instance backs off, as they asked."""
         self._metrics.gauge("reachlink_replicas_in_backoff", "1", BACKOFF_DESCRIPTION, backing_off)
 
+    def export_limits(self, limited: Callable[[], float]) -> None:
+        """Export how many replicas have named what they take from all together."""
+        self._metrics.gauge("reachlink_replicas_limited", "1", LIMIT_DESCRIPTION, limited)
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.page()
--- a/reachlink/kernel/tests/test_layers.py
+++ b/reachlink/kernel/tests/test_layers.py
@@ -9,7 +9,7 @@
 LEVELS = [
     {"kernel"},
     {"telemetry"},
-    {"messaging", "routing"},
+    {"messaging", "routing", "pacing"},
     {"settings", "agreement"},
     {"upstreams", "membership"},
     {"lengths"},
@@ -25,6 +25,7 @@
 LEVEL_OF = {name: level for level, names in enumerate(LEVELS) for name in names}
 PURE = [
     *(ROOT / "lengths").glob("_*.py"),
+    *(ROOT / "pacing").glob("_*.py"),
     *(ROOT / "placement").glob("_*.py"),
     *(ROOT / "limits").glob("_*.py"),
     *(ROOT / "delivery").glob("_*.py"),
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
+from reachlink.pacing import LimitBook, read_limit
 from reachlink.telemetry import get_logger
 from reachlink.upstreams._backoffs import BackoffBook
 from reachlink.upstreams._connections import ReplicaConnector, address_of
@@ -32,6 +33,11 @@
 # Most of an unreadable field that a log line shows, in characters.
 SHOWN_TEXT = 40
 
+# Field of an answer with the requests a second that a replica takes from all together.
+LIMIT_HEADER = "X-Fleet-Rate-Limit"
+# HTTP statuses below this, from 200 on, are successes (RFC 9110, section 15.3).
+_SUCCESS = range(200, 300)
+
 # Statuses with which an upstream says that it did not run the request.
 REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
@@ -63,12 +69,18 @@
     ----------
     backoffs : BackoffBook
         The replicas that have asked for a backoff, as all their answers here said.
+    limits : LimitBook
+        The replicas that have named how much they take from all together.
+    limit_header : str
+        Field of their answers in which they do.
     """
 
     def __init__(
         self, max_connections: int = 0, connect_timeout_s: float = CONNECT_TIMEOUT_S
     ) -> None:
         self.backoffs = BackoffBook(Random())
+        self.limits = LimitBook()
+        self.limit_header = LIMIT_HEADER
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_s
         self._opened: aiohttp.ClientSession | None = None
@@ -105,6 +117,7 @@
         UpstreamBrokenError
             The connection failed after the request was sent.
         """
+        sent_at = steady_time()
         with _upstream_errors():
             response = await self._session.request(
                 method,
@@ -115,6 +128,7 @@
                 middlewares=(SingleDispatch(),),
             )
         self._note_answer(response)
+        self._note_limit(response, sent_at)
         return response
 
     async def relay(
@@ -131,6 +145,7 @@
         UpstreamBrokenError
             The connection failed after the request was sent.
         """
+        sent_at = steady_time()
         with _upstream_errors(ValueError):
             response = await self._session.request(
                 method,
@@ -142,6 +157,7 @@
                 middlewares=(SingleDispatch(),),
             )
         self._note_answer(response)
+        self._note_limit(response, sent_at)
         return response
 
     async def connect(self, address: str) -> None:
@@ -169,6 +185,7 @@
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 async with self._session.request(method, url, data=body) as response:
                     self._note_answer(response)
+                    self._note_limit(response)
                     yield response
 
     def _note_answer(self, response: aiohttp.ClientResponse) -> None:
@@ -188,6 +205,33 @@
             "backoff_requested", address=address, status=response.status, wait_s=round(wait_s, 3)
         )
 
+    def _note_limit(self, response: aiohttp.ClientResponse, sent_at: float | None = None) -> None:
+        """Take what an answer says of how much its replica takes from all together.
+
+        Parameters
+        ----------
+        response : aiohttp.ClientResponse
+            The answer.
+        sent_at : float, optional
+            When the request was sent, in monotonic seconds, where an answer that names no
+            limit ends one; reports and refusals do not.
+        """
+        address = address_of(response.url)
+        text = response.headers.get(self.limit_header)
+        if text is None:
+            succeeded = response.status in _SUCCESS
+            if sent_at is not None and succeeded and self.limits.end(address, sent_at):
+                self._log.info("limit_ended", address=address)
+            return
+        try:
+            per_s = read_limit(text)
+        except ValueError as error:
+            reason = str(error)[:SHOWN_TEXT]
+            self._log.info("limit_unreadable", address=address, reason=reason)
+            return
+        if self.limits.name(address, per_s, steady_time()):
+            self._log.info("limit_named", address=address, per_s=per_s)
+
 
 @contextmanager
 def _upstream_errors(*broken: type[Exception]) -> Iterator[None]:
