Failing tests: replicas that name a limit get more than that from all instances

Cause: not named yet; what users saw is that nothing changes for a replica when it names a limit. Change: seven entry instances on the platform's border, which hear each other, and the seven of the product's own interface, under callers that press; stand-ins that name a limit.

--- a/reachlink/testing/_wire.py
+++ b/reachlink/testing/_wire.py
@@ -50,6 +50,8 @@
     wait_s : float
         Backoff that an engine or service asks for as it turns all work away, in seconds; 0
         while it takes work.
+    limit_per_s : float
+        Requests a second that it names to take from all together; 0 for no limit.
     """
 
     repeat: float = 0.0
@@ -60,6 +62,7 @@
     slow_factor: float = 1.0
     exit_on: str = ""
     wait_s: float = 0.0
+    limit_per_s: float = 0.0
 
 
 def prompt_text(body: GenerateBody) -> str:
--- a/reachlink/testing/engine.py
+++ b/reachlink/testing/engine.py
@@ -17,6 +17,7 @@
 from reachlink.kernel import json_response, load_config
 from reachlink.testing._batch import BatchModel, Generation
 from reachlink.testing._config import EngineConfig
+from reachlink.testing._limit_naming import LimitNaming
 from reachlink.testing._orders import OrderDesk
 from reachlink.testing._wire import (
     FaultBody,
@@ -119,6 +120,7 @@
             ]
         )
         app.cleanup_ctx.append(self._background)
+        self._naming = LimitNaming(app, lambda: self._faults.limit_per_s)
         return app
 
     async def _background(self, app: web.Application):  # type: ignore[no-untyped-def]
@@ -344,7 +346,13 @@
         return json_response({"refused": self._refused})
 
     async def _health(self, request: web.Request) -> web.Response:
-        return json_response({"running": len(self._model.running), "refused": self._refused})
+        return json_response(
+            {
+                "running": len(self._model.running),
+                "refused": self._refused,
+                "arrivals": self._naming.arrivals,
+            }
+        )
 
 
 def refusal(status: int, code: str, message: str, wait_s: float = 0.0) -> web.Response:
--- a/reachlink/testing/service.py
+++ b/reachlink/testing/service.py
@@ -11,6 +11,7 @@
 
 from reachlink.kernel import json_response, load_config
 from reachlink.testing._config import ServiceConfig
+from reachlink.testing._limit_naming import LimitNaming
 from reachlink.testing._wire import FaultBody
 from reachlink.testing.engine import refusal
 
@@ -44,6 +45,7 @@
                 web.route("*", "/{path:.*}", self._run),
             ]
         )
+        self._naming = LimitNaming(app, lambda: self._faults.limit_per_s)
         return app
 
     async def _run(self, request: web.Request) -> web.Response:
@@ -89,7 +91,7 @@
         return json_response({})
 
     async def _health(self, request: web.Request) -> web.Response:
-        return json_response({"refused": self._refused})
+        return json_response({"refused": self._refused, "arrivals": self._naming.arrivals})
 
 
 def main() -> None:
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -19,7 +19,7 @@
     TokenStream,
 )
 from reachlink.upstreams._events import EventSplitter, StreamEvent
-from reachlink.upstreams._http import HttpClient
+from reachlink.upstreams._http import LIMIT_HEADER, HttpClient
 from reachlink.upstreams._liveness import Liveness, look, look_again
 from reachlink.upstreams._prompts import PromptDigest, digest_prompt
 from reachlink.upstreams._relay import (
@@ -46,6 +46,7 @@
 )
 
 __all__ = [
+    "LIMIT_HEADER",
     "RELAY_ADAPTERS",
     "AnswerHead",
     "Continuation",
