--- a/benchmarks/bench_backoffs.py
+++ b/benchmarks/bench_backoffs.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from benchmarks._environment import describe
+from reachlink.pacing import BackoffBook
 from reachlink.testing._backoff_load import (
     BackoffFigures,
     BackoffLoad,
@@ -21,7 +22,6 @@
     TrialBackoffs,
     play,
 )
-from reachlink.upstreams import BackoffBook
 
 RESULT = Path(__file__).parent / "results" / "backoffs.json"
 SIZES = {
--- a/reachlink/coordination/__init__.py
+++ b/reachlink/coordination/__init__.py
@@ -8,6 +8,7 @@
 
 from reachlink.coordination._attachment import Attachment
 from reachlink.coordination._coordinator import Coordinator
+from reachlink.coordination._limit_exchange import LimitExchange
 from reachlink.coordination._member import Member
 from reachlink.coordination._messages import MemberNote, Picture
 from reachlink.coordination._quarantine_exchange import QuarantineExchange
@@ -16,6 +17,7 @@
 __all__ = [
     "Attachment",
     "Coordinator",
+    "LimitExchange",
     "Member",
     "MemberNote",
     "Picture",
--- a/reachlink/coordination/_coordinator.py
+++ b/reachlink/coordination/_coordinator.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any, Protocol
 
+from reachlink.coordination._limit_exchange import LimitExchange
 from reachlink.coordination._messages import CHANNEL_MEMBER, CHANNEL_PLACE, MemberNote, Picture
 from reachlink.coordination._quarantine_exchange import QuarantineExchange
 from reachlink.coordination._replica_list import digest_of, listed_replicas
@@ -72,6 +73,8 @@
         Takes what a member found out.
     quarantine : QuarantineExchange
         What the instances tell each other of crashes.
+    limits : LimitExchange
+        What the instances tell each other of limits that replicas name.
     reach : callable
         Returns which zones can be reached.
     random : random.Random
@@ -91,6 +94,7 @@
         services: Callable[[], list[Service]],
         take_news: Callable[[Iterable[ReplicaNews]], None],
         quarantine: QuarantineExchange,
+        limits: LimitExchange,
         reach: Callable[[], ZoneReach],
         random: Random,
         clock: Callable[[], float] = steady_time,
@@ -103,6 +107,7 @@
         self._services = services
         self._take_news = take_news
         self._quarantine = quarantine
+        self._limits = limits
         self._reach = reach
         self._random = random
         self._clock = clock
@@ -182,6 +187,7 @@
         self._shared.take(note.load, now)
         self._take_news(note.load.news)
         self._quarantine.take(note.load.quarantine)
+        self._limits.take(note.load.limits)
         for outcome in note.outcomes:
             self._book.note_outcome(outcome, now, self._random)
 
@@ -225,6 +231,7 @@
             allowances=self._allowances(),
             cold={r.name: r.cold_s for r in listed if r.cold_s > 0.0},
             quarantine=self._quarantine.note(),
+            limits=self._limits.notes(),
         )
 
     def _engines(self, service: str) -> list[Replica]:
--- /dev/null
+++ b/reachlink/coordination/_limit_exchange.py
@@ -0,0 +1,188 @@
+"""How the instances hand out together what a replica takes from all of them."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+from reachlink.kernel import steady_time
+from reachlink.membership import InstanceRecord, ReplicaDirectory
+from reachlink.messaging import Bus, MessagingError, decode, encode
+from reachlink.pacing import (
+    CHANNEL_LIMIT,
+    SILENT_S,
+    LimitAnswer,
+    LimitBook,
+    LimitGate,
+    LimitNote,
+    LimitQuestion,
+    LimitSharing,
+    NamedLimit,
+    Wish,
+)
+from reachlink.telemetry import get_logger
+
+# How long an answer may take, in seconds: some milliseconds within a region. A request
+# waits for it.
+ANSWER_S = 0.1
+# How many instances are asked before this one decides alone: one, and who takes over.
+ASKED = 2
+# How long one that did not answer is not asked, in seconds.
+AVOIDED_S = 1.0
+# Limits that were named longer ago than this are not told, in seconds: a replica that gets
+# a request in ten seconds at the least names its limit more often.
+TOLD_S = 30.0
+
+
+class LimitExchange(LimitGate):
+    """Asks who hands out a replica's limit, answers where this instance does, and tells limits.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    bus : Bus
+        Speaks with the others.
+    book : LimitBook
+        What this instance knows of limits.
+    directory : ReplicaDirectory
+        Names and addresses of replicas.
+    heard_at : callable
+        Returns when another instance was heard last, in monotonic seconds.
+    random : random.Random
+        Spreads what is sent by instances that decide alone.
+    count : callable
+        Is told how each question ended: ``"granted"``, ``"refused"`` or ``"alone"``.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        bus: Bus,
+        book: LimitBook,
+        directory: ReplicaDirectory,
+        heard_at: Callable[[str], float],
+        random: Random,
+        count: Callable[[str], None] = lambda outcome: None,
+        clock: Callable[[], float] = steady_time,
+    ) -> None:
+        self._name = name
+        self._bus = bus
+        self._book = book
+        self._directory = directory
+        self._sharing = LimitSharing(name, heard_at, random)
+        self._count = count
+        self._clock = clock
+        self._addresses: dict[str, str] = {}
+        self._avoided_until: dict[str, float] = {}
+        # Which part of limits this instance handed out last.
+        self._share = 0.0
+        bus.handle(CHANNEL_LIMIT, self._on_question)
+        self._log: Any = get_logger()
+
+    def take_roster(self, owners: Iterable[InstanceRecord], instances: int) -> None:
+        """Take who may hand out limits, and how many instances there are."""
+        self._addresses = {record.name: record.address for record in owners}
+        self._avoided_until.clear()
+        self._sharing.take_roster(self._addresses, instances, self._clock())
+
+    async def wait_s(self, address: str, limit: NamedLimit, wish: Wish) -> float:
+        """Return when one more request may be sent; see `LimitGate`."""
+        question = LimitQuestion(
+            self._directory.name_at(address) or address,
+            limit.per_s,
+            self._clock() - limit.named_at,
+            wish.patience_s,
+            wish.spare,
+        )
+        wait_s = await self._ask_in_turn(question)
+        if wait_s is None:
+            self._count("alone")
+            wait_s = self._sharing.take_alone(question, self._clock())
+            return _soon(wait_s, wish.patience_s)
+        self._count("granted" if wait_s <= wish.patience_s else "refused")
+        return wait_s
+
+    def notes(self) -> list[LimitNote]:
+        """Return what others should know of limits."""
+        now = self._clock()
+        said: dict[str, tuple[float | None, float]] = {
+            address: (None, at) for address, at in self._book.ended().items()
+        }
+        for address, limit in self._book.all().items():
+            said[address] = (limit.per_s, limit.named_at)
+        return [
+            LimitNote(name, per_s, round(now - at, 3))
+            for address, (per_s, at) in said.items()
+            if now - at < TOLD_S and (name := self._directory.name_at(address))
+        ]
+
+    def take(self, notes: Iterable[LimitNote]) -> None:
+        """Take what another instance tells of limits."""
+        now = self._clock()
+        for note in notes:
+            replica = self._directory.find(note.replica)
+            if replica is None:
+                continue
+            said_at = now - note.age_s
+            if note.per_s is None:
+                news = self._book.end(replica.address, said_at, now)
+            else:
+                news = self._book.name(replica.address, note.per_s, said_at)
+            if news:
+                self._log.info(
+                    "limit_told", replica=note.replica, per_s=note.per_s, age_s=note.age_s
+                )
+
+    async def _ask_in_turn(self, question: LimitQuestion) -> float | None:
+        """Return what who hands out the limit says; None where nobody does that is reached."""
+        for name in self._sharing.owners(question.replica)[:ASKED]:
+            if name == self._name:
+                answer: LimitAnswer | None = self._answer(question)
+            else:
+                answer = await self._ask(name, question)
+            if answer is not None and answer.decided:
+                return answer.wait_s
+        return None
+
+    async def _ask(self, name: str, question: LimitQuestion) -> LimitAnswer | None:
+        now = self._clock()
+        if self._avoided_until.get(name, now) > now:
+            return None
+        try:
+            raw = await self._bus.call(
+                self._addresses[name], CHANNEL_LIMIT, encode(question), ANSWER_S
+            )
+            return decode(raw, LimitAnswer)
+        except MessagingError as error:
+            self._avoided_until[name] = self._clock() + AVOIDED_S
+            self._log.info(
+                "limit_unanswered", asked=name, replica=question.replica, reason=str(error)
+            )
+            return None
+
+    async def _on_question(self, sender: str, body: bytes) -> bytes:
+        return encode(self._answer(decode(body, LimitQuestion)))
+
+    def _answer(self, question: LimitQuestion) -> LimitAnswer:
+        now = self._clock()
+        if not self._sharing.hands_out(question.replica, now):
+            return LimitAnswer(decided=False)
+        self._note_share(self._sharing.share(now))
+        return LimitAnswer(decided=True, wait_s=self._sharing.hand_out(question, now))
+
+    def _note_share(self, share: float) -> None:
+        if share != self._share:
+            self._share = share
+            self._log.info("limit_share", share=round(share, 3))
+
+
+def _soon(wait_s: float, patience_s: float) -> float:
+    """Return when to come back for a turn that who decides alone has much later.
+
+    By then somebody hands out the limit again, or another instance that callers come to does.
+    """
+    if wait_s <= patience_s:
+        return wait_s
+    return min(wait_s, patience_s + SILENT_S)
--- a/reachlink/coordination/_member.py
+++ b/reachlink/coordination/_member.py
@@ -7,6 +7,7 @@
 from msgspec import structs
 
 from reachlink.coordination._attachment import Attachment
+from reachlink.coordination._limit_exchange import LimitExchange
 from reachlink.coordination._messages import CHANNEL_MEMBER, CHANNEL_PLACE, MemberNote, Picture
 from reachlink.coordination._quarantine_exchange import QuarantineExchange
 from reachlink.coordination._replica_list import as_instances
@@ -74,6 +75,8 @@
         Returns what this instance found out itself.
     quarantine : QuarantineExchange
         What the instances tell each other of crashes.
+    limits : LimitExchange
+        What the instances tell each other of limits that replicas name.
     count : callable
         Is told how each question ended: ``"placed"``, ``"no_room"`` or ``"silent"``.
     clock : callable
@@ -91,6 +94,7 @@
         take_news: Callable[[Iterable[ReplicaNews]], None],
         tell_news: Callable[[], list[ReplicaNews]],
         quarantine: QuarantineExchange,
+        limits: LimitExchange,
         count: Callable[[str], None],
         clock: Callable[[], float] = steady_time,
     ) -> None:
@@ -103,6 +107,7 @@
         self._take_news = take_news
         self._tell_news = tell_news
         self._quarantine = quarantine
+        self._limits = limits
         self._count = count
         self._clock = clock
         self._picture: Picture | None = None
@@ -231,6 +236,7 @@
             self._book.shares(self._clock()),
             self._tell_news(),
             quarantine=self._quarantine.note(),
+            limits=self._limits.notes(),
         )
         known = self._picture is not None and self._picture.coordinator == coordinator
         digest = self._picture.list_digest if self._picture is not None and known else 0
@@ -256,6 +262,7 @@
             self._directory.note_cold(replica, cold_s, now)
         self._take_news(picture.news)
         self._quarantine.take(picture.quarantine)
+        self._limits.take(picture.limits)
         for replica, allowance in picture.allowances.items():
             state = self._book.state(replica)
             state.told_allowance, state.told_at = allowance, now
--- a/reachlink/coordination/_messages.py
+++ b/reachlink/coordination/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from reachlink.pacing import LimitNote
 from reachlink.quarantine import QuarantineNote
 from reachlink.requests import ListedReplica, LoadNote, ReplicaNews, ReplicaOutcome, ReplicaShare
 
@@ -72,6 +73,8 @@
         How long replicas are still cold, in seconds, of those that are.
     quarantine : QuarantineNote
         What the coordinator learned of crashes lately.
+    limits : list of LimitNote
+        What replicas take from all instances together, of those that have said so.
     """
 
     coordinator: str
@@ -85,3 +88,4 @@
     allowances: dict[str, float] = {}
     cold: dict[str, float] = {}
     quarantine: QuarantineNote = QuarantineNote()
+    limits: list[LimitNote] = []
--- a/reachlink/coordination/tests/world.py
+++ b/reachlink/coordination/tests/world.py
@@ -4,9 +4,16 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from reachlink.coordination import Attachment, Coordinator, Member, QuarantineExchange
+from reachlink.coordination import (
+    Attachment,
+    Coordinator,
+    LimitExchange,
+    Member,
+    QuarantineExchange,
+)
 from reachlink.membership import InstanceRecord, ListedInstance, ReplicaDirectory
 from reachlink.messaging import CallTimeoutError, Handler
+from reachlink.pacing import PacingBook
 from reachlink.quarantine import Quarantine
 from reachlink.requests import (
     Flight,
@@ -91,6 +98,16 @@
             Random(1),
             self.clock,
         )
+        self.pacing = PacingBook(Random(1))
+        self.limits = LimitExchange(
+            name,
+            bus,  # type: ignore[arg-type]
+            self.pacing.limits,
+            self.directory,
+            self.shared.last_heard,
+            Random(1),
+            clock=self.clock,
+        )
         self.member = Member(
             self.attachment,
             name,
@@ -101,6 +118,7 @@
             self.news.extend,
             list,
             self.crash_news,
+            self.limits,
             self.outcomes.append,
             self.clock,
         )
@@ -127,6 +145,7 @@
             lambda: [SERVICE],
             self.news.extend,
             self.crash_news,
+            self.limits,
             Reached,
             Random(1),
             self.clock,
--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -31,9 +31,9 @@
     Replica,
     TokenEvent,
     TokenStream,
-    UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
+    UpstreamHeldBackError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
@@ -72,6 +72,9 @@
         # many tokens had come by then.
         self._sent_at = 0.0
         self._offset_when_sent = 0
+        # Attempts so far, the present one included, and whether the first was counted.
+        self._attempt = 1
+        self._earned_retries = False
 
     @property
     def job(self) -> AnswerJob:
@@ -101,20 +104,20 @@
             self._leave()
 
     async def _run_attempts(self) -> None:
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            stream = await self._dispatch(attempt)
+        while self._attempt <= MAX_ATTEMPTS:
+            stream = await self._dispatch(self._attempt)
             if stream is None:
                 continue
             if await self._deliver(stream):
                 return
-            await self._before_retry(attempt, "the generation was lost")
+            await self._before_retry(self._attempt, "the generation was lost")
         raise self._failed("every attempt failed")
 
     def _failed(self, reason: str) -> RequestError:
         """Return the final answer after the last attempt."""
         job = self._job
-        wait_s = self._node.backoff_left_s(job.service.upstream, job.ticket.excluded)
-        return upstream_failed(reason, self._outcome(), wait_s)
+        hold = self._node.hold(job.service.upstream, job.ticket.excluded)
+        return upstream_failed(reason, self._outcome(), hold)
 
     def _given_nothing(self) -> bool:
         """Return whether the caller has no token yet."""
@@ -155,16 +158,18 @@
         guard.check(job.request.fingerprint, job.request_id)
         replica = await self._place()
         await guard.admit(job.request.fingerprint, job.request_id)
-        if attempt == 1:
+        if not self._earned_retries:
+            self._earned_retries = True
             self._node.budget(job.service.upstream).on_first_attempt(job.policy.retry_share)
         health = self._node.ledger.replica(replica.name).health
         self._sent_at = steady_time()
         self._offset_when_sent = self._delivery.next_offset
-        self._node.client.backoffs.note_sent(replica.address, self._sent_at)
+        self._node.client.pacing.note_sent(replica.address, self._sent_at)
         try:
             stream = await self._adapter.open(replica, job.request)
-        except UpstreamBackoffError:
-            # It asked for that after it was chosen: nothing was sent, nor is it excluded.
+        except UpstreamHeldBackError:
+            # It asked for that after it was chosen, or others had the turn: nothing was
+            # sent, nor is it excluded, nor does it count.
             return None
         except UpstreamUnreachableError as error:
             health.on_failure(steady_time(), self._node.random)
@@ -234,6 +239,7 @@
         if attempt >= MAX_ATTEMPTS or not self._node.budget(job.service.upstream).take():
             raise self._failed(reason)
         self._node.metrics.retries.add(1, {"service": job.service.name})
+        self._attempt = attempt + 1
         await asyncio.sleep(backoff_s(attempt, self._node.random))
 
     def _outcome(self) -> Outcome:
@@ -350,7 +356,7 @@
                     return await self._adapter.resume(replica, self._delivery.generation, offset)
             except GenerationUnknownError as error:
                 raise _LostError("the engine dropped the generation") from error
-            except UpstreamBackoffError as error:
+            except UpstreamHeldBackError as error:
                 # The replica runs on meanwhile, and is not to blame.
                 last = str(error)
                 await asyncio.sleep(min(error.left_s, RESUME_TIMEOUT_S))
@@ -393,8 +399,8 @@
         self._node.carried.remove(generation)
 
     async def _cancel(self, replica: Replica, generation: str) -> None:
-        # Held back while the replica is in backoff: what is not ended runs on for nobody.
-        await asyncio.sleep(self._node.client.backoffs.left_s(replica.address, steady_time()))
+        # Not while the replica is to get nothing: what is not ended runs on for nobody.
+        await asyncio.sleep(self._node.client.pacing.left_s(replica.address, steady_time()))
         with contextlib.suppress(UpstreamError):
             await self._adapter.cancel(replica, generation, if_detached=True)
 
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -14,13 +14,20 @@
 from reachlink.entry._follower import SettingsFollower
 from reachlink.entry._guardians import CarriedReport
 from reachlink.entry._http import error_middleware
-from reachlink.entry._node import CHANNEL_CARRIED, CHANNEL_CRASHES, CHANNEL_PLACED, EntryNode
+from reachlink.entry._node import (
+    CHANNEL_CARRIED,
+    CHANNEL_CRASHES,
+    CHANNEL_LIMITS,
+    CHANNEL_PLACED,
+    EntryNode,
+)
 from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry.exceptions import RequestError
 from reachlink.kernel import json_response, steady_time, watch_suspensions
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
 from reachlink.messaging import decode, encode
+from reachlink.pacing import LimitNote
 from reachlink.quarantine import QuarantineNote
 from reachlink.upstreams import EngineAdapter, LoadReport, Replica, UpstreamError
 
@@ -62,6 +69,7 @@
         node.bus.handle(CHANNEL_PLACED, self._on_placed)
         node.bus.handle(CHANNEL_CARRIED, self._on_carried)
         node.bus.handle(CHANNEL_CRASHES, self._on_crashes)
+        node.bus.handle(CHANNEL_LIMITS, self._on_limits)
         node.bus.handle(CHANNEL_SETTINGS, self._follower.peers.answer)
         node.bus.bind(config.bus_address)
         self._tasks = [
@@ -171,10 +179,14 @@
     async def _on_crashes(self, sender: str, body: bytes) -> None:
         self._node.crash_news.take(decode(body, QuarantineNote))
 
+    async def _on_limits(self, sender: str, body: bytes) -> None:
+        self._node.limits.take(decode(body, list[LimitNote]))
+
     async def _on_digest(self, sender: str, body: bytes) -> None:
         digest = decode(body, Digest)
         self._node.take_digest(digest)
         self._node.crash_news.take(digest.quarantine)
+        self._node.limits.take(digest.limits)
         if digest.revision > self._node.tree.revision:
             addresses = [p.address for p in self._config.peers if p.name == digest.instance]
             for address in addresses:
--- a/reachlink/entry/_digests.py
+++ b/reachlink/entry/_digests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from reachlink.pacing import LimitNote
 from reachlink.placement import MemoryProfile
 from reachlink.quarantine import QuarantineNote
 
@@ -37,7 +38,8 @@
     """State of one entry instance.
 
     ``demands`` are those of limited workspaces, ``ready`` tells whether the
-    instance serves, ``quarantine`` what it learned of crashes lately.
+    instance serves, ``quarantine`` what it learned of crashes lately, ``limits`` what replicas
+    take from all instances together.
     """
 
     instance: str
@@ -47,6 +49,7 @@
     loads: list[ReplicaLoad]
     demands: dict[str, float]
     quarantine: QuarantineNote = QuarantineNote()
+    limits: list[LimitNote] = []
 
 
 class PlacementNote(msgspec.Struct, array_like=True, frozen=True):
@@ -104,6 +107,11 @@
                 self._cut.setdefault(zone, []).append(digest)
         return silent
 
+    def last_heard(self, instance: str) -> float:
+        """Return when an instance told something last, in monotonic seconds."""
+        held = self._held.get(instance)
+        return held.at if held is not None else float("-inf")
+
     def limit_instances(self) -> int:
         """Return how many entry instances share a limit, this one included."""
         return len(self._held) + sum(len(cut) for cut in self._cut.values()) + 1
--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -15,6 +15,7 @@
 from reachlink.entry.exceptions import RequestError
 from reachlink.lengths import LengthKey
 from reachlink.limits import DrainRate, FairQueue, Waiting
+from reachlink.pacing import Hold, HoldReason
 from reachlink.placement import (
     UNLIMITED,
     Candidate,
@@ -24,6 +25,11 @@
     Verdict,
 )
 
+# Code and message that callers get where all replicas are held back.
+_HELD_BACK = {
+    HoldReason.BACKOFF: ("replicas_in_backoff", "the replicas are all in backoff"),
+    HoldReason.LIMIT: ("replicas_over_limit", "the replicas all get as much as they take"),
+}
 # How many waiting requests may be passed by a smaller one that fits.
 LOOK_AHEAD = 4
 POLL_S = 0.1
@@ -96,9 +102,9 @@
         Source of tie-breaks.
     clock : callable
         Monotonic time in seconds.
-    backoff_left_s : callable
-        Returns the time until the first replica that a ticket may go to is out of backoff, in
-        seconds; None where not all of them are in backoff.
+    hold : callable
+        Returns why and until when all replicas that a ticket may go to are held back by what
+        they have asked for; None where not all of them are.
     """
 
     def __init__(
@@ -108,9 +114,9 @@
         reserve: Callable[[Ticket, str], None],
         random: Random,
         clock: Callable[[], float],
-        backoff_left_s: Callable[[Ticket], float | None] = lambda ticket: None,
+        hold: Callable[[Ticket], Hold | None] = lambda ticket: None,
     ) -> None:
-        self._backoff_left_s = backoff_left_s
+        self._hold = hold
         self._policy = policy
         self._candidates = candidates
         self._reserve = reserve
@@ -138,7 +144,7 @@
             if decision.verdict is Verdict.PLACE:
                 return decision
             if decision.verdict is Verdict.NONE_ALIVE:
-                self._check_backoff(ticket)
+                self._check_hold(ticket)
         pending = _Pending(ticket, asyncio.get_running_loop().create_future())
         waiting = self._enqueue(pending)
         self._arm()
@@ -177,24 +183,24 @@
     def _check_pending(self, waiting: Waiting[_Pending]) -> None:
         """Refuse a waiting request that no replica will take in time."""
         try:
-            self._check_backoff(waiting.item.ticket)
+            self._check_hold(waiting.item.ticket)
         except RequestError as error:
             self._queue.remove(waiting)
             _refuse(waiting.item, error)
 
-    def _check_backoff(self, ticket: Ticket) -> None:
-        """Make sure that a ticket without any replica only waits for one in backoff.
+    def _check_hold(self, ticket: Ticket) -> None:
+        """Make sure that a ticket without any replica only waits for one that is held back.
 
         Raises
         ------
         RequestError
-            If there is none, or all are in backoff beyond its deadline.
+            If there is none, or all are held back beyond its deadline.
         """
-        wait_s = self._backoff_left_s(ticket)
-        if wait_s is None:
+        hold = self._hold(ticket)
+        if hold is None:
             raise no_replica()
-        if self._clock() + wait_s > ticket.deadline:
-            raise replicas_in_backoff(wait_s)
+        if self._clock() + hold.left_s > ticket.deadline:
+            raise replicas_held_back(hold)
 
     def _try(self, ticket: Ticket) -> Decision:
         decision = self._policy.choose(ticket.request, self._candidates(ticket), self._random)
@@ -264,11 +270,10 @@
     )
 
 
-def replicas_in_backoff(left_s: float, outcome: Outcome = Outcome.NOT_RUN) -> RequestError:
-    """Return the error for an upstream all of whose replicas are in backoff."""
-    return RequestError(
-        503, "replicas_in_backoff", "the replicas are all in backoff", outcome, left_s
-    )
+def replicas_held_back(hold: Hold, outcome: Outcome = Outcome.NOT_RUN) -> RequestError:
+    """Return the error for an upstream whose replicas may all get nothing now."""
+    code, message = _HELD_BACK[hold.reason]
+    return RequestError(503, code, message, outcome, hold.left_s)
 
 
 def _resolve(pending: _Pending, decision: Decision) -> None:
--- a/reachlink/entry/_load_teller.py
+++ b/reachlink/entry/_load_teller.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from reachlink.coordination import QuarantineExchange
+from reachlink.coordination import LimitExchange, QuarantineExchange
 from reachlink.entry._list_news import ListNews
 from reachlink.entry._report_reader import ReportReader
 from reachlink.membership import InstanceRecord
@@ -43,6 +43,8 @@
         Findings in the platform's list, own ones and the others'.
     quarantine : QuarantineExchange
         What the instances tell each other of crashes.
+    limits : LimitExchange
+        What the instances tell each other of limits that replicas name.
     clock : callable
         Monotonic time in seconds.
     """
@@ -57,6 +59,7 @@
         reports: ReportReader,
         listed: ListNews,
         quarantine: QuarantineExchange,
+        limits: LimitExchange,
         clock: Callable[[], float],
     ) -> None:
         self._name = name
@@ -66,6 +69,7 @@
         self._reports = reports
         self._listed = listed
         self._quarantine = quarantine
+        self._limits = limits
         self._clock = clock
         self._peers: list[InstanceRecord] = []
         self._changed = asyncio.Event()
@@ -122,6 +126,7 @@
             news=self._reports.news(),
             listed=self._listed.recent(),
             quarantine=self._quarantine.note(),
+            limits=self._limits.notes(),
         )
 
     async def _on_note(self, sender: str, body: bytes) -> None:
@@ -130,3 +135,4 @@
         self._reports.take(note.news)
         self._listed.take(note.listed)
         self._quarantine.take(note.quarantine)
+        self._limits.take(note.limits)
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from reachlink.control import ControlClient
-from reachlink.coordination import QuarantineExchange
+from reachlink.coordination import LimitExchange, QuarantineExchange
 from reachlink.delivery import PositionCodec
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
@@ -26,6 +26,7 @@
 from reachlink.limits import QuotaBook, RetryBudget
 from reachlink.membership import InstanceRecord, ReplicaDirectory, SettingsHolder
 from reachlink.messaging import Bus, encode
+from reachlink.pacing import Hold
 from reachlink.placement import (
     POLICIES,
     Candidate,
@@ -44,6 +45,7 @@
 CHANNEL_PLACED = "placed"
 CHANNEL_CARRIED = "carried"
 CHANNEL_CRASHES = "crashes"
+CHANNEL_LIMITS = "limits"
 
 
 class EntryNode:
@@ -63,7 +65,7 @@
         self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
         self.control = ControlClient(self.bus, config.controls)
         self.client = HttpClient()
-        self.directory = ReplicaDirectory(config.routes, backoffs=self.client.backoffs)
+        self.directory = ReplicaDirectory(config.routes, pacing=self.client.pacing)
         self.lengths = LengthEstimator()
         self.ledger = Ledger(self.lengths)
         self.digests = DigestBook(config.availability_zone)
@@ -75,13 +77,26 @@
         self.quarantine = Quarantine(self.random, config.crashes_to_hold, config.crashes_kept_s)
         self.guard = CrashGuard(self.quarantine, self._touch)
         self.crash_news = QuarantineExchange(self.bus, self.quarantine, self.random)
+        self.limits = LimitExchange(
+            config.name,
+            self.bus,
+            self.client.pacing.limits,
+            self.directory,
+            self.digests.last_heard,
+            self.random,
+            lambda outcome: self.metrics.turns.add(1, {"outcome": outcome}),
+        )
+        self.client.gate = self.limits
+        self.client.on_limit = self._tell_limits
+        records = [InstanceRecord(p.name, p.address, p.availability_zone) for p in config.peers]
+        self.limits.take_roster([*records, self._record()], len(records) + 1)
         self.directory.on_started_again(self._on_started_again)
         self.crash_news.take_peers([p.address for p in config.peers], alone=not config.peers)
         self.quarantine.listen(self._tell_crashes)
         self.metrics = EntryMetrics(config)
         self.metrics.export_held(lambda: len(self.quarantine.held(steady_time())))
-        self.metrics.export_backoffs(lambda: self.client.backoffs.count(steady_time()))
-        self.metrics.export_limits(self.client.limits.count)
+        self.metrics.export_backoffs(lambda: self.client.pacing.backoffs.count(steady_time()))
+        self.metrics.export_limits(self.client.pacing.limits.count)
         self.ready = False
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
@@ -163,7 +178,7 @@
                 self._reserve,
                 self.random,
                 steady_time,
-                lambda ticket: self.backoff_left_s(upstream, ticket.excluded),
+                lambda ticket: self.hold(upstream, ticket.excluded),
             )
         return found
 
@@ -239,6 +254,13 @@
         """Tell the others at once: a digest a second is too late for the next try."""
         self.tell_peers(CHANNEL_CRASHES, encode(self.crash_news.note()))
 
+    def _tell_limits(self) -> None:
+        """Tell the others at once: until a digest they would send on as usual."""
+        self.tell_peers(CHANNEL_LIMITS, encode(self.limits.notes()))
+
+    def _record(self) -> InstanceRecord:
+        return InstanceRecord(self.name, self.address, self.zone)
+
     def drop_old_digests(self) -> list[str]:
         """Forget silent instances and return their names."""
         silent = self.digests.drop_old(steady_time())
@@ -263,6 +285,7 @@
             loads,
             demands,
             self.crash_news.note(),
+            self.limits.notes(),
         )
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -308,15 +331,15 @@
         ]
 
     def admitted(self, upstream: str) -> list[Replica]:
-        """Return the live replicas of an upstream not in backoff."""
+        """Return the live replicas of an upstream that are not held back by their own word."""
         live = self.directory.live(upstream)
-        if self.client.backoffs.is_empty:
+        if self.client.pacing.is_empty:
             return live
         now = steady_time()
-        return [r for r in live if self.client.backoffs.admits(r.address, now)]
+        return [r for r in live if self.client.pacing.admits(r.address, now)]
 
-    def backoff_left_s(self, upstream: str, excluded: Set[str]) -> float | None:
-        """Return when the first replica is out of backoff, where all of them are in one.
+    def hold(self, upstream: str, excluded: Set[str]) -> Hold | None:
+        """Return why and until when all replicas of an upstream are held back.
 
         Parameters
         ----------
@@ -327,12 +350,11 @@
 
         Returns
         -------
-        float or None
-            Time until then, in seconds, 0 where one is coming back from it; None where
-            there is no replica or one not in backoff.
+        Hold or None
+            None where there is no replica or one that is used as usual.
         """
         usable = [r.address for r in self.directory.live(upstream) if r.name not in excluded]
-        return self.client.backoffs.left_of_all_s(usable, steady_time())
+        return self.client.pacing.hold(usable, steady_time())
 
     def _sampled(self, upstream: str, live: list[Replica]) -> list[Replica]:
         """Return some replicas of many, this zone's for the most part.
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -9,7 +9,7 @@
 from reachlink.entry._admission import Admission
 from reachlink.entry._chat import is_repeatable
 from reachlink.entry._claims import ClaimedKey
-from reachlink.entry._dispatcher import no_replica, replicas_in_backoff
+from reachlink.entry._dispatcher import no_replica, replicas_held_back
 from reachlink.entry._http import MAX_BODY_BYTES, REQUEST_HEADER, read_body, require_workspace
 from reachlink.entry._node import EntryNode
 from reachlink.entry.exceptions import RequestError, held_request, upstream_failed
@@ -25,15 +25,15 @@
     CallResponse,
     Replica,
     ServiceAdapter,
-    UpstreamBackoffError,
     UpstreamBrokenError,
+    UpstreamHeldBackError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
 
 MAX_ATTEMPTS = 4
-# How often a call that waits for a replica to be out of backoff looks again, in seconds.
-BACKOFF_LOOK_S = 0.05
+# How often a call that waits for a replica that is held back looks again, in seconds.
+HELD_LOOK_S = 0.05
 CALL_TIMEOUT_S = 30.0
 RECORD_TIMEOUT_S = 1.0
 _FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Idempotency-Key")
@@ -135,9 +135,10 @@
         budget = node.budget(service.upstream)
         budget.on_first_attempt(policy.retry_share)
         outcome = Outcome.NOT_RUN
-        reason = "every replica is in backoff"
+        reason = "every replica is held back"
         wait_until = steady_time() + policy.queue_wait_s
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        attempt = 1
+        while attempt <= MAX_ATTEMPTS:
             replica = await self._choose_in_time(service, excluded, outcome, wait_until)
             try:
                 answer = await self._attempt(service, replica, call)
@@ -145,8 +146,8 @@
                 return answer
             except HeldRequestError as error:
                 raise held_request(error) from error
-            except UpstreamBackoffError as error:
-                # It asked for that after it was chosen: nothing was sent.
+            except UpstreamHeldBackError as error:
+                # It asked for that after it was chosen, or others had the turn: nothing was sent.
                 reason = str(error)
                 continue
             except UpstreamBrokenError as error:
@@ -160,7 +161,8 @@
                 break
             node.metrics.retries.add(1, {"service": service.name})
             await asyncio.sleep(backoff_s(attempt, node.random))
-        raise upstream_failed(reason, outcome, node.backoff_left_s(service.upstream, excluded))
+            attempt += 1
+        raise upstream_failed(reason, outcome, node.hold(service.upstream, excluded))
 
     async def _attempt(
         self, service: ServiceInfo, replica: Replica, call: CallRequest
@@ -173,7 +175,7 @@
         try:
             await node.guard.admit(call.fingerprint, call.request_id)
             async with node.guard.watched(call.fingerprint), asyncio.timeout(CALL_TIMEOUT_S):
-                node.client.backoffs.note_sent(replica.address, steady_time())
+                node.client.pacing.note_sent(replica.address, steady_time())
                 answer = await adapter.call(replica, call)
             health.on_success(steady_time())
             return answer
@@ -200,22 +202,22 @@
     async def _choose_in_time(
         self, service: ServiceInfo, excluded: set[str], outcome: Outcome, until: float
     ) -> Replica:
-        """Return the replica for a call, after a wait where all are in backoff.
+        """Return the replica for a call, after a wait where all are held back.
 
         Raises
         ------
         RequestError
-            If there is none, or all are in backoff until after `until`, in monotonic seconds.
+            If there is none, or all are held back until after `until`, in monotonic seconds.
         """
         node = self._node
         while True:
             admitted = [r for r in node.admitted(service.upstream) if r.name not in excluded]
-            wait_s = node.backoff_left_s(service.upstream, excluded)
-            if admitted or wait_s is None:
+            hold = node.hold(service.upstream, excluded)
+            if admitted or hold is None:
                 return self._choose(admitted, outcome)
-            if steady_time() + wait_s >= until:
-                raise replicas_in_backoff(wait_s, outcome)
-            await asyncio.sleep(BACKOFF_LOOK_S)
+            if steady_time() + hold.left_s >= until:
+                raise replicas_held_back(hold, outcome)
+            await asyncio.sleep(HELD_LOOK_S)
 
     def _choose(self, live: list[Replica], outcome: Outcome) -> Replica:
         """Return the live replica with the fewest calls from here, this zone's first."""
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -43,9 +43,9 @@
             lambda: self._node.tree.revision,
             lambda: self._follower.unanswered_s,
         )
-        backoffs = self._node.client.backoffs
+        backoffs = self._node.client.pacing.backoffs
         self._node.metrics.export_backoffs(lambda: backoffs.count(steady_time()))
-        self._node.metrics.export_limits(self._node.client.limits.count)
+        self._node.metrics.export_limits(self._node.client.pacing.limits.count)
         self._node.metrics.export_quarantine(
             lambda: len(self._node.quarantine.held(steady_time())),
             lambda: len(self._node.quarantine.fingerprints),
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -6,7 +6,13 @@
 from random import Random
 
 from reachlink.control import ControlClient
-from reachlink.coordination import Attachment, Coordinator, Member, QuarantineExchange
+from reachlink.coordination import (
+    Attachment,
+    Coordinator,
+    LimitExchange,
+    Member,
+    QuarantineExchange,
+)
 from reachlink.entry._isolation import Isolation, Reach
 from reachlink.entry._list_news import ListNews
 from reachlink.entry._list_reader import ReadingRole
@@ -54,12 +60,23 @@
         self.control = ControlClient(self.bus, list(config.seeds))
         self.client = HttpClient(connect_timeout_s=config.connect_timeout_s)
         self.directory = ReplicaDirectory(
-            unconfirmed_mark_s=config.leaving_mark_s, backoffs=self.client.backoffs
+            unconfirmed_mark_s=config.leaving_mark_s, pacing=self.client.pacing
         )
         self.book = ReplicaBook()
         self.shared = SharedLoad()
         self.quarantine = Quarantine(Random(), config.crashes_to_hold, config.crashes_kept_s)
         self.crash_news = QuarantineExchange(self.bus, self.quarantine, Random())
+        self.limits = LimitExchange(
+            config.name,
+            self.bus,
+            self.client.pacing.limits,
+            self.directory,
+            self.shared.last_heard,
+            Random(),
+            lambda outcome: self.metrics.turns.add(1, {"outcome": outcome}),
+        )
+        self.client.gate = self.limits
+        self.client.on_limit = self._on_limit
         self._zones = ZonesInForce(self.directory, self.book, self.log)
         adapter = RELAY_ADAPTERS.get(config.upstream)(self.client)
         departures = self._departures = Departures()
@@ -85,6 +102,7 @@
             self.reports.take,
             self.reports.news,
             self.crash_news,
+            self.limits,
             lambda outcome: self.metrics.questions.add(1, {"outcome": outcome}),
         )
         self._instances = 1
@@ -97,6 +115,7 @@
             self.reports,
             self.listed,
             self.crash_news,
+            self.limits,
             steady_time,
         )
         self._isolation = Isolation(config.availability_zone, self.shared, self._zone_answered_at)
@@ -132,7 +151,8 @@
                 ask_coordinator=self.member.ask,
                 deciders=self.deciders,
                 quarantine=self.quarantine,
-                backoffs=self.client.backoffs,
+                pacing=self.client.pacing,
+                admit=self.client.admit,
             )
         )
         self.coordinator = Coordinator(
@@ -145,6 +165,7 @@
             self._engine_services,
             self.reports.take,
             self.crash_news,
+            self.limits,
             self.reach,
             Random(),
         )
@@ -328,6 +349,7 @@
         self._isolation.take_peers(peers, steady_time())
         others = [c.address for c in coordinators if c.name != self.name]
         self.crash_news.take_peers(others, alone=self._instances <= 1)
+        self.limits.take_roster(coordinators, self._instances)
         self._forget_the_gone()
         if coordinators:
             self.reports.take_readers(record.name for record in coordinators)
@@ -382,6 +404,11 @@
         self.book.touch()
         self.coordinator.wake_members()
 
+    def _on_limit(self) -> None:
+        """A replica has named a limit: who does not know would send on as usual."""
+        self.book.touch()
+        self.coordinator.wake_members()
+
     def _on_list_news(self) -> None:
         """The platform's list has told of replicas that come or leave."""
         self.book.touch()
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -2,6 +2,7 @@
 
 from reachlink.delivery import Outcome
 from reachlink.kernel import ReachlinkError
+from reachlink.pacing import Hold
 from reachlink.quarantine import HELD, HeldRequestError
 
 __all__ = ["EntryError", "RequestError", "held_request"]
@@ -53,7 +54,7 @@
 FAILED_RETRY_S = 1.0
 
 
-def upstream_failed(reason: str, outcome: Outcome, wait_s: float | None) -> RequestError:
+def upstream_failed(reason: str, outcome: Outcome, hold: Hold | None) -> RequestError:
     """Return the final answer after every attempt has failed.
 
     Parameters
@@ -64,11 +65,11 @@
         What is known of all of them. What has surely not run gets the status that
         promises so: with 502 callers had to take it for run, 45 of 756 calls in a second
         in which one of three replicas asked for a backoff (140 calls a second).
-    wait_s : float, optional
-        Time until the first replica is out of backoff, where all are in backoff, in seconds.
+    hold : Hold, optional
+        Until when all replicas are held back by what they have asked for, if so.
     """
     status = 503 if outcome is Outcome.NOT_RUN else 502
-    retry_s = FAILED_RETRY_S if wait_s is None else wait_s
+    retry_s = FAILED_RETRY_S if hold is None else hold.left_s
     return RequestError(status, "upstream_failed", reason, outcome, retry_s)
 
 
--- a/reachlink/kernel/tests/test_layers.py
+++ b/reachlink/kernel/tests/test_layers.py
@@ -58,7 +58,6 @@
     ROOT / "membership" / "_roster.py",
     ROOT / "membership" / "_spreading.py",
     ROOT / "membership" / "_transfers.py",
-    ROOT / "upstreams" / "_backoffs.py",
     ROOT / "upstreams" / "_retry_after.py",
     ROOT / "entry" / "_digests.py",
     ROOT / "entry" / "_guardians.py",
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -11,7 +11,8 @@
 from random import Random
 
 from reachlink.membership._platform import InstanceState, ListedInstance
-from reachlink.upstreams import BackoffBook, Replica
+from reachlink.pacing import PacingBook
+from reachlink.upstreams import Replica
 
 # How long a mark as leaving counts that no list confirms, in seconds: after that it
 # was a mistake, or its instance has come back.
@@ -92,20 +93,22 @@
         Addresses to use in place of listed ones.
     unconfirmed_mark_s : float
         How long a mark that no list confirms counts, in seconds.
-    backoffs : BackoffBook, optional
-        The instances that have asked for a backoff; is told of those that start again.
+    pacing : PacingBook, optional
+        What the instances ask of who sends to them; is told of those that start again.
     """
 
     def __init__(
         self,
         routes: Mapping[str, str] | None = None,
         unconfirmed_mark_s: float = UNCONFIRMED_MARK_S,
-        backoffs: BackoffBook | None = None,
+        pacing: PacingBook | None = None,
     ) -> None:
-        self._backoffs = BackoffBook(Random()) if backoffs is None else backoffs
+        self._pacing = PacingBook(Random()) if pacing is None else pacing
         self._unconfirmed_mark_s = unconfirmed_mark_s
         self._routes = dict(routes or {})
         self._entries: dict[str, _Entry] = {}
+        # The instance that an address was given to last.
+        self._names_at: dict[str, str] = {}
         # Live replicas by upstream, kept between changes: they are asked for with
         # every decision and change a few times an hour.
         self._live: dict[str, list[Replica]] = {}
@@ -223,7 +226,7 @@
             entry.noticed_at = float("-inf")
             entry.listed = InstanceState.LIVE
             self._live.clear()
-            self._backoffs.start_again(entry.replica.address, now)
+            self._pacing.start_again(entry.replica.address, now)
             self._on_started_again(name)
         return started_again
 
@@ -294,6 +297,10 @@
             if entry.replica.upstream == upstream and _stays(entry)
         ]
 
+    def name_at(self, address: str) -> str:
+        """Return the instance that has an address, as far as is known; empty for none."""
+        return self._names_at.get(address, "")
+
     def find(self, name: str) -> Replica | None:
         """Return an instance by name, leaving or not."""
         entry = self._entries.get(name)
@@ -318,9 +325,10 @@
         entry = self._entries.get(instance.name)
         if entry is None:
             entry = self._entries[instance.name] = _Entry(replica, instance.state)
+            self._names_at[address] = instance.name
             entry.born = instance.born
             # What the address asked for before was asked for by another one.
-            self._backoffs.replace(address)
+            self._pacing.replace(address)
             _note_cold(entry, instance.cold_s, now)
             return True
         if 0 < instance.born < entry.born:
--- a/reachlink/membership/tests/test_membership.py
+++ b/reachlink/membership/tests/test_membership.py
@@ -15,8 +15,8 @@
     SettingsAnswer,
     SettingsHolder,
 )
+from reachlink.pacing import PacingBook
 from reachlink.settings import Change
-from reachlink.upstreams import BackoffBook
 
 
 def listed(state: InstanceState = InstanceState.LIVE) -> list[ListedInstance]:
@@ -75,8 +75,9 @@
 
 
 def test_backoffs_end_with_the_address_and_the_life_that_asked():
-    backoffs = BackoffBook(Random(1))
-    directory = ReplicaDirectory(backoffs=backoffs)
+    pacing = PacingBook(Random(1))
+    backoffs = pacing.backoffs
+    directory = ReplicaDirectory(pacing=pacing)
     directory.update(born(InstanceState.LIVE, 1000), 0.0)
     backoffs.ask("127.0.0.1:1", 3600.0, 0.0)
     directory.update(born(InstanceState.LIVE, 2000), 100.0)
--- a/reachlink/pacing/__init__.py
+++ b/reachlink/pacing/__init__.py
@@ -1,5 +1,32 @@
-"""What replicas ask of those who send to them: when to stop, and how much to send."""
+"""What replicas ask of those who send to them: when to stop, and how much to send together."""
 
-from reachlink.pacing._limits import LimitBook, read_limit
+from reachlink.pacing._backoffs import BackoffBook
+from reachlink.pacing._book import Hold, HoldReason, PacingBook, PacingKind
+from reachlink.pacing._gate import LimitGate, LoneGate, Wish
+from reachlink.pacing._limits import LimitBook, NamedLimit, read_limit
+from reachlink.pacing._messages import CHANNEL_LIMIT, LimitAnswer, LimitNote, LimitQuestion
+from reachlink.pacing._meter import Meter
+from reachlink.pacing._sharing import SILENT_S, LimitSharing, ranked, side_share
 
-__all__ = ["LimitBook", "read_limit"]
+__all__ = [
+    "CHANNEL_LIMIT",
+    "SILENT_S",
+    "BackoffBook",
+    "Hold",
+    "HoldReason",
+    "LimitAnswer",
+    "LimitBook",
+    "LimitGate",
+    "LimitNote",
+    "LimitQuestion",
+    "LimitSharing",
+    "LoneGate",
+    "Meter",
+    "NamedLimit",
+    "PacingBook",
+    "PacingKind",
+    "Wish",
+    "ranked",
+    "read_limit",
+    "side_share",
+]
--- a/reachlink/upstreams/_backoffs.py
+++ b/reachlink/pacing/_backoffs.py
@@ -5,7 +5,6 @@
 repeats, continuations, reports and orders.
 """
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -109,25 +108,9 @@
         backoff = self._backoffs.get(address)
         return max(0.0, backoff.until - now) if backoff is not None else 0.0
 
-    def left_of_all_s(self, addresses: Sequence[str], now: float) -> float | None:
-        """Return when the first of some replicas is out of backoff, where that holds all up.
-
-        Parameters
-        ----------
-        addresses : sequence of str
-            All replicas that may be used.
-        now : float
-            Monotonic time in seconds.
-
-        Returns
-        -------
-        float or None
-            Time until then, in seconds, 0 where one is coming back from it; None where
-            there is no replica or one that is used as usual.
-        """
-        if not addresses or any(address not in self._backoffs for address in addresses):
-            return None
-        return min(self.left_s(address, now) for address in addresses)
+    def holds(self, address: str, now: float) -> bool:
+        """Return whether a replica is in backoff, or gets little yet after it."""
+        return address in self._backoffs
 
     def admits(self, address: str, now: float) -> bool:
         """Return whether another request may be sent to a replica now.
--- a/reachlink/upstreams/tests/test_backoffs.py
+++ b/reachlink/pacing/tests/test_backoffs.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from reachlink.upstreams import BackoffBook
-from reachlink.upstreams import _backoffs as backoffs
+from reachlink.pacing import BackoffBook
+from reachlink.pacing import _backoffs as backoffs
 
 A, B = "10.0.0.1:1", "10.0.0.2:1"
 BACKOFF_S = 3.0
@@ -117,13 +117,3 @@
     book.ask(A, BACKOFF_S, 0.0)
     assert book.admits(A, ENDED_S + backoffs.FORGOTTEN_S)
     assert book.is_empty
-
-
-def test_all_are_held_up_until_the_first_is_out_of_backoff(book):
-    assert book.left_of_all_s([], 0.0) is None
-    book.ask(A, 30.0, 0.0)
-    assert book.left_of_all_s([A, B], 0.0) is None
-    book.ask(B, 3.0, 0.0)
-    assert 3.0 <= book.left_of_all_s([A, B], 0.0) <= ENDED_S
-    # Out of it, and not used as usual yet.
-    assert book.left_of_all_s([A, B], ENDED_S) == 0.0
--- /dev/null
+++ b/reachlink/pacing/tests/test_book.py
@@ -0,0 +1,80 @@
+"""One answer for all that a replica has asked for; no network."""
+
+from random import Random
+
+import pytest
+
+from reachlink.pacing import HoldReason, PacingBook
+from reachlink.pacing import _backoffs as backoffs
+from reachlink.pacing._limits import ASKED_AGAIN_S
+
+A, B = "10.0.0.1:1", "10.0.0.2:1"
+BACKOFF_S = 3.0
+ENDED_S = BACKOFF_S + backoffs.SPREAD_S
+
+
+@pytest.fixture
+def book() -> PacingBook:
+    return PacingBook(Random(1))
+
+
+def close(book: PacingBook, address: str, until: float) -> None:
+    book.limits.name(address, 3.3, 0.0)
+    book.limits.close(address, until, 0.0)
+
+
+def test_all_are_held_up_until_the_first_is_out_of_backoff(book):
+    assert book.hold([], 0.0) is None
+    book.backoffs.ask(A, 30.0, 0.0)
+    assert book.hold([A, B], 0.0) is None
+    book.backoffs.ask(B, 3.0, 0.0)
+    held = book.hold([A, B], 0.0)
+    assert held.reason is HoldReason.BACKOFF
+    assert 3.0 <= held.left_s <= ENDED_S
+    # Out of it, and not used as usual yet.
+    assert book.hold([A, B], ENDED_S).left_s == 0.0
+
+
+def test_the_one_that_may_get_something_first_tells_why(book):
+    book.backoffs.ask(A, 30.0, 0.0)
+    close(book, B, 0.5)
+    held = book.hold([A, B], 0.0)
+    assert (held.reason, held.left_s) == (HoldReason.LIMIT, 0.5)
+    # One with a limit that has something left is used as usual.
+    assert book.hold([A, B], 0.6) is None
+
+
+def test_a_replica_gets_nothing_while_any_kind_holds_it_back(book):
+    book.backoffs.ask(A, BACKOFF_S, 0.0)
+    assert not book.admits(A, BACKOFF_S)
+    close(book, A, 60.0)
+    assert book.left_s(A, 0.0) == 60.0
+    assert not book.admits(A, ASKED_AGAIN_S)
+    close(book, B, 0.4)
+    assert not book.admits(B, 0.3)
+    assert book.admits(B, 0.4)
+
+
+def test_a_turn_may_be_waited_for_and_a_backoff_may_not(book):
+    close(book, A, 0.4)
+    assert not book.admits(A, 0.0)
+    assert book.admits(A, 0.0, within_s=0.4)
+    book.backoffs.ask(A, 0.1, 0.0)
+    assert not book.admits(A, 0.0, within_s=0.4)
+
+
+def test_another_replica_at_an_address_has_asked_for_nothing(book):
+    close(book, A, 60.0)
+    book.backoffs.ask(A, 60.0, 0.0)
+    book.replace(A)
+    assert book.admits(A, 0.0)
+    assert book.is_empty
+
+
+def test_it_is_asked_again_however_late_the_next_turn_was_said_to_be(book):
+    """Who hands out changes, and a share with it: 20 s were told by one that had just started."""
+    close(book, A, 20.0)
+    assert not book.admits(A, ASKED_AGAIN_S / 2)
+    assert book.admits(A, ASKED_AGAIN_S)
+    # Callers are told what was said last.
+    assert book.hold([A], ASKED_AGAIN_S).left_s == 20.0 - ASKED_AGAIN_S
--- a/reachlink/pacing/tests/test_limits.py
+++ b/reachlink/pacing/tests/test_limits.py
@@ -26,14 +26,14 @@
     book = LimitBook()
     assert book.name(A, 3.3, 10.0)
     assert not book.name(A, 3.3, 11.0)
-    assert not book.end(A, sent_at=10.5)
-    assert book.per_s(A) == 3.3
-    assert book.end(A, sent_at=11.1)
-    assert book.per_s(A) is None
+    assert not book.end(A, sent_at=10.5, now=11.2)
+    assert book.get(A).per_s == 3.3
+    assert book.end(A, sent_at=11.1, now=11.2)
+    assert book.get(A) is None
 
 
 def test_another_value_replaces_the_one_before():
     book = LimitBook()
     book.name(A, 3.3, 10.0)
     assert book.name(A, 2.7, 11.0)
-    assert book.per_s(A) == 2.7
+    assert book.get(A).per_s == 2.7
--- /dev/null
+++ b/reachlink/pacing/tests/test_sharing.py
@@ -0,0 +1,227 @@
+"""Limits that several instances hand out together: the sum, whoever hears whom; no network."""
+
+from dataclasses import dataclass, field
+from itertools import pairwise
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reachlink.pacing import LimitQuestion, LimitSharing, Meter, ranked, side_share
+from reachlink.pacing import _sharing as sharing
+
+# What deployments allow of a limit, as a factor, and requests besides.
+FACTOR, MORE = 1.5, 5.0
+WINDOW_S = 4.0
+STEP_S = 0.02
+
+
+@settings(derandomize=True)
+@given(st.lists(st.integers(1, 60), min_size=1, max_size=8))
+def test_sides_of_a_cut_hand_out_one_and_a_half_times_the_limit_at_the_most(sides):
+    known = sum(sides)
+    assert sum(side_share(side, known) for side in sides) <= FACTOR
+
+
+@settings(derandomize=True)
+@given(st.integers(1, 400), st.floats(0.0, 1.0))
+def test_one_side_and_all_others_alone_keep_to_it_too(known, part):
+    """The side that hands out, and each of the others by its own number."""
+    side = max(1, int(known * part))
+    total = side_share(side, known) + (known - side) / known
+    assert total <= FACTOR + 1e-9
+
+
+def test_an_instance_more_changes_who_hands_out_few_limits():
+    replicas = [f"r{n}" for n in range(700)]
+    names = [f"e{n}" for n in range(10)]
+    before = {r: ranked(names, r)[0] for r in replicas}
+    after = {r: ranked([*names, "e10"], r)[0] for r in replicas}
+    changed = [r for r in replicas if before[r] != after[r]]
+    assert {after[r] for r in changed} == {"e10"}
+    assert len(changed) < 700 / 11 * 2
+
+
+def test_a_meter_hands_out_its_rate_and_turns_in_order():
+    meter = Meter(4.0, 10.0)
+    assert [meter.take(10.0, patience_s=9.0) for _ in range(4)] == [0.0, 0.25, 0.5, 0.75]
+    # A turn that comes too late for who asks is not taken.
+    assert meter.take(10.0, patience_s=0.5) == 1.0
+    assert meter.take(10.0, patience_s=1.0) == 1.0
+
+
+def test_a_meter_saves_up_one():
+    meter = Meter(2.0, 0.0)
+    assert [meter.take(100.0) for _ in range(3)] == [0.0, 0.0, 0.5]
+
+
+def test_what_is_spare_gives_way():
+    meter = Meter(2.0, 0.0)
+    assert meter.take(10.0) == 0.0
+    assert meter.take(10.0, spare=True) > 0.0
+    assert meter.take(10.4, spare=True) > 0.0
+    assert meter.take(10.5, spare=True) == 0.0
+    # It has not taken the next one of those that matter.
+    assert meter.take(10.5) == 0.0
+
+
+def test_another_rate_counts_for_turns_that_are_promised():
+    meter = Meter(0.1, 0.0)
+    assert meter.take(0.0) == 0.0
+    meter.set_rate(1.0, 0.0)
+    assert meter.take(0.0, patience_s=5.0) == pytest.approx(1.0)
+
+
+@dataclass
+class Fleet:
+    """Instances that hear each other but across cuts, at a time of their own."""
+
+    count: int
+    now: float = 1000.0
+    # The side that each is on; those of one side hear each other.
+    side: dict[str, int] = field(default_factory=dict)
+    dead: set[str] = field(default_factory=set)
+    heard: dict[tuple[str, str], float] = field(default_factory=dict)
+    made: dict[str, LimitSharing] = field(default_factory=dict)
+    sent: list[float] = field(default_factory=list)
+
+    def __post_init__(self):
+        self.names = [f"e{n}" for n in range(self.count)]
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        heard = lambda other, me=name: self.heard.get((me, other), float("-inf"))  # noqa: E731
+        self.made[name] = LimitSharing(name, heard, Random(name))
+        self.made[name].take_roster(self.names, self.count, self.now)
+
+    def hears(self, one, other):
+        up = not {one, other} & self.dead
+        return up and self.side.get(one, 0) == self.side.get(other, 0)
+
+    def tell(self):
+        for one in self.names:
+            for other in self.names:
+                if one != other and self.hears(one, other):
+                    self.heard[one, other] = self.now
+
+    def ask(self, name, question):
+        """Return when a request of an instance may be sent, as the exchange asks."""
+        for owner in self.made[name].owners(question.replica)[:2]:
+            reached = owner == name or self.hears(name, owner)
+            if reached and self.made[owner].hands_out(question.replica, self.now):
+                return self.made[owner].hand_out(question, self.now)
+        return self.made[name].take_alone(question, self.now)
+
+    def play(self, seconds, per_s, random):
+        """Have every instance want more than it gets, all the time."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now = round(self.now + STEP_S, 6)
+            if round(self.now / STEP_S) % round(0.5 / STEP_S) == 0:
+                self.tell()
+            names = [name for name in self.names if name not in self.dead]
+            random.shuffle(names)
+            for name in names:
+                if self.ask(name, LimitQuestion("r", per_s, 0.0)) <= 0.0:
+                    self.sent.append(self.now)
+
+    def most(self, since=0.0):
+        sent = [at for at in self.sent if at >= since]
+        return max((sum(a <= b < a + WINDOW_S for b in sent) for a in sent), default=0)
+
+
+def settled(count):
+    fleet = Fleet(count)
+    fleet.tell()
+    fleet.play(4.0, 100.0, Random(0))
+    fleet.sent.clear()
+    return fleet
+
+
+@pytest.mark.parametrize("per_s", [0.2, 1.0, 3.3, 20.0])
+@pytest.mark.parametrize("count", [1, 7, 24])
+def test_all_that_want_more_get_the_limit_and_no_more(count, per_s):
+    fleet = settled(count)
+    fleet.play(20.0, per_s, Random(1))
+    assert fleet.most() <= per_s * WINDOW_S + 2
+    assert len(fleet.sent) >= 0.95 * per_s * 20.0 - 1
+
+
+SIDES = st.lists(st.integers(0, 2), min_size=7, max_size=7)
+
+
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(SIDES, st.sampled_from([0.2, 2.0, 3.3, 10.0]), st.integers(0, 5))
+def test_a_cut_into_whatever_sides_keeps_the_bound(sides, per_s, seed):
+    """From the moment of the cut on, and when it heals."""
+    fleet = settled(7)
+    fleet.play(3.0, per_s, Random(seed))
+    fleet.side = dict(zip(fleet.names, sides, strict=True))
+    fleet.play(8.0, per_s, Random(seed))
+    fleet.side = {}
+    fleet.play(5.0, per_s, Random(seed))
+    assert fleet.most() <= FACTOR * per_s * WINDOW_S + MORE
+
+
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(st.sets(st.integers(0, 6), max_size=6), st.sampled_from([0.2, 2.0, 3.3, 10.0]))
+def test_instances_that_end_and_start_again_keep_the_bound(ended, per_s):
+    fleet = settled(7)
+    fleet.play(3.0, per_s, Random(1))
+    fleet.dead = {fleet.names[n] for n in ended}
+    fleet.play(5.0, per_s, Random(1))
+    again, fleet.dead = fleet.dead, set()
+    for name in again:
+        fleet.start(name)
+    fleet.play(5.0, per_s, Random(1))
+    assert fleet.most() <= FACTOR * per_s * WINDOW_S + MORE
+
+
+@pytest.mark.parametrize("count", [7, 24])
+def test_where_all_start_at_once_none_hands_out_all_of_it(count):
+    """Each may know of nobody else for a moment; here nobody hears anybody for two seconds."""
+    fleet = Fleet(count)
+    fleet.side = {name: n for n, name in enumerate(fleet.names)}
+    fleet.play(sharing.SETTLE_S, 3.3, Random(1))
+    fleet.side = {}
+    fleet.tell()
+    fleet.play(6.0, 3.3, Random(1))
+    assert fleet.most() <= FACTOR * 3.3 * WINDOW_S + MORE
+
+
+def test_another_takes_over_from_who_is_lost_and_all_of_the_limit_is_used_again():
+    fleet = settled(7)
+    fleet.play(5.0, 3.3, Random(1))
+    fleet.dead = {ranked(fleet.names, "r")[0]}
+    fleet.play(sharing.SILENT_S + 1.0, 3.3, Random(1))
+    since = fleet.now
+    fleet.play(10.0, 3.3, Random(1))
+    assert sum(at > since for at in fleet.sent) >= 0.9 * 33
+    gaps = [b - a for a, b in pairwise(fleet.sent) if a > since]
+    assert max(gaps) < 1.0
+
+
+def test_hundreds_that_reach_nobody_send_the_limit_together():
+    random = Random(1)
+    fleet = [LimitSharing(f"e{n}", lambda name: float("-inf"), random) for n in range(410)]
+    for one in fleet:
+        one.take_roster([f"c{n}" for n in range(10)], 410, 0.0)
+    sent = []
+    for step in range(800):
+        now = 10.0 + step * STEP_S
+        for one in fleet:
+            if one.take_alone(LimitQuestion("r", 3.3, 0.0), now) <= 0.0:
+                sent.append(now)
+    most = max(sum(a <= b < a + WINDOW_S for b in sent) for a in sent)
+    assert most <= FACTOR * 3.3 * WINDOW_S + MORE
+
+
+def test_what_was_named_last_counts_whoever_asks():
+    one = LimitSharing("e0", lambda name: float("-inf"), Random(1))
+    one.take_roster(["e0"], 1, 0.0)
+    one.hand_out(LimitQuestion("r", 2.0, age_s=0.1), 10.0)
+    # Who has heard of it longer ago, and of more, changes nothing.
+    one.hand_out(LimitQuestion("r", 200.0, age_s=5.0), 10.0)
+    assert one.hand_out(LimitQuestion("r", 200.0, age_s=5.0), 10.0) > 0.4
--- a/reachlink/requests/_attempts.py
+++ b/reachlink/requests/_attempts.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from functools import singledispatch
 
 from reachlink.delivery import Outcome
+from reachlink.pacing import HoldReason
+from reachlink.upstreams import UpstreamHeldBackError, UpstreamLimitedError
 
 
 class Setback(Enum):
@@ -11,18 +14,32 @@
 
     UNREACHABLE = "unreachable"
     GONE = "gone"
-    BACKOFF = "in_backoff"
+    BACKOFF = HoldReason.BACKOFF.value
+    LIMITED = HoldReason.LIMIT.value
     NOT_RUN = "not_run"
     BROKEN = "broken"
     FAILED = "failed"
     SLOW = "slow"
 
 
-_NEVER_RAN = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.BACKOFF, Setback.NOT_RUN})
+# The replica may get the request a little later.
+HELD_BACK = frozenset({Setback.BACKOFF, Setback.LIMITED})
+_NEVER_RAN = HELD_BACK | {Setback.UNREACHABLE, Setback.GONE, Setback.NOT_RUN}
 # The replica that was meant did not get the request.
-_NOT_SENT = frozenset({Setback.UNREACHABLE, Setback.GONE, Setback.BACKOFF})
+_NOT_SENT = HELD_BACK | {Setback.UNREACHABLE, Setback.GONE}
 # Nor did any other: another attempt is no repeat.
-NO_REPEAT = frozenset({Setback.UNREACHABLE, Setback.BACKOFF})
+NO_REPEAT = HELD_BACK | {Setback.UNREACHABLE}
+
+
+@singledispatch
+def held_back(error: UpstreamHeldBackError) -> Setback:
+    """Return what it means that a replica may get nothing now."""
+    return Setback.BACKOFF
+
+
+@held_back.register
+def _limited(error: UpstreamLimitedError) -> Setback:
+    return Setback.LIMITED
 
 
 @dataclass(slots=True)
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -24,6 +24,7 @@
     RelayAnswer,
     Replica,
     UpstreamBrokenError,
+    UpstreamHeldBackError,
 )
 
 # A whole answer larger than this, in bytes, is not held to be checked.
@@ -33,10 +34,10 @@
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
-# How long a stream that has lost its replica waits for the one with its copy to be out of
-# backoff, in seconds: callers leave after two seconds of silence, of which 0.8 may have
+# How long a stream that has lost its replica waits for its turn at the one with its copy, in
+# seconds: callers leave after two seconds of silence, of which 0.8 may have
 # passed before the loss was noticed.
-BACKOFF_BORNE_S = 1.0
+TURN_BORNE_S = 1.0
 
 
 class Dispatch:
@@ -87,17 +88,22 @@
         """Return a random number from 0 to 1."""
         return self._parts.random.random()
 
-    async def wait_for_backoff(self, replica: Replica) -> bool:
-        """Return whether a replica is out of backoff, after a wait that callers bear."""
-        left_s = self.backoff_left_s(replica)
-        if left_s > BACKOFF_BORNE_S:
+    async def wait_for_turn(self, request: CallerRequest, replica: Replica) -> bool:
+        """Return whether a replica may get a request, after a wait that callers bear."""
+        left_s = self.held_left_s(replica)
+        if left_s > TURN_BORNE_S:
             return False
         await asyncio.sleep(left_s)
+        try:
+            await self._parts.admit(replica.address, TURN_BORNE_S - left_s)
+        except UpstreamHeldBackError:
+            return False
+        request.relay.admitted = True
         return True
 
-    def backoff_left_s(self, replica: Replica) -> float:
-        """Return how long a replica is still in backoff, in seconds."""
-        return self._parts.backoffs.left_s(replica.address, self.now())
+    def held_left_s(self, replica: Replica) -> float:
+        """Return how long a replica may get nothing by what it has asked for, in seconds."""
+        return self._parts.pacing.left_s(replica.address, self.now())
 
     async def open(
         self,
@@ -112,14 +118,18 @@
         ------
         HeldRequestError
             If replicas crash under it: whatever attempt, copy or repeat this is.
-        UpstreamBackoffError
-            If the replica has asked for a backoff meanwhile.
+        UpstreamHeldBackError
+            If the replica may get nothing now by what it has asked for.
         """
         parts = self._parts
         await self._guard.admit(request.relay.fingerprint, request.request_id)
         left = request.give_up_at - parts.clock()
-        parts.backoffs.note_sent(replica.address, parts.clock())
-        answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
+        parts.pacing.note_sent(replica.address, parts.clock())
+        try:
+            answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
+        finally:
+            # A turn is for one send.
+            request.relay.admitted = False
         now = parts.clock()
         if answer.head.load is not None:
             parts.book.state(replica.name).take_sample(answer.head.load, now)
@@ -270,7 +280,7 @@
             replica=replica.name,
             reason=setback.value,
             sent=attempts.sent,
-            backoff_left_s=round(self.backoff_left_s(replica), 3),
+            held_left_s=round(self.held_left_s(replica), 3),
         )
         if not attempts.may_go_on():
             return False
@@ -288,10 +298,10 @@
             wait = obstacle.come_back_in_s
             return RequestFailedError(503, obstacle.value, Outcome.NOT_RUN, wait)
         # Those that it was sent to, too: who comes back may go there.
-        backoff_s = self._placing.backoff_left_s(request, frozenset())
-        if backoff_s is not None:
-            wait = max(RETRY_AFTER_S, backoff_s)
-            return RequestFailedError(503, Setback.BACKOFF.value, Outcome.NOT_RUN, wait)
+        hold = self._placing.hold(request, frozenset())
+        if hold is not None:
+            wait = max(RETRY_AFTER_S, hold.left_s)
+            return RequestFailedError(503, hold.reason.value, Outcome.NOT_RUN, wait)
         wait = ELSEWHERE_AFTER_S if self._parts.cut_off() else RETRY_AFTER_S
         return RequestFailedError(503, attempts.reason, Outcome.NOT_RUN, wait)
 
--- a/reachlink/requests/_load_notes.py
+++ b/reachlink/requests/_load_notes.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from reachlink.pacing import LimitNote
 from reachlink.quarantine import QuarantineNote
 
 # How long after a generation was expected to go on at another replica it may still
@@ -177,6 +178,8 @@
         What it found new in the platform's list lately.
     quarantine : QuarantineNote
         What it learned of crashes lately.
+    limits : list of LimitNote
+        What replicas take from all instances together, of those that have said so.
     """
 
     instance: str
@@ -184,6 +187,7 @@
     news: list[ReplicaNews] = []
     listed: list[ListedReplica] = []
     quarantine: QuarantineNote = QuarantineNote()
+    limits: list[LimitNote] = []
 
 
 def total(shares: list[ReplicaShare]) -> ReplicaShare:
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -1,12 +1,13 @@
 """What the way of a request works with."""
 
-from collections.abc import Callable, Set
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
 
 from reachlink.kernel import steady_time
 from reachlink.membership import LeavingSource
+from reachlink.pacing import PacingBook
 from reachlink.quarantine import Quarantine
 from reachlink.requests._book import ReplicaBook
 from reachlink.requests._cold_rates import Deciders
@@ -14,7 +15,11 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._place_question import AskCoordinator, decide_here
 from reachlink.requests._shared_load import SharedLoad
-from reachlink.upstreams import BackoffBook, RelayAdapter, Replica
+from reachlink.upstreams import RelayAdapter, Replica
+
+
+async def admit_at_once(address: str, patience_s: float) -> None:
+    """Let a request go: no replica has a limit."""
 
 
 class Directory(Protocol):
@@ -116,8 +121,11 @@
         Returns the instances that choose replicas.
     quarantine : Quarantine
         What all instances know of crashes.
-    backoffs : BackoffBook
-        The replicas that have asked this instance for a backoff; `adapter` keeps to it, too.
+    pacing : PacingBook
+        What the replicas ask of who sends to them; `adapter` keeps to it, too.
+    admit : callable
+        Waits for a request's turn at a replica with a limit, by its address, for as many
+        seconds at the most.
     """
 
     zone: str
@@ -138,4 +146,5 @@
     ask_coordinator: AskCoordinator = decide_here
     deciders: Callable[[], Deciders] = lambda: Deciders("", ("",))
     quarantine: Quarantine = field(default_factory=lambda: Quarantine(Random()))
-    backoffs: BackoffBook = field(default_factory=lambda: BackoffBook(Random()))
+    pacing: PacingBook = field(default_factory=lambda: PacingBook(Random()))
+    admit: Callable[[str, float], Awaitable[None]] = admit_at_once
--- a/reachlink/requests/_patience.py
+++ b/reachlink/requests/_patience.py
@@ -7,11 +7,11 @@
 WAIT_SHARE = 0.22
 # How often it looks for room meanwhile, in seconds.
 WAIT_STEP_S = 0.02
-# The same where all its replicas are in backoff or come back from it: up to there it may
+# The same where its replicas are all held back by what they have asked for: up to there it may
 # still be answered in time, as what it waits for is known and short. Beyond, who is told
 # the exact time at once may meet another instance, which was not asked for a backoff.
 BACKOFF_WAIT_SHARE = 0.5
-# How often such a one looks for a replica not in backoff, in seconds.
+# How often such a one looks for a replica that is not, in seconds.
 BACKOFF_LOOK_S = 0.1
 
 
@@ -20,7 +20,13 @@
     return now < request.arrived_at + request.route.objective_s * WAIT_SHARE
 
 
-def pause_before_look(request: CallerRequest, now: float, backoff_s: float | None) -> float | None:
+def turn_patience_s(request: CallerRequest, now: float) -> float:
+    """Return how long a request may wait for its turn at a replica, in seconds; 0 for not."""
+    until = request.arrived_at + request.route.objective_s * BACKOFF_WAIT_SHARE
+    return max(0.0, until - now)
+
+
+def pause_before_look(request: CallerRequest, now: float, held_s: float | None) -> float | None:
     """Return when a request should look for a replica again; None for it not to.
 
     Parameters
@@ -29,8 +35,8 @@
         The request.
     now : float
         Monotonic time in seconds.
-    backoff_s : float, optional
-        Time until the first of its replicas is out of backoff, in seconds; None where
+    held_s : float, optional
+        Time until the first of its replicas may get something, in seconds; None where
         that is not what keeps it waiting.
 
     Returns
@@ -38,9 +44,8 @@
     float or None
         Pause in seconds.
     """
-    if backoff_s is None:
+    if held_s is None:
         return WAIT_STEP_S if may_wait_for_room(request, now) else None
-    until = request.arrived_at + request.route.objective_s * BACKOFF_WAIT_SHARE
-    if now + backoff_s >= until:
+    if held_s >= turn_patience_s(request, now):
         return None
-    return max(WAIT_STEP_S, min(backoff_s, BACKOFF_LOOK_S))
+    return max(WAIT_STEP_S, min(held_s, BACKOFF_LOOK_S))
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -6,6 +6,7 @@
 
 from msgspec import structs
 
+from reachlink.pacing import Hold, HoldReason
 from reachlink.placement import allowances
 from reachlink.quarantine import fingerprint_text
 from reachlink.requests._book import Flight, ReplicaState
@@ -15,12 +16,16 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._obstacles import Obstacle
 from reachlink.requests._parts import RunnerParts
-from reachlink.requests._patience import may_wait_for_room, pause_before_look
+from reachlink.requests._patience import (
+    may_wait_for_room,
+    pause_before_look,
+    turn_patience_s,
+)
 from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
 from reachlink.requests._stake_order import gives_way, rank
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
-from reachlink.upstreams import Replica
+from reachlink.upstreams import Replica, UpstreamHeldBackError
 
 # How long a zone is left alone after one of its replicas could not be reached,
 # in seconds: a cut costs each request at most one vain attempt.
@@ -75,7 +80,11 @@
         return self._parts.directory.may_get_work(replica.name)
 
     async def place(
-        self, request: CallerRequest, tried: set[str], calm_only: bool = False
+        self,
+        request: CallerRequest,
+        tried: set[str],
+        calm_only: bool = False,
+        within_s: float = 0.0,
     ) -> Replica | None:
         """Return the replica that a request should go to, or None where there is none.
 
@@ -89,8 +98,10 @@
             Whether it must not go where it would hold up a generation that is about
             to go on there. Prompts sent in the 0.4 s before made 32 in 100 of these
             (of 69) pause beyond their route's goal, 4 in 100 (of 113) without.
+        within_s : float
+            How long it may wait for its turn at a replica with a limit, in seconds.
         """
-        excluded = tried | self._not_admitted(request.service)
+        excluded = tried | self._not_admitted(request.service, within_s)
         question = self.question(request, excluded, calm_only)
         answer = await self._ask(request.service, question)
         return self.decide(request.service, question) if answer is None else self._named(answer)
@@ -222,23 +233,53 @@
     async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
         """Return the replica that a request should go to, after a short wait for room."""
         parts = self._parts
+        request.relay.admitted = False
         while True:
             calm_only = may_wait_for_room(request, parts.clock())
+            hold = self.hold(request, tried)
             replica = await self.place(request, tried, calm_only)
+            if replica is None and hold is not None and hold.reason is HoldReason.LIMIT:
+                replica = await self._place_in_turn(request, tried, calm_only, hold.left_s)
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
             pause_s = None
             if self.obstacle(request) is None:
-                backoff_s = self.backoff_left_s(request, tried)
-                pause_s = pause_before_look(request, parts.clock(), backoff_s)
+                # One that has just become free is looked at again.
+                hold = self.hold(request, tried) or hold
+                held_s = hold.left_s if hold is not None else None
+                pause_s = pause_before_look(request, parts.clock(), held_s)
             if pause_s is None:
                 self._log_no_room(request, tried)
                 return None
             await asyncio.sleep(pause_s)
 
-    def backoff_left_s(self, request: CallerRequest, tried: Set[str]) -> float | None:
-        """Return when the first of the replicas that may get a request is out of backoff.
+    async def _place_in_turn(
+        self, request: CallerRequest, tried: set[str], calm_only: bool, left_s: float
+    ) -> Replica | None:
+        """Return the replica with a limit that has a turn for a request first, after the wait.
+
+        All replicas are held back, and the first may get something in `left_s` seconds. The
+        turn is taken before the wait: who looked again only then would find that others had
+        come first, and callers would be served by chance in place of in their order.
+        """
+        parts = self._parts
+        patience_s = turn_patience_s(request, parts.clock())
+        if left_s >= patience_s:
+            return None
+        replica = await self.place(request, tried, calm_only, left_s)
+        if replica is None:
+            return None
+        try:
+            await parts.admit(replica.address, patience_s)
+        except UpstreamHeldBackError:
+            # Others have taken the turns before its patience ends; the next look knows.
+            return None
+        request.relay.admitted = True
+        return replica
+
+    def hold(self, request: CallerRequest, tried: Set[str]) -> Hold | None:
+        """Return why and until when the replicas that may get a request are held back.
 
         Parameters
         ----------
@@ -249,12 +290,11 @@
 
         Returns
         -------
-        float or None
-            Time until then, in seconds, 0 where one is coming back from it; None where
-            there is no replica or one not in backoff.
+        Hold or None
+            None where there is no replica or one that is used as usual.
         """
         parts = self._parts
-        if parts.backoffs.is_empty:
+        if parts.pacing.is_empty:
             return None
         now = parts.clock()
         zones = request.zones
@@ -263,19 +303,19 @@
             for replica in self._reachable(request.service.name, now)
             if replica.name not in tried and (zones is None or replica.availability_zone in zones)
         ]
-        return parts.backoffs.left_of_all_s(usable, now)
+        return parts.pacing.hold(usable, now)
 
-    def _not_admitted(self, service: Service) -> set[str]:
-        """Return the replicas of a service that are in backoff or get little yet after it.
+    def _not_admitted(self, service: Service, within_s: float = 0.0) -> set[str]:
+        """Return the replicas of a service that are held back by what they have asked for.
 
         Who asks a coordinator names them to it: it does not know whom a replica told.
         """
         parts = self._parts
-        if parts.backoffs.is_empty:
+        if parts.pacing.is_empty:
             return set()
         now = parts.clock()
         replicas = parts.directory.live(service.name)
-        return {r.name for r in replicas if not parts.backoffs.admits(r.address, now)}
+        return {r.name for r in replicas if not parts.pacing.admits(r.address, now, within_s)}
 
     def obstacle(self, request: CallerRequest) -> Obstacle | None:
         """Return why waiting for room is in vain, if it is: no replica may get the request."""
--- a/reachlink/requests/_shadow.py
+++ b/reachlink/requests/_shadow.py
@@ -10,8 +10,8 @@
     MoveResult,
     RelayAdapter,
     Replica,
-    UpstreamBackoffError,
     UpstreamError,
+    UpstreamHeldBackError,
 )
 
 # Pause between two copies, in seconds: each brings only what is new, and what
@@ -150,7 +150,7 @@
         """Order a move; None where the source is in backoff: it runs on."""
         try:
             return await self._adapter.move(self._source, self._request_id, self._target, False)
-        except UpstreamBackoffError as error:
+        except UpstreamHeldBackError as error:
             self._log.info(
                 "shadow_waits",
                 request_id=self._request_id,
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from reachlink.quarantine import HELD, HeldRequestError
-from reachlink.requests._attempts import Setback
+from reachlink.requests._attempts import Setback, held_back
 from reachlink.requests._dispatch import Dispatch, read_whole
 from reachlink.requests._generation_places import GenerationPlaces
 from reachlink.requests._joint import Joint
@@ -21,9 +21,9 @@
     MovedMemory,
     RelayAnswer,
     Replica,
-    UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
+    UpstreamHeldBackError,
     UpstreamUnreachableError,
 )
 
@@ -54,6 +54,8 @@
             setback = await _Stream(dispatch, request, sink).start(replica)
             if setback is None:
                 return
+            if setback is Setback.LIMITED:
+                tried.discard(replica.name)
             if not dispatch.may_retry(request, replica, setback, attempts):
                 break
         raise dispatch.failure(request, attempts)
@@ -102,8 +104,8 @@
     async def _run(self) -> Setback | None:
         try:
             answer = await self._open(self._places.home, None)
-        except UpstreamBackoffError:
-            return Setback.BACKOFF
+        except UpstreamHeldBackError as error:
+            return held_back(error)
         except UpstreamUnreachableError:
             return Setback.UNREACHABLE
         except UpstreamBrokenError:
@@ -130,10 +132,10 @@
     async def _go_on(self) -> bool:
         """Continue where the generation's memory is; return whether the stream ended."""
         options = await self._places.continuations()
-        options.sort(key=lambda option: self._dispatch.backoff_left_s(option[0]))
+        options.sort(key=lambda option: self._dispatch.held_left_s(option[0]))
         for target, memory in options:
-            if not await self._dispatch.wait_for_backoff(target):
-                self._log_stuck(target, "in backoff")
+            if not await self._dispatch.wait_for_turn(self._request, target):
+                self._log_stuck(target, "held back")
                 continue
             answer = await self._continue_at(target, memory)
             if answer is None:
@@ -216,7 +218,7 @@
             return await self._dispatch.open(
                 self._request, replica, continuation, self._places.backup
             )
-        except UpstreamBackoffError:
+        except UpstreamHeldBackError:
             raise
         except UpstreamUnreachableError:
             self._dispatch.unreachable(replica)
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -2,14 +2,14 @@
 
 import asyncio
 
-from reachlink.requests._attempts import AttemptLog, Setback
+from reachlink.requests._attempts import AttemptLog, Setback, held_back
 from reachlink.requests._dispatch import Dispatch, read_whole
 from reachlink.requests._model import AnswerSink, CallerRequest
 from reachlink.upstreams import (
     AnswerHead,
     Replica,
-    UpstreamBackoffError,
     UpstreamBrokenError,
+    UpstreamHeldBackError,
     UpstreamUnreachableError,
 )
 
@@ -50,6 +50,9 @@
                 if held[0].status < SERVER_ERROR or not request.route.may_repeat:
                     break
                 result = Setback.FAILED
+            if result is Setback.LIMITED:
+                # Others had the turn: it may get this request a moment later.
+                tried.discard(replica.name)
             if not self._dispatch.may_retry(request, replica, result, attempts):
                 break
         if held is not None:
@@ -72,8 +75,8 @@
                     answer.close()
                     return self._dispatch.refused(replica, answer.head)
                 body = await read_whole(answer)
-        except UpstreamBackoffError:
-            return Setback.BACKOFF
+        except UpstreamHeldBackError as error:
+            return held_back(error)
         except UpstreamUnreachableError:
             self._dispatch.unreachable(replica)
             return Setback.UNREACHABLE
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -7,6 +7,7 @@
 
 from reachlink.kernel import steady_time
 from reachlink.membership import InstanceState, ListedInstance, ReplicaDirectory
+from reachlink.pacing import PacingBook
 from reachlink.quarantine import Quarantine
 from reachlink.requests import (
     CallerRequest,
@@ -19,7 +20,6 @@
 from reachlink.routing import Backend, EngineLimits, RequestKind, Route, Service
 from reachlink.upstreams import (
     AnswerHead,
-    BackoffBook,
     Continuation,
     GenerationFacts,
     LoadReport,
@@ -213,7 +213,8 @@
         self.shared = SharedLoad()
         self.departures = Departures()
         self.quarantine = Quarantine(Random(1))
-        self.backoffs = BackoffBook(Random(1))
+        self.pacing = PacingBook(Random(1))
+        self.backoffs = self.pacing.backoffs
         parts = RunnerParts(
             "a",
             self.adapter,
@@ -224,7 +225,7 @@
             lambda request, code, duration: self.outcomes.append(code),
             departures=self.departures,
             quarantine=self.quarantine,
-            backoffs=self.backoffs,
+            pacing=self.pacing,
         )
         self.parts = parts
         self.runner = RequestRunner(parts)
--- a/reachlink/testing/_backoff_load.py
+++ b/reachlink/testing/_backoff_load.py
@@ -12,7 +12,7 @@
 from functools import partial
 from random import Random
 
-from reachlink.upstreams import BackoffBook
+from reachlink.pacing import BackoffBook
 
 LENGTH_S = 12.0
 # When some replicas begin to turn all calls away, and for how long, in seconds.
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -1,7 +1,6 @@
 """Adapters to what runs behind reachlink: model engines and plain services."""
 
 from reachlink.upstreams import _chat_engine, _plain_service  # noqa: F401  (register themselves)
-from reachlink.upstreams._backoffs import BackoffBook
 from reachlink.upstreams._base import (
     ADAPTERS,
     CacheChange,
@@ -41,6 +40,8 @@
     UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
+    UpstreamHeldBackError,
+    UpstreamLimitedError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
@@ -76,7 +77,6 @@
     "OrderStatus",
     "PromptDigest",
     "Replica",
-    "BackoffBook",
     "ServiceAdapter",
     "TokenEvent",
     "TokenStream",
@@ -84,6 +84,8 @@
     "UpstreamError",
     "UpstreamRefusedError",
     "UpstreamBackoffError",
+    "UpstreamHeldBackError",
+    "UpstreamLimitedError",
     "UpstreamUnreachableError",
     "digest_prompt",
     "look",
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
-from reachlink.upstreams._backoffs import BackoffBook
+from reachlink.pacing import BackoffBook
 from reachlink.upstreams.exceptions import UpstreamBackoffError
 
 # A replica that announces no idle time is taken to close connections after
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Iterator, Mapping
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
 from random import Random
 from typing import Any
@@ -13,13 +13,13 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
-from reachlink.pacing import LimitBook, read_limit
+from reachlink.pacing import LimitGate, LoneGate, PacingBook, Wish, read_limit
 from reachlink.telemetry import get_logger
-from reachlink.upstreams._backoffs import BackoffBook
 from reachlink.upstreams._connections import ReplicaConnector, address_of
 from reachlink.upstreams._retry_after import requested_backoff_s
 from reachlink.upstreams.exceptions import (
     UpstreamBrokenError,
+    UpstreamLimitedError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
@@ -28,6 +28,8 @@
 _NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
+# How long a small request waits for its turn at a replica with a limit, in seconds.
+CONTROL_PATIENCE_S = 0.5
 MAX_ERROR_BYTES = 64 << 10
 MAX_LINE_BYTES = 1 << 20
 # Most of an unreadable field that a log line shows, in characters.
@@ -67,10 +69,11 @@
 
     Attributes
     ----------
-    backoffs : BackoffBook
-        The replicas that have asked for a backoff, as all their answers here said.
-    limits : LimitBook
-        The replicas that have named how much they take from all together.
+    pacing : PacingBook
+        What the replicas ask of who sends to them, as all their answers here said.
+    gate : LimitGate
+        Hands out requests to replicas with a limit; the other instances count with this one
+        where it is theirs, too.
     limit_header : str
         Field of their answers in which they do.
     """
@@ -78,9 +81,11 @@
     def __init__(
         self, max_connections: int = 0, connect_timeout_s: float = CONNECT_TIMEOUT_S
     ) -> None:
-        self.backoffs = BackoffBook(Random())
-        self.limits = LimitBook()
+        self.pacing = PacingBook(Random())
+        self.gate: LimitGate = LoneGate(steady_time)
         self.limit_header = LIMIT_HEADER
+        # Called when a replica names another limit than before, or none any more.
+        self.on_limit: Callable[[], None] = lambda: None
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_s
         self._opened: aiohttp.ClientSession | None = None
@@ -90,7 +95,7 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._opened is None:
             connector = ReplicaConnector(
-                self.backoffs, limit=self._max_connections, ttl_dns_cache=None
+                self.pacing.backoffs, limit=self._max_connections, ttl_dns_cache=None
             )
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s)
             self._opened = aiohttp.ClientSession(
@@ -110,13 +115,14 @@
 
         Raises
         ------
-        UpstreamBackoffError
-            The upstream has asked for a backoff.
+        UpstreamHeldBackError
+            The upstream has asked for a backoff, or gets as much as it takes.
         UpstreamUnreachableError
             No connection could be made.
         UpstreamBrokenError
             The connection failed after the request was sent.
         """
+        await self.admit(address_of(URL(url)))
         sent_at = steady_time()
         with _upstream_errors():
             response = await self._session.request(
@@ -132,19 +138,28 @@
         return response
 
     async def relay(
-        self, method: str, url: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        url: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        admitted: bool = False,
     ) -> aiohttp.ClientResponse:
         """Send a request as it came, at most once, and return the response with its body unread.
 
+        With `admitted` it has had its turn already, as `admit` returned.
+
         Raises
         ------
-        UpstreamBackoffError
-            The upstream has asked for a backoff.
+        UpstreamHeldBackError
+            The upstream has asked for a backoff, or gets as much as it takes.
         UpstreamUnreachableError
             No connection could be made.
         UpstreamBrokenError
             The connection failed after the request was sent.
         """
+        if not admitted:
+            await self.admit(address_of(URL(url, encoded=True)))
         sent_at = steady_time()
         with _upstream_errors(ValueError):
             response = await self._session.request(
@@ -160,6 +175,42 @@
         self._note_limit(response, sent_at)
         return response
 
+    async def admit(self, address: str, patience_s: float = 0.0, spare: bool = False) -> None:
+        """Return when another request may be sent to a replica, as far as its limit goes.
+
+        Whatever is sent passes here: first tries, repeats, continuations, reports and
+        orders. All of it reaches the replica, which names a limit on the sum.
+
+        Parameters
+        ----------
+        address : str
+            The replica.
+        patience_s : float
+            Longest wait for the request's turn, in seconds.
+        spare : bool
+            Whether it gives way to all others.
+
+        Raises
+        ------
+        UpstreamLimitedError
+            The turn would come later; none was taken.
+        """
+        limits = self.pacing.limits
+        limit = limits.get(address)
+        if limit is None:
+            return
+        now = steady_time()
+        left_s = limits.left_s(address, now)
+        if left_s > patience_s and not limits.admits(address, now):
+            raise UpstreamLimitedError(left_s)
+        left_s = await self.gate.wait_s(address, limit, Wish(patience_s, spare))
+        if left_s <= patience_s:
+            await asyncio.sleep(left_s)
+            return
+        if not spare:
+            limits.close(address, left_s, steady_time())
+        raise UpstreamLimitedError(left_s)
+
     async def connect(self, address: str) -> None:
         """Connect to an address and close the connection.
 
@@ -178,9 +229,13 @@
 
     @asynccontextmanager
     async def control(
-        self, method: str, url: str, body: bytes | None = None
+        self, method: str, url: str, body: bytes | None = None, spare: bool = False
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Send a small request whose repetition does no harm."""
+        """Send a small request whose repetition does no harm.
+
+        With `spare` it gives way to all others where the upstream has named a limit.
+        """
+        await self.admit(address_of(URL(url)), 0.0 if spare else CONTROL_PATIENCE_S, spare)
         with _upstream_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 async with self._session.request(method, url, data=body) as response:
@@ -198,9 +253,9 @@
             self._log.info("backoff_unreadable", address=address, reason=reason)
             return
         if wait_s is None:
-            self.backoffs.note_answer(address, steady_time())
+            self.pacing.note_answer(address, steady_time())
             return
-        self.backoffs.ask(address, wait_s, steady_time())
+        self.pacing.backoffs.ask(address, wait_s, steady_time())
         self._log.info(
             "backoff_requested", address=address, status=response.status, wait_s=round(wait_s, 3)
         )
@@ -220,8 +275,10 @@
         text = response.headers.get(self.limit_header)
         if text is None:
             succeeded = response.status in _SUCCESS
-            if sent_at is not None and succeeded and self.limits.end(address, sent_at):
+            ends = sent_at is not None and succeeded
+            if ends and self.pacing.limits.end(address, sent_at or 0.0, steady_time()):
                 self._log.info("limit_ended", address=address)
+                self.on_limit()
             return
         try:
             per_s = read_limit(text)
@@ -229,8 +286,9 @@
             reason = str(error)[:SHOWN_TEXT]
             self._log.info("limit_unreadable", address=address, reason=reason)
             return
-        if self.limits.name(address, per_s, steady_time()):
+        if self.pacing.limits.name(address, per_s, steady_time()):
             self._log.info("limit_named", address=address, per_s=per_s)
+            self.on_limit()
 
 
 @contextmanager
--- a/reachlink/upstreams/_liveness.py
+++ b/reachlink/upstreams/_liveness.py
@@ -5,9 +5,9 @@
 from enum import Enum
 
 from reachlink.upstreams.exceptions import (
-    UpstreamBackoffError,
     UpstreamBrokenError,
     UpstreamError,
+    UpstreamHeldBackError,
     UpstreamUnreachableError,
 )
 
@@ -44,7 +44,7 @@
     except (UpstreamUnreachableError, UpstreamBrokenError) as error:
         silent = isinstance(error.__cause__, TimeoutError)
         return Liveness.SILENT if silent else Liveness.DOWN
-    except UpstreamBackoffError:
+    except UpstreamHeldBackError:
         # It was not asked.
         return Liveness.SILENT
     except UpstreamError:
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -104,6 +104,8 @@
         For model engines.
     fingerprint : int
         The same for requests that are the same but for their names; 0 for none.
+    admitted : bool
+        Whether it has had its turn at the replica, where that has named a limit.
     """
 
     request_id: str
@@ -115,6 +117,7 @@
     priority: int = 5
     generation: GenerationFacts | None = None
     fingerprint: int = 0
+    admitted: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -218,8 +221,9 @@
 
         Raises
         ------
-        UpstreamBackoffError
-            The replica has asked for a backoff; nothing was dispatched.
+        UpstreamHeldBackError
+            The replica has asked for a backoff, or gets as much as it takes; nothing was
+            dispatched.
         UpstreamUnreachableError
             Nothing was dispatched.
         UpstreamBrokenError
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -8,6 +8,8 @@
     "UpstreamError",
     "UpstreamRefusedError",
     "UpstreamBackoffError",
+    "UpstreamHeldBackError",
+    "UpstreamLimitedError",
     "UpstreamUnreachableError",
 ]
 
@@ -20,20 +22,28 @@
     """No connection could be made, so nothing was dispatched."""
 
 
-class UpstreamBackoffError(UpstreamError):
-    """The upstream has asked for a backoff, so nothing was sent.
+class UpstreamHeldBackError(UpstreamError):
+    """The upstream may get nothing now by what it has asked for, so nothing was sent.
 
     Parameters
     ----------
     left_s : float
-        Time until the backoff is over, in seconds.
+        Time until it may, in seconds.
     """
 
     def __init__(self, left_s: float) -> None:
-        super().__init__(f"the upstream is in backoff for another {left_s:.3f} s")
+        super().__init__(f"the upstream may get nothing for another {left_s:.3f} s")
         self.left_s = left_s
 
 
+class UpstreamBackoffError(UpstreamHeldBackError):
+    """The upstream has asked for a backoff."""
+
+
+class UpstreamLimitedError(UpstreamHeldBackError):
+    """The upstream gets as much from all together as it takes."""
+
+
 class UpstreamRefusedError(UpstreamError):
     """The upstream answered that it did not run the request.
 
--- a/reachlink/upstreams/tests/test_backoff_load.py
+++ b/reachlink/upstreams/tests/test_backoff_load.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from reachlink.pacing import BackoffBook
 from reachlink.testing._backoff_load import BackoffLoad, ExactBackoffs, ForgetBackoffs, play
-from reachlink.upstreams import BackoffBook
 
 LOAD = BackoffLoad(7, 3, 1)
 SEEDS = (0, 1)
