Ways to share a limit, in simulated time: each alone, parts, counted together, handed out

Cause: whether one instance a replica should hand out its limit, and how much each side of a cut may, was reasoned and tested for the bound only.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 ARGS ?=
 
-.PHONY: run test lint docs bench-memory bench-relay bench-settings bench-policy bench-start bench-decision bench-coordination bench-tables slopes explore capacity compare
+.PHONY: run test lint docs bench-memory bench-relay bench-settings bench-policy bench-start bench-decision bench-coordination bench-limits bench-tables slopes explore capacity compare
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -24,7 +24,7 @@
 docs: $(VENV)/.ready
 	$(VENV)/bin/sphinx-build -W -q -b html docs docs/_build
 
-bench-relay bench-settings bench-policy bench-memory bench-quarantine bench-start bench-decision bench-coordination bench-tables slopes: $(VENV)/.ready
+bench-relay bench-settings bench-policy bench-memory bench-quarantine bench-start bench-decision bench-coordination bench-limits bench-tables slopes: $(VENV)/.ready
 	$(PY) -m benchmarks.$(subst -,_,$@) $(ARGS)
 
 capacity: $(VENV)/.ready
