Comments say why a value is so, not how it came about

Cause: comments at constants told whether a value was chosen or tuned, and figures of single plays with how they were measured. No code changed.

--- a/reachlink/coordination/_member.py
+++ b/reachlink/coordination/_member.py
@@ -35,8 +35,7 @@
 BUSY_WAIT_S = 0.25
 IDLE_WAIT_S = 1.0
 # The same before the first picture of a coordinator, in seconds: an instance that
-# starts is not ready without the list of replicas. With the idle wait, instances
-# followed 1.1 s after they were otherwise ready, at the median (65, all restarted at once).
+# starts is not ready without the list of replicas.
 FIRST_WAIT_S = 0.01
 # How much longer such an answer may take, in seconds.
 WAIT_MARGIN_S = 0.3
@@ -45,8 +44,8 @@
 FASTEST_S = 0.03
 FOLLOW_S = 0.1
 # Time between two pictures of all replicas, in seconds; those between tell only of
-# replicas where this instance has something: 0.3 KB in place of 0.9 KB with 32 replicas
-# (make bench-coordination). Others are looked at only to ask in vain less often.
+# replicas where this instance has something, in a third of the bytes. Others are looked at
+# only to ask in vain less often.
 WHOLE_S = 0.9
 # A picture older than this says nothing any more, in seconds.
 PICTURE_KEPT_S = 2.5
--- a/reachlink/coordination/_quarantine_exchange.py
+++ b/reachlink/coordination/_quarantine_exchange.py
@@ -33,8 +33,8 @@
 # How long a start waits to learn what the others know, in seconds: where all start at
 # once, nobody answers yet.
 LEARN_S = 1.0
-# The same where there are only members, which come by themselves: beside load one came 0.6 s
-# after its coordinator had started, and was kept waiting for 1.0 s then.
+# The same where there are only members, which come by themselves, and late where the
+# machine is busy.
 LEARN_FROM_MEMBERS_S = 3.0
 
 
--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -18,8 +18,7 @@
     from reachlink.entry._node import EntryNode
 
 # Parts of the chat daemon by the module that has them. The relaying daemon does
-# without: they are loaded at their first use. That took the processor time to
-# load it from 1.85 to 1.54 s (least of six starts beside load).
+# without: they are loaded at their first use, which saves a sixth of its start.
 _CHAT_PARTS = {
     "EntryDaemon": "_daemon",
     "Digest": "_digests",
--- a/reachlink/entry/_answer_timeout.py
+++ b/reachlink/entry/_answer_timeout.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 # How much longer than asked for an answer may take before another is asked, in seconds:
-# a piece of 16 KiB takes 26 ms at 5 Mbit/s, a twentieth of it. Chosen, not tuned.
+# a piece of 16 KiB takes a twentieth of it at 5 Mbit/s.
 MARGIN_S = 0.5
 # The same at most, after questions that came to nothing, in seconds: a link on which a
 # piece takes longer than the margin would else never carry one. 16 KiB in 4 s are 33
@@ -15,10 +15,10 @@
 # in 1 s are 131 kbit/s.
 FIRST_MARGIN_MAX_S = 1.0
 # By how much the margin grows with each question that came to nothing: as that for
-# commands does. Chosen, not tuned.
+# commands does.
 MARGIN_GROWTH = 1.5
 # The margin for a piece in times of what the piece before it took: room for a link that
-# gets busier meanwhile. Chosen, not tuned.
+# gets busier meanwhile.
 PIECE_MARGIN = 3.0
 
 
--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -26,8 +26,7 @@
 # Pause before the next control instance is asked, in seconds.
 PAUSE_S = 0.2
 # The same before this instance is ready: where all have restarted, each should
-# ask soon after there is a leader. With 0.2 s, up to half of the instances had
-# their table 0.2 s after the others (logs of three restarts).
+# ask soon after there is a leader.
 START_PAUSE_S = 0.1
 # How long control instances are waited for before this zone's peers will do, in seconds.
 ZONE_PATIENCE_S = 3.0
--- a/reachlink/entry/_isolation.py
+++ b/reachlink/entry/_isolation.py
@@ -77,8 +77,8 @@
         """
         silent = self.silent_zones(now)
         # The roster may come from a control instance that is cut off as well and
-        # forgets those that no longer ask it: zones were seen taken for joined
-        # 2.5 s into a cut of 6.5 s. Only somebody that is heard ends a cut.
+        # forgets those that no longer ask it: zones would be taken for joined in the middle
+        # of a cut. Only somebody that is heard ends one.
         kept = {name: peer for name, peer in self._peers.items() if peer.zone in silent}
         for peer in peers:
             if peer.availability_zone != self._zone:
--- a/reachlink/entry/_peer_settings.py
+++ b/reachlink/entry/_peer_settings.py
@@ -17,7 +17,7 @@
 
 CHANNEL_SETTINGS = "settings"
 # How long a peer may take to answer, with one piece at most, in seconds: a piece of 16
-# KiB takes 26 ms at 5 Mbit/s. Chosen, not tuned.
+# KiB takes 26 ms at 5 Mbit/s.
 PEER_TIMEOUT_S = 1.0
 
 Take = Callable[[SettingsAnswer, Inbox], Awaitable[None]]
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -63,8 +63,7 @@
         Why the last one did.
     outcome : Outcome
         What is known of all of them. What has surely not run gets the status that
-        promises so: with 502 callers had to take it for run, 45 of 756 calls in a second
-        in which one of three replicas asked for a backoff (140 calls a second).
+        promises so: with 502 callers have to take it for run.
     hold : Hold, optional
         Until when all replicas are held back by what they have asked for, if so.
     """
--- a/reachlink/kernel/_slices.py
+++ b/reachlink/kernel/_slices.py
@@ -8,9 +8,8 @@
 
 T = TypeVar("T")
 
-# How long work goes on before others have their turn, in seconds: a fraction of the 30
-# to 55 ms between two events of a stream (replicas of one pool, from logs). Chosen, not
-# tuned.
+# How long work goes on before others have their turn, in seconds: a fraction of the time
+# between two events of a stream.
 SLICE_S = 0.002
 
 
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -372,9 +372,9 @@
     """Return whether only a new start takes back that an instance leaves.
 
     Where it does not say when it started, a list that has it again after one that had it
-    leave, or had it not, tells of a new start. A mark by its own word that ended after
-    30 s, as one by a closing connection does, sent it new requests in the life in which it
-    had said that it leaves (test_replicas_in_backoff).
+    leave, or had it not, tells of a new start. A mark by its own word must not end before,
+    as one by a closing connection does: it would get new requests in the life in which it
+    has said that it leaves (test_replicas_in_backoff).
     """
     if entry.marked is LeavingSource.REFUSAL:
         # Names of who refuses so are kept over starts: without their times nobody can tell.
--- a/reachlink/membership/_roster.py
+++ b/reachlink/membership/_roster.py
@@ -10,14 +10,12 @@
 # in seconds: instances ask again about once a second.
 ABSENT_S = 4.0
 # The same where the control instance that told of it is silent itself, in seconds:
-# longer than any cut seen. Its watchers are beyond the cut more likely than gone; if it
-# is gone, they ask another one within seconds. Without this, 4 s into a cut of 65
-# instances the 23 of the zone that was cut off made a fleet of their own, took the zones
-# for joined, and 113 of the day's 276 refusals came after that (logs of one day).
+# longer than most cuts. Its watchers are beyond the cut more likely than gone; if it is
+# gone, they ask another one within seconds. Without this the instances of a zone that is
+# cut off would make a fleet of their own, and take the zones for joined.
 TELLER_SILENT_KEPT_S = 30.0
 # How long who coordinates is not worked out anew, in seconds, while nobody new comes:
-# every watch asks, 55 a second of a control instance before 195 instances, and each
-# time takes 0.16 ms at that number (a loop of 1,000 beside load).
+# every watch asks, dozens a second of a control instance before some hundred instances.
 SUMMARY_KEPT_S = 0.25
 
 
--- a/reachlink/membership/_spreading.py
+++ b/reachlink/membership/_spreading.py
@@ -13,8 +13,7 @@
 from reachlink.settings import ROUTING_PATH, Change, SettingsTree
 
 REMEMBERED_DELTAS = 256
-# What is smaller goes with an answer as it is, in bytes: a change of one route takes 436
-# (``make bench-tables``).
+# What is smaller goes with an answer as it is, in bytes: a change of one route is.
 INLINE_BYTES = 1 << 10
 
 
--- a/reachlink/membership/_transfers.py
+++ b/reachlink/membership/_transfers.py
@@ -17,10 +17,9 @@
 PIECE_BYTES = 16 << 10
 # Contents that are kept for those who fetch them: each is what leads from one
 # revision to another, and instances differ by a few changes. Eight whole tables of
-# 10,000 routes are 1.8 MB (224 kB each, ``make bench-tables``).
+# 10,000 routes are some 2 MB.
 KEPT_CONTENTS = 8
-# Level 1 takes 1.7 ms for 0.35 MB and leaves 31 kB, level 6 takes 2.5 ms and leaves
-# 30 kB (1,440 routes, one run).
+# Higher levels hold the loop up for longer and leave hardly less.
 COMPRESSION = 1
 # Length of a content's name, in bytes: enough that no two share it by chance.
 NAME_BYTES = 16
--- a/reachlink/placement/_health.py
+++ b/reachlink/placement/_health.py
@@ -7,9 +7,8 @@
 
 FAILURES_TO_EJECT = 2
 # What an answer counts that says that the request failed: it may be the request's
-# fault. Of a quiet day's answers 3 in 100 are such (25 of 832; the traces that were read
-# show both attempts of one request fail, at two replicas), so that two in a row at one replica come
-# once in 1,100 requests; three, or two while it recovers, are its fault more likely.
+# fault, as some in a hundred are, so that two in a row at one replica come by chance;
+# three, or two while it recovers, are its fault more likely.
 ANSWERED_FAILURE = 0.67
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 30.0
--- a/reachlink/quarantine/_crash_watch.py
+++ b/reachlink/quarantine/_crash_watch.py
@@ -11,7 +11,7 @@
 from reachlink.upstreams import Liveness, Replica, look_again
 
 # How long after a connection ended its replica may prove to have started again, in
-# seconds: replicas that crashed came back 3.1 to 3.5 s later, and an instance that stood
+# seconds: longer than replicas take to come back after a crash, and an instance that stood
 # still meanwhile finds them up.
 UNDECIDED_S = 5.0
 
--- a/reachlink/requests/_choice.py
+++ b/reachlink/requests/_choice.py
@@ -50,9 +50,8 @@
 # Requests need less than they are promised until they end, so that more than
 # the whole may be promised. Another zone may be cut off at any moment.
 # Where a replica of the own zone would begin in time all the same, it is taken: at 0.9
-# with 3,000 tokens to be read before, some 0.4 s of an objective of 1.5 s and more
-# (worked out at 14 tokens a ms, with a prompt of 3,000 of its own). Of 915 and 934
-# requests 26 and 32 in 100 ran in another zone without this, 15 with it (one day's logs).
+# with two usual prompts to be read before. A quarter and more of the requests would run in
+# another zone else.
 REQUEST = Terms(full=1.05, far=0.25, measure=Measure.PROMISED, near_enough=0.9)
 # A copy takes only what nobody else uses, and gives it back. To another zone
 # it takes twice as long. One at a time, so that no rescue waits behind many.
--- a/reachlink/requests/_departures.py
+++ b/reachlink/requests/_departures.py
@@ -7,8 +7,7 @@
 
 from dataclasses import dataclass
 
-# Expected length of a notice before one was seen, in seconds: the middle of the
-# 1.5 to 2.1 s seen on the users' platform.
+# Expected length of a notice before there was one, in seconds.
 NOTICE_S = 1.8
 # Expected age of a report when it is read, before it was learned, in seconds.
 REPORT_AGE_S = 0.5
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -212,9 +212,8 @@
         """Return what it means that a replica did not run a request, and note it."""
         if not head.misdirected:
             return Setback.NOT_RUN
-        # Ten replicas came back under other names after two seconds: 40 of 943 chats and
-        # 38 of 1,802 checks were refused in the next two, sent one after the other to the
-        # names before, which the list still had (61 instances, one day's logs).
+        # Replicas come back under other names while the list still has those before: one
+        # request after the other would be sent to these, and refused.
         if self._parts.directory.mark_gone(replica.name, self._parts.clock()):
             self._log.info("upstream_gone", replica=replica.name)
             self._parts.on_gone(replica.name)
--- a/reachlink/requests/_generation_places.py
+++ b/reachlink/requests/_generation_places.py
@@ -26,9 +26,8 @@
 # one ends within two seconds, so that it is seldom hit.
 COPY_FROM_TOKENS = 200
 # Most output that may come yet from which on a generation is copied when its replica
-# leaves, in tokens: a shorter one ends first. Not the expected output: of 22
-# generations that were lost with their replicas 10 were never copied, likely taken for
-# nearly done by a wrong guess (65 instances, one day's logs).
+# leaves, in tokens: a shorter one ends first. Not the expected output: by a wrong guess
+# generations would be taken for nearly done, and lost with their replicas.
 RESCUE_FROM_TOKENS = 100
 # How much later than its home the target of a copy has to leave to be of use, in
 # seconds: what the generation needs to be copied away from there.
@@ -129,9 +128,8 @@
     def note_progress(self) -> None:
         """Note how much memory the generation takes by now, and will at its end.
 
-        One that outlives its guess is counted with what is expected to come yet: at full
-        engines 0.089 of all chats were preempted without this, 0.005 with it, 0.083 and
-        0.102 refused, 0.831 and 0.850 whole without a pause (test_promise_load).
+        One that outlives its guess is counted with what is expected to come yet: full
+        engines would preempt others for it else (test_promise_load).
         """
         outlook = self._outlook()
         for place in (self._home, self._backup, self._shadow_place):
@@ -238,9 +236,8 @@
     def _leaves_with_home(self, target: Replica) -> bool:
         """Return whether a target is gone as soon as the home, with time for another copy.
 
-        Several replicas may get their notice at once: 5 of 22 generations that were lost
-        with their replicas had a copy at one that left at the same moment (65 instances,
-        one day's logs).
+        Several replicas may get their notice at once, and a generation be lost with its home
+        and its copy.
         """
         if self._placing.stays(target):
             return False
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -33,11 +33,10 @@
 # How long a prompt holds up what joins after it, in seconds: the reading of 5,000
 # tokens at the 14 a millisecond of the users' engines, two usual prompts.
 READING_S = 0.35
-# How long after a replica's notice its generations go first, in seconds: the
-# longest notice seen is 2.1 s.
+# How long after a replica's notice its generations go first, in seconds: about as long as
+# notices are.
 EVACUATION_S = 2.0
-# Replicas that a log line tells of at the most: 0.5 KB in place of 2 KB with 32, worked
-# out at 60 B each.
+# Replicas that a log line tells of at the most: some 60 B each.
 SHOWN = 8
 # How long a coordinator is told of a replica that was found here to leave, in
 # seconds: longer than any of its readings of the list and of reports takes to come.
@@ -96,8 +95,7 @@
             Replicas that it must not go to.
         calm_only : bool
             Whether it must not go where it would hold up a generation that is about
-            to go on there. Prompts sent in the 0.4 s before made 32 in 100 of these
-            (of 69) pause beyond their route's goal, 4 in 100 (of 113) without.
+            to go on there, whose caller would see the pause.
         within_s : float
             How long it may wait for its turn at a replica with a limit, in seconds.
         """
@@ -357,10 +355,7 @@
         self._cut_off = {zone: until for zone, until in self._cut_off.items() if until > now}
         if self._parts.cut_off():
             return [r for r in live if self.is_near(r)]
-        # A request on a kept connection across a cut is lost with its caller's
-        # patience: of 1,515 long answers, 17 were left so without this and 12 with
-        # it, 11 and 8 broke before their first event (15 days of the job boards'
-        # traffic, each played before and after).
+        # A request on a kept connection across a cut is lost with its caller's patience.
         away = self._cut_off.keys() | self._parts.silent_zones()
         return [r for r in live if r.availability_zone not in away]
 
--- a/reachlink/requests/_shared_load.py
+++ b/reachlink/requests/_shared_load.py
@@ -68,8 +68,8 @@
         # Which instances have requests at a replica: a sum over some ten of them in
         # place of all that tell.
         self._present: dict[str, set[str]] = {}
-        # Sums over all instances: a decision asks for each of 142 replicas. 3.1 to 3.7 ms
-        # where each sum was made anew, 1.5 to 1.9 ms so (make bench-decision, beside load).
+        # Sums over all instances: a decision asks for each of some hundred replicas, and takes
+        # half as long as where each sum is made anew.
         self._sums: dict[str, _Sum] = {}
         # Kept longer than what was told, to know for how long an instance is silent.
         self._heard: dict[str, float] = {}
--- a/reachlink/routing/_formats.py
+++ b/reachlink/routing/_formats.py
@@ -18,7 +18,7 @@
 )
 from reachlink.routing.exceptions import InvalidTableError
 
-# Routes that are read in one step: 0.6 ms at most (6 us each, 10,000 routes, one run).
+# Routes that are read in one step, less than a millisecond's work.
 ROUTES_READ_A_STEP = 100
 
 
--- a/reachlink/routing/_index.py
+++ b/reachlink/routing/_index.py
@@ -5,7 +5,7 @@
 
 from reachlink.routing._table import Route, RoutingTable, Service, Workspace
 
-# Routes that are indexed in one step: 0.5 ms (1 us each, 10,000 routes, one run).
+# Routes that are indexed in one step, less than a millisecond's work.
 ROUTES_INDEXED_A_STEP = 500
 
 
@@ -110,10 +110,8 @@
         """Return how urgent a request is among all of this table; 0 is the most urgent.
 
         The workspace's priority decides; among requests of equal workspace
-        priority the route's does. With the workspace's alone, engines read
-        prompts of all routes in order of arrival: 41 of 1,515 long answers began
-        beyond their objective, 21 with both (15 days of the job boards' traffic,
-        each played before and after).
+        priority the route's does. With the workspace's alone, engines would read
+        prompts of all routes in order of arrival, and the urgent ones too late.
 
         Parameters
         ----------
