--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 ARGS ?=
 
-.PHONY: run test lint docs bench-memory bench-relay bench-settings bench-policy bench-start bench-decision bench-coordination bench-limits bench-tables slopes explore capacity compare
+.PHONY: run test lint docs bench-memory bench-relay bench-settings bench-policy bench-start bench-decision bench-coordination bench-limits bench-tables slopes explore capacity compare soak
 
 $(VENV)/.ready: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -36,3 +36,6 @@
 
 compare: $(VENV)/.ready
 	PYTHONPATH=platform $(PY) -m reachlink_platform._comparison $(ARGS)
+
+soak: $(VENV)/.ready
+	$(PY) -m reachlink.testing.soak $(ARGS)
