--- a/reachlink/testing/soak.py
+++ b/reachlink/testing/soak.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -122,7 +123,8 @@
         self._random = Random(seed)
         self._account = _Account()
         self._entries = [plan.name for plan in fleet.layout.entries]
-        self._faults_end = 0.0
+        # How often each process was launched.
+        self._launches = Counter(plan.name for plan in fleet.layout.processes)
         self._ended = asyncio.Event()
 
     async def run(self) -> SoakResult:
@@ -130,7 +132,6 @@
         callers = [asyncio.create_task(work) for work in self._callers()]
         looker = asyncio.create_task(self._look())
         await self._bring_faults()
-        self._faults_end = time.monotonic()
         await self._fleet.restore()
         await asyncio.sleep(SETTLED_S)
         self._ended.set()
@@ -173,10 +174,18 @@
 
     def _start(self, process: str) -> None:
         self._account.settings.start_again(process)
+        self._launches[process] += 1
         self._fleet.launch(process)
 
+    def _has_started(self, process: str) -> bool:
+        """Return whether a process has said that it listens, since it was launched last."""
+        log = self._fleet.folder / "logs" / f"{process}.log"
+        return log.read_text().count("event=entry_started") >= self._launches[process]
+
     async def _drain(self, process: str) -> None:
         """Stop an instance as planned: what runs there is finished, whatever else fails."""
+        # While it loads it listens to nobody yet: the signal just ends it, and cuts nothing.
+        had_started = self._has_started(process)
         self._fleet.signal(process, signal.SIGTERM)
         try:
             code = await self._fleet.exit_code(process, DRAIN_S)
@@ -184,7 +193,7 @@
             self._account.drains.append(f"{process} did not end in {DRAIN_S} s")
             await self._fleet.kill(process)
         else:
-            if code:
+            if code and (had_started or code != -signal.SIGTERM):
                 self._account.drains.append(f"{process} ended with {code} after a planned stop")
         self._start(process)
 
