A replica that was found to leave while a request waited for its turn gets nothing

Cause: by reading: a request that is given a turn waits up to half of its objective, and was then sent without another look at whether the replica stays.

--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -273,6 +273,9 @@
         except UpstreamHeldBackError:
             # Others have taken the turns before its patience ends; the next look knows.
             return None
+        if not self.takes_work(replica):
+            # It has been found to leave during the wait.
+            return None
         request.relay.admitted = True
         return replica
 
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -136,6 +136,8 @@
     moves: list[tuple[str, str, bool]] = field(default_factory=list)
     released: list[MovedMemory] = field(default_factory=list)
     touched: list[str] = field(default_factory=list)
+    # Whether each request had its turn already as it was sent.
+    admitted: list[bool] = field(default_factory=list)
     # Replicas whose port is closed.
     down: set[str] = field(default_factory=set)
     move_result: MoveResult = field(default_factory=MoveResult)
@@ -153,6 +155,7 @@
             replica.name, request.request_id, left_s, continuation, backup.name if backup else ""
         )
         self.sent.append(sent)
+        self.admitted.append(request.admitted)
         scripts = self.scripts[replica.name]
         script = scripts.pop(0) if len(scripts) > 1 else scripts[0]
         return await script(sent)
