Placing for requests that may wait has a module of its own

Cause: requests/_placing had grown to 449 lines with two jobs: which replica, of what is known now, and how long to look. Change: the second is TimelyPlacing; code moved, none changed.

--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -14,6 +14,7 @@
 from reachlink.requests._obstacles import ELSEWHERE_AFTER_S
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placing import Placing, need_tokens
+from reachlink.requests._timely_placing import TimelyPlacing
 from reachlink.requests.exceptions import RequestFailedError
 from reachlink.routing import Service
 from reachlink.telemetry import get_logger
@@ -53,6 +54,7 @@
         self._parts = parts
         self._budgets: dict[str, RetryBudget] = {}
         self._placing = Placing(parts)
+        self._timely = TimelyPlacing(parts, self._placing)
         self._guard = CrashGuard(parts.quarantine, self._touch, parts.clock)
         self._log: Any = get_logger()
 
@@ -61,6 +63,10 @@
         """Chooses replicas."""
         return self._placing
 
+    async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
+        """Return the replica that a request should go to, after a short wait if need be."""
+        return await self._timely.place_or_wait(request, tried)
+
     @property
     def guard(self) -> CrashGuard:
         """Keeps requests under which replicas crash away from replicas."""
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -1,14 +1,11 @@
 """Which replica a request goes to, out of what this instance knows of all of them."""
 
-import asyncio
 from collections.abc import Set
-from typing import Any
 
 from msgspec import structs
 
-from reachlink.pacing import Hold, HoldReason
+from reachlink.pacing import Hold
 from reachlink.placement import allowances
-from reachlink.quarantine import fingerprint_text
 from reachlink.requests._book import Flight, ReplicaState
 from reachlink.requests._choice import Option, choose, is_calm
 from reachlink.requests._cold_replicas import ColdReplicas
@@ -16,16 +13,10 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._obstacles import Obstacle
 from reachlink.requests._parts import RunnerParts
-from reachlink.requests._patience import (
-    may_wait_for_room,
-    pause_before_look,
-    turn_patience_s,
-)
 from reachlink.requests._place_question import PlaceAnswer, PlaceQuestion, Purpose
 from reachlink.requests._stake_order import gives_way, rank
 from reachlink.routing import Service
-from reachlink.telemetry import get_logger
-from reachlink.upstreams import Replica, UpstreamHeldBackError
+from reachlink.upstreams import Replica
 
 # How long a zone is left alone after one of its replicas could not be reached,
 # in seconds: a cut costs each request at most one vain attempt.
@@ -56,7 +47,6 @@
         self._parts = parts
         self._cut_off: dict[str, float] = {}
         self._cold = ColdReplicas(parts)
-        self._log: Any = get_logger()
 
     def is_near(self, replica: Replica) -> bool:
         """Return whether a replica is in this instance's zone."""
@@ -228,57 +218,6 @@
         own = parts.book.state(replica.name).own_uncovered
         return rank(flight.note, [*own, *others.uncovered])
 
-    async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
-        """Return the replica that a request should go to, after a short wait for room."""
-        parts = self._parts
-        request.relay.admitted = False
-        while True:
-            calm_only = may_wait_for_room(request, parts.clock())
-            hold = self.hold(request, tried)
-            replica = await self.place(request, tried, calm_only)
-            if replica is None and hold is not None and hold.reason is HoldReason.LIMIT:
-                replica = await self._place_in_turn(request, tried, calm_only, hold.left_s)
-            if replica is not None:
-                self._log_placed(request, replica)
-                return replica
-            pause_s = None
-            if self.obstacle(request) is None:
-                # One that has just become free is looked at again.
-                hold = self.hold(request, tried) or hold
-                held_s = hold.left_s if hold is not None else None
-                pause_s = pause_before_look(request, parts.clock(), held_s)
-            if pause_s is None:
-                self._log_no_room(request, tried)
-                return None
-            await asyncio.sleep(pause_s)
-
-    async def _place_in_turn(
-        self, request: CallerRequest, tried: set[str], calm_only: bool, left_s: float
-    ) -> Replica | None:
-        """Return the replica with a limit that has a turn for a request first, after the wait.
-
-        All replicas are held back, and the first may get something in `left_s` seconds. The
-        turn is taken before the wait: who looked again only then would find that others had
-        come first, and callers would be served by chance in place of in their order.
-        """
-        parts = self._parts
-        patience_s = turn_patience_s(request, parts.clock())
-        if left_s >= patience_s:
-            return None
-        replica = await self.place(request, tried, calm_only, left_s)
-        if replica is None:
-            return None
-        try:
-            await parts.admit(replica.address, patience_s)
-        except UpstreamHeldBackError:
-            # Others have taken the turns before its patience ends; the next look knows.
-            return None
-        if not self.takes_work(replica):
-            # It has been found to leave during the wait.
-            return None
-        request.relay.admitted = True
-        return replica
-
     def hold(self, request: CallerRequest, tried: Set[str]) -> Hold | None:
         """Return why and until when the replicas that may get a request are held back.
 
@@ -411,30 +350,6 @@
         )
         return shown if len(options) <= SHOWN else f"{shown} and {len(options) - SHOWN} more"
 
-    def _log_placed(self, request: CallerRequest, replica: Replica) -> None:
-        if request.service.engine is None:
-            return
-        self._log.info(
-            "generation_placed",
-            request_id=request.request_id,
-            fingerprint=fingerprint_text(request.relay.fingerprint),
-            replica=replica.name,
-            near=self.is_near(replica),
-            need_tokens=need_tokens(request),
-            waited_ms=round((self._parts.clock() - request.arrived_at) * 1000.0),
-            priority=request.relay.priority,
-            replicas=self.shown(request.service, set()),
-        )
-
-    def _log_no_room(self, request: CallerRequest, tried: set[str]) -> None:
-        self._log.info(
-            "no_room",
-            request_id=request.request_id,
-            need_tokens=need_tokens(request),
-            tried=len(tried),
-            replicas=self.shown(request.service, tried),
-        )
-
 
 def need_tokens(request: CallerRequest) -> int:
     """Return the memory that a generation will likely need at its end, in tokens."""
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -49,7 +49,7 @@
         dispatch = self._dispatch
         attempts = dispatch.begin(request)
         tried: set[str] = set()
-        while (replica := await dispatch.placing.place_or_wait(request, tried)) is not None:
+        while (replica := await dispatch.place_or_wait(request, tried)) is not None:
             tried.add(replica.name)
             setback = await _Stream(dispatch, request, sink).start(replica)
             if setback is None:
--- /dev/null
+++ b/reachlink/requests/_timely_placing.py
@@ -0,0 +1,109 @@
+"""Choosing a replica for a request in the time that it has: it may wait for room, or a turn."""
+
+import asyncio
+from typing import Any
+
+from reachlink.pacing import HoldReason
+from reachlink.quarantine import fingerprint_text
+from reachlink.requests._model import CallerRequest
+from reachlink.requests._parts import RunnerParts
+from reachlink.requests._patience import (
+    may_wait_for_room,
+    pause_before_look,
+    turn_patience_s,
+)
+from reachlink.requests._placing import Placing, need_tokens
+from reachlink.telemetry import get_logger
+from reachlink.upstreams import Replica, UpstreamHeldBackError
+
+
+class TimelyPlacing:
+    """Chooses replicas for requests that may wait a little.
+
+    Parameters
+    ----------
+    parts : RunnerParts
+        What it works with.
+    placing : Placing
+        Chooses out of what is known at a moment.
+    """
+
+    def __init__(self, parts: RunnerParts, placing: Placing) -> None:
+        self._parts = parts
+        self._placing = placing
+        self._log: Any = get_logger()
+
+    async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
+        """Return the replica that a request should go to, after a short wait for room."""
+        parts = self._parts
+        request.relay.admitted = False
+        while True:
+            calm_only = may_wait_for_room(request, parts.clock())
+            hold = self._placing.hold(request, tried)
+            replica = await self._placing.place(request, tried, calm_only)
+            if replica is None and hold is not None and hold.reason is HoldReason.LIMIT:
+                replica = await self._place_in_turn(request, tried, calm_only, hold.left_s)
+            if replica is not None:
+                self._log_placed(request, replica)
+                return replica
+            pause_s = None
+            if self._placing.obstacle(request) is None:
+                # One that has just become free is looked at again.
+                hold = self._placing.hold(request, tried) or hold
+                held_s = hold.left_s if hold is not None else None
+                pause_s = pause_before_look(request, parts.clock(), held_s)
+            if pause_s is None:
+                self._log_no_room(request, tried)
+                return None
+            await asyncio.sleep(pause_s)
+
+    async def _place_in_turn(
+        self, request: CallerRequest, tried: set[str], calm_only: bool, left_s: float
+    ) -> Replica | None:
+        """Return the replica with a limit that has a turn for a request first, after the wait.
+
+        All replicas are held back, and the first may get something in `left_s` seconds. The
+        turn is taken before the wait: who looked again only then would find that others had
+        come first, and callers would be served by chance in place of in their order.
+        """
+        parts = self._parts
+        patience_s = turn_patience_s(request, parts.clock())
+        if left_s >= patience_s:
+            return None
+        replica = await self._placing.place(request, tried, calm_only, left_s)
+        if replica is None:
+            return None
+        try:
+            await parts.admit(replica.address, patience_s)
+        except UpstreamHeldBackError:
+            # Others have taken the turns before its patience ends; the next look knows.
+            return None
+        if not self._placing.takes_work(replica):
+            # It has been found to leave during the wait.
+            return None
+        request.relay.admitted = True
+        return replica
+
+    def _log_placed(self, request: CallerRequest, replica: Replica) -> None:
+        if request.service.engine is None:
+            return
+        self._log.info(
+            "generation_placed",
+            request_id=request.request_id,
+            fingerprint=fingerprint_text(request.relay.fingerprint),
+            replica=replica.name,
+            near=self._placing.is_near(replica),
+            need_tokens=need_tokens(request),
+            waited_ms=round((self._parts.clock() - request.arrived_at) * 1000.0),
+            priority=request.relay.priority,
+            replicas=self._placing.shown(request.service, set()),
+        )
+
+    def _log_no_room(self, request: CallerRequest, tried: set[str]) -> None:
+        self._log.info(
+            "no_room",
+            request_id=request.request_id,
+            need_tokens=need_tokens(request),
+            tried=len(tried),
+            replicas=self._placing.shown(request.service, tried),
+        )
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -37,7 +37,7 @@
         attempts = self._dispatch.begin(request)
         tried: set[str] = set()
         held: tuple[AnswerHead, bytes] | None = None
-        while (replica := await self._dispatch.placing.place_or_wait(request, tried)) is not None:
+        while (replica := await self._dispatch.place_or_wait(request, tried)) is not None:
             tried.add(replica.name)
             flight = self._dispatch.add_flight(request, replica)
             try:
