Limits in the field's words: permits, owner, grant, acquire

Cause: turns that are handed out, a wish and what is spare were words of our own. Change: names and text: permits are granted by a limit's owner and acquired; small reads are background requests; the metric is reachlink_limit_permits.

--- a/reachlink/coordination/_limit_exchange.py
+++ b/reachlink/coordination/_limit_exchange.py
@@ -1,4 +1,4 @@
-"""How the instances hand out together what a replica takes from all of them."""
+"""How the instances grant together what a replica takes from all of them."""
 
 from collections.abc import Callable, Iterable
 from random import Random
@@ -17,7 +17,7 @@
     LimitQuestion,
     LimitSharing,
     NamedLimit,
-    Wish,
+    PermitRequest,
 )
 from reachlink.telemetry import get_logger
 
@@ -34,7 +34,7 @@
 
 
 class LimitExchange(LimitGate):
-    """Asks who hands out a replica's limit, answers where this instance does, and tells limits.
+    """Asks who owns a replica's limit, answers where this instance does, and tells limits.
 
     Parameters
     ----------
@@ -76,32 +76,32 @@
         self._clock = clock
         self._addresses: dict[str, str] = {}
         self._avoided_until: dict[str, float] = {}
-        # Which part of limits this instance handed out last.
+        # Which part of limits this instance granted last.
         self._share = 0.0
         bus.handle(CHANNEL_LIMIT, self._on_question)
         self._log: Any = get_logger()
 
     def take_roster(self, owners: Iterable[InstanceRecord], instances: int) -> None:
-        """Take who may hand out limits, and how many instances there are."""
+        """Take who may own limits, and how many instances there are."""
         self._addresses = {record.name: record.address for record in owners}
         self._avoided_until.clear()
         self._sharing.take_roster(self._addresses, instances, self._clock())
 
-    async def wait_s(self, address: str, limit: NamedLimit, wish: Wish) -> float:
+    async def acquire(self, address: str, limit: NamedLimit, asked: PermitRequest) -> float:
         """Return when one more request may be sent; see `LimitGate`."""
         question = LimitQuestion(
             self._directory.name_at(address) or address,
             limit.per_s,
             self._clock() - limit.named_at,
-            wish.patience_s,
-            wish.spare,
+            asked.patience_s,
+            asked.background,
         )
         wait_s = await self._ask_in_turn(question)
         if wait_s is None:
             self._count("alone")
-            wait_s = self._sharing.take_alone(question, self._clock())
-            return _soon(wait_s, wish.patience_s)
-        self._count("granted" if wait_s <= wish.patience_s else "refused")
+            wait_s = self._sharing.grant_alone(question, self._clock())
+            return _soon(wait_s, asked.patience_s)
+        self._count("granted" if wait_s <= asked.patience_s else "refused")
         return wait_s
 
     def notes(self) -> list[LimitNote]:
@@ -136,7 +136,7 @@
                 )
 
     async def _ask_in_turn(self, question: LimitQuestion) -> float | None:
-        """Return what who hands out the limit says; None where nobody does that is reached."""
+        """Return what the limit's owner says; None where nobody does that is reached."""
         for name in self._sharing.owners(question.replica)[:ASKED]:
             if name == self._name:
                 answer: LimitAnswer | None = self._answer(question)
@@ -167,10 +167,10 @@
 
     def _answer(self, question: LimitQuestion) -> LimitAnswer:
         now = self._clock()
-        if not self._sharing.hands_out(question.replica, now):
+        if not self._sharing.is_owner(question.replica, now):
             return LimitAnswer(decided=False)
         self._note_share(self._sharing.share(now))
-        return LimitAnswer(decided=True, wait_s=self._sharing.hand_out(question, now))
+        return LimitAnswer(decided=True, wait_s=self._sharing.grant(question, now))
 
     def _note_share(self, share: float) -> None:
         if share != self._share:
@@ -179,9 +179,9 @@
 
 
 def _soon(wait_s: float, patience_s: float) -> float:
-    """Return when to come back for a turn that who decides alone has much later.
+    """Return when to come back for a permit that an instance on its own has only much later.
 
-    By then somebody hands out the limit again, or another instance that callers come to does.
+    By then the limit has an owner again, or another instance that callers come to does.
     """
     if wait_s <= patience_s:
         return wait_s
--- a/reachlink/coordination/tests/test_limit_exchange.py
+++ b/reachlink/coordination/tests/test_limit_exchange.py
@@ -6,12 +6,12 @@
 
 from reachlink.coordination import _limit_exchange as exchange
 from reachlink.coordination.tests.world import Instance, Network
-from reachlink.pacing import Wish, ranked
+from reachlink.pacing import PermitRequest, ranked
 from reachlink.pacing import _sharing as sharing
 
 REPLICA, ADDRESS = "r1", "r1:1"
 PER_S = 2.0
-NOW = Wish()
+NOW = PermitRequest()
 
 
 @pytest.fixture
@@ -42,14 +42,14 @@
     return sorted(fleet, key=lambda one: order.index(one.record.name))
 
 
-def ask(one: Instance, wish: Wish = NOW) -> float:
+def ask(one: Instance, asked: PermitRequest = NOW) -> float:
     limit = one.pacing.limits.get(ADDRESS)
     assert limit is not None
-    return asyncio.run(one.limits.wait_s(ADDRESS, limit, wish))
+    return asyncio.run(one.limits.acquire(ADDRESS, limit, asked))
 
 
 def test_all_ask_the_same_instance_and_get_the_limit_together(fleet):
-    waits = [ask(one, Wish(patience_s=9.0)) for one in fleet * 2]
+    waits = [ask(one, PermitRequest(patience_s=9.0)) for one in fleet * 2]
     assert waits == pytest.approx([0.0, 0.5, 1.0, 1.5, 2.0, 2.5])
     asked = {address for address, channel in fleet[0].network.calls}
     assert asked == {in_rank(fleet)[0].record.name}
@@ -71,7 +71,7 @@
     assert sent <= 1.5 * PER_S / 3 + 1
     network.now += sharing.SILENT_S
     hear(fleet)
-    waits = [ask(one, Wish(patience_s=9.0)) for one in (second, third, second)]
+    waits = [ask(one, PermitRequest(patience_s=9.0)) for one in (second, third, second)]
     assert waits == pytest.approx([0.0, 0.5, 1.0])
 
 
@@ -117,7 +117,7 @@
 
 
 def test_the_end_of_a_limit_is_told_on(fleet):
-    """Who has no turn for long would hear of it late: the limit was a request in two seconds."""
+    """Who has no permit for long would hear of it late: the limit was a request in two seconds."""
     one, other, third = fleet
     network = one.network
     network.now += 1.0
--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -168,7 +168,7 @@
         try:
             stream = await self._adapter.open(replica, job.request)
         except UpstreamHeldBackError:
-            # It asked for that after it was chosen, or others had the turn: nothing was
+            # It asked for that after it was chosen, or others had the permit: nothing was
             # sent, nor is it excluded, nor does it count.
             return None
         except UpstreamUnreachableError as error:
--- a/reachlink/entry/_entry_metrics.py
+++ b/reachlink/entry/_entry_metrics.py
@@ -6,7 +6,7 @@
 from reachlink.entry._relay_metrics import (
     BACKOFF_DESCRIPTION,
     LIMIT_DESCRIPTION,
-    TURNS_DESCRIPTION,
+    PERMITS_DESCRIPTION,
 )
 from reachlink.telemetry import Metrics
 
@@ -25,7 +25,7 @@
         self.foreign = make("reachlink_foreign_events", "1", "Foreign events refused.")
         self.resumes = make("reachlink_resumes", "1", "Streams resumed after a break.")
         self.retries = make("reachlink_retries", "1", "Requests dispatched again.")
-        self.turns = make("reachlink_limit_turns", "1", TURNS_DESCRIPTION)
+        self.permits = make("reachlink_limit_permits", "1", PERMITS_DESCRIPTION)
         self.first_token = self._metrics.histogram(
             "reachlink_first_token", "s", "Time from request to first token."
         )
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -84,7 +84,7 @@
             self.directory,
             self.digests.last_heard,
             self.random,
-            lambda outcome: self.metrics.turns.add(1, {"outcome": outcome}),
+            lambda outcome: self.metrics.permits.add(1, {"outcome": outcome}),
         )
         self.client.gate = self.limits
         self.client.on_limit = self._tell_limits
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -147,7 +147,7 @@
             except HeldRequestError as error:
                 raise held_request(error) from error
             except UpstreamHeldBackError as error:
-                # It asked for that after it was chosen, or others had the turn: nothing was sent.
+                # It asked for that after it was chosen, or others had the permit: nothing was sent.
                 reason = str(error)
                 continue
             except UpstreamBrokenError as error:
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -6,7 +6,7 @@
 from reachlink.messaging import Traffic, export_traffic
 from reachlink.telemetry import Metrics
 
-TURNS_DESCRIPTION = "Turns asked for at replicas with a limit, by how that ended."
+PERMITS_DESCRIPTION = "Permits asked for at replicas with a limit, by how that ended."
 LIMIT_DESCRIPTION = "Replicas that named how many requests they take from all together."
 BACKOFF_DESCRIPTION = "Replicas that turned requests away and asked this instance to wait."
 
@@ -33,7 +33,7 @@
         self.questions = self._metrics.counter(
             "reachlink_placement_questions", "1", "Questions to coordinators by how they ended."
         )
-        self.turns = self._metrics.counter("reachlink_limit_turns", "1", TURNS_DESCRIPTION)
+        self.permits = self._metrics.counter("reachlink_limit_permits", "1", PERMITS_DESCRIPTION)
         export_traffic(self._metrics, traffic)
 
     def export_settings(
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -73,7 +73,7 @@
             self.directory,
             self.shared.last_heard,
             Random(),
-            lambda outcome: self.metrics.turns.add(1, {"outcome": outcome}),
+            lambda outcome: self.metrics.permits.add(1, {"outcome": outcome}),
         )
         self.client.gate = self.limits
         self.client.on_limit = self._on_limit
--- a/reachlink/pacing/__init__.py
+++ b/reachlink/pacing/__init__.py
@@ -2,8 +2,8 @@
 
 from reachlink.pacing._backoffs import BackoffBook
 from reachlink.pacing._book import Hold, HoldReason, PacingBook, PacingKind
-from reachlink.pacing._gate import LimitGate, LoneGate, Wish
-from reachlink.pacing._limits import LimitBook, NamedLimit, read_limit
+from reachlink.pacing._gate import LimitGate, LocalGate, PermitRequest
+from reachlink.pacing._limits import LimitBook, NamedLimit, parse_limit
 from reachlink.pacing._messages import CHANNEL_LIMIT, LimitAnswer, LimitNote, LimitQuestion
 from reachlink.pacing._meter import Meter
 from reachlink.pacing._sharing import SILENT_S, LimitSharing, ranked, side_share
@@ -20,13 +20,13 @@
     "LimitNote",
     "LimitQuestion",
     "LimitSharing",
-    "LoneGate",
+    "LocalGate",
     "Meter",
     "NamedLimit",
     "PacingBook",
     "PacingKind",
-    "Wish",
+    "PermitRequest",
     "ranked",
-    "read_limit",
+    "parse_limit",
     "side_share",
 ]
--- a/reachlink/pacing/_book.py
+++ b/reachlink/pacing/_book.py
@@ -108,7 +108,7 @@
         now : float
             Monotonic time in seconds.
         within_s : float
-            How long the request may wait for its turn at a replica with a limit, in seconds.
+            How long the request may wait for its permit at a replica with a limit, in seconds.
         """
         if not self.backoffs.admits(address, now):
             return False
--- a/reachlink/pacing/_gate.py
+++ b/reachlink/pacing/_gate.py
@@ -1,4 +1,4 @@
-"""Who is asked for a request to a replica with a limit; pure."""
+"""Who grants permits for replicas with a limit; pure."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,25 +9,25 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Wish:
+class PermitRequest:
     """How much a request matters.
 
     Attributes
     ----------
     patience_s : float
-        Longest wait for its turn, in seconds.
-    spare : bool
+        Longest wait for its permit, in seconds.
+    background : bool
         Whether it only matters where nothing else wants to go there.
     """
 
     patience_s: float = 0.0
-    spare: bool = False
+    background: bool = False
 
 
 class LimitGate(Protocol):
-    """Hands out requests to replicas with a limit."""
+    """Grants permits for requests to replicas with a limit."""
 
-    async def wait_s(self, address: str, limit: NamedLimit, wish: Wish) -> float:
+    async def acquire(self, address: str, limit: NamedLimit, asked: PermitRequest) -> float:
         """Return when one more request may be sent.
 
         Parameters
@@ -36,19 +36,19 @@
             The replica.
         limit : NamedLimit
             What it has named.
-        wish : Wish
+        asked : PermitRequest
             How much the request matters.
 
         Returns
         -------
         float
-            Time until its turn, in seconds, which is kept for it; above its patience it has
+            Time until its permit, in seconds, which is kept for it; above its patience it has
             none.
         """
 
 
-class LoneGate(LimitGate):
-    """Hands out for a process that is the only one to send.
+class LocalGate(LimitGate):
+    """Grants permits for a process that is the only one to send.
 
     Parameters
     ----------
@@ -60,9 +60,9 @@
         self._clock = clock
         self._meters: dict[str, Meter] = {}
 
-    async def wait_s(self, address: str, limit: NamedLimit, wish: Wish) -> float:
+    async def acquire(self, address: str, limit: NamedLimit, asked: PermitRequest) -> float:
         """Return when one more request may be sent."""
         now = self._clock()
         meter = self._meters.setdefault(address, Meter(limit.per_s, now))
         meter.set_rate(limit.per_s, now)
-        return meter.take(now, wish.patience_s, wish.spare)
+        return meter.take(now, asked.patience_s, asked.background)
--- a/reachlink/pacing/_limits.py
+++ b/reachlink/pacing/_limits.py
@@ -1,7 +1,7 @@
 """The requests a second that replicas take from all instances together; pure.
 
 A replica in need names that number in its answers, for as long as it is so. What the
-instances hand out of it to each other is in `_sharing`; here stands what one knows.
+instances grant of it to each other is in `_sharing`; here stands what one knows.
 """
 
 import math
@@ -12,8 +12,8 @@
 LOWEST_PER_S = 0.1
 # Highest that is told apart from none, in requests a second: more than the whole fleet gets.
 HIGHEST_PER_S = 1e6
-# How soon it is asked again whether something is left, in seconds, however late the next turn
-# was said to be: others give turns back, and who hands out changes.
+# How soon it is asked again whether something is left, in seconds, however late the next permit
+# was said to be: who grants them changes, and so does the share that it grants.
 ASKED_AGAIN_S = 0.5
 # Replicas that are remembered at the most: well above the 710 of the largest fleet.
 MAX_REMEMBERED = 2000
@@ -25,7 +25,7 @@
 START_KNOWN_S = 30.0
 
 
-def read_limit(text: str) -> float:
+def parse_limit(text: str) -> float:
     """Return the requests a second that a replica names, within what can be kept to.
 
     Raises
@@ -50,7 +50,7 @@
     named_at : float
         When it was named last, in monotonic seconds.
     free_at : float
-        When the next turn of this instance is, as was said last.
+        When the next permit of this instance is, as was said last.
     asked_again_at : float
         When it is worth asking again.
     """
@@ -157,7 +157,7 @@
         return limit is None or now >= limit.asked_again_at
 
     def note_sent(self, address: str, now: float) -> None:
-        """Do nothing: what is sent was counted where it was handed out."""
+        """Do nothing: what is sent was counted where it was granted."""
 
     def note_answer(self, address: str, now: float) -> None:
         """Do nothing: what an answer says of a limit is taken by `name` and `end`."""
--- a/reachlink/pacing/_messages.py
+++ b/reachlink/pacing/_messages.py
@@ -23,8 +23,8 @@
     age_s : float
         How long ago it named that, in seconds.
     patience_s : float
-        Longest wait for a turn, in seconds.
-    spare : bool
+        Longest wait for a permit, in seconds.
+    background : bool
         Whether the request only matters where nothing else wants to go there.
     """
 
@@ -32,7 +32,7 @@
     per_s: float
     age_s: float
     patience_s: float = 0.0
-    spare: bool = False
+    background: bool = False
 
 
 class LimitAnswer(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/pacing/_sharing.py
+++ b/reachlink/pacing/_sharing.py
@@ -1,12 +1,12 @@
-"""Which instance hands out a replica's limit, and how much of it; pure.
+"""Which instance owns a replica's limit, and how much of it; pure.
 
 All that is sent to a replica is summed up at one instance, the one whose hash with the
-replica's name is the highest. Instances that do not hear each other hand out parts that
+replica's name is the highest. Instances that do not hear each other grant parts that
 come to one and a half times the limit at the most, whoever hears whom:
 
-- a side that has more than half of the instances hands out all of it;
-- any other side hands out its part by number, all of them less than half together;
-- an instance that reaches none that hands out sends its own part by number.
+- a side that has more than half of the instances grants all of it;
+- any other side grants its part by number, all of them less than half together;
+- an instance that reaches no owner sends its own part by number.
 """
 
 import hashlib
@@ -25,7 +25,7 @@
 # How long instances count for the whole that are in the roster no more, in seconds: behind
 # a cut a roster shrinks to this side after half a minute, and the others still send.
 KNOWN_KEPT_S = 300.0
-# How long an instance that has just started hears of the others before it hands out more
+# How long an instance that has just started hears of the others before it grants more
 # than a little, in seconds, and how much that is, as a share of a limit: where all start at
 # once each may know of nobody else.
 SETTLE_S = 2.0
@@ -35,7 +35,7 @@
 
 
 def side_share(heard: int, known: int) -> float:
-    """Return which part of a limit a side hands out that has some of all instances.
+    """Return which part of a limit a side grants that has some of all instances.
 
     Examples
     --------
@@ -46,7 +46,7 @@
 
 
 def ranked(names: Iterable[str], replica: str) -> list[str]:
-    """Return who hands out a replica's limit, and who takes over from whom.
+    """Return who owns a replica's limit, and who takes over from whom.
 
     One instance more or less changes that of few replicas (rendezvous hashing).
     """
@@ -74,7 +74,7 @@
         self._name = name
         self._heard_at = heard_at
         self._random = random
-        # The instances that hand out, and when each was in the roster last.
+        # The instances that may own limits, and when each was in the roster last.
         self._known: dict[str, float] = {}
         self._owners: list[str] = []
         # How many instances there were, and when last.
@@ -82,12 +82,12 @@
         self._since: float | None = None
         self._owned: dict[str, Meter] = {}
         self._alone: dict[str, Meter] = {}
-        # What each replica named last, and when, of those whose limits are handed out.
+        # What each replica named last, and when, of those whose limits are granted.
         self._named: dict[str, tuple[float, float]] = {}
         self._ranked: dict[str, list[str]] = {}
 
     def take_roster(self, owners: Iterable[str], instances: int, now: float) -> None:
-        """Take who may hand out limits, and how many instances there are."""
+        """Take who may own limits, and how many instances there are."""
         names = sorted(owners)
         if names != self._owners:
             self._owners = names
@@ -98,7 +98,7 @@
         self._counts = _recent(self._counts | {instances: now}, now)
 
     def owners(self, replica: str) -> list[str]:
-        """Return the instances that may hand out a replica's limit, the first one first."""
+        """Return the instances that may own a replica's limit, the first one first."""
         found = self._ranked.get(replica)
         if found is None:
             if len(self._ranked) >= MAX_METERS:
@@ -106,8 +106,8 @@
             found = self._ranked[replica] = ranked(self._owners, replica)
         return found
 
-    def hands_out(self, replica: str, now: float) -> bool:
-        """Return whether this instance hands out a replica's limit: it hears none before it."""
+    def is_owner(self, replica: str, now: float) -> bool:
+        """Return whether this instance owns a replica's limit: it hears none before it."""
         for name in self.owners(replica):
             if name == self._name:
                 return True
@@ -116,13 +116,13 @@
         return False
 
     def share(self, now: float) -> float:
-        """Return which part of limits the side hands out that this instance is on."""
+        """Return which part of limits the side grants that this instance is on."""
         if self._since is None or now - self._since < SETTLE_S:
             return UNSETTLED_SHARE
         heard = sum(name == self._name or self._hears(name, now) for name in self._known)
         return side_share(heard, len(self._known))
 
-    def hand_out(self, question: LimitQuestion, now: float) -> float:
+    def grant(self, question: LimitQuestion, now: float) -> float:
         """Return when a request of whatever instance may be sent; see `Meter.take`."""
         per_s = self._newest(question, now) * self.share(now)
         meter = self._owned.get(question.replica)
@@ -130,9 +130,9 @@
             _make_room(self._owned)
             meter = self._owned[question.replica] = Meter(per_s, now)
         meter.set_rate(per_s, now)
-        return meter.take(now, question.patience_s, question.spare)
+        return meter.take(now, question.patience_s, question.background)
 
-    def take_alone(self, question: LimitQuestion, now: float) -> float:
+    def grant_alone(self, question: LimitQuestion, now: float) -> float:
         """Return when a request of this instance may be sent that reaches nobody to ask."""
         per_s = question.per_s / max(1, len(self._known), *self._counts)
         meter = self._alone.get(question.replica)
@@ -142,7 +142,7 @@
             first_s = self._random.random() / per_s
             meter = self._alone[question.replica] = Meter(per_s, now + first_s)
         meter.set_rate(per_s, now)
-        return meter.take(now, question.patience_s, question.spare)
+        return meter.take(now, question.patience_s, question.background)
 
     def _newest(self, question: LimitQuestion, now: float) -> float:
         """Return what a replica named last, as all that asked have told."""
--- a/reachlink/pacing/tests/test_limits.py
+++ b/reachlink/pacing/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from reachlink.pacing import LimitBook, read_limit
+from reachlink.pacing import LimitBook, parse_limit
 from reachlink.pacing._limits import HIGHEST_PER_S, LOWEST_PER_S
 
 A = "10.0.0.1:1"
@@ -13,13 +13,13 @@
     [("3.3", 3.3), (" 7 ", 7.0), ("0", LOWEST_PER_S), ("0.0001", LOWEST_PER_S), ("1e9", None)],
 )
 def test_what_can_be_kept_to_is_kept_to(text, per_s):
-    assert read_limit(text) == (HIGHEST_PER_S if per_s is None else per_s)
+    assert parse_limit(text) == (HIGHEST_PER_S if per_s is None else per_s)
 
 
 @pytest.mark.parametrize("text", ["nan", "inf", "-inf", "-1", "", "3/s", "three", "1,5"])
 def test_what_is_no_rate_is_said_so(text):
     with pytest.raises(ValueError, match=r"\S"):
-        read_limit(text)
+        parse_limit(text)
 
 
 def test_only_what_was_sent_after_the_limit_was_named_can_end_it():
--- a/reachlink/pacing/tests/test_sharing.py
+++ b/reachlink/pacing/tests/test_sharing.py
@@ -46,7 +46,7 @@
 def test_a_meter_hands_out_its_rate_and_turns_in_order():
     meter = Meter(4.0, 10.0)
     assert [meter.take(10.0, patience_s=9.0) for _ in range(4)] == [0.0, 0.25, 0.5, 0.75]
-    # A turn that comes too late for who asks is not taken.
+    # A permit that comes too late for who asks is not taken.
     assert meter.take(10.0, patience_s=0.5) == 1.0
     assert meter.take(10.0, patience_s=1.0) == 1.0
 
@@ -59,9 +59,9 @@
 def test_what_is_spare_gives_way():
     meter = Meter(2.0, 0.0)
     assert meter.take(10.0) == 0.0
-    assert meter.take(10.0, spare=True) > 0.0
-    assert meter.take(10.4, spare=True) > 0.0
-    assert meter.take(10.5, spare=True) == 0.0
+    assert meter.take(10.0, background=True) > 0.0
+    assert meter.take(10.4, background=True) > 0.0
+    assert meter.take(10.5, background=True) == 0.0
     # It has not taken the next one of those that matter.
     assert meter.take(10.5) == 0.0
 
@@ -110,9 +110,9 @@
         """Return when a request of an instance may be sent, as the exchange asks."""
         for owner in self.made[name].owners(question.replica)[:2]:
             reached = owner == name or self.hears(name, owner)
-            if reached and self.made[owner].hands_out(question.replica, self.now):
-                return self.made[owner].hand_out(question, self.now)
-        return self.made[name].take_alone(question, self.now)
+            if reached and self.made[owner].is_owner(question.replica, self.now):
+                return self.made[owner].grant(question, self.now)
+        return self.made[name].grant_alone(question, self.now)
 
     def play(self, seconds, per_s, random):
         """Have every instance want more than it gets, all the time."""
@@ -212,7 +212,7 @@
     for step in range(800):
         now = 10.0 + step * STEP_S
         for one in fleet:
-            if one.take_alone(LimitQuestion("r", 3.3, 0.0), now) <= 0.0:
+            if one.grant_alone(LimitQuestion("r", 3.3, 0.0), now) <= 0.0:
                 sent.append(now)
     most = max(sum(a <= b < a + WINDOW_S for b in sent) for a in sent)
     assert most <= FACTOR * 3.3 * WINDOW_S + MORE
@@ -221,7 +221,7 @@
 def test_what_was_named_last_counts_whoever_asks():
     one = LimitSharing("e0", lambda name: float("-inf"), Random(1))
     one.take_roster(["e0"], 1, 0.0)
-    one.hand_out(LimitQuestion("r", 2.0, age_s=0.1), 10.0)
+    one.grant(LimitQuestion("r", 2.0, age_s=0.1), 10.0)
     # Who has heard of it longer ago, and of more, changes nothing.
-    one.hand_out(LimitQuestion("r", 200.0, age_s=5.0), 10.0)
-    assert one.hand_out(LimitQuestion("r", 200.0, age_s=5.0), 10.0) > 0.4
+    one.grant(LimitQuestion("r", 200.0, age_s=5.0), 10.0)
+    assert one.grant(LimitQuestion("r", 200.0, age_s=5.0), 10.0) > 0.4
--- a/reachlink/requests/_dispatch.py
+++ b/reachlink/requests/_dispatch.py
@@ -35,10 +35,10 @@
 # When to come back after a refusal, in seconds: the next attempt reaches
 # another entry instance, whose view of the replicas differs.
 RETRY_AFTER_S = 0.1
-# How long a stream that has lost its replica waits for its turn at the one with its copy, in
+# How long a stream that has lost its replica waits for its permit at the one with its copy, in
 # seconds: callers leave after two seconds of silence, of which 0.8 may have
 # passed before the loss was noticed.
-TURN_BORNE_S = 1.0
+PERMIT_BORNE_S = 1.0
 
 
 class Dispatch:
@@ -94,14 +94,14 @@
         """Return a random number from 0 to 1."""
         return self._parts.random.random()
 
-    async def wait_for_turn(self, request: CallerRequest, replica: Replica) -> bool:
+    async def wait_for_permit(self, request: CallerRequest, replica: Replica) -> bool:
         """Return whether a replica may get a request, after a wait that callers bear."""
         left_s = self.held_left_s(replica)
-        if left_s > TURN_BORNE_S:
+        if left_s > PERMIT_BORNE_S:
             return False
         await asyncio.sleep(left_s)
         try:
-            await self._parts.admit(replica.address, TURN_BORNE_S - left_s)
+            await self._parts.admit(replica.address, PERMIT_BORNE_S - left_s)
         except UpstreamHeldBackError:
             return False
         request.relay.admitted = True
@@ -134,7 +134,7 @@
         try:
             answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
         finally:
-            # A turn is for one send.
+            # A permit is for one send.
             request.relay.admitted = False
         now = parts.clock()
         if answer.head.load is not None:
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -124,7 +124,7 @@
     pacing : PacingBook
         What the replicas ask of who sends to them; `adapter` keeps to it, too.
     admit : callable
-        Waits for a request's turn at a replica with a limit, by its address, for as many
+        Waits for a request's permit at a replica with a limit, by its address, for as many
         seconds at the most.
     """
 
--- a/reachlink/requests/_patience.py
+++ b/reachlink/requests/_patience.py
@@ -20,8 +20,8 @@
     return now < request.arrived_at + request.route.objective_s * WAIT_SHARE
 
 
-def turn_patience_s(request: CallerRequest, now: float) -> float:
-    """Return how long a request may wait for its turn at a replica, in seconds; 0 for not."""
+def permit_patience_s(request: CallerRequest, now: float) -> float:
+    """Return how long a request may wait for its permit at a replica, in seconds; 0 for not."""
     until = request.arrived_at + request.route.objective_s * BACKOFF_WAIT_SHARE
     return max(0.0, until - now)
 
@@ -46,6 +46,6 @@
     """
     if held_s is None:
         return WAIT_STEP_S if may_wait_for_room(request, now) else None
-    if held_s >= turn_patience_s(request, now):
+    if held_s >= permit_patience_s(request, now):
         return None
     return max(WAIT_STEP_S, min(held_s, BACKOFF_LOOK_S))
--- a/reachlink/requests/_placing.py
+++ b/reachlink/requests/_placing.py
@@ -87,7 +87,7 @@
             Whether it must not go where it would hold up a generation that is about
             to go on there, whose caller would see the pause.
         within_s : float
-            How long it may wait for its turn at a replica with a limit, in seconds.
+            How long it may wait for its permit at a replica with a limit, in seconds.
         """
         excluded = tried | self._not_admitted(request.service, within_s)
         question = self.question(request, excluded, calm_only)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -134,7 +134,7 @@
         options = await self._places.continuations()
         options.sort(key=lambda option: self._dispatch.held_left_s(option[0]))
         for target, memory in options:
-            if not await self._dispatch.wait_for_turn(self._request, target):
+            if not await self._dispatch.wait_for_permit(self._request, target):
                 self._log_stuck(target, "held back")
                 continue
             answer = await self._continue_at(target, memory)
--- a/reachlink/requests/_timely_placing.py
+++ b/reachlink/requests/_timely_placing.py
@@ -1,4 +1,4 @@
-"""Choosing a replica for a request in the time that it has: it may wait for room, or a turn."""
+"""Choosing a replica for a request in the time that it has: it may wait for room, or a permit."""
 
 import asyncio
 from typing import Any
@@ -10,7 +10,7 @@
 from reachlink.requests._patience import (
     may_wait_for_room,
     pause_before_look,
-    turn_patience_s,
+    permit_patience_s,
 )
 from reachlink.requests._placing import Placing, need_tokens
 from reachlink.telemetry import get_logger
@@ -42,7 +42,7 @@
             hold = self._placing.hold(request, tried)
             replica = await self._placing.place(request, tried, calm_only)
             if replica is None and hold is not None and hold.reason is HoldReason.LIMIT:
-                replica = await self._place_in_turn(request, tried, calm_only, hold.left_s)
+                replica = await self._place_with_permit(request, tried, calm_only, hold.left_s)
             if replica is not None:
                 self._log_placed(request, replica)
                 return replica
@@ -57,17 +57,17 @@
                 return None
             await asyncio.sleep(pause_s)
 
-    async def _place_in_turn(
+    async def _place_with_permit(
         self, request: CallerRequest, tried: set[str], calm_only: bool, left_s: float
     ) -> Replica | None:
-        """Return the replica with a limit that has a turn for a request first, after the wait.
+        """Return the replica with a limit that has a permit for a request first, after the wait.
 
         All replicas are held back, and the first may get something in `left_s` seconds. The
-        turn is taken before the wait: who looked again only then would find that others had
+        permit is taken before the wait: who looked again only then would find that others had
         come first, and callers would be served by chance in place of in their order.
         """
         parts = self._parts
-        patience_s = turn_patience_s(request, parts.clock())
+        patience_s = permit_patience_s(request, parts.clock())
         if left_s >= patience_s:
             return None
         replica = await self._placing.place(request, tried, calm_only, left_s)
@@ -76,7 +76,7 @@
         try:
             await parts.admit(replica.address, patience_s)
         except UpstreamHeldBackError:
-            # Others have taken the turns before its patience ends; the next look knows.
+            # Others have taken the permits before its patience ends; the next look knows.
             return None
         if not self._placing.takes_work(replica):
             # It has been found to leave during the wait.
--- a/reachlink/requests/_whole.py
+++ b/reachlink/requests/_whole.py
@@ -51,7 +51,7 @@
                     break
                 result = Setback.FAILED
             if result is Setback.LIMITED:
-                # Others had the turn: it may get this request a moment later.
+                # Others had the permit: it may get this request a moment later.
                 tried.discard(replica.name)
             if not self._dispatch.may_retry(request, replica, result, attempts):
                 break
--- a/reachlink/requests/tests/test_turns.py
+++ b/reachlink/requests/tests/test_permits.py
@@ -1,4 +1,4 @@
-"""Turns at replicas with a limit, seen from one request."""
+"""Permits at replicas with a limit, seen from one request."""
 
 import asyncio
 
@@ -91,7 +91,7 @@
 
 
 def refusing(made: World) -> Script:
-    """Answer as the client does where others had the turns: nothing is sent, and that noted."""
+    """Answer as the client does where others had the permits: nothing is sent, and that noted."""
 
     async def script(sent: Dispatched) -> MemoryAnswer:
         limit(made, LONG_S, sent.replica)
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -136,7 +136,7 @@
     moves: list[tuple[str, str, bool]] = field(default_factory=list)
     released: list[MovedMemory] = field(default_factory=list)
     touched: list[str] = field(default_factory=list)
-    # Whether each request had its turn already as it was sent.
+    # Whether each request had its permit already as it was sent.
     admitted: list[bool] = field(default_factory=list)
     # Replicas whose port is closed.
     down: set[str] = field(default_factory=set)
--- a/reachlink/testing/_limit_load.py
+++ b/reachlink/testing/_limit_load.py
@@ -1,7 +1,7 @@
 """A replica with a limit and callers that press, by several ways to share it, in simulated time.
 
 Calls come to entry instances, most of them to those of one part of the fleet, and wait a
-little for a turn. What is in question is what reaches the replica from all together: in step
+little for a permit. What is in question is what reaches the replica from all together: in step
 with what it takes, with instances cut off from each other, at a start, and as one ends.
 """
 
@@ -18,7 +18,7 @@
 # Before anything happens, and how long each play is measured after it, in seconds.
 WARM_UP_S = 6.0
 LENGTH_S = 20.0
-# How long a call waits for a turn, in seconds.
+# How long a call waits for a permit, in seconds.
 PATIENCE_S = 0.2
 # Share of calls that come to a third of the instances.
 SKEW = 0.8
@@ -28,7 +28,7 @@
 MORE = 5.0
 # How often instances tell each other what they have sent, in seconds.
 NOTE_S = 0.25
-# How often those that hand out tell that they are there, in seconds.
+# How often those that grant tell that they are there, in seconds.
 SIGN_S = 1.0
 
 
@@ -49,7 +49,7 @@
     Attributes
     ----------
     instances : int
-        How many entry instances there are; up to 24 all hand out, else ten do.
+        How many entry instances there are; up to 24 all grant, else ten do.
     per_s : float
         Requests a second that the replica takes.
     demand : float
@@ -65,7 +65,7 @@
 
     @property
     def owners(self) -> int:
-        """How many instances hand out."""
+        """How many instances grant."""
         return self.instances if self.instances <= 24 else 10
 
 
@@ -118,7 +118,7 @@
 
     @abstractmethod
     def wait_s(self, instance: str) -> float:
-        """Return when a call at an instance has its turn; above `PATIENCE_S` it has none."""
+        """Return when a call at an instance has its permit; above `PATIENCE_S` it has none."""
 
     @abstractmethod
     def tick(self) -> None:
@@ -141,7 +141,7 @@
         self._meters = {n: Meter(world.load.per_s, world.now) for n in world.names}
 
     def wait_s(self, instance: str) -> float:
-        """Return when the instance's own meter has a turn."""
+        """Return when the instance's own meter has a permit."""
         return self._meters[instance].take(self.world.now, PATIENCE_S)
 
 
@@ -160,7 +160,7 @@
         }
 
     def wait_s(self, instance: str) -> float:
-        """Return when the instance's part has a turn."""
+        """Return when the instance's part has a permit."""
         return self._meters[instance].take(self.world.now, PATIENCE_S)
 
 
@@ -202,7 +202,7 @@
 
 
 class HandedOut(Way):
-    """One instance hands out; sides of a cut hand out parts of it by their number."""
+    """One instance grants; sides of a cut grant parts of it by their number."""
 
     def start(self) -> None:
         """Begin with nobody heard."""
@@ -213,19 +213,19 @@
         self._next_sign = world.now
 
     def wait_s(self, instance: str) -> float:
-        """Return when who hands out has a turn, as `LimitExchange` asks."""
+        """Return when who grants has a permit, as `LimitExchange` asks."""
         world = self.world
         question = LimitQuestion("r", world.load.per_s, 0.0, PATIENCE_S)
         sharing = self._sharing[instance]
         for owner in sharing.owners("r")[:2]:
             world.messages += 2 * (owner != instance)
             reached = owner == instance or world.hears(instance, owner)
-            if reached and self._sharing[owner].hands_out("r", world.now):
-                return self._sharing[owner].hand_out(question, world.now)
-        return sharing.take_alone(question, world.now)
+            if reached and self._sharing[owner].is_owner("r", world.now):
+                return self._sharing[owner].grant(question, world.now)
+        return sharing.grant_alone(question, world.now)
 
     def tick(self) -> None:
-        """Have those that hand out hear of each other."""
+        """Have those that grant hear of each other."""
         world = self.world
         if world.now < self._next_sign:
             return
@@ -236,7 +236,7 @@
                     self._heard[one, other] = world.now
 
     def owner(self) -> str:
-        """Return the instance that hands out."""
+        """Return the instance that grants."""
         return self._sharing[self._owners[0]].owners("r")[0]
 
     def _make(self, name: str) -> LimitSharing:
@@ -249,7 +249,7 @@
 
 
 class HandedOutWhole(HandedOut):
-    """The same, but that each side of a cut hands out all of it."""
+    """The same, but that each side of a cut grants all of it."""
 
     def _make(self, name: str) -> LimitSharing:
         made = super()._make(name)
@@ -258,7 +258,7 @@
 
 
 class TwoThirds(HandedOut):
-    """One instance hands out two thirds, the rest is parts of the same size."""
+    """One instance grants two thirds, the rest is parts of the same size."""
 
     def start(self) -> None:
         """Begin with a part each besides."""
@@ -270,7 +270,7 @@
         }
 
     def wait_s(self, instance: str) -> float:
-        """Return when the instance's part has a turn, or else who hands out."""
+        """Return when the instance's part has a permit, or else who grants."""
         own_s = self._parts[instance].take(self.world.now, 0.0)
         return own_s if own_s <= 0.0 else super().wait_s(instance)
 
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -183,7 +183,7 @@
     async def cache_changes(self, replica: Replica, since: int) -> list[CacheChange]:
         """Return cache events after a sequence number."""
         url = _url(replica, f"cache_events?since={since}")
-        async with self._client.control("GET", url, spare=True) as response:
+        async with self._client.control("GET", url, background=True) as response:
             response.raise_for_status()
             events = _decode_cache(await response.read())
         return [CacheChange(e.sequence, e.kind == "stored", e.block) for e in events]
@@ -207,13 +207,13 @@
     A connection alone shows nothing: something between may take it for a replica
     that has ended.
     """
-    async with client.control("GET", _url(replica, "load"), spare=True) as response:
+    async with client.control("GET", _url(replica, "load"), background=True) as response:
         await response.read()
 
 
 async def read_load(client: HttpClient, replica: Replica) -> LoadReport:
     """Read a load report in the protocol's JSON form."""
-    async with client.control("GET", _url(replica, "load"), spare=True) as response:
+    async with client.control("GET", _url(replica, "load"), background=True) as response:
         response.raise_for_status()
         try:
             return _decode_report(await response.read())
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
-from reachlink.pacing import LimitGate, LoneGate, PacingBook, Wish, read_limit
+from reachlink.pacing import LimitGate, LocalGate, PacingBook, PermitRequest, parse_limit
 from reachlink.telemetry import get_logger
 from reachlink.upstreams._connections import ReplicaConnector, address_of
 from reachlink.upstreams._retry_after import requested_backoff_s
@@ -28,7 +28,7 @@
 _NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
-# How long a small request waits for its turn at a replica with a limit, in seconds.
+# How long a small request waits for its permit at a replica with a limit, in seconds.
 CONTROL_PATIENCE_S = 0.5
 MAX_ERROR_BYTES = 64 << 10
 MAX_LINE_BYTES = 1 << 20
@@ -37,7 +37,7 @@
 
 # Field of an answer with the requests a second that a replica takes from all together.
 LIMIT_HEADER = "X-Fleet-Rate-Limit"
-# HTTP statuses below this, from 200 on, are successes (RFC 9110, section 15.3).
+# HTTP statuses of success (RFC 9110, section 15.3).
 _SUCCESS = range(200, 300)
 
 # Statuses with which an upstream says that it did not run the request.
@@ -72,8 +72,8 @@
     pacing : PacingBook
         What the replicas ask of who sends to them, as all their answers here said.
     gate : LimitGate
-        Hands out requests to replicas with a limit; the other instances count with this one
-        where it is theirs, too.
+        Grants permits for replicas with a limit; a process that is not the only one to send
+        replaces it by one that asks the others.
     limit_header : str
         Field of their answers in which they do.
     """
@@ -82,7 +82,7 @@
         self, max_connections: int = 0, connect_timeout_s: float = CONNECT_TIMEOUT_S
     ) -> None:
         self.pacing = PacingBook(Random())
-        self.gate: LimitGate = LoneGate(steady_time)
+        self.gate: LimitGate = LocalGate(steady_time)
         self.limit_header = LIMIT_HEADER
         # Called when a replica names another limit than before, or none any more.
         self.on_limit: Callable[[], None] = lambda: None
@@ -147,7 +147,7 @@
     ) -> aiohttp.ClientResponse:
         """Send a request as it came, at most once, and return the response with its body unread.
 
-        With `admitted` it has had its turn already, as `admit` returned.
+        With `admitted` it has had its permit already, as `admit` returned.
 
         Raises
         ------
@@ -175,7 +175,7 @@
         self._note_limit(response, sent_at)
         return response
 
-    async def admit(self, address: str, patience_s: float = 0.0, spare: bool = False) -> None:
+    async def admit(self, address: str, patience_s: float = 0.0, background: bool = False) -> None:
         """Return when another request may be sent to a replica, as far as its limit goes.
 
         Whatever is sent passes here: first tries, repeats, continuations, reports and
@@ -186,14 +186,14 @@
         address : str
             The replica.
         patience_s : float
-            Longest wait for the request's turn, in seconds.
-        spare : bool
+            Longest wait for the request's permit, in seconds.
+        background : bool
             Whether it gives way to all others.
 
         Raises
         ------
         UpstreamLimitedError
-            The turn would come later; none was taken.
+            The permit would come later; none was taken.
         """
         limits = self.pacing.limits
         limit = limits.get(address)
@@ -203,11 +203,11 @@
         left_s = limits.left_s(address, now)
         if left_s > patience_s and not limits.admits(address, now):
             raise UpstreamLimitedError(left_s)
-        left_s = await self.gate.wait_s(address, limit, Wish(patience_s, spare))
+        left_s = await self.gate.acquire(address, limit, PermitRequest(patience_s, background))
         if left_s <= patience_s:
             await asyncio.sleep(left_s)
             return
-        if not spare:
+        if not background:
             limits.close(address, left_s, steady_time())
         raise UpstreamLimitedError(left_s)
 
@@ -229,13 +229,15 @@
 
     @asynccontextmanager
     async def control(
-        self, method: str, url: str, body: bytes | None = None, spare: bool = False
+        self, method: str, url: str, body: bytes | None = None, background: bool = False
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a small request whose repetition does no harm.
 
-        With `spare` it gives way to all others where the upstream has named a limit.
+        With `background` it gives way to all others where the upstream has named a limit.
         """
-        await self.admit(address_of(URL(url)), 0.0 if spare else CONTROL_PATIENCE_S, spare)
+        await self.admit(
+            address_of(URL(url)), 0.0 if background else CONTROL_PATIENCE_S, background
+        )
         with _upstream_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 async with self._session.request(method, url, data=body) as response:
@@ -281,7 +283,7 @@
                 self.on_limit()
             return
         try:
-            per_s = read_limit(text)
+            per_s = parse_limit(text)
         except ValueError as error:
             reason = str(error)[:SHOWN_TEXT]
             self._log.info("limit_unreadable", address=address, reason=reason)
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -105,7 +105,7 @@
     fingerprint : int
         The same for requests that are the same but for their names; 0 for none.
     admitted : bool
-        Whether it has had its turn at the replica, where that has named a limit.
+        Whether it has had its permit at the replica, where that has named a limit.
     """
 
     request_id: str
