--- a/reachlink/testing/soak.py
+++ b/reachlink/testing/soak.py
@@ -125,6 +125,7 @@
         self._entries = [plan.name for plan in fleet.layout.entries]
         # How often each process was launched.
         self._launches = Counter(plan.name for plan in fleet.layout.processes)
+        self._draining: set[str] = set()
         self._ended = asyncio.Event()
 
     async def run(self) -> SoakResult:
@@ -155,6 +156,9 @@
     async def _bring(self, fault: Fault, begun: float) -> None:
         """Bring one fault about, and end it."""
         await asyncio.sleep(max(0.0, begun + fault.at_s - time.monotonic()))
+        if fault.process in self._draining:
+            # A planned stop lasts as long as what runs there: no other fault lies over it.
+            return
         print(f"{fault.at_s:6.2f} s {fault.process} {fault.kind.value}", file=sys.stderr)
         fleet = self._fleet
         if fault.kind is FaultKind.KILL:
@@ -166,7 +170,9 @@
             await asyncio.sleep(fault.for_s)
             fleet.signal(fault.process, signal.SIGCONT)
         elif fault.kind is FaultKind.DRAIN:
+            self._draining.add(fault.process)
             await self._drain(fault.process)
+            self._draining.discard(fault.process)
         elif fault.kind in _REPLICA_FAULTS:
             await self._spoil(fault)
         else:
