Log and count why connections to replicas cannot be made

Cause: attempts end as `unreachable` without a reason, and nothing tells since when a replica has not been heard by this instance. The three hypotheses of the incident cannot be told apart: refused, reset and silent look alike, and whether other instances reach the replica at that time shows nowhere.

Change: a tracker of contacts in a new subpackage. Each connection made and each byte received counts as heard; a failure is logged as `connect_failed` with its reason, how long it took and how long ago the replica was heard (once a second for each replica) and counted in `reachlink_connects_failed`. The same address in the logs of two instances shows whether it is the replica or the link.

Conclusion: no decision changes.

--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -8,11 +8,13 @@
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.limits import BufferBudget
 from reachlink.messaging import Traffic, export_traffic
+from reachlink.reachability import ConnectFailure
 from reachlink.scheduling import CallerRetryCounts, RefusalReason
 from reachlink.telemetry import Metrics
 
 PERMITS_DESCRIPTION = "Permits asked for at replicas with a limit, by how that ended."
 LIMIT_DESCRIPTION = "Replicas that named how many requests they take from all together."
+CONNECTS_DESCRIPTION = "Connections to replicas that could not be made, by how that failed."
 LINE_DESCRIPTION = "Requests that stood in line here, by service and how that ended."
 CLOSED_DESCRIPTION = "Callers closed that had not read their answers for too long."
 BACKOFF_DESCRIPTION = "Replicas that turned requests away and asked this instance to wait."
@@ -49,6 +51,9 @@
             "reachlink_placement_questions", "1", "Questions to coordinators by how they ended."
         )
         self.permits = self._metrics.counter("reachlink_limit_permits", "1", PERMITS_DESCRIPTION)
+        self.connects_failed = self._metrics.counter(
+            "reachlink_connects_failed", "1", CONNECTS_DESCRIPTION
+        )
         self.line_outcomes = self._metrics.counter("reachlink_line", "1", LINE_DESCRIPTION)
         self.bodies_refused = self._metrics.counter(
             "reachlink_bodies_refused", "1", BODIES_REFUSED_DESCRIPTION
@@ -121,6 +126,10 @@
         """Count a request that stood in line, by how that ended."""
         self.line_outcomes.add(1, {"service": service, "outcome": outcome})
 
+    def count_failed_connect(self, failure: ConnectFailure) -> None:
+        """Count a connection to a replica that could not be made."""
+        self.connects_failed.add(1, {"reason": failure.value})
+
     def export_line(
         self,
         waiting: Callable[[], Mapping[str, float]],
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -148,6 +148,7 @@
         self.draining_since: float | None = None
         self.running_requests = 0
         self.metrics = RelayMetrics(config, self.bus.traffic)
+        self.client.on_connect_failed = self.metrics.count_failed_connect
         sight = HeldSight(
             self.held,
             lambda: self.metrics.bodies_refused.add(1),
--- a/reachlink/kernel/tests/test_layers.py
+++ b/reachlink/kernel/tests/test_layers.py
@@ -10,7 +10,7 @@
     {"kernel"},
     {"telemetry"},
     {"messaging", "routing", "pacing"},
-    {"settings", "agreement"},
+    {"settings", "agreement", "reachability"},
     {"upstreams", "membership"},
     {"lengths"},
     {"placement", "limits", "quarantine", "scheduling"},
@@ -59,6 +59,7 @@
     ROOT / "membership" / "_spreading.py",
     ROOT / "membership" / "_transfers.py",
     ROOT / "upstreams" / "_retry_after.py",
+    ROOT / "reachability" / "_contacts.py",
     ROOT / "entry" / "_digests.py",
     ROOT / "entry" / "_guardians.py",
 ]
--- /dev/null
+++ b/reachlink/reachability/tests/test_contacts.py
@@ -0,0 +1,67 @@
+"""Operators can tell why connections to a replica fail, and since when it was not heard."""
+
+import pytest
+
+from reachlink.reachability import ConnectFailure, ContactTracker, failure_of
+from reachlink.reachability import _contacts as contacts
+
+
+class Recorder:
+    """Stands in for the logger of the process."""
+
+    def __init__(self) -> None:
+        self.lines: list[dict[str, object]] = []
+
+    def info(self, event: str, **fields: object) -> None:
+        self.lines.append({"event": event, **fields})
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    recorder = Recorder()
+    monkeypatch.setattr(contacts, "get_logger", lambda: recorder)
+    return recorder.lines
+
+
+def test_a_failed_connection_is_logged_with_its_reason_and_what_was_heard_before(lines):
+    tracker = ContactTracker()
+    tracker.of("10.0.0.1:80", 5.0).heard_at = 5.0
+    tracker.note_connect_failed("10.0.0.1:80", ConnectFailure.SILENT, 0.25, 7.0)
+    assert lines == [
+        {
+            "event": "connect_failed",
+            "address": "10.0.0.1:80",
+            "reason": "silent",
+            "took_ms": 250.0,
+            "heard_ago_s": 2.0,
+        }
+    ]
+
+
+def test_failures_at_one_replica_are_logged_once_a_second_and_all_counted(lines):
+    counted = []
+    tracker = ContactTracker(counted.append)
+    for tick in range(30):
+        tracker.note_connect_failed("r", ConnectFailure.REFUSED, 0.0, tick / 10.0)
+    assert len(lines) == 3
+    assert len(counted) == 30
+
+
+@pytest.mark.parametrize(
+    ("error", "failure"),
+    [
+        (ConnectionRefusedError(), ConnectFailure.REFUSED),
+        (ConnectionResetError(), ConnectFailure.RESET),
+        (TimeoutError(), ConnectFailure.SILENT),
+        (OSError(113, "no route to host"), ConnectFailure.OTHER),
+    ],
+)
+def test_the_reason_follows_from_the_error(error, failure):
+    assert failure_of(error) is failure
+
+
+def test_the_number_of_replicas_is_bounded():
+    tracker = ContactTracker()
+    for number in range(3 * contacts.MAX_TRACKED_REPLICAS):
+        tracker.of(f"r{number}", 0.0)
+    assert len(tracker._contacts) <= contacts.MAX_TRACKED_REPLICAS
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -12,6 +12,7 @@
 
 from reachlink.kernel import steady_time
 from reachlink.pacing import BackoffTracker
+from reachlink.reachability import Contact, ContactTracker, failure_of
 from reachlink.upstreams.exceptions import UpstreamBackoffError
 
 # Idle time in seconds after which a replica is assumed to close a connection if it announces
@@ -37,6 +38,8 @@
         self.idle = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        # Replaced by the contact with the replica once the connection is made.
+        self.contact = Contact()
 
     @property
     def reusable(self) -> bool:
@@ -46,6 +49,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes; abort the connection if it is idle."""
+        self.contact.heard_at = steady_time()
         if self.idle and data:
             self.abort()
             return
@@ -77,13 +81,16 @@
     ----------
     backoffs : BackoffTracker
         Tracker of the replicas that have requested a backoff.
+    contacts : ContactTracker
+        Is told how connections are made or fail.
     **options : object
         Passed to `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, backoffs: BackoffTracker, **options: Any) -> None:
+    def __init__(self, backoffs: BackoffTracker, contacts: ContactTracker, **options: Any) -> None:
         super().__init__(**options)
         self._backoffs = backoffs
+        self._contacts = contacts
         self._factory: Any = functools.partial(ReplicaConnection, loop=self._loop)
 
     async def connect(
@@ -105,6 +112,26 @@
             raise
         return connection
 
+    async def _create_connection(
+        self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
+    ) -> ResponseHandler:
+        """Make a connection, and record how that went."""
+        address, begun = address_of(req.url), steady_time()
+        try:
+            protocol = await super()._create_connection(req, traces, timeout)
+        except (aiohttp.ClientConnectorError, OSError) as error:
+            cause = error.os_error if isinstance(error, aiohttp.ClientConnectorError) else error
+            now = steady_time()
+            failure = failure_of(cause)
+            self._contacts.note_connect_failed(address, failure, now - begun, now)
+            raise
+        now = steady_time()
+        contact = self._contacts.of(address, now)
+        contact.heard_at = now
+        if isinstance(protocol, ReplicaConnection):
+            protocol.contact = contact
+        return protocol
+
     def _check_backoff(self, req: aiohttp.ClientRequest) -> None:
         remaining_s = self._backoffs.remaining_s(address_of(req.url), steady_time())
         if remaining_s > 0.0:
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -14,6 +14,7 @@
 
 from reachlink.kernel import steady_time
 from reachlink.pacing import LimitGate, LocalGate, PacingTracker, PermitOptions, parse_limit
+from reachlink.reachability import ConnectFailure, ContactTracker
 from reachlink.telemetry import get_logger
 from reachlink.upstreams._bodies import WRITE_CHUNK_BYTES, FlowControlledBody
 from reachlink.upstreams._connections import ReplicaConnector, address_of
@@ -83,6 +84,8 @@
         replaces it by a gate that coordinates with the other senders.
     limit_header : str
         Header field of an answer in which a replica advertises its rate limit.
+    on_connect_failed : callable
+        Called with the kind of each failure to connect to a replica.
     """
 
     def __init__(
@@ -96,6 +99,8 @@
         self.limit_header = LIMIT_HEADER
         # Called when a rate limit of a replica is new, changes or ends.
         self.on_limit_change: Callable[[], None] = lambda: None
+        self.on_connect_failed: Callable[[ConnectFailure], None] = lambda failure: None
+        self._contacts = ContactTracker(lambda failure: self.on_connect_failed(failure))
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_s
         self._bounded = bounded
@@ -106,7 +111,10 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._open_session is None:
             connector = ReplicaConnector(
-                self.pacing.backoffs, limit=self._max_connections, ttl_dns_cache=None
+                self.pacing.backoffs,
+                self._contacts,
+                limit=self._max_connections,
+                ttl_dns_cache=None,
             )
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s)
             options: dict[str, Any] = {"read_bufsize": READ_AHEAD_BYTES} if self._bounded else {}
