Reach replicas through a peer where this instance has lost its path to them

What callers saw: instances that had lost their links to all replicas served 0 of 35 first attempts while their peers, whom they heard all the time, served 84 of 88.

Cause: an instance knew no way to a replica but its own link, and took "I cannot reach it" for "it is down". Class: one instance's own view taken for the fleet's (a partial partition).

Change: reaching a replica is a matter of its own (`reachability`), below the adapters. A dialer makes connections for everything that is sent to replicas: calls, streams, copies, reports, probes of liveness, on both ways of a request. Where a direct connection fails, or is not answered within 80 ms, a peer is asked over the message bus; it connects directly, never through a third, and hands the connection over for a token that is valid once. The peer passes bytes on, in frames with an explicit end, so that a body without a length that was cut does not look complete; it reads from neither end faster than the other takes. Everything that is promised is kept by the instance that has the request, as before: deadlines, closing, permits, keys, order, resumption. A path is lost only where a peer reaches the replica and a second direct connection fails; it is probed until it works again. Answers that are overdue without a byte from the replica raise a suspicion: idle connections are not reused meanwhile, the path is examined, and if it is lost the connections on it are aborted. The proxy of the local fleets refuses connections on a reset link, as its documentation says, in place of accepting and then resetting them.

--- a/reachlink/entry/_config.py
+++ b/reachlink/entry/_config.py
@@ -44,7 +44,7 @@
     their place. ``bootstrap_key_hash`` is the SHA-256 of a key that acts as an
     operator until the settings name one. ``crashes_to_hold`` and ``crashes_kept_s``
     are as in `RelayConfig`. ``held_bytes`` is the most that is held of callers' bodies
-    at one time, in bytes; 0 for any number.
+    at one time, in bytes; 0 for any number. ``relay_port`` is as in `RelayConfig`.
     """
 
     name: str
@@ -52,6 +52,7 @@
     host: str = "127.0.0.1"
     port: int
     bus_address: str
+    relay_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     cluster_secret: str
     controls: list[str]
     peers: list[PeerConfig] = []
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -96,9 +96,10 @@
         """Say not ready, let the balancer notice, and finish what runs."""
         node = self._node
         node.draining = True
+        node.replica_reach.server.drain()
         node.log.info("draining", running=node.running_requests)
         await asyncio.sleep(self._config.balancer_delay_s)
-        while node.running_requests or node.tasks:
+        while node.running_requests or node.tasks or node.replica_reach.server.count:
             await asyncio.sleep(DRAIN_POLL_S)
         node.log.info("drained")
 
@@ -111,6 +112,7 @@
             task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
+        node.replica_reach.server.close()
         await node.client.close()
         await self._platform.close()
         node.bus.close()
--- a/reachlink/entry/_entry_metrics.py
+++ b/reachlink/entry/_entry_metrics.py
@@ -6,10 +6,14 @@
 from reachlink.entry._held_sight import BODIES_REFUSED_DESCRIPTION, export_held_bytes
 from reachlink.entry._relay_metrics import (
     BACKOFF_DESCRIPTION,
+    CONNECTS_DESCRIPTION,
     LIMIT_DESCRIPTION,
+    LOST_DESCRIPTION,
     PERMITS_DESCRIPTION,
+    RELAYS_DESCRIPTION,
 )
 from reachlink.limits import BufferBudget
+from reachlink.reachability import ConnectFailure
 from reachlink.telemetry import Metrics
 
 
@@ -28,6 +32,8 @@
         self.resumes = make("reachlink_resumes", "1", "Streams resumed after a break.")
         self.retries = make("reachlink_retries", "1", "Requests dispatched again.")
         self.permits = make("reachlink_limit_permits", "1", PERMITS_DESCRIPTION)
+        self.connects_failed = make("reachlink_connects_failed", "1", CONNECTS_DESCRIPTION)
+        self.relays = make("reachlink_relays", "1", RELAYS_DESCRIPTION)
         self.bodies_refused = make("reachlink_bodies_refused", "1", BODIES_REFUSED_DESCRIPTION)
         self.first_token = self._metrics.histogram(
             "reachlink_first_token", "s", "Time from request to first token."
@@ -51,6 +57,18 @@
         """Export how many replicas have named what they take from all together."""
         self._metrics.gauge("reachlink_replicas_limited", "1", LIMIT_DESCRIPTION, limited)
 
+    def count_failed_connect(self, failure: ConnectFailure) -> None:
+        """Count a connection to a replica that could not be made."""
+        self.connects_failed.add(1, {"reason": failure.value})
+
+    def count_relay(self, role: str, outcome: str) -> None:
+        """Count a request for a relayed connection, by who made it and how it ended."""
+        self.relays.add(1, {"role": role, "outcome": outcome})
+
+    def export_paths(self, lost: Callable[[], float]) -> None:
+        """Export how many replicas are reached through peers only."""
+        self._metrics.gauge("reachlink_replica_paths_lost", "1", LOST_DESCRIPTION, lost)
+
     def page(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.page()
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -23,6 +23,7 @@
 )
 from reachlink.entry._held_sight import HeldSight
 from reachlink.entry._ledger import Ledger
+from reachlink.entry._replica_reach import ReplicaReach
 from reachlink.kernel import steady_time
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import BufferBudget, QuotaTracker, RetryBudget
@@ -89,9 +90,21 @@
             lambda outcome: self.metrics.permits.add(1, {"outcome": outcome}),
         )
         self.client.gate = self.limits
+        self.replica_reach = ReplicaReach(
+            config.name,
+            config.availability_zone,
+            self.bus,
+            config.bus_address,
+            config.relay_port,
+            self.client,
+            self.directory,
+            self.digests.last_heard,
+            lambda role, outcome: self.metrics.count_relay(role, outcome),
+        )
         self.client.on_limit_change = self._tell_limits
         records = [InstanceRecord(p.name, p.address, p.availability_zone) for p in config.peers]
         self.limits.update_roster([*records, self._record()], len(records) + 1)
+        self.replica_reach.update_peers(records)
         self.directory.set_restart_listener(self._on_started_again)
         self.crash_news.set_peers([p.address for p in config.peers], alone=not config.peers)
         self.quarantine.listen(self._tell_crashes)
@@ -105,6 +118,8 @@
         self.on_body_refused = sight.refused
         self.metrics.export_backoffs(lambda: self.client.pacing.backoffs.count(steady_time()))
         self.metrics.export_limits(self.client.pacing.limits.count)
+        self.metrics.export_paths(lambda: self.client.paths.lost_count)
+        self.client.on_connect_failed = self.metrics.count_failed_connect
         self.ready = False
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -24,6 +24,9 @@
         Port of the metrics page; 0 for none.
     bus_address : str
         ``host:port`` for the system's own instances.
+    relay_port : int
+        Port at the bus address's host where peers that have lost their path to a replica
+        claim connections; 0 for any.
     cluster_secret : str
         Shared secret; empty on a network that keeps everyone else out.
     seeds : list of str
@@ -69,6 +72,7 @@
     readiness_path: str = "/readyz"
     metrics_port: int = 0
     bus_address: str
+    relay_port: int = 0
     cluster_secret: str = ""
     seeds: list[str]
     border: str
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -97,9 +97,10 @@
         """Say not ready, let the balancer notice, and finish what runs."""
         node = self._node
         node.begin_drain()
+        node.replica_reach.server.drain()
         await asyncio.sleep(self._config.balancer_delay_s)
         # What callers have yet to read of whole answers would be cut off as well.
-        while node.running_requests or len(node.readers):
+        while node.running_requests or len(node.readers) or node.replica_reach.server.count:
             await asyncio.sleep(DRAIN_POLL_S)
         node.log.info("drained")
 
@@ -114,6 +115,7 @@
         node.readers.close()
         for runner in self._runners:
             await runner.cleanup()
+        node.replica_reach.server.close()
         await node.client.close()
         await self._platform.close()
         node.bus.close()
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -15,6 +15,10 @@
 PERMITS_DESCRIPTION = "Permits asked for at replicas with a limit, by how that ended."
 LIMIT_DESCRIPTION = "Replicas that named how many requests they take from all together."
 CONNECTS_DESCRIPTION = "Connections to replicas that could not be made, by how that failed."
+LOST_DESCRIPTION = "Replicas that this instance reaches through peers only."
+RELAYS_DESCRIPTION = (
+    "Connections to replicas that a peer was asked for, or that were asked for here."
+)
 LINE_DESCRIPTION = "Requests that stood in line here, by service and how that ended."
 CLOSED_DESCRIPTION = "Callers closed that had not read their answers for too long."
 BACKOFF_DESCRIPTION = "Replicas that turned requests away and asked this instance to wait."
@@ -54,6 +58,7 @@
         self.connects_failed = self._metrics.counter(
             "reachlink_connects_failed", "1", CONNECTS_DESCRIPTION
         )
+        self.relays = self._metrics.counter("reachlink_relays", "1", RELAYS_DESCRIPTION)
         self.line_outcomes = self._metrics.counter("reachlink_line", "1", LINE_DESCRIPTION)
         self.bodies_refused = self._metrics.counter(
             "reachlink_bodies_refused", "1", BODIES_REFUSED_DESCRIPTION
@@ -130,6 +135,14 @@
         """Count a connection to a replica that could not be made."""
         self.connects_failed.add(1, {"reason": failure.value})
 
+    def count_relay(self, role: str, outcome: str) -> None:
+        """Count a request for a relayed connection, by who made it and how it ended."""
+        self.relays.add(1, {"role": role, "outcome": outcome})
+
+    def export_paths(self, lost: Callable[[], float]) -> None:
+        """Export how many replicas are reached through peers only."""
+        self._metrics.gauge("reachlink_replica_paths_lost", "1", LOST_DESCRIPTION, lost)
+
     def export_line(
         self,
         waiting: Callable[[], Mapping[str, float]],
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -25,6 +25,7 @@
 from reachlink.entry._readers import CallerReaders
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_metrics import RelayMetrics
+from reachlink.entry._replica_reach import ReplicaReach
 from reachlink.entry._report_reader import ReportReader
 from reachlink.entry._request_ends import RequestEnds
 from reachlink.entry._table_in_force import TableInForce
@@ -89,6 +90,17 @@
         self.tracker.paces.add_listener(PaceLog().note)
         self.paces = PaceExchange(self.tracker.paces, self.directory)
         self.client.gate = self.limits
+        self.replica_reach = ReplicaReach(
+            config.name,
+            config.availability_zone,
+            self.bus,
+            config.bus_address,
+            config.relay_port,
+            self.client,
+            self.directory,
+            self.peer_load.last_heard,
+            lambda role, outcome: self.metrics.count_relay(role, outcome),
+        )
         self.client.on_limit_change = self._tell_at_once
         self._zones = ZonesInForce(self.directory, self.tracker, self.log)
         adapter = self.adapter = RELAY_ADAPTERS.get(config.upstream)(self.client)
@@ -149,6 +161,7 @@
         self.running_requests = 0
         self.metrics = RelayMetrics(config, self.bus.traffic)
         self.client.on_connect_failed = self.metrics.count_failed_connect
+        self.metrics.export_paths(lambda: self.client.paths.lost_count)
         sight = HeldSight(
             self.held,
             lambda: self.metrics.bodies_refused.add(1),
@@ -358,6 +371,7 @@
         others = [c.address for c in coordinators if c.name != self.name]
         self.crash_news.set_peers(others, alone=self._instances <= 1)
         self.limits.update_roster(coordinators, self._instances)
+        self.replica_reach.update_peers(coordinators)
         self._forget_the_gone()
         if coordinators:
             self.reports.take_readers(record.name for record in coordinators)
--- a/reachlink/kernel/tests/test_layers.py
+++ b/reachlink/kernel/tests/test_layers.py
@@ -59,7 +59,9 @@
     ROOT / "membership" / "_spreading.py",
     ROOT / "membership" / "_transfers.py",
     ROOT / "upstreams" / "_retry_after.py",
-    ROOT / "reachability" / "_contacts.py",
+    ROOT / "reachability" / "_paths.py",
+    ROOT / "reachability" / "_peers.py",
+    ROOT / "reachability" / "_frames.py",
     ROOT / "entry" / "_digests.py",
     ROOT / "entry" / "_guardians.py",
 ]
--- a/reachlink/reachability/tests/test_contacts.py
+++ b/reachlink/reachability/tests/test_paths.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from reachlink.reachability import ConnectFailure, ContactTracker, failure_of
-from reachlink.reachability import _contacts as contacts
+from reachlink.reachability import ConnectFailure, PathTracker, failure_of
+from reachlink.reachability import _paths as paths
 
 
 class Recorder:
@@ -19,14 +19,15 @@
 @pytest.fixture
 def lines(monkeypatch):
     recorder = Recorder()
-    monkeypatch.setattr(contacts, "get_logger", lambda: recorder)
+    monkeypatch.setattr(paths, "get_logger", lambda: recorder)
     return recorder.lines
 
 
 def test_a_failed_connection_is_logged_with_its_reason_and_what_was_heard_before(lines):
-    tracker = ContactTracker()
-    tracker.of("10.0.0.1:80", 5.0).heard_at = 5.0
-    tracker.note_connect_failed("10.0.0.1:80", ConnectFailure.SILENT, 0.25, 7.0)
+    tracker = PathTracker()
+    path = tracker.path("10.0.0.1:80", 5.0)
+    path.heard_at = 5.0
+    tracker.note_connect_failed(path, ConnectFailure.SILENT, 0.25, 7.0)
     assert lines == [
         {
             "event": "connect_failed",
@@ -40,9 +41,10 @@
 
 def test_failures_at_one_replica_are_logged_once_a_second_and_all_counted(lines):
     counted = []
-    tracker = ContactTracker(counted.append)
+    tracker = PathTracker(counted.append)
+    path = tracker.path("r", 0.0)
     for tick in range(30):
-        tracker.note_connect_failed("r", ConnectFailure.REFUSED, 0.0, tick / 10.0)
+        tracker.note_connect_failed(path, ConnectFailure.REFUSED, 0.0, tick / 10.0)
     assert len(lines) == 3
     assert len(counted) == 30
 
@@ -61,7 +63,7 @@
 
 
 def test_the_number_of_replicas_is_bounded():
-    tracker = ContactTracker()
-    for number in range(3 * contacts.MAX_TRACKED_REPLICAS):
-        tracker.of(f"r{number}", 0.0)
-    assert len(tracker._contacts) <= contacts.MAX_TRACKED_REPLICAS
+    tracker = PathTracker()
+    for number in range(3 * paths.MAX_TRACKED_REPLICAS):
+        tracker.path(f"r{number}", 0.0)
+    assert len(tracker._paths) <= paths.MAX_TRACKED_REPLICAS
--- a/reachlink/testing/proxy.py
+++ b/reachlink/testing/proxy.py
@@ -58,6 +58,18 @@
     delay_ms: float = 0.0
     opened: asyncio.Event = field(default_factory=asyncio.Event)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Take new connections."""
+        if self.server is None:
+            self.server = await asyncio.start_server(_handler(self), "127.0.0.1", self.config.port)
+
+    def refuse(self) -> None:
+        """Refuse new connections."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
 
     def matches(self, fault: FaultRequest) -> bool:
         """Return whether the fault concerns this link."""
@@ -94,13 +106,11 @@
         return app
 
     async def _listen(self, app: web.Application):  # type: ignore[no-untyped-def]
-        servers = []
         for link in self._links:
-            handler = _handler(link)
-            servers.append(await asyncio.start_server(handler, "127.0.0.1", link.config.port))
+            await link.listen()
         yield
-        for server in servers:
-            server.close()
+        for link in self._links:
+            link.refuse()
 
     async def _chosen(self, request: web.Request) -> tuple[FaultRequest, list[Link]]:
         fault = msgspec.json.decode(await request.read(), type=FaultRequest)
@@ -114,6 +124,7 @@
             link.mode = fault.mode
             link.opened.clear()
             if fault.mode == "reset":
+                link.refuse()
                 _abort_all(link)
         return json_response({"links": len(links)})
 
@@ -125,6 +136,7 @@
                 _abort_all(link)
             link.mode = ""
             link.opened.set()
+            await link.listen()
         return json_response({"links": len(links)})
 
     async def _delay(self, request: web.Request) -> web.Response:
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -1,8 +1,8 @@
 """Connections to replicas, reused only if no bytes of another request can be on them."""
 
 import asyncio
-import functools
 import re
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -12,7 +12,13 @@
 
 from reachlink.kernel import steady_time
 from reachlink.pacing import BackoffTracker
-from reachlink.reachability import Contact, ContactTracker, failure_of
+from reachlink.reachability import (
+    SUSPECT_AFTER_S,
+    Dialer,
+    DirectPath,
+    PathTracker,
+    RelayedProtocol,
+)
 from reachlink.upstreams.exceptions import UpstreamBackoffError
 
 # Idle time in seconds after which a replica is assumed to close a connection if it announces
@@ -38,18 +44,24 @@
         self.idle = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
-        # Replaced by the contact with the replica once the connection is made.
-        self.contact = Contact()
+        # Replaced by the path to the replica once the connection is made.
+        self.path = DirectPath()
+        # Whether the connection leads through a peer.
+        self.relayed = False
+        self.sent_at = 0.0
 
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
         idle_for_s = steady_time() - self.idle_since
+        if not self.path.may_reuse(self.idle_since):
+            return False
         return self.is_connected() and idle_for_s < self.idle_timeout_s - IDLE_MARGIN_S
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes; abort the connection if it is idle."""
-        self.contact.heard_at = steady_time()
+        if not self.relayed:
+            self.path.heard_at = steady_time()
         if self.idle and data:
             self.abort()
             return
@@ -70,6 +82,61 @@
         super().connection_lost(exc)
 
 
+class AwaitedAnswers:
+    """Connections that await an answer, by path.
+
+    Parameters
+    ----------
+    suspect : callable
+        Called with a path on which nothing was heard for long while answers are awaited.
+    """
+
+    def __init__(self, suspect: Callable[[DirectPath], None]) -> None:
+        self._suspect = suspect
+        # In the order in which requests were sent.
+        self._connections: dict[str, dict[ReplicaConnection, None]] = {}
+        self._timers: set[str] = set()
+
+    def add(self, connection: ReplicaConnection, now: float) -> None:
+        """Add a connection that a request is sent on."""
+        if connection.relayed:
+            return
+        connection.sent_at = now
+        path = connection.path
+        path.dialed_at = now
+        self._connections.setdefault(path.address, {})[connection] = None
+        if path.address not in self._timers:
+            self._timers.add(path.address)
+            self._look_later(path)
+
+    def discard(self, connection: ReplicaConnection) -> None:
+        """Remove a connection whose answer has come, or that was closed."""
+        on_path = self._connections.get(connection.path.address)
+        if on_path is not None:
+            on_path.pop(connection, None)
+
+    def abort_overdue(self, path: DirectPath, now: float) -> None:
+        """Abort the connections on which nothing was heard for long."""
+        for connection in list(self._connections.get(path.address, ())):
+            if path.is_overdue(connection.sent_at, now):
+                connection.abort()
+
+    def _look_later(self, path: DirectPath) -> None:
+        asyncio.get_running_loop().call_later(SUSPECT_AFTER_S, self._look, path)
+
+    def _look(self, path: DirectPath) -> None:
+        on_path = self._connections.get(path.address)
+        if not on_path:
+            self._timers.discard(path.address)
+            self._connections.pop(path.address, None)
+            return
+        now, first = steady_time(), next(iter(on_path))
+        path.dialed_at = now
+        if path.is_overdue(first.sent_at, now) and now >= path.trusted_until:
+            self._suspect(path)
+        self._look_later(path)
+
+
 class ReplicaConnector(aiohttp.TCPConnector):
     """Pool of `ReplicaConnection` that reuses the most recently used connection first.
 
@@ -81,17 +148,22 @@
     ----------
     backoffs : BackoffTracker
         Tracker of the replicas that have requested a backoff.
-    contacts : ContactTracker
-        Is told how connections are made or fail.
+    paths : PathTracker
+        Direct paths to the replicas.
+    dialer : Dialer
+        Makes connections.
     **options : object
         Passed to `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, backoffs: BackoffTracker, contacts: ContactTracker, **options: Any) -> None:
+    def __init__(
+        self, backoffs: BackoffTracker, paths: PathTracker, dialer: Dialer, **options: Any
+    ) -> None:
         super().__init__(**options)
         self._backoffs = backoffs
-        self._contacts = contacts
-        self._factory: Any = functools.partial(ReplicaConnection, loop=self._loop)
+        self._paths = paths
+        self._dialer = dialer
+        self._awaited = AwaitedAnswers(dialer.suspect)
 
     async def connect(
         self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
@@ -110,26 +182,25 @@
         except UpstreamBackoffError:
             connection.release()
             raise
+        if isinstance(connection.protocol, ReplicaConnection):
+            self._awaited.add(connection.protocol, steady_time())
         return connection
 
+    def abort_silent(self, path: DirectPath) -> None:
+        """Abort the connections on a lost path that await an answer in vain."""
+        self._awaited.abort_overdue(path, steady_time())
+
     async def _create_connection(
         self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
     ) -> ResponseHandler:
-        """Make a connection, and record how that went."""
-        address, begun = address_of(req.url), steady_time()
-        try:
-            protocol = await super()._create_connection(req, traces, timeout)
-        except (aiohttp.ClientConnectorError, OSError) as error:
-            cause = error.os_error if isinstance(error, aiohttp.ClientConnectorError) else error
-            now = steady_time()
-            failure = failure_of(cause)
-            self._contacts.note_connect_failed(address, failure, now - begun, now)
-            raise
-        now = steady_time()
-        contact = self._contacts.of(address, now)
-        contact.heard_at = now
-        if isinstance(protocol, ReplicaConnection):
-            protocol.contact = contact
+        """Make a connection, directly or through a peer."""
+        address = address_of(req.url)
+        connected = await self._dialer.dial(address)
+        protocol = ReplicaConnection(self._loop)
+        protocol.path = self._paths.path(address, steady_time())
+        protocol.relayed = connected.relayed
+        used = RelayedProtocol(protocol) if connected.relayed else protocol
+        await self._loop.create_connection(lambda: used, sock=connected.socket)
         return protocol
 
     def _check_backoff(self, req: aiohttp.ClientRequest) -> None:
@@ -153,8 +224,11 @@
         return connection
 
     def _release(self, key: Any, protocol: ResponseHandler, *, should_close: bool = False) -> None:
-        super()._release(key, protocol, should_close=should_close)
+        relayed = isinstance(protocol, ReplicaConnection) and protocol.relayed
+        # A relayed connection serves one request, so that peers that stop soon have none left.
+        super()._release(key, protocol, should_close=should_close or relayed)
         if isinstance(protocol, ReplicaConnection):
+            self._awaited.discard(protocol)
             protocol.idle = True
             protocol.idle_since = steady_time()
 
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -14,7 +14,14 @@
 
 from reachlink.kernel import steady_time
 from reachlink.pacing import LimitGate, LocalGate, PacingTracker, PermitOptions, parse_limit
-from reachlink.reachability import ConnectFailure, ContactTracker
+from reachlink.reachability import (
+    ConnectFailure,
+    Dialer,
+    DirectDialer,
+    DirectPath,
+    NotReachedError,
+    PathTracker,
+)
 from reachlink.telemetry import get_logger
 from reachlink.upstreams._bodies import WRITE_CHUNK_BYTES, FlowControlledBody
 from reachlink.upstreams._connections import ReplicaConnector, address_of
@@ -84,6 +91,11 @@
         replaces it by a gate that coordinates with the other senders.
     limit_header : str
         Header field of an answer in which a replica advertises its rate limit.
+    paths : PathTracker
+        Direct paths to the replicas.
+    dialer : Dialer
+        Makes connections. A process with peers replaces it by one that asks them where direct
+        connections fail, before the first request.
     on_connect_failed : callable
         Called with the kind of each failure to connect to a replica.
     """
@@ -100,23 +112,25 @@
         # Called when a rate limit of a replica is new, changes or ends.
         self.on_limit_change: Callable[[], None] = lambda: None
         self.on_connect_failed: Callable[[ConnectFailure], None] = lambda failure: None
-        self._contacts = ContactTracker(lambda failure: self.on_connect_failed(failure))
+        self.paths = PathTracker(lambda failure: self.on_connect_failed(failure))
+        self.dialer: Dialer = DirectDialer(self.paths, connect_timeout_s)
         self._max_connections = max_connections
-        self._connect_timeout_s = connect_timeout_s
         self._bounded = bounded
         self._open_session: aiohttp.ClientSession | None = None
+        self._connector: ReplicaConnector | None = None
         self._log: Any = get_logger()
 
     @property
     def _session(self) -> aiohttp.ClientSession:
         if self._open_session is None:
-            connector = ReplicaConnector(
+            self._connector = connector = ReplicaConnector(
                 self.pacing.backoffs,
-                self._contacts,
+                self.paths,
+                self.dialer,
                 limit=self._max_connections,
                 ttl_dns_cache=None,
             )
-            timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s)
+            timeout = aiohttp.ClientTimeout(total=None)
             options: dict[str, Any] = {"read_bufsize": READ_AHEAD_BYTES} if self._bounded else {}
             self._open_session = aiohttp.ClientSession(
                 connector=connector, timeout=timeout, auto_decompress=False, **options
@@ -125,6 +139,7 @@
 
     async def close(self) -> None:
         """Close every connection."""
+        self.dialer.close()
         if self._open_session is not None:
             await self._open_session.close()
 
@@ -245,13 +260,14 @@
         UpstreamUnreachableError
             If the connection is refused or times out.
         """
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except OSError as error:
-            raise UpstreamUnreachableError(str(error) or type(error).__name__) from error
-        writer.close()
+        with _convert_errors():
+            connected = await self.dialer.dial(address)
+        connected.close()
+
+    def abort_silent(self, path: DirectPath) -> None:
+        """Abort the connections on a lost path that await an answer in vain."""
+        if self._connector is not None:
+            self._connector.abort_silent(path)
 
     @asynccontextmanager
     async def control(
@@ -326,6 +342,8 @@
     failures: tuple[type[Exception], ...] = (aiohttp.ClientError, OSError, TimeoutError, *broken)
     try:
         yield
+    except NotReachedError as error:
+        raise UpstreamUnreachableError(str(error)) from error.__cause__
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise UpstreamUnreachableError(str(error)) from error
     except failures as error:
