--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -22,10 +22,12 @@
 from reachlink.reachability.exceptions import NotReachedError
 from reachlink.telemetry import get_logger
 
-# Maximum number of relayed connections: 41 MB if both ends of all of them stop reading.
+# Maximum number of relayed connections. Together they hold 24 MB if all ends stop reading.
 MAX_RELAYS = 256
 # Bytes that one end has not read from which on the other end is not read.
 HIGH_WATER_BYTES = 16 << 10
+# Maximum number of bytes that are read from one end at once.
+READ_BYTES = 16 << 10
 # Time in seconds for which a connection is held for the peer that asked for it.
 CLAIM_VALIDITY_S = 0.5
 # Time in seconds after a failed connection in which the replica is not tried for a peer.
@@ -149,15 +151,38 @@
         return int(port)
 
 
-class _ReplicaEnd(asyncio.Protocol):
+class _End(asyncio.BufferedProtocol):
+    """One end of a relayed connection, of which only little is read at once."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray(READ_BYTES)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self._buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes."""
+        raise NotImplementedError
+
+
+class _ReplicaEnd(_End):
     """Connection to the replica."""
 
     def __init__(self, on_closed: Callable[["_ReplicaEnd"], None]) -> None:
+        super().__init__()
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._peer: asyncio.Transport | None = None
         self._ended = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the peer has yet to read."""
+        return self._peer.get_write_buffer_size() if self._peer is not None else 0
+
     @property
     def is_open(self) -> bool:
         """Whether the replica has not closed the connection."""
@@ -206,10 +231,11 @@
             self._peer.resume_reading()
 
 
-class _PeerEnd(asyncio.Protocol):
+class _PeerEnd(_End):
     """Connection of the peer, which first claims a connection to a replica."""
 
     def __init__(self, claim: Callable[[bytes], _ReplicaEnd | None]) -> None:
+        super().__init__()
         self._claim = claim
         self._token = b""
         self._transport: asyncio.Transport | None = None
