Ask no further peers for a replica that a peer with working paths does not reach

Change: a peer tells whether it reaches other replicas. If it does and does not reach this one, the replica is away, and nobody else is asked. A peer whose paths may be lost says that it is cut off.

--- a/reachlink/reachability/_messages.py
+++ b/reachlink/reachability/_messages.py
@@ -12,10 +12,15 @@
 
 
 class RelayOutcome(Enum):
-    """Result of a request to relay a connection; the values are sent and counted."""
+    """Result of a request to relay a connection; the values are sent and counted.
+
+    A peer that reaches other replicas answers that this one is unreachable; one that may have
+    lost its own paths answers that it is cut off.
+    """
 
     OPENED = "opened"
     UNREACHABLE = "unreachable"
+    CUT_OFF = "cut_off"
     UNKNOWN = "unknown"
     BUSY = "busy"
 
--- a/reachlink/reachability/_paths.py
+++ b/reachlink/reachability/_paths.py
@@ -21,6 +21,8 @@
 # Time in seconds that an answer is awaited without any byte from its replica before the path is
 # suspected. Twice the usual work of a call; a wrong suspicion costs one connection.
 SUSPECT_AFTER_S = 0.25
+# Time in seconds for which bytes from a replica show that this instance has not lost its paths.
+HEARD_LATELY_S = 0.5
 # Time in seconds after a successful probe in which a path is not suspected again.
 TRUST_S = 1.0
 
@@ -151,6 +153,12 @@
         """Number of replicas that are reached through peers only."""
         return sum(path.is_lost for path in self._paths.values())
 
+    def reaches_any(self, now: float) -> bool:
+        """Return whether no path is lost and a replica was heard lately."""
+        if any(path.is_lost for path in self._paths.values()):
+            return False
+        return any(now - path.heard_at < HEARD_LATELY_S for path in self._paths.values())
+
     def path(self, address: str, now: float) -> DirectPath:
         """Return the path to the replica at an address, creating it for an unknown one."""
         path = self._paths.get(address)
--- a/reachlink/reachability/_relay_client.py
+++ b/reachlink/reachability/_relay_client.py
@@ -42,6 +42,10 @@
     availability_zone: str
 
 
+class _ReplicaAwayError(Exception):
+    """A peer that reaches other replicas does not reach the one that is wanted."""
+
+
 class RelayClient:
     """Asks peers to relay connections to replicas.
 
@@ -84,7 +88,11 @@
         if target is None or self._nobody_until.get(address, now) > now:
             raise NotReachedError(f"no peer is asked to reach {address}")
         peers = self._peers.by_preference(target.availability_zone, now)[:MAX_PEERS_ASKED]
-        connected = await self._first(peers, target, now + TIMEOUT_S)
+        try:
+            connected = await self._first(peers, target, now + TIMEOUT_S)
+        except _ReplicaAwayError as error:
+            self._remember_nobody(address)
+            raise NotReachedError(f"{error} does not reach {address}") from None
         if connected is None:
             self._remember_nobody(address)
             raise NotReachedError(f"no peer reaches {address}")
@@ -93,7 +101,13 @@
     async def _first(
         self, peers: list[RelayPeer], target: RelayTarget, deadline: float
     ) -> ReplicaSocket | None:
-        """Ask peers one after the other, without awaiting a slow one; return the first success."""
+        """Ask peers one after the other, without awaiting a slow one; return the first success.
+
+        Raises
+        ------
+        _ReplicaAwayError
+            If a peer that reaches other replicas does not reach this one.
+        """
         running: set[asyncio.Task[ReplicaSocket | None]] = set()
         waiting = list(peers)
         try:
@@ -118,7 +132,13 @@
                 discard(task)
 
     async def _through(self, peer: RelayPeer, target: RelayTarget) -> ReplicaSocket | None:
-        """Return a connection through one peer; None if it reaches the replica no better."""
+        """Return a connection through one peer; None if it is no help.
+
+        Raises
+        ------
+        _ReplicaAwayError
+            If the peer reaches other replicas, but not this one.
+        """
         try:
             reply = await self._ask(peer, target)
             self._count(reply.outcome.value)
@@ -126,6 +146,8 @@
                 claimed = await self._claim(peer, reply)
                 self._peers.prefer(peer.name, steady_time())
                 return claimed
+            if reply.outcome is RelayOutcome.UNREACHABLE:
+                raise _ReplicaAwayError(peer.name)
             reason = reply.outcome.value
         except (MessagingError, OSError) as error:
             self._count("unanswered")
@@ -173,7 +195,7 @@
 
 
 def _close_result(task: asyncio.Task[Any]) -> None:
-    with contextlib.suppress(asyncio.CancelledError, NotReachedError, OSError):
+    with contextlib.suppress(asyncio.CancelledError, NotReachedError, _ReplicaAwayError, OSError):
         result = task.result()
         if result is not None:
             result.close()
--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -105,16 +105,21 @@
         now = steady_time()
         path = self._paths.path(address, now)
         if path.is_lost or path.is_failing(now, RECENT_FAILURE_S):
-            return RelayReply(RelayOutcome.UNREACHABLE)
+            return self._unreachable()
         port = await self._listening_port()
         if port is None:
             return RelayReply(RelayOutcome.BUSY)
         try:
             token = await self._hold(await self._direct.dial(address))
         except (NotReachedError, OSError):
-            return RelayReply(RelayOutcome.UNREACHABLE)
+            return self._unreachable()
         return RelayReply(RelayOutcome.OPENED, port, token)
 
+    def _unreachable(self) -> RelayReply:
+        """Return the answer for a replica that is not reached, by whose fault that may be."""
+        reaches_any = self._paths.reaches_any(steady_time())
+        return RelayReply(RelayOutcome.UNREACHABLE if reaches_any else RelayOutcome.CUT_OFF)
+
     async def _hold(self, connected: ReplicaSocket) -> bytes:
         """Keep a connection for the peer; return the token that claims it."""
         loop = asyncio.get_running_loop()
