Spare replicas that say that they are brittle

Cause: how many requests a replica gets at once was bounded by nobody where callers come in bursts. Class: a sum that no instance keeps alone.

Change: one more kind in `pacing/`, in the one answer to "may this replica get one more now". What the replica works on at once, times 1.25, is divided among the instances by number, without any message; of a fraction of a request an instance has a whole one in some periods of 2 s and none in the others, by a hash. A rejection halves the window and stops the instance for its part of the rejections (half of N in all). Read in the one place that all answers pass, on both ways of a request, for calls, streams, reports and orders; requests are counted where connections are taken and given back. Log lines, a gauge, 503 `brittle` with a time to come back.

--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -29,6 +29,7 @@
 _HELD_BACK = {
     HoldReason.BACKOFF: ("replicas_in_backoff", "the replicas are all in backoff"),
     HoldReason.LIMIT: ("replicas_over_limit", "the replicas all get as much as they take"),
+    HoldReason.BRITTLE: ("replicas_brittle", "the replicas are brittle and get no more now"),
     HoldReason.REFUSING: ("replicas_refuse", "the replicas all turn requests away"),
 }
 # How many waiting requests may be passed by a smaller one that fits.
--- a/reachlink/entry/_entry_metrics.py
+++ b/reachlink/entry/_entry_metrics.py
@@ -6,6 +6,7 @@
 from reachlink.entry._held_sight import BODIES_REFUSED_DESCRIPTION, export_held_bytes
 from reachlink.entry._relay_metrics import (
     BACKOFF_DESCRIPTION,
+    BRITTLE_DESCRIPTION,
     CONNECTS_DESCRIPTION,
     LIMIT_DESCRIPTION,
     LOST_DESCRIPTION,
@@ -57,6 +58,10 @@
         """Export how many replicas have named what they take from all together."""
         self._metrics.gauge("reachlink_replicas_limited", "1", LIMIT_DESCRIPTION, limited)
 
+    def export_brittle(self, brittle: Callable[[], float]) -> None:
+        """Export how many replicas have stated that they are brittle."""
+        self._metrics.gauge("reachlink_replicas_brittle", "1", BRITTLE_DESCRIPTION, brittle)
+
     def count_failed_connect(self, failure: ConnectFailure) -> None:
         """Count a connection to a replica that could not be made."""
         self.connects_failed.add(1, {"reason": failure.value})
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -67,7 +67,9 @@
         self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
         self.control = ControlClient(self.bus, config.controls)
         self.held = BufferBudget(config.held_bytes)
-        self.client = HttpClient(bounded=self.held.limited)
+        self.client = HttpClient(bounded=self.held.limited, name=config.name)
+        self.client.pacing.brittle.instances = lambda: len(config.peers) + 1
+        self.client.pacing.brittle.slots_at = self._slots_at
         self.directory = ReplicaDirectory(config.routes, pacing=self.client.pacing)
         self.lengths = LengthEstimator()
         self.ledger = Ledger(self.lengths)
@@ -118,6 +120,7 @@
         self.on_body_refused = sight.refused
         self.metrics.export_backoffs(lambda: self.client.pacing.backoffs.count(steady_time()))
         self.metrics.export_limits(self.client.pacing.limits.count)
+        self.metrics.export_brittle(self.client.pacing.brittle.count)
         self.metrics.export_paths(lambda: self.client.paths.lost_count)
         self.client.on_connect_failed = self.metrics.count_failed_connect
         self.ready = False
@@ -256,6 +259,10 @@
         """Tell the others at once: until a digest they would send on as usual."""
         self.tell_peers(CHANNEL_LIMITS, encode(self.limits.updates()))
 
+    def _slots_at(self, address: str) -> int:
+        """Return how many requests an engine works on at once; 0 if unknown."""
+        return self.ledger.replica(self.directory.name_at(address)).report.max_batch
+
     def _record(self) -> InstanceRecord:
         return InstanceRecord(self.name, self.address, self.zone)
 
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -47,6 +47,7 @@
         self._node.metrics.export_backoffs(lambda: backoffs.count(steady_time()))
         self._node.metrics.export_held(self._node.held)
         self._node.metrics.export_limits(self._node.client.pacing.limits.count)
+        self._node.metrics.export_brittle(self._node.client.pacing.brittle.count)
         self._node.metrics.export_paces(
             self._node.tracker.paces.steady_paces, lambda: self._node.adapter.unreadable_loads
         )
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -14,6 +14,7 @@
 
 PERMITS_DESCRIPTION = "Permits asked for at replicas with a limit, by how that ended."
 LIMIT_DESCRIPTION = "Replicas that named how many requests they take from all together."
+BRITTLE_DESCRIPTION = "Replicas that fall over if they reject more than they have stated."
 CONNECTS_DESCRIPTION = "Connections to replicas that could not be made, by how that failed."
 LOST_DESCRIPTION = "Replicas that this instance reaches through peers only."
 RELAYS_DESCRIPTION = (
@@ -127,6 +128,10 @@
         """Export how many replicas have named what they take from all together."""
         self._metrics.gauge("reachlink_replicas_limited", "1", LIMIT_DESCRIPTION, limited)
 
+    def export_brittle(self, brittle: Callable[[], float]) -> None:
+        """Export how many replicas have stated that they are brittle."""
+        self._metrics.gauge("reachlink_replicas_brittle", "1", BRITTLE_DESCRIPTION, brittle)
+
     def count_in_line(self, service: str, outcome: str) -> None:
         """Count a request that stood in line, by how that ended."""
         self.line_outcomes.add(1, {"service": service, "outcome": outcome})
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -69,8 +69,12 @@
         self.control = ControlClient(self.bus, list(config.seeds))
         self.held = BufferBudget(config.scheduling.held_bytes)
         self.client = HttpClient(
-            connect_timeout_s=config.connect_timeout_s, bounded=self.held.limited
+            connect_timeout_s=config.connect_timeout_s,
+            bounded=self.held.limited,
+            name=config.name,
         )
+        self.client.pacing.brittle.instances = self.sharing_instances
+        self.client.pacing.brittle.slots_at = self._slots_at
         self.directory = ReplicaDirectory(
             unconfirmed_mark_s=config.leaving_mark_s, pacing=self.client.pacing
         )
@@ -330,6 +334,11 @@
         """Return whether this instance's zone is cut off from the others."""
         return self._reach.cut_off()
 
+    def _slots_at(self, address: str) -> int:
+        """Return how many requests a replica works on at once; 0 if unknown."""
+        sample = self.tracker.state(self.directory.name_at(address)).sample
+        return sample.slots if sample is not None else 0
+
     def _shares(self) -> list[ReplicaUsage]:
         """Return the requests of this instance and its members at model engines."""
         return self.coordinator.add_member_usages(self.tracker.usages(steady_time()))
--- a/reachlink/pacing/__init__.py
+++ b/reachlink/pacing/__init__.py
@@ -1,6 +1,7 @@
-"""Flow control that replicas request from their senders: backoffs and rate limits."""
+"""Flow control that replicas request: backoffs, rate limits, and few rejections."""
 
 from reachlink.pacing._backoffs import BackoffTracker
+from reachlink.pacing._brittle import BrittleReplica, BrittleTracker, parse_refusals
 from reachlink.pacing._gate import LimitGate, LocalGate, PermitOptions
 from reachlink.pacing._limits import AdvertisedLimit, LimitTracker, parse_limit
 from reachlink.pacing._messages import CHANNEL_LIMIT, LimitUpdate, PermitQuery, PermitReply
@@ -18,6 +19,8 @@
     "CHANNEL_LIMIT",
     "PEER_SILENCE_TIMEOUT_S",
     "BackoffTracker",
+    "BrittleReplica",
+    "BrittleTracker",
     "Hold",
     "HoldReason",
     "PermitReply",
@@ -35,5 +38,6 @@
     "RefusalTracker",
     "rendezvous_order",
     "parse_limit",
+    "parse_refusals",
     "partition_share",
 ]
--- a/reachlink/pacing/_pacing_tracker.py
+++ b/reachlink/pacing/_pacing_tracker.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from reachlink.pacing._backoffs import BackoffTracker
+from reachlink.pacing._brittle import BrittleTracker
 from reachlink.pacing._limits import LimitTracker
 from reachlink.pacing._refusals import RefusalTracker
 
@@ -16,6 +17,7 @@
 
     BACKOFF = "in_backoff"
     LIMIT = "over_limit"
+    BRITTLE = "brittle"
     REFUSING = "not_run"
 
 
@@ -78,6 +80,8 @@
     ----------
     random : random.Random
         Spreads the ends of backoffs and decides which requests are admitted after them.
+    name : str
+        Name of this instance, which distinguishes its part of what all instances may send.
 
     Attributes
     ----------
@@ -85,15 +89,18 @@
         Replicas that want no requests for some time.
     limits : LimitTracker
         Replicas that accept a limited rate of requests from all instances together.
+    brittle : BrittleTracker
+        Replicas that fall over if they have to reject more than some requests.
     refusals : RefusalTracker
         Replicas that reject requests without naming a time; used for placement only.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, name: str = "") -> None:
         self.backoffs = BackoffTracker(random)
         self.limits = LimitTracker()
+        self.brittle = BrittleTracker(name)
         self.refusals = RefusalTracker()
-        self._kinds: tuple[PacingKind, ...] = (self.backoffs, self.limits)
+        self._kinds: tuple[PacingKind, ...] = (self.backoffs, self.limits, self.brittle)
 
     @property
     def is_empty(self) -> bool:
@@ -122,6 +129,8 @@
         """
         if self.refusals.remaining_s(address, now) or not self.backoffs.admits(address, now):
             return False
+        if not self.brittle.admits(address, now):
+            return False
         if self.limits.admits(address, now):
             return True
         return self.limits.remaining_s(address, now) <= max_wait_s
@@ -181,4 +190,6 @@
     def _reason(self, address: str, now: float) -> HoldReason:
         if self.limits.holds(address, now):
             return HoldReason.LIMIT
+        if self.brittle.holds(address, now):
+            return HoldReason.BRITTLE
         return HoldReason.BACKOFF if self.backoffs.holds(address, now) else HoldReason.REFUSING
--- a/reachlink/requests/_attempts.py
+++ b/reachlink/requests/_attempts.py
@@ -6,7 +6,7 @@
 
 from reachlink.delivery import Outcome
 from reachlink.pacing import HoldReason
-from reachlink.upstreams import UpstreamHeldBackError, UpstreamLimitedError
+from reachlink.upstreams import UpstreamBrittleError, UpstreamHeldBackError, UpstreamLimitedError
 
 
 class AttemptFailure(Enum):
@@ -16,6 +16,7 @@
     GONE = "gone"
     BACKOFF = HoldReason.BACKOFF.value
     LIMITED = HoldReason.LIMIT.value
+    BRITTLE = HoldReason.BRITTLE.value
     NOT_RUN = HoldReason.REFUSING.value
     BROKEN = "broken"
     FAILED = "failed"
@@ -23,7 +24,7 @@
 
 
 # Pacing does not allow the request at this replica now; it may be sent there later.
-_PACED = frozenset({AttemptFailure.BACKOFF, AttemptFailure.LIMITED})
+_PACED = frozenset({AttemptFailure.BACKOFF, AttemptFailure.LIMITED, AttemptFailure.BRITTLE})
 _DID_NOT_RUN = _PACED | {AttemptFailure.UNREACHABLE, AttemptFailure.GONE, AttemptFailure.NOT_RUN}
 # The chosen replica did not receive the request.
 _NOT_SENT = _PACED | {AttemptFailure.UNREACHABLE, AttemptFailure.GONE}
@@ -43,6 +44,11 @@
     return AttemptFailure.LIMITED
 
 
+@pacing_failure.register
+def _brittle_failure(error: UpstreamBrittleError) -> AttemptFailure:
+    return AttemptFailure.BRITTLE
+
+
 @dataclass(slots=True)
 class AttemptLog:
     """Record of the attempts of one request.
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -58,7 +58,7 @@
             failure = await _Stream(dispatcher, request, sink).start(replica)
             if failure is None:
                 return
-            if failure is AttemptFailure.LIMITED:
+            if failure in (AttemptFailure.LIMITED, AttemptFailure.BRITTLE):
                 tried.discard(replica.name)
             if not dispatcher.retry_policy.may_retry(request, replica, failure, attempts):
                 break
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -54,7 +54,7 @@
                 if fallback[0].status < SERVER_ERROR or not request.route.may_repeat:
                     break
                 result = AttemptFailure.FAILED
-            if result is AttemptFailure.LIMITED:
+            if result in (AttemptFailure.LIMITED, AttemptFailure.BRITTLE):
                 # Other requests used up the permits; the replica may take this one later.
                 tried.discard(replica.name)
             if not self._dispatcher.retry_policy.may_retry(request, replica, result, attempts):
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -19,7 +19,7 @@
     TokenStream,
 )
 from reachlink.upstreams._events import EventSplitter, StreamEvent
-from reachlink.upstreams._http import LIMIT_HEADER, HttpClient
+from reachlink.upstreams._http import BRITTLE_HEADER, LIMIT_HEADER, HttpClient
 from reachlink.upstreams._liveness import Liveness, probe, probe_repeatedly
 from reachlink.upstreams._loads import LoadDecoder
 from reachlink.upstreams._prompts import PromptDigest, digest_prompt
@@ -40,6 +40,7 @@
 from reachlink.upstreams.exceptions import (
     GenerationUnknownError,
     UpstreamBackoffError,
+    UpstreamBrittleError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamHeldBackError,
@@ -49,6 +50,7 @@
 )
 
 __all__ = [
+    "BRITTLE_HEADER",
     "LIMIT_HEADER",
     "RELAY_ADAPTERS",
     "AnswerHead",
@@ -84,6 +86,7 @@
     "ServiceAdapter",
     "TokenEvent",
     "TokenStream",
+    "UpstreamBrittleError",
     "UpstreamBrokenError",
     "UpstreamError",
     "UpstreamRefusedError",
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
-from reachlink.pacing import BackoffTracker
+from reachlink.pacing import PacingTracker
 from reachlink.reachability import (
     SUSPECT_AFTER_S,
     Dialer,
@@ -146,8 +146,8 @@
 
     Parameters
     ----------
-    backoffs : BackoffTracker
-        Tracker of the replicas that have requested a backoff.
+    pacing : PacingTracker
+        What replicas have asked for; is told of the requests at brittle replicas.
     paths : PathTracker
         Direct paths to the replicas.
     dialer : Dialer
@@ -157,10 +157,10 @@
     """
 
     def __init__(
-        self, backoffs: BackoffTracker, paths: PathTracker, dialer: Dialer, **options: Any
+        self, pacing: PacingTracker, paths: PathTracker, dialer: Dialer, **options: Any
     ) -> None:
         super().__init__(**options)
-        self._backoffs = backoffs
+        self._pacing = pacing
         self._paths = paths
         self._dialer = dialer
         self._awaited = AwaitedAnswers(dialer.suspect)
@@ -176,7 +176,13 @@
             If the replica is in backoff; nothing is sent.
         """
         self._check_backoff(req)
-        connection = await super().connect(req, traces, timeout)
+        address = address_of(req.url)
+        self._pacing.brittle.begin(address)
+        try:
+            connection = await super().connect(req, traces, timeout)
+        except BaseException:
+            self._pacing.brittle.end(address)
+            raise
         try:
             self._check_backoff(req)
         except UpstreamBackoffError:
@@ -204,7 +210,7 @@
         return protocol
 
     def _check_backoff(self, req: aiohttp.ClientRequest) -> None:
-        remaining_s = self._backoffs.remaining_s(address_of(req.url), steady_time())
+        remaining_s = self._pacing.backoffs.remaining_s(address_of(req.url), steady_time())
         if remaining_s > 0.0:
             raise UpstreamBackoffError(remaining_s)
 
@@ -229,6 +235,7 @@
         super()._release(key, protocol, should_close=should_close or relayed)
         if isinstance(protocol, ReplicaConnection):
             self._awaited.discard(protocol)
+            self._pacing.brittle.end(protocol.path.address)
             protocol.idle = True
             protocol.idle_since = steady_time()
 
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -13,7 +13,14 @@
 from yarl import URL
 
 from reachlink.kernel import steady_time
-from reachlink.pacing import LimitGate, LocalGate, PacingTracker, PermitOptions, parse_limit
+from reachlink.pacing import (
+    LimitGate,
+    LocalGate,
+    PacingTracker,
+    PermitOptions,
+    parse_limit,
+    parse_refusals,
+)
 from reachlink.reachability import (
     ConnectFailure,
     Dialer,
@@ -27,6 +34,7 @@
 from reachlink.upstreams._connections import ReplicaConnector, address_of
 from reachlink.upstreams._retry_after import requested_backoff_s
 from reachlink.upstreams.exceptions import (
+    UpstreamBrittleError,
     UpstreamBrokenError,
     UpstreamLimitedError,
     UpstreamRefusedError,
@@ -49,9 +57,15 @@
 # Header field of an answer with the rate limit of the replica for all senders together, in
 # requests per second.
 LIMIT_HEADER = "X-Fleet-Rate-Limit"
+# Header field of an answer with the rejections per second, over all senders, above which the
+# replica falls over.
+BRITTLE_HEADER = "X-Fleet-Brittle"
 # HTTP statuses of success (RFC 9110, section 15.3).
 _SUCCESS_STATUSES = range(200, 300)
 
+# Statuses with which replicas reject requests that they have no room for.
+_NO_ROOM_STATUSES = frozenset({429, 503})
+
 # Statuses that mean that the upstream did not run the request.
 REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
@@ -81,6 +95,8 @@
     bounded : bool
         Whether small buffers are used for bodies and answers, for processes that account
         for the bytes they hold.
+    name : str
+        Name of this instance.
 
     Attributes
     ----------
@@ -91,6 +107,8 @@
         replaces it by a gate that coordinates with the other senders.
     limit_header : str
         Header field of an answer in which a replica advertises its rate limit.
+    brittle_header : str
+        Header field of an answer in which a replica states that it is brittle.
     paths : PathTracker
         Direct paths to the replicas.
     dialer : Dialer
@@ -105,10 +123,12 @@
         max_connections: int = 0,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         bounded: bool = False,
+        name: str = "",
     ) -> None:
-        self.pacing = PacingTracker(Random())
+        self.pacing = PacingTracker(Random(), name)
         self.gate: LimitGate = LocalGate(steady_time)
         self.limit_header = LIMIT_HEADER
+        self.brittle_header = BRITTLE_HEADER
         # Called when a rate limit of a replica is new, changes or ends.
         self.on_limit_change: Callable[[], None] = lambda: None
         self.on_connect_failed: Callable[[ConnectFailure], None] = lambda failure: None
@@ -124,7 +144,7 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._open_session is None:
             self._connector = connector = ReplicaConnector(
-                self.pacing.backoffs,
+                self.pacing,
                 self.paths,
                 self.dialer,
                 limit=self._max_connections,
@@ -168,8 +188,7 @@
                 allow_redirects=False,
                 middlewares=(SingleDispatch(),),
             )
-        self._record_backoff(response)
-        self._record_limit(response, sent_at)
+        self._record_pacing(response, sent_at)
         return response
 
     async def relay(
@@ -207,8 +226,7 @@
                 allow_redirects=False,
                 middlewares=(SingleDispatch(),),
             )
-        self._record_backoff(response)
-        self._record_limit(response, sent_at)
+        self._record_pacing(response, sent_at)
         return response
 
     def _payload(self, body: bytes) -> "bytes | FlowControlledBody | None":
@@ -235,12 +253,16 @@
         ------
         UpstreamLimitedError
             If the permit would take longer than `max_wait_s`; none is reserved.
+        UpstreamBrittleError
+            If the replica is brittle and has as many requests as this instance may have there.
         """
-        limits = self.pacing.limits
+        limits, now = self.pacing.limits, steady_time()
+        brittle_s = 0.0 if background else self.pacing.brittle.remaining_s(address, now)
+        if brittle_s > 0.0:
+            raise UpstreamBrittleError(brittle_s)
         limit = limits.get(address)
         if limit is None:
             return
-        now = steady_time()
         remaining_s = limits.remaining_s(address, now)
         if remaining_s > max_wait_s and not limits.admits(address, now):
             raise UpstreamLimitedError(remaining_s)
@@ -284,10 +306,59 @@
         with _convert_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 async with self._session.request(method, url, data=body) as response:
-                    self._record_backoff(response)
-                    self._record_limit(response)
+                    self._record_pacing(response)
                     yield response
 
+    def _record_pacing(
+        self, response: aiohttp.ClientResponse, sent_at: float | None = None
+    ) -> None:
+        """Record what an answer says about the requests that its replica wants.
+
+        Parameters
+        ----------
+        response : aiohttp.ClientResponse
+            Answer of the replica.
+        sent_at : float, optional
+            Monotonic time in seconds at which the request was sent; None for control requests.
+        """
+        self._record_backoff(response)
+        self._record_limit(response, sent_at)
+        self._record_brittle(response, sent_at)
+
+    def _record_brittle(self, response: aiohttp.ClientResponse, sent_at: float | None) -> None:
+        """Record that a replica states that it is brittle, or no longer, and its rejections.
+
+        The answers to control requests never end the state, and neither do rejections.
+        """
+        address, brittle = address_of(response.url), self.pacing.brittle
+        text = response.headers.get(self.brittle_header)
+        if text is not None:
+            self._record_brittle_statement(address, text)
+        elif sent_at is not None and self._ends_brittle(response, sent_at):
+            self._log.info("brittle_ended", address=address)
+        if sent_at is None or response.status not in _NO_ROOM_STATUSES:
+            return
+        now = steady_time()
+        if brittle.note_refused(address, sent_at, now):
+            held_s = round(brittle.remaining_s(address, now), 3)
+            self._log.info("brittle_refused", address=address, held_s=held_s)
+
+    def _ends_brittle(self, response: aiohttp.ClientResponse, sent_at: float) -> bool:
+        """Return whether an answer without a statement ends the state of a brittle replica."""
+        if response.status not in _SUCCESS_STATUSES:
+            return False
+        return self.pacing.brittle.record_absence(address_of(response.url), sent_at)
+
+    def _record_brittle_statement(self, address: str, text: str) -> None:
+        try:
+            per_s = parse_refusals(text)
+        except ValueError as error:
+            reason = str(error)[:MAX_LOGGED_CHARACTERS]
+            self._log.info("brittle_unreadable", address=address, reason=reason)
+            return
+        if self.pacing.brittle.record(address, per_s, steady_time()):
+            self._log.info("brittle_stated", address=address, refusals_per_s=per_s)
+
     def _record_backoff(self, response: aiohttp.ClientResponse) -> None:
         """Record the backoff that an answer requests, or that it requests none."""
         address = address_of(response.url)
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "GenerationUnknownError",
+    "UpstreamBrittleError",
     "UpstreamBrokenError",
     "UpstreamError",
     "UpstreamRefusedError",
@@ -44,6 +45,10 @@
     """The rate limit that the upstream advertises for all senders together is reached."""
 
 
+class UpstreamBrittleError(UpstreamHeldBackError):
+    """The upstream is brittle and may get no more requests from this instance now."""
+
+
 class UpstreamRefusedError(UpstreamError):
     """The upstream refused the request and did not run it.
 
