Do not cut or move streams whose replica is silent for about a second

What callers would see: a sound replica that is silent for 1.2 s and goes on lost its streams: where a copy was being made and had not arrived, the stream was cut (`no_copy_left`); where it had, all streams of the replica moved at once, for a silence that was already over.

Cause: a silence of 0.8 s counted as a broken connection as soon as a copy was begun. Class: one link's silence taken for the other side's death.

Change: only where the copy has arrived, and after 1.4 s: longer than a sound replica may be silent, and early enough for callers, who leave after 2 s. A replica that is dark for good is left 0.6 s later than before; its streams were late in either case (pauses of 0.18 s are in time).

--- a/reachlink/requests/_generation_replicas.py
+++ b/reachlink/requests/_generation_replicas.py
@@ -107,9 +107,9 @@
         return self._shadow_allocation.replica if self._shadow_allocation is not None else None
 
     @property
-    def has_copy(self) -> bool:
-        """Whether there is a backup or a shadow copy, even if its memory has not arrived."""
-        return self._backup is not None or self._shadow is not None
+    def has_arrived_copy(self) -> bool:
+        """Whether there is a backup, or a shadow copy whose memory has arrived."""
+        return self._backup is not None or (self._shadow is not None and self._shadow.has_memory)
 
     async def begin(self, replica: Replica) -> None:
         """Start at a replica, with a backup if it is needed and there is room for one."""
@@ -200,8 +200,7 @@
         allocation.expected_loss = self._expected_loss()
         if self._shadow is not None and self._shadow_allocation is not None:
             self._shadow_allocation.allocation.transfer_pending = not self._shadow.has_memory
-        covered = self._backup is not None or (self._shadow is not None and self._shadow.has_memory)
-        allocation.unreplicated = not covered and self._is_worth_departure_copy()
+        allocation.unreplicated = not self.has_arrived_copy and self._is_worth_departure_copy()
 
     def _may_start_copy(self) -> bool:
         """Return whether a copy of this generation may be started now."""
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -28,9 +28,9 @@
     UpstreamUnreachableError,
 )
 
-# Time in seconds without an event after which a replica counts as lost. Well above the time that
-# the prefill of other prompts takes, and below the silence after which callers leave.
-MAX_SILENCE_S = 0.8
+# Time in seconds without an event after which a replica counts as lost. Longer than a sound replica
+# may be silent, and below the silence after which callers leave.
+MAX_SILENCE_S = 1.4
 # Time in seconds from which on a write counts as delayed by the caller. A caller that reads slowly
 # determines itself when the next events are read.
 SLOW_WRITE_S = 0.005
@@ -230,13 +230,15 @@
 
         If there is a copy to resume from, a long silence counts as a broken connection.
         """
-        if self._merger.last_event_number < 0 or not self._replicas.has_copy:
+        if self._merger.last_event_number < 0:
             return await answer.read()
-        try:
-            async with asyncio.timeout(MAX_SILENCE_S):
-                return await answer.read()
-        except TimeoutError as error:
-            raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
+        while True:
+            try:
+                async with asyncio.timeout(MAX_SILENCE_S):
+                    return await answer.read()
+            except TimeoutError as error:
+                if self._replicas.has_arrived_copy:
+                    raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
 
     async def _read_whole(self, answer: RelayAnswer) -> bytes:
         return await read_whole(answer, self._request.caller_buffer)
@@ -250,8 +252,8 @@
             )
         except UpstreamHeldBackError:
             raise
-        except UpstreamUnreachableError:
-            self._dispatcher.outcomes.record_unreachable(replica)
+        except UpstreamUnreachableError as error:
+            self._dispatcher.outcomes.record_unreachable(replica, error)
             raise
         except UpstreamError:
             self._note_broken(replica)
