Do not exclude a zone because one replica there reaches nobody

Cause: each connection that could not be made to a replica of another zone excluded all replicas of that zone for a second at this instance, also where only that replica was silent or gone.

Change: where a peer that reaches other replicas does not reach this one either, the failed connection says so, and the zone stays in use. Where no peer answers, or all may be cut off, the zone is excluded as before.

--- a/reachlink/reachability/_dialer.py
+++ b/reachlink/reachability/_dialer.py
@@ -221,6 +221,13 @@
         found = next((attempt for attempt in attempts if _succeeded(attempt)), None)
         if found is not None:
             return found
-    # The error of the direct attempt tells what is wrong with the path.
-    attempts[0].result()
-    return attempts[0]
+    raise _combined_error([attempt.exception() for attempt in attempts])
+
+
+def _combined_error(errors: list[BaseException | None]) -> BaseException:
+    """Return the error of the direct attempt, which comes first, with what a peer said."""
+    direct = errors[0]
+    if isinstance(direct, NotReachedError):
+        said = (error for error in errors if isinstance(error, NotReachedError))
+        direct.replica_away = any(error.replica_away for error in said)
+    return direct or NotReachedError("no connection was made")
--- a/reachlink/reachability/_relay_client.py
+++ b/reachlink/reachability/_relay_client.py
@@ -42,6 +42,14 @@
     availability_zone: str
 
 
+@dataclass(slots=True, frozen=True)
+class _Settled:
+    """That no peer reached a replica, valid until a monotonic time in seconds."""
+
+    until: float
+    replica_away: bool
+
+
 class _ReplicaAwayError(Exception):
     """A peer that reaches other replicas does not reach the one that is wanted."""
 
@@ -72,7 +80,8 @@
         self._peers = peers
         self._target_at = target_at
         self._count = count
-        self._nobody_until: dict[str, float] = {}
+        # What the last peers said of replicas that none of them reached, by address.
+        self._settled: dict[str, _Settled] = {}
         self._log: Any = get_logger()
 
     async def connect(self, address: str) -> ReplicaSocket:
@@ -85,16 +94,19 @@
         """
         now = steady_time()
         target = self._target_at(address)
-        if target is None or self._nobody_until.get(address, now) > now:
-            raise NotReachedError(f"no peer is asked to reach {address}")
+        if target is None:
+            raise NotReachedError(f"there is no replica at {address}")
+        settled = self._settled.get(address)
+        if settled is not None and settled.until > now:
+            raise NotReachedError(f"no peer reached {address} lately", settled.replica_away)
         peers = self._peers.by_preference(target.availability_zone, now)[:MAX_PEERS_ASKED]
         try:
             connected = await self._first(peers, target, now + TIMEOUT_S)
         except _ReplicaAwayError as error:
-            self._remember_nobody(address)
-            raise NotReachedError(f"{error} does not reach {address}") from None
+            self._remember(address, replica_away=True)
+            raise NotReachedError(f"{error} does not reach {address}", replica_away=True) from None
         if connected is None:
-            self._remember_nobody(address)
+            self._remember(address, replica_away=False)
             raise NotReachedError(f"no peer reaches {address}")
         return connected
 
@@ -181,11 +193,11 @@
             raise
         return ReplicaSocket(claimed, relayed=True)
 
-    def _remember_nobody(self, address: str) -> None:
+    def _remember(self, address: str, replica_away: bool) -> None:
         now = steady_time()
-        if len(self._nobody_until) >= MAX_REMEMBERED_REPLICAS:
-            self._nobody_until = {a: t for a, t in self._nobody_until.items() if t > now}
-        self._nobody_until[address] = now + NOBODY_RETRY_S
+        if len(self._settled) >= MAX_REMEMBERED_REPLICAS:
+            self._settled = {a: one for a, one in self._settled.items() if one.until > now}
+        self._settled[address] = _Settled(now + NOBODY_RETRY_S, replica_away)
 
 
 def discard(task: asyncio.Task[Any]) -> None:
--- a/reachlink/reachability/exceptions.py
+++ b/reachlink/reachability/exceptions.py
@@ -14,4 +14,16 @@
 
     Nothing was sent to the replica. The cause is the error of the direct attempt, if there
     was one.
+
+    Parameters
+    ----------
+    message : str
+        What failed.
+    replica_away : bool
+        Whether a peer that reaches other replicas does not reach this one, so that the fault
+        is the replica's.
     """
+
+    def __init__(self, message: str, replica_away: bool = False) -> None:
+        super().__init__(message)
+        self.replica_away = replica_away
--- a/reachlink/requests/_outcome_recorder.py
+++ b/reachlink/requests/_outcome_recorder.py
@@ -10,7 +10,7 @@
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placer import Placer
 from reachlink.telemetry import get_logger
-from reachlink.upstreams import AnswerHead, Replica
+from reachlink.upstreams import AnswerHead, Replica, UpstreamUnreachableError
 
 
 class OutcomeRecorder:
@@ -46,10 +46,11 @@
         """Record that a replica gave no answer, or not a genuine one."""
         self._record_outcome(ReplicaOutcome(replica.name, succeeded=False, answered=False))
 
-    def record_unreachable(self, replica: Replica) -> None:
+    def record_unreachable(self, replica: Replica, error: UpstreamUnreachableError) -> None:
         """Record that no connection to a replica could be made."""
         self.record_no_answer(replica)
-        self._placer.reachable.note_unreachable(replica)
+        if not error.replica_away:
+            self._placer.reachable.note_unreachable(replica)
 
     def record_broken(
         self, request: CallerRequest, replica: Replica, sent_at: float, begun: bool
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -88,8 +88,8 @@
                 body = await read_whole(answer, request.caller_buffer, wait.begin, previous_bytes)
         except UpstreamHeldBackError as error:
             return pacing_failure(error)
-        except UpstreamUnreachableError:
-            self._dispatcher.outcomes.record_unreachable(replica)
+        except UpstreamUnreachableError as error:
+            self._dispatcher.outcomes.record_unreachable(replica, error)
             return AttemptFailure.UNREACHABLE
         except UpstreamBrokenError:
             self._dispatcher.outcomes.record_broken(request, replica, sent_at, begun=False)
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -414,7 +414,7 @@
     try:
         yield
     except NotReachedError as error:
-        raise UpstreamUnreachableError(str(error)) from error.__cause__
+        raise UpstreamUnreachableError(str(error), error.replica_away) from error.__cause__
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise UpstreamUnreachableError(str(error)) from error
     except failures as error:
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -20,7 +20,20 @@
 
 
 class UpstreamUnreachableError(UpstreamError):
-    """No connection could be made, so nothing was dispatched."""
+    """No connection could be made, so nothing was dispatched.
+
+    Parameters
+    ----------
+    message : str
+        What failed.
+    replica_away : bool
+        Whether the fault is the replica's and not that of the path to it, as far as peers
+        can tell.
+    """
+
+    def __init__(self, message: str, replica_away: bool = False) -> None:
+        super().__init__(message)
+        self.replica_away = replica_away
 
 
 class UpstreamHeldBackError(UpstreamError):
