--- a/reachlink/telemetry/_losses.py
+++ b/reachlink/telemetry/_losses.py
@@ -100,6 +100,7 @@
     "line_full": LossCause.QUEUE_FULL,
     "over_share": LossCause.OVER_SHARE,
     "over_limit": LossCause.LIMITED_BY_REPLICAS,
+    "brittle": LossCause.LIMITED_BY_REPLICAS,
     "in_backoff": LossCause.LIMITED_BY_REPLICAS,
     "not_run": LossCause.LIMITED_BY_REPLICAS,
     "zones_out_of_service": LossCause.NO_ZONE_AVAILABLE,
