Test that accepted edits outlast a lost disk while all others lose power

No schedule ended that way.

Change: schedules whose last accepted edit is followed at once by the loss of one disk that must be borne and the power of all other replicas, and a faulty variant that does not sync entries. Claims and settings are in the same log; quarantine and limits are soft state and learned anew.

Conclusion: an edit is acknowledged once a majority has synced it, so that one disk and the memory of all others may go. No change of the code.

--- a/reachlink/agreement/tests/test_schedules.py
+++ b/reachlink/agreement/tests/test_schedules.py
@@ -15,6 +15,9 @@
 STEPS = 400
 CHUNKS = 8
 MUTANT_SCHEDULES = 600
+# Schedules that end with a lost disk, and their steps before that.
+POWER_SCHEDULES = SCHEDULES // 5
+POWER_STEPS = 120
 
 
 def run_schedule(seed: int, world_class: type[World] = World) -> World:
@@ -37,6 +40,35 @@
     assert accepted > 3 * SCHEDULES // CHUNKS
 
 
+def lose_disk_and_power(seed: int, world_class: type[World] = World) -> bool:
+    world = world_class(seed, voters=3 if seed % 2 else 5)
+    world.run(POWER_STEPS)
+    world.blocked.clear()
+    for node in world.nodes.values():
+        if node.core is None:
+            node.start()
+    lost = world.lose_disk_and_power()
+    world.check_liveness()
+    return lost
+
+
+def test_accepted_edits_outlast_a_lost_disk_while_all_others_lose_power():
+    lost = 0
+    for seed in range(POWER_SCHEDULES):
+        try:
+            lost += lose_disk_and_power(seed)
+        except BrokenPromiseError as error:
+            raise AssertionError(f"schedule {seed}: {error}") from error
+    # Guards against schedules in which no disk may be lost.
+    assert lost > POWER_SCHEDULES // 4
+
+
+def test_checks_catch_entries_that_are_lost_with_the_power():
+    with pytest.raises((BrokenPromiseError, AssertionError, ValueError, IndexError)):
+        for seed in range(POWER_SCHEDULES):
+            lose_disk_and_power(seed, with_disk(UnsyncedEntryDisk))
+
+
 def first_violation(world_class: type[World] = World) -> str:
     for seed in range(MUTANT_SCHEDULES):
         try:
--- a/reachlink/agreement/tests/world.py
+++ b/reachlink/agreement/tests/world.py
@@ -320,6 +320,31 @@
             del self.nodes[victim]
             self.lost_at = self.now
 
+    def lose_disk_and_power(self) -> bool:
+        """Right after an edit is accepted, lose one disk, and the power of all other replicas.
+
+        Returns whether an edit was accepted and the loss was one that must be borne.
+        """
+        before = len(self.results)
+        for _ in range(400):
+            self.pass_time(0.05)
+            self.propose_edit()
+            for _ in range(40):
+                self.deliver()
+                if len(self.results) > before:
+                    return self._lose_disk_and_power()
+        return False
+
+    def _lose_disk_and_power(self) -> bool:
+        nodes = len(self.nodes)
+        self.lose_disk()
+        for node in self.nodes.values():
+            node.core = None
+        self.network.clear()
+        for node in self.nodes.values():
+            node.start()
+        return len(self.nodes) < nodes
+
     def _keeps_majority(self, log: Log, alive: set[str]) -> bool:
         memberships = [log.snapshot_members]
         memberships += [decode_members(e.data) for e in log.entries if e.kind is EntryKind.MEMBERS]
