Fail the bodies on a lost path with an error that their readers know

Cause: a connection on a lost path was aborted through the library's protocol, which forgets the body that is being read. The next read raised RuntimeError ("Connection closed.").

Change: the body gets its error first, then the connection is aborted.

--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -74,6 +74,14 @@
             self.idle_timeout_s = float(found.group(1))
         super().feed_data(data, size)
 
+    def fail(self, reason: str) -> None:
+        """Close the connection, with an error for whoever reads from it."""
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(reason))
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body in progress if the connection was lost by an error."""
         payload = self._payload
@@ -119,7 +127,7 @@
         """Abort the connections on which nothing was heard for long."""
         for connection in list(self._connections.get(path.address, ())):
             if path.is_overdue(connection.sent_at, now):
-                connection.abort()
+                connection.fail("the path to the replica is lost")
 
     def _look_later(self, path: DirectPath) -> None:
         asyncio.get_running_loop().call_later(SUSPECT_AFTER_S, self._look, path)
--- a/reachlink/upstreams/tests/test_connections.py
+++ b/reachlink/upstreams/tests/test_connections.py
@@ -12,6 +12,7 @@
 import pytest
 
 from reachlink.kernel import steady_time
+from reachlink.reachability import SUSPECT_AFTER_S
 from reachlink.upstreams import HttpClient, UpstreamBackoffError, UpstreamBrokenError
 from reachlink.upstreams import _connections as connections
 from reachlink.upstreams._connections import address_of
@@ -234,3 +235,45 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 10", b"Connection: close"])
+def test_body_on_a_lost_path_fails_and_does_not_look_complete(framing):
+    async def scenario():
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\nok")
+            await reader.read()
+
+        server, url, _ = await serve(script)
+        client = HttpClient()
+        response = await client.relay("GET", url, [("Host", "h")], b"")
+        assert await response.content.readany() == b"ok"
+        path = client.paths.path(address_of(response.url), steady_time())
+        await asyncio.sleep(SUSPECT_AFTER_S + 0.05)
+        client.abort_silent(path)
+        await asyncio.sleep(0.05)
+        with pytest.raises(aiohttp.ClientError):
+            await response.content.readany()
+        await client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_request_on_a_lost_path_breaks():
+    async def scenario():
+        async def script(reader, writer):
+            await reader.read()
+
+        server, url, _ = await serve(script)
+        client = HttpClient()
+        asking = asyncio.create_task(get(client, url))
+        await asyncio.sleep(SUSPECT_AFTER_S + 0.05)
+        client.abort_silent(client.paths.path(url.split("/")[2], steady_time()))
+        with pytest.raises(UpstreamBrokenError):
+            await asking
+        await client.close()
+        server.close()
+
+    asyncio.run(scenario())
