Distrust idle connections to replicas that were not heard since a path was lost

Cause: each path was suspected for itself, only once an answer over it was overdue. An instance loses its links to all replicas at once more often than to one.

A successful direct connection ends the suspicion.

Figures: test_paths: the first of two new tests failed before.

--- a/reachlink/reachability/_paths.py
+++ b/reachlink/reachability/_paths.py
@@ -193,6 +193,17 @@
             reason=path.failure.value,
             heard_ago_s=_age_s(path.heard_at, now),
         )
+        if path.failure is ConnectFailure.SILENT:
+            self._suspect_unheard(path.heard_at, now)
+
+    def _suspect_unheard(self, since: float, now: float) -> None:
+        """Distrust idle connections to replicas that were not heard since the loss of a path.
+
+        Instances lose their links to all replicas at once more often than to a single one.
+        """
+        for path in self._paths.values():
+            if path.heard_at <= since + SUSPECT_AFTER_S and not path.is_lost:
+                path.suspect(now)
 
     def note_working(self, path: DirectPath, now: float) -> None:
         """Record that the direct path to a replica works."""
--- a/reachlink/reachability/tests/test_paths.py
+++ b/reachlink/reachability/tests/test_paths.py
@@ -67,3 +67,26 @@
     for number in range(3 * paths.MAX_TRACKED_REPLICAS):
         tracker.path(f"r{number}", 0.0)
     assert len(tracker._paths) <= paths.MAX_TRACKED_REPLICAS
+
+
+def test_idle_connections_to_replicas_not_heard_since_a_loss_are_not_reused(lines):
+    tracker = PathTracker()
+    lost, unheard, heard = (tracker.path(name, 0.0) for name in ("lost", "unheard", "heard"))
+    lost.heard_at, unheard.heard_at, heard.heard_at = 10.0, 9.0, 10.7
+    tracker.note_connect_failed(lost, ConnectFailure.SILENT, 0.25, 10.8)
+    tracker.note_lost(lost, 10.8)
+    assert not lost.may_reuse(10.0)
+    assert not unheard.may_reuse(9.0)
+    assert heard.may_reuse(10.7)
+    tracker.note_working(unheard, 11.0)
+    assert unheard.may_reuse(9.0)
+
+
+def test_idle_connections_live_on_where_new_ones_are_refused(lines):
+    tracker = PathTracker()
+    lost, unheard = tracker.path("lost", 0.0), tracker.path("unheard", 0.0)
+    lost.heard_at, unheard.heard_at = 10.0, 9.0
+    tracker.note_connect_failed(lost, ConnectFailure.REFUSED, 0.0, 10.8)
+    tracker.note_lost(lost, 10.8)
+    assert lost.may_reuse(10.0)
+    assert unheard.may_reuse(9.0)
