--- a/reachlink/reachability/tests/test_paths.py
+++ b/reachlink/reachability/tests/test_paths.py
@@ -15,6 +15,8 @@
     def info(self, event: str, **fields: object) -> None:
         self.lines.append({"event": event, **fields})
 
+    warning = info
+
 
 @pytest.fixture
 def lines(monkeypatch):
