Let only a new connection show that a peer has not lost its links

Cause, traced in its log: no relay was refused by cut peers as cut off. Their open connections live on in this cut, so that they heard replicas, took themselves for sound, and settled for all that the replica was away; the one peer that reaches it was not asked.

Change: a peer that does not reach a replica makes one new connection to another before it says that the replica is away (none if it made one in the last 0.3 s).

--- a/reachlink/reachability/_dialer.py
+++ b/reachlink/reachability/_dialer.py
@@ -65,7 +65,7 @@
             self._paths.note_connect_failed(path, failure_of(error), now - begun, now)
             reason = str(error) or type(error).__name__
             raise NotReachedError(f"cannot connect to {address}: {reason}") from error
-        path.heard_at = now = steady_time()
+        path.heard_at = self._paths.connected_at = now = steady_time()
         if path.suspected_at is not None or path.is_lost:
             self._paths.note_working(path, now)
         return ReplicaSocket(connected)
--- a/reachlink/reachability/_paths.py
+++ b/reachlink/reachability/_paths.py
@@ -21,8 +21,6 @@
 # Time in seconds that an answer is awaited without any byte from its replica before the path is
 # suspected. Twice the usual work of a call; a wrong suspicion costs one connection.
 SUSPECT_AFTER_S = 0.25
-# Time in seconds for which bytes from a replica show that this instance has not lost its paths.
-HEARD_LATELY_S = 0.5
 # Time in seconds after a successful probe in which a path is not suspected again.
 TRUST_S = 1.0
 
@@ -145,6 +143,8 @@
         self, on_connect_failed: Callable[[ConnectFailure], None] = lambda failure: None
     ) -> None:
         self._on_connect_failed = on_connect_failed
+        # Monotonic time in seconds at which a direct connection to a replica was last made.
+        self.connected_at = float("-inf")
         self._paths: dict[str, DirectPath] = {}
         self._log: Any = get_logger()
 
@@ -153,11 +153,11 @@
         """Number of replicas that are reached through peers only."""
         return sum(path.is_lost for path in self._paths.values())
 
-    def reaches_any(self, now: float) -> bool:
-        """Return whether no path is lost and a replica was heard lately."""
-        if any(path.is_lost for path in self._paths.values()):
-            return False
-        return any(now - path.heard_at < HEARD_LATELY_S for path in self._paths.values())
+    def last_heard(self, excluding: str) -> str | None:
+        """Return the address of the replica that was heard last, besides one; None without one."""
+        others = (path for path in self._paths.values() if path.address != excluding)
+        found = max(others, key=lambda path: path.heard_at, default=None)
+        return found.address if found is not None else None
 
     def path(self, address: str, now: float) -> DirectPath:
         """Return the path to the replica at an address, creating it for an unknown one."""
--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -32,6 +32,8 @@
 CLAIM_VALIDITY_S = 0.5
 # Time in seconds after a failed connection in which the replica is not tried for a peer.
 RECENT_FAILURE_S = 0.2
+# Time in seconds for which a connection shows that this instance has not lost its links.
+RECENT_CONNECTION_S = 0.3
 
 
 class RelayServer:
@@ -105,20 +107,37 @@
         now = steady_time()
         path = self._paths.path(address, now)
         if path.is_lost or path.is_failing(now, RECENT_FAILURE_S):
-            return self._unreachable()
+            return await self._unreachable(address)
         port = await self._listening_port()
         if port is None:
             return RelayReply(RelayOutcome.BUSY)
         try:
             token = await self._hold(await self._direct.dial(address))
         except (NotReachedError, OSError):
-            return self._unreachable()
+            return await self._unreachable(address)
         return RelayReply(RelayOutcome.OPENED, port, token)
 
-    def _unreachable(self) -> RelayReply:
-        """Return the answer for a replica that is not reached, by whose fault that may be."""
-        reaches_any = self._paths.reaches_any(steady_time())
-        return RelayReply(RelayOutcome.UNREACHABLE if reaches_any else RelayOutcome.CUT_OFF)
+    async def _unreachable(self, address: str) -> RelayReply:
+        """Return the answer for a replica that is not reached, by whose fault that is."""
+        reaches_other = await self._reaches_other(address)
+        return RelayReply(RelayOutcome.UNREACHABLE if reaches_other else RelayOutcome.CUT_OFF)
+
+    async def _reaches_other(self, address: str) -> bool:
+        """Return whether a new connection to another replica can be made.
+
+        Bytes on open connections do not show it: these may live on where new ones are refused.
+        """
+        if steady_time() - self._paths.connected_at < RECENT_CONNECTION_S:
+            return True
+        other = self._paths.last_heard(excluding=address)
+        if other is None:
+            return False
+        try:
+            connected = await self._direct.dial(other)
+        except NotReachedError:
+            return False
+        connected.close()
+        return True
 
     async def _hold(self, connected: ReplicaSocket) -> bytes:
         """Keep a connection for the peer; return the token that claims it."""
--- a/reachlink/reachability/tests/relays.py
+++ b/reachlink/reachability/tests/relays.py
@@ -35,15 +35,23 @@
         self._direct = DirectDialer(paths, 0.2)
         self._paths = paths
         self.error: OSError | None = None
-        self.attempts = 0
+        # Replicas that are not reached besides, whatever the error is.
+        self.unreachable: set[str] = set()
+        self.attempted: list[str] = []
+
+    @property
+    def attempts(self) -> int:
+        return len(self.attempted)
 
     async def dial(self, address: str) -> ReplicaSocket:
-        self.attempts += 1
-        if self.error is None:
+        self.attempted.append(address)
+        if self.error is None and address not in self.unreachable:
             return await self._direct.dial(address)
         path = self._paths.path(address, 0.0)
         await asyncio.sleep(0.2 if isinstance(self.error, TimeoutError) else 0.0)
-        self._paths.note_connect_failed(path, failure_of(self.error), 0.0, steady_time())
+        self._paths.note_connect_failed(
+            path, failure_of(self.error or OSError()), 0.0, steady_time()
+        )
         raise NotReachedError("no path") from self.error
 
 
@@ -63,10 +71,11 @@
 
 @dataclass
 class World:
-    """Instances that hear each other, and one replica named ``r``."""
+    """Instances that hear each other, and a replica named ``r`` beside another one."""
 
     instances: list[Instance]
     address: str
+    other_address: str
     connections: list[asyncio.StreamWriter]
 
     async def open(self, instance: Instance) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -95,6 +104,8 @@
 
     replica = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = f"127.0.0.1:{replica.sockets[0].getsockname()[1]}"
+    other = await asyncio.start_server(serve, "127.0.0.1", 0)
+    other_address = f"127.0.0.1:{other.sockets[0].getsockname()[1]}"
     ports = _free_ports(instances)
     made = [_instance(f"e{n}", port, address) for n, port in enumerate(ports)]
     for one in made:
@@ -104,13 +115,14 @@
             if other is not one
         )
     try:
-        yield World(made, address, connections)
+        yield World(made, address, other_address, connections)
     finally:
         for one in made:
             one.dialer.close()
             one.server.close()
             one.bus.close()
         replica.close()
+        other.close()
 
 
 def _free_ports(count: int) -> list[int]:
--- a/reachlink/reachability/tests/test_relays.py
+++ b/reachlink/reachability/tests/test_relays.py
@@ -213,11 +213,25 @@
 def test_a_peer_that_reaches_other_replicas_settles_that_one_is_away():
     async def work(world: World) -> None:
         first, *others = world.instances
-        for one in world.instances:
-            one.direct.error = ConnectionRefusedError()
-            one.paths.path("another", steady_time()).heard_at = steady_time()
-        with pytest.raises(NotReachedError):
+        first.direct.error = ConnectionRefusedError()
+        for one in others:
+            one.direct.unreachable.add(world.address)
+            one.paths.path(world.other_address, steady_time()).heard_at = steady_time()
+        with pytest.raises(NotReachedError) as caught:
             await world.open(first)
-        assert sum(other.direct.attempts for other in others) == 1
+        assert caught.value.replica_away
+        assert sum(world.address in other.direct.attempted for other in others) == 1
 
     with_world(work, echo, instances=5)
+
+
+def test_a_peer_whose_open_connections_live_on_does_not_settle_it():
+    async def work(world: World) -> None:
+        *cut, last = world.instances
+        for one in cut:
+            one.direct.error = ConnectionRefusedError()
+            one.paths.path(world.other_address, steady_time()).heard_at = steady_time()
+        _, writer = await world.open(cut[0])
+        writer.close()
+
+    with_world(work, echo, instances=6)
