--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -70,6 +70,7 @@
         self.client = HttpClient(bounded=self.held.limited, name=config.name)
         self.client.pacing.brittle.instances = lambda: len(config.peers) + 1
         self.client.pacing.brittle.slots_at = self._slots_at
+        self.client.pacing.brittle.service_at = lambda address: self.directory.service_at(address)
         self.directory = ReplicaDirectory(config.routes, pacing=self.client.pacing)
         self.lengths = LengthEstimator()
         self.ledger = Ledger(self.lengths)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -75,6 +75,7 @@
         )
         self.client.pacing.brittle.instances = self.sharing_instances
         self.client.pacing.brittle.slots_at = self._slots_at
+        self.client.pacing.brittle.service_at = lambda address: self.directory.service_at(address)
         self.directory = ReplicaDirectory(
             unconfirmed_mark_s=config.leaving_mark_s, pacing=self.client.pacing
         )
--- a/reachlink/membership/_directory.py
+++ b/reachlink/membership/_directory.py
@@ -310,6 +310,11 @@
         """Return the name of the last known instance at an address; empty if there is none."""
         return self._names_at.get(address, "")
 
+    def service_at(self, address: str) -> list[str]:
+        """Return the addresses of all live replicas of the upstream that one belongs to."""
+        replica = self.find(self.name_at(address))
+        return [one.address for one in self.live(replica.upstream)] if replica else []
+
     def find(self, name: str) -> Replica | None:
         """Return an instance by name, whether it is leaving or not."""
         entry = self._entries.get(name)
--- a/reachlink/pacing/_brittle.py
+++ b/reachlink/pacing/_brittle.py
@@ -10,7 +10,7 @@
 
 import hashlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 # Lowest number of rejections per second that is kept to; a replica that states 0 counts as this.
@@ -99,12 +99,15 @@
         Returns the number of instances that send to the replicas, this one included.
     slots_at : callable
         Returns how many requests a replica works on at once, by address; 0 if unknown.
+    service_at : callable
+        Returns the addresses of all replicas of the service that a replica belongs to.
     """
 
     def __init__(self, name: str = "") -> None:
         self._name = name
         self.instances: Callable[[], int] = lambda: 1
         self.slots_at: Callable[[str], int] = lambda address: 0
+        self.service_at: Callable[[str], Iterable[str]] = lambda address: ()
         self._replicas: dict[str, BrittleReplica] = {}
         # Number of requests of this instance at each replica that is or was brittle.
         self._running: dict[str, int] = {}
@@ -123,14 +126,20 @@
         return self._replicas.get(address)
 
     def record(self, address: str, refusals_per_s: float, now: float) -> bool:
-        """Record that a replica states that it is brittle; return whether that is new."""
+        """Record that a replica states that it is brittle; return whether that is new.
+
+        The replicas of a service are brittle together. An instance that sends little hears it
+        from a few of them only, and takes it for the others until these say otherwise.
+        """
         brittle = self._replicas.get(address)
         if brittle is not None:
             changed = brittle.refusals_per_s != refusals_per_s
             brittle.refusals_per_s, brittle.stated_at = refusals_per_s, now
             return changed
-        self._make_room()
-        self._replicas[address] = BrittleReplica(refusals_per_s, now, math.inf)
+        for one in {address, *self.service_at(address)}:
+            if one not in self._replicas:
+                self._make_room()
+                self._replicas[one] = BrittleReplica(refusals_per_s, now, math.inf)
         return True
 
     def record_absence(self, address: str, sent_at: float) -> bool:
--- a/reachlink/pacing/tests/test_brittle.py
+++ b/reachlink/pacing/tests/test_brittle.py
@@ -121,3 +121,13 @@
     for number in range(2 * brittle_module.MAX_TRACKED_REPLICAS):
         one.record(f"r{number}", 4.0, float(number))
     assert one.count() == brittle_module.MAX_TRACKED_REPLICAS
+
+
+def test_what_one_replica_of_a_service_states_holds_for_all_until_they_say_otherwise():
+    one = tracker()
+    one.service_at = lambda address: [ADDRESS, "10.0.0.2:80"]
+    assert one.record(ADDRESS, 4.0, 2.0)
+    assert one.count() == 2
+    assert one.record_absence("10.0.0.2:80", 3.0)
+    one.record(ADDRESS, 4.0, 4.0)
+    assert one.count() == 1
--- a/reachlink/testing/_brittle_load.py
+++ b/reachlink/testing/_brittle_load.py
@@ -116,6 +116,7 @@
         tracker.instances = lambda: self.load.instances
         whole = self.load.way is Way.WHOLE
         tracker.slots_at = lambda address: max(SLOTS, self.load.instances) if whole else SLOTS
+        tracker.service_at = lambda address: map(str, range(self.load.replicas))
         return tracker
 
     def at(self, time: float, what: Callable[[], None]) -> None:
