Take what peers of other zones do not reach for a possible cut, and answer them in time

What callers would see: where a zone is cut off, a peer of one's own zone settled that replicas of other zones were away: their zone was not excluded, so that one request after the other tried them.

Cause: found in reading; "reaches another replica" says nothing about the links between zones.

Change: only a peer in the replica's own zone settles that it is away. All peers together have 0.35 s in place of 0.5, and a peer that is asked gives itself 0.12 s for a connection, so that its answer comes before the asker gives up; one whose path is lost says so without a look.

--- a/reachlink/reachability/_relay_client.py
+++ b/reachlink/reachability/_relay_client.py
@@ -25,9 +25,10 @@
 CLAIM_TIMEOUT_S = 0.15
 # Time in seconds after which the next peer is asked as well.
 NEXT_PEER_AFTER_S = 0.05
-# Maximum number of peers that are asked for one connection, and time in seconds for all of them.
+# Maximum number of peers that are asked for one connection, and time in seconds for all of them:
+# where a zone is cut off, requests must not wait long for peers that do not answer either.
 MAX_PEERS_ASKED = 8
-TIMEOUT_S = 0.5
+TIMEOUT_S = 0.35
 # Time in seconds for which no peer is asked for a replica that none of those asked reaches.
 NOBODY_RETRY_S = 0.3
 # Maximum number of such replicas that are remembered.
@@ -51,7 +52,7 @@
 
 
 class _ReplicaAwayError(Exception):
-    """A peer that reaches other replicas does not reach the one that is wanted."""
+    """A peer in the replica's zone that reaches other replicas does not reach that one."""
 
 
 class RelayClient:
@@ -118,7 +119,7 @@
         Raises
         ------
         _ReplicaAwayError
-            If a peer that reaches other replicas does not reach this one.
+            If a peer in the replica's zone that reaches others does not reach this one.
         """
         running: set[asyncio.Task[ReplicaSocket | None]] = set()
         waiting = list(peers)
@@ -149,7 +150,8 @@
         Raises
         ------
         _ReplicaAwayError
-            If the peer reaches other replicas, but not this one.
+            If the peer is in the replica's zone and reaches other replicas, but not this one.
+            What a peer of another zone does not reach may be behind a cut between zones.
         """
         try:
             reply = await self._ask(peer, target)
@@ -158,7 +160,8 @@
                 claimed = await self._claim(peer, reply)
                 self._peers.prefer(peer.name, steady_time())
                 return claimed
-            if reply.outcome is RelayOutcome.UNREACHABLE:
+            is_near = peer.availability_zone == target.availability_zone
+            if reply.outcome is RelayOutcome.UNREACHABLE and is_near:
                 raise _ReplicaAwayError(peer.name)
             reason = reply.outcome.value
         except (MessagingError, OSError) as error:
--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -30,6 +30,9 @@
 READ_BYTES = 16 << 10
 # Time in seconds for which a connection is held for the peer that asked for it.
 CLAIM_VALIDITY_S = 0.5
+# Timeout in seconds of a connection that is made for a peer. Peers ask others meanwhile, and all
+# of them may be cut off but one.
+DIAL_TIMEOUT_S = 0.12
 # Time in seconds after a failed connection in which the replica is not tried for a peer.
 RECENT_FAILURE_S = 0.2
 # Time in seconds for which a connection shows that this instance has not lost its links.
@@ -106,13 +109,15 @@
             return RelayReply(RelayOutcome.UNKNOWN)
         now = steady_time()
         path = self._paths.path(address, now)
-        if path.is_lost or path.is_failing(now, RECENT_FAILURE_S):
+        if path.is_lost:
+            return RelayReply(RelayOutcome.CUT_OFF)
+        if path.is_failing(now, RECENT_FAILURE_S):
             return await self._unreachable(address)
         port = await self._listening_port()
         if port is None:
             return RelayReply(RelayOutcome.BUSY)
         try:
-            token = await self._hold(await self._direct.dial(address))
+            token = await self._hold(await self._dial(address))
         except (NotReachedError, OSError):
             return await self._unreachable(address)
         return RelayReply(RelayOutcome.OPENED, port, token)
@@ -133,12 +138,23 @@
         if other is None:
             return False
         try:
-            connected = await self._direct.dial(other)
-        except NotReachedError:
+            connected = await self._dial(other)
+        except (NotReachedError, TimeoutError):
             return False
         connected.close()
         return True
 
+    async def _dial(self, address: str) -> ReplicaSocket:
+        """Return a direct connection that is made soon enough for a peer that waits for it.
+
+        Raises
+        ------
+        NotReachedError, TimeoutError
+            If none is.
+        """
+        async with asyncio.timeout(DIAL_TIMEOUT_S):
+            return await self._direct.dial(address)
+
     async def _hold(self, connected: ReplicaSocket) -> bytes:
         """Keep a connection for the peer; return the token that claims it."""
         loop = asyncio.get_running_loop()
--- a/reachlink/reachability/exceptions.py
+++ b/reachlink/reachability/exceptions.py
@@ -20,8 +20,8 @@
     message : str
         What failed.
     replica_away : bool
-        Whether a peer that reaches other replicas does not reach this one, so that the fault
-        is the replica's.
+        Whether a peer in the replica's zone that reaches other replicas does not reach this
+        one, so that the fault is the replica's.
     """
 
     def __init__(self, message: str, replica_away: bool = False) -> None:
--- a/reachlink/reachability/tests/relays.py
+++ b/reachlink/reachability/tests/relays.py
@@ -90,7 +90,7 @@
 
 
 @asynccontextmanager
-async def world(script: Script, instances: int = 2) -> AsyncIterator[World]:
+async def world(script: Script, instances: int = 2, peer_zones: str = "") -> AsyncIterator[World]:
     connections: list[asyncio.StreamWriter] = []
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -108,9 +108,10 @@
     other_address = f"127.0.0.1:{other.sockets[0].getsockname()[1]}"
     ports = _free_ports(instances)
     made = [_instance(f"e{n}", port, address) for n, port in enumerate(ports)]
+    zones = {one.name: zone for one, zone in zip(made, peer_zones or "a" * instances, strict=True)}
     for one in made:
         one.peers.update(
-            RelayPeer(other.name, f"127.0.0.1:{port}", "a")
+            RelayPeer(other.name, f"127.0.0.1:{port}", zones[other.name])
             for other, port in zip(made, ports, strict=True)
             if other is not one
         )
@@ -147,12 +148,18 @@
 
 
 def with_world(
-    work: Callable[[World], Awaitable[None]], script: Script, instances: int = 2
+    work: Callable[[World], Awaitable[None]],
+    script: Script,
+    instances: int = 2,
+    peer_zones: str = "",
 ) -> None:
-    """Run something against instances and a replica that follows a script."""
+    """Run something against instances and a replica of zone a that follows a script.
+
+    `peer_zones` has a letter for the zone of each instance; by default all are in zone a.
+    """
 
     async def scenario() -> None:
-        async with world(script, instances) as made:
+        async with world(script, instances, peer_zones) as made:
             await work(made)
 
     asyncio.run(scenario())
--- a/reachlink/reachability/tests/test_relays.py
+++ b/reachlink/reachability/tests/test_relays.py
@@ -225,6 +225,19 @@
     with_world(work, echo, instances=5)
 
 
+def test_what_peers_of_other_zones_do_not_reach_may_be_behind_a_cut():
+    async def work(world: World) -> None:
+        first, *others = world.instances
+        first.direct.error = ConnectionRefusedError()
+        for one in others:
+            one.direct.unreachable.add(world.address)
+        with pytest.raises(NotReachedError) as caught:
+            await world.open(first)
+        assert not caught.value.replica_away
+
+    with_world(work, echo, instances=3, peer_zones="bbc")
+
+
 def test_a_peer_whose_open_connections_live_on_does_not_settle_it():
     async def work(world: World) -> None:
         *cut, last = world.instances
