Let the test of cuts between zones fail without its change

Cause: say that test_what_peers_of_other_zones_do_not_reach_may_be_behind_a_cut failed without the change. It did not: its peers knew no other replica, so that they said cut_off in either case.

Change: the peers have heard another replica.

--- a/reachlink/reachability/tests/test_relays.py
+++ b/reachlink/reachability/tests/test_relays.py
@@ -231,6 +231,7 @@
         first.direct.error = ConnectionRefusedError()
         for one in others:
             one.direct.unreachable.add(world.address)
+            one.paths.path(world.other_address, steady_time()).heard_at = steady_time()
         with pytest.raises(NotReachedError) as caught:
             await world.open(first)
         assert not caught.value.replica_away
