Give recording of pacing and stopping of generations modules of their own

Change: PacingRecorder records what answers ask for; GenerationStopper stops a generation whose connection was lost. No change of behaviour.

--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -104,7 +104,7 @@
             self.digests.last_heard,
             lambda role, outcome: self.metrics.count_relay(role, outcome),
         )
-        self.client.on_limit_change = self._tell_limits
+        self.client.recorder.on_limit_change = self._tell_limits
         records = [InstanceRecord(p.name, p.address, p.availability_zone) for p in config.peers]
         self.limits.update_roster([*records, self._record()], len(records) + 1)
         self.replica_reach.update_peers(records)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -106,7 +106,7 @@
             self.peer_load.last_heard,
             lambda role, outcome: self.metrics.count_relay(role, outcome),
         )
-        self.client.on_limit_change = self._tell_at_once
+        self.client.recorder.on_limit_change = self._tell_at_once
         self._zones = ZonesInForce(self.directory, self.tracker, self.log)
         adapter = self.adapter = RELAY_ADAPTERS.get(config.upstream)(self.client)
         departures = self._departures = ShutdownTimes()
--- a/reachlink/requests/_generation_replicas.py
+++ b/reachlink/requests/_generation_replicas.py
@@ -14,11 +14,12 @@
 from reachlink.requests._copy_targets import CopyTargets
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_progress import GenerationProgress
+from reachlink.requests._generation_stopper import GenerationStopper
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._replica_tracker import Allocation
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.requests._shadow_copy import ShadowCopy
-from reachlink.upstreams import MovedMemory, MoveFailure, MoveResult, Replica, UpstreamError
+from reachlink.upstreams import MovedMemory, MoveFailure, Replica
 
 # Interval between two checks of a generation's replicas, in seconds.
 CHECK_INTERVAL_S = 0.05
@@ -41,11 +42,6 @@
 # Delay before the next copy if the source did not answer a transfer request, for example
 # because its zone is partitioned, in seconds.
 SOURCE_FAILURE_DELAY_S = 1.0
-# Longest time in seconds for stopping a generation whose connection was lost: callers leave after
-# 2 s of silence, most of which may have passed.
-STOP_TIMEOUT_S = 0.7
-# Maximum number of times that one generation is stopped for this reason.
-MAX_STOPS = 2
 # Delay before the next copy if the source does not run the generation at the moment, in
 # seconds: it was preempted and waits for its prompt to be processed again.
 NOT_RUNNING_DELAY_S = 0.1
@@ -92,8 +88,7 @@
         # Monotonic time in seconds at which the primary was found to be leaving; None if it
         # is not.
         self._leaving_since: float | None = None
-        # How often the generation was stopped because the connection to its primary was lost.
-        self._stops = 0
+        self._stopper = GenerationStopper(dispatcher, request)
         # Monotonic time in seconds before which no copy is started.
         self._no_copy_before = 0.0
 
@@ -172,54 +167,13 @@
         return found or await self._stop_at_primary()
 
     async def _stop_at_primary(self) -> list[tuple[Replica, MovedMemory]]:
-        """Stop the generation at a primary that may still run it, and return where to resume.
-
-        If only the connection to the primary was lost, the replica runs on and keeps the memory.
-        """
-        if self._stops >= MAX_STOPS or (target := await self._stop_target()) is None:
-            return []
-        self._stops += 1
-        try:
-            async with asyncio.timeout(STOP_TIMEOUT_S):
-                result = await self._order_stop(target)
-        except (UpstreamError, TimeoutError) as error:
-            self._log_stop(target, str(error) or type(error).__name__)
-            return []
-        self._log_stop(target, "arrived" if result.arrived else result.failure.value)
-        if result.memory is None:
-            return []
-        # A replica that has stopped resumes from its own memory.
-        return [(target if result.arrived else self.primary, result.memory)]
-
-    async def _stop_target(self) -> Replica | None:
-        """Return the replica to which the memory is moved on stopping; None if it cannot be."""
+        """Stop the generation at a primary that may still run it; return where to resume."""
         engine = self._request.service.engine
         if engine is None or not engine.moves or not self._placer.stays(self.primary):
-            return None
-        found = await self._choose_shadow_target(leaving=True)
-        if found is not None:
-            return found
-        live = self._placer.reachable.live(self._request.service.name, self._dispatcher.now())
-        return next((replica for replica in live if replica.name != self.primary.name), None)
-
-    async def _order_stop(self, target: Replica) -> MoveResult:
-        """Order the primary to stop the generation and to move its memory."""
-        move = self._dispatcher.adapter.move
-        while True:
-            result = await move(self.primary, self._request.request_id, target, True)
-            if result.failure is not MoveFailure.MOVE_IN_PROGRESS or result.memory is not None:
-                return result
-            await asyncio.sleep(CHECK_INTERVAL_S)
-
-    def _log_stop(self, target: Replica, outcome: str) -> None:
-        self._dispatcher.log.info(
-            "generation_stopped",
-            request_id=self._request.request_id,
-            source=self.primary.name,
-            target=target.name,
-            after_event=self._merger.last_event_number,
-            outcome=outcome,
-        )
+            return []
+        target = await self._choose_shadow_target(leaving=True)
+        after_event = self._merger.last_event_number
+        return await self._stopper.stop(self.primary, target, after_event)
 
     def _may_resume_from(self, carrier: _ReplicaAllocation) -> bool:
         """Return whether a generation may resume from a copy."""
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -19,9 +19,10 @@
     TokenStream,
 )
 from reachlink.upstreams._events import EventSplitter, StreamEvent
-from reachlink.upstreams._http import BRITTLE_HEADER, LIMIT_HEADER, HttpClient
+from reachlink.upstreams._http import HttpClient
 from reachlink.upstreams._liveness import Liveness, probe, probe_repeatedly
 from reachlink.upstreams._loads import LoadDecoder
+from reachlink.upstreams._pacing_recorder import BRITTLE_HEADER, LIMIT_HEADER, PacingRecorder
 from reachlink.upstreams._prompts import PromptDigest, digest_prompt
 from reachlink.upstreams._relay import (
     RELAY_ADAPTERS,
@@ -83,6 +84,7 @@
     "OrderStatus",
     "PromptDigest",
     "Replica",
+    "PacingRecorder",
     "ServiceAdapter",
     "TokenEvent",
     "TokenStream",
