Let callers' connections rest for as long as the settings in force say

What callers saw: the settings raise the idle time to 60 s, a connection rests for 20 s, and the request that its caller then sends gets neither an answer nor a refusal, since the connection was closed after 16 s. An idle time that was lowered held connections that nobody used.

Cause: the keep-alive time was a constant, given to the HTTP server once at its start; each open connection keeps what it was made with. The idle time of the settings bounded bodies alone. Class: a value of the settings that is copied when something starts and not followed.

Change: CallerConnections knows since when each connection rests and closes those that rest for longer than the idle time in force, or than that under which their last answer was given, whichever is longer, and a margin of 1 s. Before it closes one, it reads nothing more from it for 50 ms: a request that was read just before is answered. One line and a counter for each connection closed so.

A check of all connections each 0.5 s; what it costs is not measured.

Weighed: a Keep-Alive header that tells callers the constant (keeps them off idle connections, but the settings would not be in force), one timer a connection as the HTTP library has it (each must be found and set again when the settings change), and one check of all (kept).

--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -5,6 +5,7 @@
 
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._caller_bodies import body_pieces
+from reachlink.entry._caller_connections import CallerConnections, CallerServer
 from reachlink.entry._caller_sink import CallerSink
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
 from reachlink.entry._readers import CallerReader, CallerReaders
@@ -55,8 +56,10 @@
 __all__ = [
     "CALLER_BORDERS",
     "CallerBorder",
+    "CallerConnections",
     "CallerReader",
     "CallerReaders",
+    "CallerServer",
     "CallerSink",
     "RelayConfig",
     "RelayDaemon",
--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -5,6 +5,7 @@
 from collections.abc import Set
 from typing import Any, Protocol
 
+from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._readers import CallerReaders
 from reachlink.kernel import Registry
 from reachlink.limits import BufferBudget
@@ -39,6 +40,10 @@
     def readers(self) -> CallerReaders:
         """Callers that have not read their answers yet."""
 
+    @property
+    def connections(self) -> CallerConnections:
+        """Connections of callers."""
+
     def on_body_refused(self, request_id: str, size: int) -> None:
         """Note that a body was refused, with its bytes so far or as its sender says."""
 
--- /dev/null
+++ b/reachlink/entry/_caller_connections.py
@@ -0,0 +1,230 @@
+"""Connections of callers, and how long they may rest."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+from reachlink.kernel import steady_time
+from reachlink.telemetry import get_logger
+
+# Time in seconds that a connection may rest beyond what callers make use of.
+IDLE_MARGIN_S = 1.0
+# Interval in seconds between two checks of the resting connections.
+CHECK_INTERVAL_S = 0.5
+# Time in seconds from when nothing more is read on a connection until it is closed. A request
+# that was read just before has begun to be handled by then.
+SETTLE_S = 0.05
+# Keep-alive time of the HTTP server in seconds, which must not expire before the idle time.
+SERVER_KEEPALIVE_S = 86400.0
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    protocol : aiohttp.web.RequestHandler
+        HTTP protocol of the connection.
+    now : float
+        Monotonic time in seconds.
+    idle_timeout_s : float
+        Time in seconds for which callers may use a resting connection.
+    """
+
+    __slots__ = ("_allowed_rest_s", "_protocol", "_rests_since", "_running")
+
+    def __init__(self, protocol: web.RequestHandler, now: float, idle_timeout_s: float) -> None:
+        self._protocol = protocol
+        self._running = False
+        self.rest(now, idle_timeout_s)
+
+    @property
+    def running(self) -> bool:
+        """Whether a request is being handled."""
+        return self._running
+
+    @property
+    def rests_since(self) -> float:
+        """Monotonic time in seconds at which the last request ended, or the connection was made."""
+        return self._rests_since
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open."""
+        return self._transport is not None
+
+    @property
+    def _transport(self) -> asyncio.Transport | None:
+        """Transport of the connection; None if it is closed or closing."""
+        transport = self._protocol.transport
+        return None if transport is None or transport.is_closing() else transport
+
+    def begin(self) -> None:
+        """Note that a request has been read."""
+        self._running = True
+
+    def rest(self, now: float, idle_timeout_s: float) -> None:
+        """Note that no request is being handled."""
+        self._running = False
+        self._rests_since = now
+        self._allowed_rest_s = idle_timeout_s
+
+    def is_overdue(self, now: float, idle_timeout_s: float) -> bool:
+        """Return whether callers make no use of the connection any more.
+
+        If the idle time has changed meanwhile, the longer one applies: the caller may know
+        either.
+        """
+        allowed_s = max(self._allowed_rest_s, idle_timeout_s) + IDLE_MARGIN_S
+        return not self._running and now - self._rests_since > allowed_s
+
+    def pause(self) -> None:
+        """Read nothing more from the caller."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read from the caller again."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._protocol.force_close()
+
+
+class CallerConnections:
+    """All connections of callers.
+
+    Parameters
+    ----------
+    idle_timeout_s : callable
+        Returns the time in seconds for which callers may use a resting connection.
+    on_closed : callable
+        Called with the reason for which a connection is closed.
+    clock : callable
+        Returns the monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        idle_timeout_s: Callable[[], float],
+        on_closed: Callable[[str], None] = lambda reason: None,
+        clock: Callable[[], float] = steady_time,
+    ) -> None:
+        self._idle_timeout_s = idle_timeout_s
+        self._on_closed = on_closed
+        self._clock = clock
+        self._connections: dict[web.RequestHandler, CallerConnection] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._log: Any = get_logger()
+
+    def __len__(self) -> int:
+        """Return the number of connections."""
+        return len(self._connections)
+
+    def add(self, protocol: web.RequestHandler) -> CallerConnection:
+        """Return the connection of a protocol, which is new unless it is known."""
+        connection = self._connections.get(protocol)
+        if connection is None:
+            connection = CallerConnection(protocol, self._clock(), self._idle_timeout_s())
+            self._connections[protocol] = connection
+            self._check_later()
+        return connection
+
+    def discard(self, protocol: web.RequestHandler) -> None:
+        """Remove a connection that is closed."""
+        self._connections.pop(protocol, None)
+
+    async def handle(
+        self,
+        request: web.BaseRequest,
+        handler: Callable[[Any], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Handle a request; its connection does not rest meanwhile."""
+        connection = self.add(request.protocol)
+        connection.begin()
+        try:
+            return await handler(request)
+        finally:
+            connection.rest(self._clock(), self._idle_timeout_s())
+
+    def close(self) -> None:
+        """Check the connections no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check_later(self) -> None:
+        if self._timer is None and self._connections:
+            self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_S, self._check)
+
+    def _check(self) -> None:
+        self._timer = None
+        now, idle_timeout_s = self._clock(), self._idle_timeout_s()
+        loop = asyncio.get_running_loop()
+        for protocol, connection in list(self._connections.items()):
+            if not connection.is_open and not connection.running:
+                self.discard(protocol)
+            elif connection.is_overdue(now, idle_timeout_s):
+                connection.pause()
+                loop.call_later(SETTLE_S, self._close_overdue, protocol, connection)
+        self._check_later()
+
+    def _close_overdue(self, protocol: web.RequestHandler, connection: CallerConnection) -> None:
+        """Close a connection, unless a request was read before the reading was paused."""
+        if not connection.is_open:
+            return
+        if not connection.is_overdue(self._clock(), self._idle_timeout_s()):
+            connection.resume()
+            return
+        self._log.info(
+            "caller_connection_closed",
+            reason="idle",
+            rested_s=round(self._clock() - connection.rests_since, 1),
+            idle_timeout_s=self._idle_timeout_s(),
+        )
+        self._on_closed("idle")
+        self.discard(protocol)
+        connection.close()
+
+
+class CallerServer(web.Server):
+    """HTTP server whose connections rest for as long as the settings in force say.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers requests.
+    connections : CallerConnections
+        Connections of the server.
+    **options : object
+        Passed to `aiohttp.web.Server`.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        connections: CallerConnections,
+        **options: Any,
+    ) -> None:
+        super().__init__(
+            lambda request: connections.handle(request, handler),
+            keepalive_timeout=SERVER_KEEPALIVE_S,
+            **options,
+        )
+        self._caller_connections = connections
+
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        """Note a new connection."""
+        super().connection_made(handler, transport)
+        self._caller_connections.add(handler)
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Note the end of a connection."""
+        super().connection_lost(handler, exc)
+        self._caller_connections.discard(handler)
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -30,6 +30,7 @@
 BROKEN_DESCRIPTION = "Places promised to refused callers that came in time and were refused again."
 MISSED_DESCRIPTION = "Places promised to refused callers that did not come in time."
 DROPPED_DESCRIPTION = "Promises given up as there were too many."
+CONNECTIONS_CLOSED_DESCRIPTION = "Connections of callers that this instance closed, by reason."
 REFUSED_DESCRIPTION = "Requests refused by the owner of their line for this reason."
 
 
@@ -67,6 +68,9 @@
         self.readers_closed = self._metrics.counter(
             "reachlink_readers_closed", "1", CLOSED_DESCRIPTION
         )
+        self.connections_closed = self._metrics.counter(
+            "reachlink_caller_connections_closed", "1", CONNECTIONS_CLOSED_DESCRIPTION
+        )
         export_traffic(self._metrics, traffic)
 
     def export_settings(
@@ -140,6 +144,10 @@
         """Count a connection to a replica that could not be made."""
         self.connects_failed.add(1, {"reason": failure.value})
 
+    def count_connection_closed(self, reason: str) -> None:
+        """Count a connection of a caller that this instance closed."""
+        self.connections_closed.add(1, {"reason": reason})
+
     def count_relay(self, role: str, outcome: str) -> None:
         """Count a request for a relayed connection, by who made it and how it ended."""
         self.relays.add(1, {"role": role, "outcome": outcome})
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -14,6 +14,7 @@
     QueueClient,
     QueueOwner,
 )
+from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._configured_node import ConfiguredNode
 from reachlink.entry._held_sight import HeldSight
 from reachlink.entry._isolation import Isolation
@@ -46,7 +47,7 @@
     RunnerParts,
     ShutdownTimes,
 )
-from reachlink.routing import RequestKind, RoutingIndex, Service
+from reachlink.routing import CallerLimits, RequestKind, RoutingIndex, Service
 from reachlink.scheduling import PaceTracker
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import RELAY_ADAPTERS, HttpClient
@@ -176,6 +177,9 @@
         self.held.on_pressure_change = sight.pressed
         self.on_body_refused = sight.refused
         self.readers = CallerReaders(self.held, sight.closed)
+        self.connections = CallerConnections(
+            lambda: self._caller_limits.idle_timeout_s, self.metrics.count_connection_closed
+        )
         self._controls = KnownControls(self.control, config.availability_zone, config.seeds)
         self._table = TableInForce()
         self._runner = RequestRunner(
@@ -272,6 +276,12 @@
         """
         return await self._table.first_index(patience_s)
 
+    @property
+    def _caller_limits(self) -> CallerLimits:
+        """Limits on requests that are in force."""
+        index = self._table.index
+        return CallerLimits() if index is None else index.table.limits
+
     @property
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
--- /dev/null
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -0,0 +1,105 @@
+"""Connections of callers in virtual time: when they are closed, and what is read before."""
+
+import asyncio
+
+from aiohttp import web
+
+from reachlink.entry import CallerConnections, CallerServer
+from reachlink.entry.tests.wire import Wire
+from reachlink.testing._virtual_loop import run_virtually
+
+REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+HEAD, BODY = REQUEST[:-4], REQUEST[-4:]
+IDLE_S = 5.0
+
+
+class Listener:
+    """A server without sockets, whose handler takes some time."""
+
+    def __init__(self, handling_s: float = 0.0) -> None:
+        self._handling_s = handling_s
+        self.closed: list[str] = []
+        # Called each time that the idle time in force is looked up.
+        self.on_idle_time = lambda: None
+        self.connections = CallerConnections(self._idle_s, self.closed.append, self.now)
+        self._server = CallerServer(self._answer, self.connections, access_log=None)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def connect(self) -> Wire:
+        return Wire(self._server)
+
+    def _idle_s(self) -> float:
+        self.on_idle_time()
+        return IDLE_S
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        await request.read()
+        await asyncio.sleep(self._handling_s)
+        return web.Response(text="done")
+
+
+def answers(wire: Wire) -> int:
+    return wire.received.count(b"HTTP/1.1 200 OK")
+
+
+async def ask(wire: Wire) -> None:
+    """Send a request and wait for its answer."""
+    before = answers(wire)
+    wire.send(REQUEST)
+    while answers(wire) == before:
+        await asyncio.sleep(0.01)
+
+
+def test_a_request_that_was_read_as_its_connection_became_overdue_is_answered():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        await ask(wire)
+        rested_at = listener.now()
+
+        def send_once_overdue():
+            if listener.now() - rested_at > IDLE_S + 1.0:
+                listener.on_idle_time = lambda: None
+                wire.send(REQUEST)
+
+        listener.on_idle_time = send_once_overdue
+        await asyncio.sleep(IDLE_S + 2.0)
+        assert answers(wire) == 2 and not wire.closed
+
+    run_virtually(work())
+
+
+def test_a_connection_is_not_closed_for_idleness_while_its_request_is_handled():
+    async def work():
+        listener = Listener(handling_s=4 * IDLE_S)
+        wire = listener.connect()
+        await ask(wire)
+        assert not wire.closed and not listener.closed
+
+    run_virtually(work())
+
+
+def test_a_connection_on_which_nothing_is_ever_sent_is_not_kept():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        await asyncio.sleep(IDLE_S + 2.0)
+        assert wire.closed and listener.closed == ["idle"]
+        assert not len(listener.connections)
+
+    run_virtually(work())
+
+
+def test_connections_that_callers_have_closed_are_forgotten():
+    async def work():
+        listener = Listener()
+        for _ in range(10):
+            wire = listener.connect()
+            await ask(wire)
+            wire.close()
+        await asyncio.sleep(0.1)
+        assert not len(listener.connections) and not listener.closed
+
+    run_virtually(work())
