Answer what arrives during the end of a planned stop

What callers saw: a stream begins before an instance is told to stop and ends while it drains; the next request on that connection, 0.1 s later, gets neither an answer nor a refusal. A call that was read before the stop is answered without Connection: close, and its connection is closed under the next request likewise. What was read in the last moment before the close, but not handled yet, was dropped, and so was what callers had yet to read of their answers where buffers are not accounted for.

Cause: the drain looked at the requests that run, each 50 ms, and closed everything as soon as there was none; whether an answer announces the close was decided when its request was read.

Change: the drain accepts no new connections once nothing runs, waits until no caller has been answered for 0.5 s and none is still reading its answer (2 s at the most), reads nothing more, and answers what was read until then. Whether an answer announces the close is decided again when it begins.

A planned stop takes 0.5 s longer. A request that crosses the close of a connection that has rested for longer is still not read, and its caller sees that.

--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -84,6 +84,10 @@
             Listens there already.
         """
 
+    @abstractmethod
+    async def stop_listening(self) -> None:
+        """Accept no new connections; those that are open go on."""
+
     @abstractmethod
     async def close(self) -> None:
         """Close every connection."""
--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -1,4 +1,4 @@
-"""Connections of callers, and how long they may rest."""
+"""Connections of callers: how long they may rest, and how a planned stop ends them."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -16,6 +16,11 @@
 # Time in seconds from when nothing more is read on a connection until it is closed. A request
 # that was read just before has begun to be handled by then.
 SETTLE_S = 0.05
+# Time in seconds for which the connections must be quiet before a planned stop closes them: a
+# caller that has just got an answer may send its next request at once.
+QUIET_S = 0.5
+# Longest time in seconds for which a planned stop waits for callers to read their last answers.
+MAX_UNREAD_S = 2.0
 # Keep-alive time of the HTTP server in seconds, which must not expire before the idle time.
 SERVER_KEEPALIVE_S = 86400.0
 
@@ -55,6 +60,12 @@
         """Whether the connection is open."""
         return self._transport is not None
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes that this process still has to send."""
+        transport = self._transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
     @property
     def _transport(self) -> asyncio.Transport | None:
         """Transport of the connection; None if it is closed or closing."""
@@ -125,6 +136,11 @@
         """Return the number of connections."""
         return len(self._connections)
 
+    @property
+    def running_count(self) -> int:
+        """Number of connections with a request that is being handled."""
+        return sum(connection.running for connection in self._connections.values())
+
     def add(self, protocol: web.RequestHandler) -> CallerConnection:
         """Return the connection of a protocol, which is new unless it is known."""
         connection = self._connections.get(protocol)
@@ -151,12 +167,44 @@
         finally:
             connection.rest(self._clock(), self._idle_timeout_s())
 
+    async def finish(self) -> None:
+        """Answer the requests that are still on their way to this instance, then read no more.
+
+        For the end of a planned stop, when no new connections are accepted.
+        """
+        while not self._is_quiet():
+            await asyncio.sleep(SETTLE_S)
+        for connection in self._connections.values():
+            connection.pause()
+        await asyncio.sleep(SETTLE_S)
+        for connection in self._connections.values():
+            if connection.running:
+                # Its request was read before; the rest of the body may not have been.
+                connection.resume()
+        while self.running_count or self._is_sending():
+            await asyncio.sleep(SETTLE_S)
+        self._log.info("caller_connections_finished", open=len(self._connections))
+
     def close(self) -> None:
         """Check the connections no more."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _is_quiet(self) -> bool:
+        """Return whether no caller has been answered for some time, or is being answered."""
+        since = self._clock() - QUIET_S
+        open_ones = [one for one in self._connections.values() if one.is_open]
+        recent = any(one.running or one.rests_since > since for one in open_ones)
+        return not recent and not self._is_sending()
+
+    def _is_sending(self) -> bool:
+        """Return whether callers are still reading their last answers."""
+        since = self._clock() - MAX_UNREAD_S
+        return any(
+            one.unread_bytes and one.rests_since > since for one in self._connections.values()
+        )
+
     def _check_later(self) -> None:
         if self._timer is None and self._connections:
             self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_S, self._check)
--- a/reachlink/entry/_caller_sink.py
+++ b/reachlink/entry/_caller_sink.py
@@ -87,7 +87,8 @@
         self._response = response
         for name, value in head.headers:
             response.headers.add(name, value)
-        if self._closing:
+        # A planned stop may have begun since the request was read.
+        if self._closing or self._host.closing:
             response.force_close()
         transport = self._request.transport
         self._reader = self._host.readers.open(transport, self._request_id, self.ends_at)
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -103,6 +103,8 @@
         # What callers have yet to read of whole answers would be cut off as well.
         while node.running_requests or len(node.readers) or node.replica_reach.server.count:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self._border.stop_listening()
+        await node.connections.finish()
         node.log.info("drained")
 
     async def stop(self) -> None:
@@ -114,6 +116,7 @@
             task.cancel()
         await self._border.close()
         node.readers.close()
+        node.connections.close()
         for runner in self._runners:
             await runner.cleanup()
         node.replica_reach.server.close()
--- a/reachlink/entry/tests/test_caller_connections.py
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from reachlink.entry import CallerConnections, CallerServer
+from reachlink.entry._caller_connections import MAX_UNREAD_S, QUIET_S, SETTLE_S
 from reachlink.entry.tests.wire import Wire
 from reachlink.testing._virtual_loop import run_virtually
 
@@ -103,3 +104,61 @@
         assert not len(listener.connections) and not listener.closed
 
     run_virtually(work())
+
+
+def test_a_stop_answers_a_request_that_follows_an_answer_closely():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        await ask(wire)
+        finishing = asyncio.create_task(listener.connections.finish())
+        await asyncio.sleep(QUIET_S / 2)
+        wire.send(REQUEST)
+        await finishing
+        assert answers(wire) == 2
+
+    run_virtually(work())
+
+
+def test_a_stop_answers_a_request_that_was_read_before_it_reads_no_more():
+    async def work():
+        listener = Listener(handling_s=1.0)
+        wire = listener.connect()
+        await asyncio.sleep(QUIET_S + 0.1)
+        finishing = asyncio.create_task(listener.connections.finish())
+        wire.send(HEAD)
+        while wire.reading:
+            await asyncio.sleep(0.0)
+        wire.send(BODY)
+        await finishing
+        assert answers(wire) == 1
+
+    run_virtually(work())
+
+
+def test_a_stop_reads_no_request_that_it_does_not_answer():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        await asyncio.sleep(QUIET_S + 0.1)
+        await listener.connections.finish()
+        wire.send(REQUEST)
+        await asyncio.sleep(2 * SETTLE_S)
+        assert not answers(wire) and not wire.reading
+
+    run_virtually(work())
+
+
+def test_a_stop_waits_for_callers_to_read_their_answers_but_not_without_end():
+    async def work(unread_s: float) -> float:
+        listener = Listener()
+        wire = listener.connect()
+        await ask(wire)
+        wire.unread_bytes = 100
+        started = listener.now()
+        asyncio.get_running_loop().call_later(unread_s, setattr, wire, "unread_bytes", 0)
+        await listener.connections.finish()
+        return listener.now() - started
+
+    assert 1.0 <= run_virtually(work(1.0)) < MAX_UNREAD_S
+    assert run_virtually(work(100.0)) < 2 * MAX_UNREAD_S
