One checksum for the records of one write to the log

What callers saw: after a loss of power of all machines a control instance could refuse to start ("damaged record at byte 245, followed by intact records"), although nothing synced was damaged. With one disk lost beside it there was no majority: no edit, claim or table was taken, and entry instances that restarted had no settings.

Cause: the records of one write each had a checksum. A write that was not synced may reach the disk with a later page and without an earlier one; the records on the later page were then taken for records of a later, synced write.

Change: the records of one write are one `BatchRecord` with one checksum. Logs of single records are read as before.

Conclusion: the next write starts only after the sync of the one before, so that an intact record behind a damaged one now does mean damage of synced data.

--- a/reachlink/agreement/_records.py
+++ b/reachlink/agreement/_records.py
@@ -41,7 +41,20 @@
     data: bytes
 
 
-Record = HardStateRecord | TruncateRecord | EntryRecord | SnapshotRecord
+LogRecord = HardStateRecord | TruncateRecord | EntryRecord
+
+
+class BatchRecord(msgspec.Struct, tag="b", array_like=True):
+    """Records of one write.
+
+    They share a checksum: after a loss of power either all of them are there or none,
+    whatever part of the write reached the disk.
+    """
+
+    records: list[LogRecord]
+
+
+Record = LogRecord | SnapshotRecord | BatchRecord
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Record).decode
--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -13,8 +13,10 @@
 from reachlink.agreement._log import Log
 from reachlink.agreement._messages import Entry, Member
 from reachlink.agreement._records import (
+    BatchRecord,
     EntryRecord,
     HardStateRecord,
+    LogRecord,
     Record,
     SnapshotRecord,
     TruncateRecord,
@@ -129,13 +131,13 @@
         StorageError
             If the disk fails. The replica must then stop.
         """
-        records: list[Record] = []
+        records: list[LogRecord] = []
         if effects.hard_state:
             records.append(HardStateRecord(term, voted_for))
         if effects.truncate_from is not None:
             records.append(TruncateRecord(effects.truncate_from))
         records.extend(EntryRecord(entry) for entry in effects.append)
-        self._write(records)
+        self._write(BatchRecord(records))
 
     def save_snapshot(
         self, snapshot: SnapshotRecord, term: int, voted_for: str, rest: list[Entry]
@@ -161,9 +163,9 @@
         self._files.close(self._descriptor)
         self._segment += 1
         self._descriptor = self._files.open_append(self._segment_path(self._segment))
-        records: list[Record] = [HardStateRecord(term, voted_for)]
+        records: list[LogRecord] = [HardStateRecord(term, voted_for)]
         records.extend(EntryRecord(entry) for entry in rest)
-        self._write(records)
+        self._write(BatchRecord(records))
         self._files.sync_folder(self._folder)
         for path in old:
             path.unlink()
@@ -181,8 +183,8 @@
     def _segment_path(self, number: int) -> Path:
         return self._folder / f"log-{number:012d}.bin"
 
-    def _write(self, records: list[Record]) -> None:
-        data = b"".join(frame(r) for r in records)
+    def _write(self, batch: BatchRecord) -> None:
+        data = frame(batch)
         try:
             size = os.fstat(self._descriptor).st_size
             self._append(data, size)
@@ -237,7 +239,10 @@
 
 def _replay(record: Record, loaded: LoadedState) -> None:
     log = loaded.log
-    if isinstance(record, HardStateRecord):
+    if isinstance(record, BatchRecord):
+        for each in record.records:
+            _replay(each, loaded)
+    elif isinstance(record, HardStateRecord):
         loaded.term, loaded.voted_for = record.term, record.voted_for
     elif isinstance(record, TruncateRecord):
         if record.index > log.snapshot_index:
--- a/reachlink/agreement/tests/test_storage.py
+++ b/reachlink/agreement/tests/test_storage.py
@@ -152,3 +152,21 @@
     second.close()
     assert len(names) == 2
     assert again in names
+
+
+PAGE_BYTES = 4096
+
+
+def test_a_batch_whose_first_page_was_lost_with_the_power_is_an_incomplete_tail(tmp_path):
+    entries = write_entries(tmp_path, 5)
+    path = segment(tmp_path)
+    synced = path.stat().st_size
+    storage = Storage(tmp_path)
+    storage.load()
+    large = [Entry(6 + i, 1, EntryKind.COMMAND, b"x" * 1500) for i in range(6)]
+    storage.persist(Effects(append=large), 1, "n1")
+    storage.close()
+    data = bytearray(path.read_bytes())
+    data[synced:PAGE_BYTES] = bytes(PAGE_BYTES - synced)
+    path.write_bytes(bytes(data))
+    assert load(tmp_path).log.entries == entries
