--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -17,17 +17,19 @@
     EntryRecord,
     HardStateRecord,
     LogRecord,
-    Record,
     SnapshotRecord,
     TruncateRecord,
     frame,
     read_records,
 )
+from reachlink.agreement._replay import Replay
 from reachlink.agreement._state import Effects
 from reachlink.agreement.exceptions import CorruptLogError, DiskFullError, StorageError
 
 IDENTITY_FILE = "identity.json"
 SNAPSHOT_FILE = "snapshot.bin"
+# Index of the first entry of a log.
+FIRST_INDEX = 1
 _SUFFIX_BYTES = 4
 
 
@@ -113,9 +115,12 @@
         """
         loaded = LoadedState(Log(), 0, "", None)
         self._load_snapshot(loaded)
+        replay = Replay(loaded.log.snapshot_index, loaded.log.snapshot_term)
         segments = sorted(self._folder.glob("log-*.bin"))
         for path in segments:
-            self._load_segment(path, loaded, last=path == segments[-1])
+            self._load_segment(path, replay, last=path == segments[-1])
+        loaded.term, loaded.voted_for = replay.hard_state.term, replay.hard_state.voted_for
+        loaded.log.append(replay.entries_after_snapshot())
         self._segment = int(segments[-1].stem.split("-")[1]) if segments else 1
         self._descriptor = self._files.open_append(self._segment_path(self._segment))
         self._files.sync_folder(self._folder)
@@ -163,7 +168,8 @@
         self._files.close(self._descriptor)
         self._segment += 1
         self._descriptor = self._files.open_append(self._segment_path(self._segment))
-        records: list[LogRecord] = [HardStateRecord(term, voted_for)]
+        # Segments that are left although they were deleted count no longer.
+        records: list[LogRecord] = [HardStateRecord(term, voted_for), TruncateRecord(FIRST_INDEX)]
         records.extend(EntryRecord(entry) for entry in rest)
         self._write(BatchRecord(records))
         self._files.sync_folder(self._folder)
@@ -213,13 +219,13 @@
         loaded.snapshot = snapshot.data
         loaded.log.reset(snapshot.index, snapshot.term, snapshot.members)
 
-    def _load_segment(self, path: Path, loaded: LoadedState, last: bool) -> None:
+    def _load_segment(self, path: Path, replay: Replay, last: bool) -> None:
         data = path.read_bytes()
         end = 0
         try:
             for position, record in read_records(data):
                 end = position
-                _replay(record, loaded)
+                replay.apply(record)
         except CorruptLogError as error:
             raise CorruptLogError(f"{path}: {error}") from error
         if end == len(data):
@@ -235,29 +241,3 @@
             self._files.sync(descriptor)
         finally:
             self._files.close(descriptor)
-
-
-def _replay(record: Record, loaded: LoadedState) -> None:
-    log = loaded.log
-    if isinstance(record, BatchRecord):
-        for each in record.records:
-            _replay(each, loaded)
-    elif isinstance(record, HardStateRecord):
-        loaded.term, loaded.voted_for = record.term, record.voted_for
-    elif isinstance(record, TruncateRecord):
-        if record.index > log.snapshot_index:
-            log.truncate_from(record.index)
-    elif isinstance(record, EntryRecord):
-        _replay_entry(record.entry, log)
-    else:
-        raise CorruptLogError("a snapshot stands in the log")
-
-
-def _replay_entry(entry: Entry, log: Log) -> None:
-    if entry.index <= log.snapshot_index:
-        return
-    if entry.index > log.last_index + 1:
-        raise CorruptLogError(f"entry {log.last_index + 1} is missing")
-    if entry.index <= log.last_index:
-        log.truncate_from(entry.index)
-    log.append([entry])
--- a/reachlink/agreement/tests/test_storage.py
+++ b/reachlink/agreement/tests/test_storage.py
@@ -154,6 +154,59 @@
     assert again in names
 
 
+class PowerLostError(Exception):
+    """The power is gone before the next file operation."""
+
+
+class PowerLostAfterSnapshot(Files):
+    """Machine that loses power once the snapshot is durable and before anything else is."""
+
+    def replace(self, path: Path, data: bytes) -> None:
+        super().replace(path, data)
+        if path.name == "snapshot.bin":
+            raise PowerLostError
+
+
+def test_entries_that_another_leader_replaced_stay_away_when_power_fails_at_a_snapshot(tmp_path):
+    storage = Storage(tmp_path, PowerLostAfterSnapshot())
+    storage.load()
+    storage.persist(Effects(append=[command(i) for i in range(1, 11)]), 1, "n1")
+    replacing = [command(i, term=2) for i in range(6, 9)]
+    storage.persist(Effects(hard_state=True, truncate_from=6, append=replacing), 2, "n2")
+    with pytest.raises(PowerLostError):
+        storage.save_snapshot(SnapshotRecord(8, 2, [], b"state"), 2, "n2", [])
+    storage.close()
+    loaded = load(tmp_path)
+    assert (loaded.log.last_index, loaded.log.last_term) == (8, 2)
+
+
+def test_entries_that_a_received_snapshot_replaced_stay_away_when_power_fails(tmp_path):
+    storage = Storage(tmp_path, PowerLostAfterSnapshot())
+    storage.load()
+    storage.persist(Effects(append=[command(i) for i in range(1, 11)]), 1, "n1")
+    with pytest.raises(PowerLostError):
+        storage.save_snapshot(SnapshotRecord(8, 2, [], b"state"), 2, "n2", [])
+    storage.close()
+    loaded = load(tmp_path)
+    assert (loaded.log.last_index, loaded.log.last_term) == (8, 2)
+
+
+@pytest.mark.parametrize("later", [[], [command(9, term=2)]])
+def test_entries_that_a_received_snapshot_replaced_do_not_return_with_a_segment(tmp_path, later):
+    write_entries(tmp_path, 10)
+    old = segment(tmp_path)
+    kept = old.read_bytes()
+    storage = Storage(tmp_path)
+    storage.load()
+    storage.save_snapshot(SnapshotRecord(8, 2, [], b"state"), 2, "n2", [])
+    storage.persist(Effects(append=later), 2, "n2")
+    storage.close()
+    old.write_bytes(kept)
+    loaded = load(tmp_path)
+    assert loaded.log.entries == later
+    assert (loaded.term, loaded.voted_for) == (2, "n2")
+
+
 PAGE_BYTES = 4096
 
 
