Sync the log at its load

What callers saw: nothing in most cases. An acknowledged edit, table or claim could be gone if a replica was killed between a write and its sync, was started again, and power failed within the seconds in which the system had not written the page back by itself.

Cause: the load of the log counted as durable what it read, also what only the cache held. The restarted replica confirmed these entries to the leader without a write of its own.

Change: the load syncs the newest segment before it returns.

Conclusion: only the newest segment is appended to, and older ones were synced before it began.

--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -123,6 +123,8 @@
         loaded.log.append(replay.entries_after_snapshot())
         self._segment = int(segments[-1].stem.split("-")[1]) if segments else 1
         self._descriptor = self._files.open_append(self._segment_path(self._segment))
+        # A process that ended between a write and its sync left data that is not durable.
+        self._files.sync(self._descriptor)
         self._files.sync_folder(self._folder)
         return loaded
 
--- a/reachlink/agreement/tests/test_storage.py
+++ b/reachlink/agreement/tests/test_storage.py
@@ -1,6 +1,7 @@
 """Synced data survives; an incomplete tail is truncated, other damage raises an error."""
 
 import errno
+import os
 from pathlib import Path
 
 import pytest
@@ -207,6 +208,41 @@
     assert (loaded.term, loaded.voted_for) == (2, "n2")
 
 
+class SyncedSizes(Files):
+    """Records the size of each file at its last sync, by inode."""
+
+    def __init__(self) -> None:
+        self.sizes: dict[int, int] = {}
+
+    def sync(self, descriptor: int) -> None:
+        super().sync(descriptor)
+        found = os.fstat(descriptor)
+        self.sizes[found.st_ino] = found.st_size
+
+
+class KilledAfterWrite(Files):
+    """Process that is killed after a write and before its sync."""
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        super().write(descriptor, data)
+        raise PowerLostError
+
+
+def test_entries_of_a_process_killed_before_its_sync_are_synced_before_they_count(tmp_path):
+    storage = Storage(tmp_path, KilledAfterWrite())
+    storage.load()
+    with pytest.raises(PowerLostError):
+        storage.persist(Effects(append=[command(1)]), 1, "n1")
+    storage.close()
+    files = SyncedSizes()
+    storage = Storage(tmp_path, files)
+    loaded = storage.load()
+    storage.close()
+    found = segment(tmp_path).stat()
+    assert loaded.log.entries == [command(1)]
+    assert files.sizes.get(found.st_ino) == found.st_size
+
+
 PAGE_BYTES = 4096
 
 
