Answer a repeated promotion as done, and check a change before its note

What callers saw: an operator whose `promote` had lost its answer and was sent again was refused ("exactly one replica may change at a time") until the time-out, although the replica voted. Each refused try, of any change, wrote an entry to the log and to the audit trail.

Cause: the promotion of a voter is the membership as it is, which was proposed as a change. The note was proposed before the change was checked.

Change: a change that leaves the membership as it is gets the committed membership for an answer, under a valid lease; a change is checked before its note is proposed. `add` and `remove` of what is done already are refused as before, without a note.

Conclusion: a promotion can be repeated until it is answered.

--- a/reachlink/agreement/_core.py
+++ b/reachlink/agreement/_core.py
@@ -141,8 +141,7 @@
         MembershipChangeError
             If the change is not allowed now.
         """
-        self._require_leader()
-        self._check_change(members, now)
+        self.check_members(members, now)
         entry = replication.append_entry(
             self._state, EntryKind.MEMBERS, encode_members(list(members))
         )
@@ -150,6 +149,19 @@
         replication.commit_by_quorum(self._state)
         return entry.index
 
+    def check_members(self, members: Sequence[Member], now: float) -> None:
+        """Check whether `propose_members` would take a membership now.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
+        MembershipChangeError
+            If the change is not allowed now.
+        """
+        self._require_leader()
+        self._check_change(members, now)
+
     def compact(self, index: int) -> None:
         """Drop the entries up to `index`, which a snapshot covers."""
         _, members = self._state.log.members_at(index)
--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -18,6 +18,7 @@
 from reachlink.agreement.exceptions import (
     AgreementError,
     DiskFullError,
+    MembershipChangeError,
     NotLeaderError,
     ProposalLostError,
 )
@@ -187,6 +188,34 @@
         self._wakeup.set()
         return await proposal.future
 
+    def check_members(self, members: list[Member]) -> None:
+        """Check whether a membership could be proposed now.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
+        MembershipChangeError
+            If the change is not allowed now.
+        """
+        self._core.check_members(members, self._clock.monotonic())
+
+    async def committed_members(self, timeout_s: float) -> list[Member]:
+        """Return the membership that is committed now.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader, or has no valid lease in time.
+        MembershipChangeError
+            If a change of the membership is under way.
+        """
+        await self.barrier(timeout_s)
+        state = self._core.state
+        if state.members_index > state.commit:
+            raise MembershipChangeError("the previous change is not committed yet")
+        return list(state.members)
+
     async def change_members(self, members: list[Member], timeout_s: float) -> None:
         """Propose a membership and wait until it is committed."""
         index = self._core.propose_members(members, self._clock.monotonic())
--- a/reachlink/control/_members.py
+++ b/reachlink/control/_members.py
@@ -27,6 +27,8 @@
 def changed_members(members: list[Member], request: MembersRequest) -> list[Member]:
     """Return the membership after adding, promoting or removing one replica.
 
+    It is the same membership where a replica is to be promoted that votes already.
+
     Raises
     ------
     MembershipChangeError
@@ -43,6 +45,8 @@
         raise MembershipChangeError(f"{request.node_id} is not a member")
     if request.action == "remove":
         return others
+    if request.action == "promote" and held.voting:
+        return members
     if request.action == "promote":
         return [*others, Member(held.node_id, held.address, held.availability_zone, True)]
     raise MembershipChangeError(f"unknown action {request.action!r}: use add, promote or remove")
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -296,7 +296,11 @@
         return SettingsAnswer(self._machine.tree.revision, False, deltas)
 
     async def _change_members(self, request: MembersRequest) -> Answer:
-        members = changed_members(self._service.core.state.members, request)
+        present = self._service.core.state.members
+        members = changed_members(present, request)
+        if members == present:
+            return MembersAnswer(await self._service.committed_members(BARRIER_TIMEOUT_S))
+        self._service.check_members(members)
         detail = f"{request.action} {request.node_id} {request.address}".strip()
         note = NoteCommand("members", request.author, request.source, detail, self._clock.wall())
         await self._service.propose(encode(note))
