Answer operators' requests under way when a control instance ends

What callers saw: after the disk of a control instance failed, it went on taking requests, repeated each for eight seconds and then ended with some of them unanswered. A planned stop under an edit answered it, but up to eight seconds later.

Cause: the failure left a task as `SystemExit`. The event loop went on in the clean-up of its entrypoint, with the HTTP interface open, and its end cut the connections. A replica that has ended took proposals and left them waiting, and the client that handlers use repeated them until their time-out.

Change: daemons tell `run_daemon` that they failed, which then stops them in order and returns 1. A replica that has ended refuses proposals, and a stop has the client repeat nothing more.

Conclusion: the sockets that listen close first, and the handlers that run end with an answer before the process does.

--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -131,6 +131,7 @@
         self._log = get_logger()
         self._role = ""
         self._disk_full = False
+        self._ended = False
         # A newly added replica has no membership yet but must reply to the leader.
         self._addresses: dict[str, str] = {}
 
@@ -177,12 +178,15 @@
         Raises
         ------
         NotLeaderError
-            If this replica is not the leader or its disk is full. Nothing was proposed.
+            If this replica is not the leader, its disk is full or it has ended. Nothing
+            was proposed.
         ProposalLostError
             If leadership is lost. The command may be committed later, or never.
         """
-        if not self._core.is_leader or self._disk_full:
-            raise NotLeaderError("" if self._disk_full else self._core.state.leader)
+        if self._disk_full or self._ended:
+            raise NotLeaderError("")
+        if not self._core.is_leader:
+            raise NotLeaderError(self._core.state.leader)
         proposal = _Proposal(command, asyncio.get_running_loop().create_future())
         self._waiting.append(proposal)
         self._wakeup.set()
@@ -268,6 +272,7 @@
                 await self._step()
                 await self._wait_for_work()
         finally:
+            self._ended = True
             self._fail_all(ProposalLostError("this replica stops"))
 
     async def _wait_for_work(self) -> None:
--- a/reachlink/control/_client.py
+++ b/reachlink/control/_client.py
@@ -57,6 +57,7 @@
         self._bus = bus
         self._addresses = list(addresses)
         self._avoided: dict[str, float] = {}
+        self._closed = False
 
     @property
     def addresses(self) -> list[str]:
@@ -68,6 +69,10 @@
         known = [a for a in self._addresses if a in addresses]
         self._addresses = known + [a for a in addresses if a not in known]
 
+    def close(self) -> None:
+        """Repeat nothing more: requests under way end after their present attempt."""
+        self._closed = True
+
     async def ask(self, address: str, request: Request, timeout_s: float) -> Answer:
         """Ask one control instance once.
 
@@ -116,8 +121,8 @@
         deadline = loop.time() + timeout_s
         once = isinstance(request, MembersRequest)
         patience = timeout_s if once else FIRST_ATTEMPT_S
-        failed = _Attempt(reason="no control instance is configured")
-        while self._addresses and loop.time() < deadline:
+        failed = _Attempt(reason="no control instance is configured or this instance stops")
+        while self._addresses and not self._closed and loop.time() < deadline:
             address = self._next_address(loop.time())
             attempt = await self._attempt(address, request, min(patience, deadline - loop.time()))
             if attempt.answer is not None:
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -76,9 +76,11 @@
         )
         self._metrics = Metrics("control", config.name, config.availability_zone)
         export_traffic(self._metrics, self._bus.traffic)
+        self._client = ControlClient(self._bus, [config.bus_address])
         self._runners: list[web.AppRunner] = []
         self._seeds = list(config.seeds)
         self._tasks: list[asyncio.Task[None]] = []
+        self._failed = asyncio.Event()
 
     async def start(self) -> None:
         """Open sockets and start the replica."""
@@ -89,9 +91,8 @@
         self._tasks.append(asyncio.create_task(self._run()))
         if self._seeds:
             self._tasks.append(asyncio.create_task(self._steward().run()))
-        client = ControlClient(self._bus, [self._config.bus_address])
         handlers = OperatorHandlers(
-            client,
+            self._client,
             lambda: self._machine.tree,
             self._config.bootstrap_key_hash,
             self._config.zones,
@@ -112,11 +113,16 @@
             members=len(self._service.core.state.members),
         )
 
+    async def failed(self) -> None:
+        """Wait until the disk fails."""
+        await self._failed.wait()
+
     async def drain(self) -> None:
         """Nothing to finish: what is not on disk was not promised."""
 
     async def stop(self) -> None:
-        """Close everything."""
+        """Answer the requests under way, and close everything."""
+        self._client.close()
         for task in self._tasks:
             task.cancel()
         for task in self._tasks:
@@ -159,7 +165,7 @@
         except StorageError as error:
             # Going on could break promises made on what the disk holds.
             self._log.error("disk_failed", reason=str(error))
-            raise SystemExit(1) from error
+            self._failed.set()
 
     async def _on_log(self, sender: str, body: bytes) -> None:
         node_id, _, address = sender.partition(_SEPARATOR)
--- /dev/null
+++ b/reachlink/control/tests/faulty_disk.py
@@ -0,0 +1,34 @@
+"""A control daemon whose disk fails once there is a file ``fail`` beside its configuration.
+
+Run as ``python -m reachlink.control.tests.faulty_disk CONFIG``.
+"""
+
+import errno
+import os
+import sys
+from pathlib import Path
+
+from reachlink.agreement import Files
+from reachlink.control import ControlConfig, ControlDaemon
+from reachlink.kernel import load_config, run_daemon
+from reachlink.telemetry import configure_logs
+
+
+def install_faults(folder: Path) -> None:
+    """Have syncs fail while `folder` holds ``fail``."""
+    whole_sync = Files.sync
+
+    def sync(files: Files, descriptor: int) -> None:
+        if (folder / "fail").exists():
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        whole_sync(files, descriptor)
+
+    Files.sync = sync  # type: ignore[method-assign, assignment]
+
+
+if __name__ == "__main__":
+    path = Path(sys.argv[1])
+    install_faults(path.parent)
+    configure_logs(instance="control-1", availability_zone="zone")
+    config = load_config(path, ControlConfig)
+    sys.exit(run_daemon(lambda: ControlDaemon(config)))
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -92,6 +92,10 @@
         await web.TCPSite(self._runner, config.host, config.port).start()
         node.log.info("entry_started", address=f"{config.host}:{config.port}")
 
+    async def failed(self) -> None:
+        """Wait for ever: nothing ends this daemon but a signal."""
+        await asyncio.Event().wait()
+
     async def drain(self) -> None:
         """Say not ready, let the balancer notice, and finish what runs."""
         node = self._node
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -94,6 +94,10 @@
         """Take other addresses where control instances may be found."""
         self._node.take_seeds(seeds)
 
+    async def failed(self) -> None:
+        """Wait for ever: nothing ends this daemon but a signal."""
+        await asyncio.Event().wait()
+
     async def drain(self) -> None:
         """Say not ready, let the balancer notice, and finish what runs."""
         node = self._node
--- a/reachlink/kernel/_lifecycle.py
+++ b/reachlink/kernel/_lifecycle.py
@@ -17,6 +17,9 @@
     async def start(self) -> None:
         """Open sockets and start background tasks."""
 
+    async def failed(self) -> None:
+        """Wait until the daemon cannot go on; for ever if nothing can make it fail."""
+
     async def drain(self) -> None:
         """Stop accepting new work and wait until running work has finished."""
 
@@ -28,7 +31,7 @@
     """Run a daemon until it is stopped by a signal.
 
     The first SIGTERM or SIGINT starts a planned stop: `drain`, then `stop`.
-    A second one cancels `drain`.
+    A second one cancels `drain`. A daemon that failed is stopped without `drain`.
 
     Parameters
     ----------
@@ -38,7 +41,7 @@
     Returns
     -------
     int
-        Exit code: 0 after a planned stop, 1 after a forced one.
+        Exit code: 0 after a planned stop, 1 after a forced one or a failure.
     """
     with aiomisc.entrypoint(log_config=False, pool_size=1) as loop:
         return loop.run_until_complete(_serve(make))
@@ -52,8 +55,8 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     await daemon.start()
     _tune_garbage_collection()
-    await signals.get()
-    forced = await _first_done(daemon.drain(), signals.get())
+    failed = await _first_done(signals.get(), daemon.failed())
+    forced = failed or await _first_done(daemon.drain(), signals.get())
     await daemon.stop()
     return 1 if forced else 0
 
@@ -69,7 +72,7 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
-async def _first_done(work: Awaitable[None], interrupt: Awaitable[int]) -> bool:
+async def _first_done(work: Awaitable[object], interrupt: Awaitable[object]) -> bool:
     """Wait for either awaitable; return whether `interrupt` finished before `work`."""
     working = asyncio.ensure_future(work)
     waiting = asyncio.ensure_future(interrupt)
