--- a/reachlink/agreement/_files.py
+++ b/reachlink/agreement/_files.py
@@ -41,6 +41,10 @@
         temporary.rename(path)
         self.sync_folder(path.parent)
 
+    def remove(self, path: Path) -> None:
+        """Remove a file; durable only after `sync_folder`."""
+        path.unlink()
+
     def sync_folder(self, folder: Path) -> None:
         """Flush the entries of a directory to disk."""
         descriptor = os.open(folder, os.O_RDONLY)
--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -176,7 +176,7 @@
         self._write(BatchRecord(records))
         self._files.sync_folder(self._folder)
         for path in old:
-            path.unlink()
+            self._files.remove(path)
 
     def size_bytes(self) -> int:
         """Return the size of the files in the folder in bytes."""
--- a/reachlink/agreement/tests/world.py
+++ b/reachlink/agreement/tests/world.py
@@ -58,11 +58,20 @@
             self.log.truncate_from(effects.truncate_from)
         self.log.append(effects.append)
 
+    def open(self) -> None:
+        """Load what is synced, at a start."""
+
+    def compact(self, snapshot: bytes, core_log: Log) -> None:
+        self.snapshot = snapshot
+        self.log = copy_of(core_log)
+
     def copy_log(self) -> Log:
-        log = self.log
-        return Log(
-            log.snapshot_index, log.snapshot_term, list(log.snapshot_members), list(log.entries)
-        )
+        return copy_of(self.log)
+
+
+def copy_of(log: Log) -> Log:
+    members, entries = list(log.snapshot_members), list(log.entries)
+    return Log(log.snapshot_index, log.snapshot_term, members, entries)
 
 
 class Node:
@@ -79,6 +88,7 @@
 
     def start(self) -> None:
         world = self.world
+        self.disk.open()
         self.machine = world.make_machine()
         if self.disk.snapshot is not None:
             self.machine.restore(self.disk.snapshot)
@@ -139,16 +149,14 @@
         core = self.core
         snapshot = self.machine.snapshot()
         core.compact(self.applied)
-        log = core.state.log
-        self.disk.snapshot = snapshot
-        self.disk.log = Log(
-            log.snapshot_index, log.snapshot_term, list(log.snapshot_members), list(log.entries)
-        )
+        self.disk.compact(snapshot, core.state.log)
 
 
 class World:
     """Replicas, network and clients of one schedule."""
 
+    node_class = Node
+
     def __init__(self, seed: int, voters: int) -> None:
         self.random = Random(seed)
         self.now = 0.0
@@ -162,7 +170,7 @@
         self.lost_at = float("-inf")
         founding = [Member(f"n{i}", "", "", True) for i in range(voters)]
         self.created_nodes = voters
-        self.nodes = {m.node_id: Node(self, m.node_id, founding) for m in founding}
+        self.nodes = {m.node_id: self.node_class(self, m.node_id, founding) for m in founding}
         for node in self.nodes.values():
             node.start()
 
@@ -306,13 +314,15 @@
     def _new_node(self) -> str:
         name = f"n{self.created_nodes}"
         self.created_nodes += 1
-        self.nodes[name] = Node(self, name, [])
+        self.nodes[name] = self.node_class(self, name, [])
         self.nodes[name].start()
         return name
 
     def lose_disk(self) -> None:
         """Remove a random replica and its disk, if every membership keeps a majority."""
-        victim = self.random.choice(list(self.nodes))
+        self.lose_disk_of(self.random.choice(list(self.nodes)))
+
+    def lose_disk_of(self, victim: str) -> None:
         rest = set(self.nodes) - {victim}
         logs = [node.disk.log for node in self.nodes.values()]
         logs += [node.core.state.log for node in self.running()]
