Answer requests whose handler fails in a way that nothing foresees

What callers saw: on the product's own interface a plain-text 500 page or, after a TimeoutError, a 504, both without the error's JSON shape and its outcome; after a CancelledError that came out of something awaited, the end of the connection without an answer.

Cause: `error_middleware` knew a list of exceptions; what is not in it was left to the server, which takes every CancelledError for the end of the caller's connection and aborts it.

Change: whatever else comes out of a handler is answered with 500, code `internal_error`, outcome `unknown`, and is logged once as `request_failed` with its type and place. It is passed on only where the caller's own connection is closed: only that tells that the caller has left.

--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -11,6 +11,7 @@
 from reachlink.control import ControlUnavailableError, OutcomeUnknownError
 from reachlink.delivery import InvalidPositionError, Outcome
 from reachlink.entry._node import EntryNode
+from reachlink.entry._unforeseen import caller_is_gone, unforeseen_error
 from reachlink.entry.exceptions import HeldOverBudgetError, RequestError
 from reachlink.kernel import bearer_key, json_response
 from reachlink.limits import UNDECLARED_BYTES, BufferKind, CallerBuffer
@@ -82,6 +83,10 @@
                 504, "outcome_unknown", str(error), Outcome.UNKNOWN, retry_after_s=1.0
             )
             return error_response(wrapped, request_id)
+        except (asyncio.CancelledError, Exception) as error:
+            if caller_is_gone(request):
+                raise
+            return error_response(unforeseen_error(node.log, request_id, error), request_id)
         finally:
             node.running_requests -= 1
             held.release()
--- /dev/null
+++ b/reachlink/entry/tests/test_unforeseen_failures.py
@@ -0,0 +1,80 @@
+"""A failure that no handler knows is answered; a caller has left if its connection is closed."""
+
+import asyncio
+
+import pytest
+
+from reachlink.entry.tests.own_instance import (
+    OwnInstance,
+    Replica,
+    chat_body,
+    serve_tokens,
+    wait_until,
+)
+
+CHAT = "/v1/chat/completions"
+FAILURES = [
+    KeyError("k"),
+    OSError("o"),
+    ConnectionResetError("c"),
+    TimeoutError("t"),
+    asyncio.CancelledError("a"),
+]
+
+
+def failing(error: BaseException):
+    def fail(*args: object, **kwargs: object) -> None:
+        raise error
+
+    return fail
+
+
+@pytest.mark.parametrize("error", FAILURES, ids=lambda error: type(error).__name__)
+@pytest.mark.parametrize(
+    "path, body, step",
+    [
+        ("/readings/x", b"{}", "on_answer"),
+        (CHAT, chat_body(), "admit"),
+        (CHAT, chat_body(stream=True), "admit"),
+    ],
+    ids=["call", "whole", "stream"],
+)
+def test_a_failure_before_the_answer_begins_is_not_answered_by_a_closed_connection(
+    path, body, step, error
+):
+    async def story():
+        async with OwnInstance(Replica(serve_tokens)) as instance:
+            setattr(instance.node.guard, step, failing(error))
+            caller = await instance.connect()
+            caller.send(path, body)
+            answer = await caller.answer()
+            assert (answer.status, answer.headers["Content-Type"]) == (500, "application/json")
+            told = answer.error()
+            assert (told["code"], told["outcome"]) == ("internal_error", "unknown")
+            [line] = instance.log.named("request_failed")
+            assert line["error"] == type(error).__name__
+            assert line["request_id"] == told["request_id"]
+            delattr(instance.node.guard, step)
+            caller.send(path, body)
+            assert (await caller.answer()).status == 200
+
+    asyncio.run(story())
+
+
+def test_a_caller_that_leaves_is_not_taken_for_a_failure():
+    async def story():
+        reached = asyncio.Event()
+
+        async def serve_nothing(request, writer):
+            reached.set()
+            await asyncio.sleep(60.0)
+
+        async with OwnInstance(Replica(serve_nothing)) as instance:
+            caller = await instance.connect()
+            caller.send("/readings/x")
+            await reached.wait()
+            caller.close()
+            await wait_until(lambda: not instance.node.running_requests)
+            return instance.log.named("request_failed")
+
+    assert asyncio.run(story()) == []
