End a stream with an error event where a failure that nothing foresees meets it

What callers saw: a stream that had begun ended without its last chunk, or with a second status line among its events.

Cause: `ChatHandlers._stream` gave only a `RequestError` to the caller. Every other failure left the handler, and a second response cannot be sent on a stream that has begun. `ConnectionError` and `CancelledError` were taken for the caller's leave, whoever raised them.

Change: any failure within a stream ends it with an `error` event (`internal_error`, outcome `unknown`) unless the caller's connection is closed. The generation is cancelled after the grace to reconnect after every such failure, and not only after those two.

--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -26,6 +26,7 @@
 from reachlink.entry._jobs import AnswerJob
 from reachlink.entry._node import EntryNode
 from reachlink.entry._sinks import BufferSink, StreamSink
+from reachlink.entry._unforeseen import unforeseen_error
 from reachlink.entry.exceptions import RequestError
 from reachlink.kernel import json_response, steady_time
 from reachlink.lengths import LengthKey
@@ -179,7 +180,7 @@
         except RequestError as error:
             outcome = error.outcome
             raise
-        except (asyncio.CancelledError, ConnectionError):
+        except (asyncio.CancelledError, Exception):
             self._node.spawn(run.abandon())
             raise
         finally:
@@ -207,9 +208,11 @@
             if sink.response is None:
                 raise
             await sink.fail(error)
-        except (asyncio.CancelledError, ConnectionError):
+        except (asyncio.CancelledError, Exception) as error:
             self._node.spawn(run.abandon())
-            raise
+            if sink.response is None or sink.caller_is_gone:
+                raise
+            await sink.fail(unforeseen_error(self._node.log, run.job.request_id, error))
         finally:
             admission.tokens = run.delivery.next_offset
             self._count(run.job, outcome, run)
--- a/reachlink/entry/_sinks.py
+++ b/reachlink/entry/_sinks.py
@@ -8,6 +8,7 @@
 
 from reachlink.delivery import Position, PositionCodec
 from reachlink.entry._http import REQUEST_HEADER, error_body
+from reachlink.entry._unforeseen import caller_is_gone
 from reachlink.entry.exceptions import RequestError
 from reachlink.upstreams import TokenEvent
 
@@ -43,6 +44,11 @@
         """The response, once it has begun."""
         return self._response
 
+    @property
+    def caller_is_gone(self) -> bool:
+        """Whether the caller's connection is closed."""
+        return caller_is_gone(self._request)
+
     async def begin(self, position: Position) -> None:
         """Take the generation's identity for the event ids."""
         self._prefix = b"id: " + self._positions.prefix(position).encode() + b"."
--- a/reachlink/entry/tests/test_unforeseen_failures.py
+++ b/reachlink/entry/tests/test_unforeseen_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from reachlink.entry.tests.own_instance import (
@@ -61,6 +62,26 @@
     asyncio.run(story())
 
 
+@pytest.mark.parametrize("error", FAILURES, ids=lambda error: type(error).__name__)
+def test_a_failure_within_a_stream_is_not_a_cut_answer(error):
+    async def story():
+        async with OwnInstance(Replica(serve_tokens)) as instance:
+            instance.node.guard.on_answer = failing(error)
+            caller = await instance.connect()
+            caller.send(CHAT, chat_body(stream=True))
+            answer = await caller.answer()
+            return answer, instance.log.named("request_failed")
+
+    answer, failed = asyncio.run(story())
+    assert answer.status == 200
+    *_, last, rest = answer.body.split(b"\n\n")
+    event, data = last.split(b"\n")
+    assert (event, rest) == (b"event: error", b"")
+    told = msgspec.json.decode(data.removeprefix(b"data: "))["error"]
+    assert (told["code"], told["outcome"]) == ("internal_error", "unknown")
+    assert [line["error"] for line in failed] == [type(error).__name__]
+
+
 def test_a_caller_that_leaves_is_not_taken_for_a_failure():
     async def story():
         reached = asyncio.Event()
