Pass on answers whose content type cannot be sent as it is

What callers saw: a call ran, and the connection ended without any byte of its answer, where the replica's content type held a control character. With bytes that are no UTF-8 the answer came, but could not be stored under the caller's key: the claim stayed open, and a repetition was told that the first request still ran.

Cause: the content type went from the replica's answer to the caller's unchanged. The server refuses to write such a header field after the handlers and their middleware are over, and closes the connection. MessagePack cannot hold the surrogates that stand for such bytes.

Change: the adapter of plain services gives the type of any bytes where a type is not printable.

Evidence: pytest reachlink/entry/tests/test_unusual_answers.py: 3 of 3 failed without this change, one with the connection ended; 3 passed with it, as did reachlink/upstreams.

--- /dev/null
+++ b/reachlink/entry/tests/test_unusual_answers.py
@@ -0,0 +1,52 @@
+"""Calls whose replicas answer with what cannot be passed on as it is."""
+
+import asyncio
+
+import pytest
+
+from reachlink.control import ClaimCommand, ClaimResult, ClaimStatus, CompleteCommand
+from reachlink.entry.tests.own_instance import OwnInstance, Replica, wait_until
+from reachlink.messaging import encode
+
+
+class Claims:
+    """Stands for the control instances; grants every claim."""
+
+    def __init__(self) -> None:
+        self.completed: list[CompleteCommand] = []
+
+    async def propose(self, command: object, timeout_s: float) -> ClaimResult | None:
+        encode(command)
+        if isinstance(command, ClaimCommand):
+            return ClaimResult(ClaimStatus.GRANTED)
+        assert isinstance(command, CompleteCommand)
+        self.completed.append(command)
+        return None
+
+
+def answering(raw: bytes) -> Replica:
+    async def serve(request, writer):
+        writer.write(raw)
+
+    return Replica(serve)
+
+
+@pytest.mark.parametrize("content_type", [b"a\x01b", b"\xff", b"text/\xc2\x85"])
+def test_a_content_type_that_cannot_be_sent_is_not_the_end_of_the_callers_connection(content_type):
+    raw = b"HTTP/1.1 200 OK\r\nContent-Type: %b\r\nContent-Length: 2\r\n\r\n{}" % content_type
+
+    async def story():
+        async with OwnInstance(answering(raw)) as instance:
+            claims = instance.node.control = Claims()
+            caller = await instance.connect()
+            caller.send(
+                "/readings/x", headers=b"Idempotency-Key: k\r\nReachlink-Repeatable: no\r\n"
+            )
+            answer = await caller.answer()
+            await wait_until(lambda: bool(claims.completed))
+            return answer, claims.completed[0].answer
+
+    answer, stored = asyncio.run(story())
+    assert (answer.status, answer.body) == (200, b"{}")
+    assert answer.headers["Content-Type"] == "application/octet-stream"
+    assert stored.content_type == "application/octet-stream"
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -16,6 +16,7 @@
 
 MAX_RESPONSE_BYTES = 8 << 20
 _REFUSED_STATUSES = frozenset({429, 503})
+_ANY_BYTES = "application/octet-stream"
 
 
 @ADAPTERS.register("plain-service")
@@ -58,5 +59,11 @@
         response.release()
     if len(body) > MAX_RESPONSE_BYTES:
         raise UpstreamBrokenError("the answer is too long")
-    content_type = response.headers.get("Content-Type", "application/octet-stream")
-    return CallResponse(response.status, content_type, body)
+    return CallResponse(response.status, _content_type(response), body)
+
+
+def _content_type(response: aiohttp.ClientResponse) -> str:
+    """Return the type of an answer's body, or that of any bytes if it cannot be passed on."""
+    content_type = response.headers.get("Content-Type", _ANY_BYTES)
+    # Neither a header field nor a stored answer can hold other characters.
+    return content_type if content_type.isprintable() else _ANY_BYTES
