Take a status below 200 in place of an answer for a broken connection

What callers saw: a call whose replica ended its answer with 101 got a 101, after which an HTTP client waits for an answer that never comes; 042 was passed on as a status line that is malformed.

Cause: the adapter of plain services passed every status on.

Change: a status below 200 is `UpstreamBrokenError`: the call is tried again where it may be, and else answered with 502 and outcome `unknown`.

Evidence: pytest reachlink/entry/tests/test_unusual_answers.py: 2 of 5 failed without this change, 5 passed with it, as did reachlink/upstreams.

--- a/reachlink/entry/tests/test_unusual_answers.py
+++ b/reachlink/entry/tests/test_unusual_answers.py
@@ -50,3 +50,20 @@
     assert (answer.status, answer.body) == (200, b"{}")
     assert answer.headers["Content-Type"] == "application/octet-stream"
     assert stored.content_type == "application/octet-stream"
+
+
+@pytest.mark.parametrize("status", [b"101 Switching Protocols", b"042 None"])
+def test_a_status_that_ends_no_answer_is_not_passed_on_as_one(status):
+    async def serve(request, writer):
+        writer.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
+        await writer.drain()
+        writer.close()
+
+    async def story():
+        async with OwnInstance(Replica(serve)) as instance:
+            caller = await instance.connect()
+            caller.send("/readings/x", headers=b"Reachlink-Repeatable: no\r\n")
+            return await caller.answer()
+
+    answer = asyncio.run(story())
+    assert (answer.status, answer.error()["outcome"]) == (502, "unknown")
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -16,6 +16,8 @@
 
 MAX_RESPONSE_BYTES = 8 << 20
 _REFUSED_STATUSES = frozenset({429, 503})
+# Statuses below say that an answer is still to come.
+_FIRST_FINAL_STATUS = 200
 _ANY_BYTES = "application/octet-stream"
 
 
@@ -59,6 +61,8 @@
         response.release()
     if len(body) > MAX_RESPONSE_BYTES:
         raise UpstreamBrokenError("the answer is too long")
+    if response.status < _FIRST_FINAL_STATUS:
+        raise UpstreamBrokenError(f"the upstream ended its answer with status {response.status}")
     return CallResponse(response.status, _content_type(response), body)
 
 
