Answer requests whose response cannot be written

What callers saw: nothing; the connection ended where a header field of the response was one that cannot be sent. (The one known cause, a replica's content type, is gone by now.)

Cause: the server writes the head of a response after the middleware is over, logs what goes wrong there and closes the connection.

Change: the middleware has the head written while its errors are still turned into answers.

Evidence: pytest reachlink/entry/tests/test_unforeseen_failures.py: 1 of 22 failed without this change, with the connection ended before any byte; 22 passed with it.

--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -58,7 +58,10 @@
         held = request["held"] = CallerBuffer(node.held)
         node.running_requests += 1
         try:
-            return await handler(request)
+            response = await handler(request)
+            # Here, since the server closes the connection where a header field cannot be sent.
+            await response.prepare(request)
+            return response
         except HeldOverBudgetError as error:
             node.on_body_refused(request_id, error.size)
             response = error_response(error, request_id)
--- a/reachlink/entry/tests/test_unforeseen_failures.py
+++ b/reachlink/entry/tests/test_unforeseen_failures.py
@@ -1,6 +1,7 @@
 """A failure that no handler knows is answered; a caller has left if its connection is closed."""
 
 import asyncio
+from unittest.mock import AsyncMock
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
     serve_tokens,
     wait_until,
 )
+from reachlink.upstreams import CallResponse
 
 CHAT = "/v1/chat/completions"
 FAILURES = [
@@ -82,6 +84,22 @@
     assert [line["error"] for line in failed] == [type(error).__name__]
 
 
+def test_a_header_field_that_cannot_be_sent_is_not_the_end_of_the_connection():
+    async def story():
+        async with OwnInstance(Replica(serve_tokens)) as instance:
+            adapter = instance.node.adapter("plain-service")
+            answered = CallResponse(200, "a\x01b", b"{}")
+            adapter.call = AsyncMock(return_value=answered)
+            caller = await instance.connect()
+            caller.send("/readings/x")
+            answer = await caller.answer()
+            return answer, instance.log.named("request_failed")
+
+    answer, failed = asyncio.run(story())
+    assert (answer.status, answer.error()["outcome"]) == (500, "unknown")
+    assert len(failed) == 1
+
+
 def test_a_caller_that_leaves_is_not_taken_for_a_failure():
     async def story():
         reached = asyncio.Event()
