Drain until the answers have left the process

What callers saw: at a planned stop a caller that reads slowly may lose the rest of a long answer.

Cause: `EntryDaemon.drain` counted requests whose handlers run. The last bytes of an answer are written after the handler is over and stand in the buffer of the connection until the caller takes them; `stop` then closes it, and what is left is lost with the process (the latter by reading).

Change: `drain` goes on until nothing stands in the callers' connections, or nothing of it was taken for 60 s, as with streams; then `answers_cut` names the number.

Evidence: pytest reachlink/entry/tests/test_planned_stop.py: without this change the drain of an instance ended under an answer of 8 MB of which the caller had read nothing; with it, the drain ended after the caller had all of it.

--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -23,6 +23,8 @@
 )
 from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._plain import PlainHandlers
+from reachlink.entry._sinks import SLOW_READER_S
+from reachlink.entry._unsent_answers import UnsentAnswers
 from reachlink.entry.exceptions import RequestError
 from reachlink.kernel import json_response, steady_time, watch_suspensions
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
@@ -57,6 +59,7 @@
             self._node.control, lambda: self._node.tree, config.bootstrap_key_hash
         )
         self._runner: web.AppRunner | None = None
+        self._unsent = UnsentAnswers(self._connections)
         self._tasks: list[asyncio.Task[None]] = []
         self._reports: deque[str] = deque()
         self._caches: deque[str] = deque()
@@ -103,8 +106,14 @@
         node.replica_reach.server.drain()
         node.log.info("draining", running=node.running_requests)
         await asyncio.sleep(self._config.balancer_delay_s)
-        while node.running_requests or node.tasks or node.replica_reach.server.count:
-            await asyncio.sleep(DRAIN_POLL_S)
+        while True:
+            while self._in_progress:
+                await asyncio.sleep(DRAIN_POLL_S)
+            await self._unsent.sent(SLOW_READER_S)
+            if not self._in_progress:
+                break
+        if unsent := self._unsent.count:
+            node.log.warning("answers_cut", count=unsent, reason="not read in time")
         node.log.info("drained")
 
     async def stop(self) -> None:
@@ -122,6 +131,15 @@
         node.bus.close()
         node.metrics.close()
 
+    @property
+    def _in_progress(self) -> bool:
+        node = self._node
+        return bool(node.running_requests or node.tasks or node.replica_reach.server.count)
+
+    def _connections(self) -> list[web.RequestHandler]:
+        server = self._runner.server if self._runner is not None else None
+        return server.connections if server is not None else []
+
     def _app(self) -> web.Application:
         node = self._node
         app = web.Application(middlewares=[error_middleware(node)])
