End the claim of a caller that leaves before it is granted

What callers saw: a caller whose connection ended while its idempotency key was being claimed came again with the key and was refused with 409 `in_progress` until the claim expired, though nothing had been sent to a replica.

Cause: `ClaimedKey.claim` ended the claim where the control instances failed, and not where its own task was cancelled, as it is when the caller's connection closes.

Change: whatever ends the wait for a claim has it completed as not run.

Evidence: pytest reachlink/entry/tests/test_claims.py: 2 of 2 failed without this change (no completion was proposed), 2 passed with it. That the open claim refuses the next request is by reading `ClaimBook.claim`.

--- a/reachlink/entry/_claims.py
+++ b/reachlink/entry/_claims.py
@@ -1,5 +1,6 @@
 """Claims of a caller's idempotency key around a non-repeatable request."""
 
+import asyncio
 import hashlib
 import time
 
@@ -89,6 +90,10 @@
                 Outcome.NOT_RUN,
                 2.0,
             ) from error
+        except (asyncio.CancelledError, Exception):
+            # The caller has left, for instance: a claim that was made must not stay open.
+            self.complete_later(Outcome.NOT_RUN, None)
+            raise
         assert isinstance(result, ClaimResult)
         if result.status is ClaimStatus.GRANTED:
             return None
