Tell that a generation has not run only where no attempt may have

What callers saw: 503 with outcome `not_run` for a repeatable generation that a replica had got and perhaps run, where the connection broke before or after the generation's id and no replica was left for another attempt.

Cause: the outcome of earlier attempts was judged by whether the delivery has a generation. It has none before its id arrives, and none again once it is given up. What the queue refuses was told as `not_run` as well, whatever had gone before.

Change: `AnswerRun` notes that a request was sent, unless the replica could not be reached or refused it. After that no error says `not_run`; 503, which promises the same, becomes 502.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -20,7 +20,12 @@
 from reachlink.entry._jobs import AnswerJob, Sink
 from reachlink.entry._node import EntryNode
 from reachlink.entry._stall_watch import StallWatch
-from reachlink.entry.exceptions import RequestError, held_request, upstream_failed
+from reachlink.entry.exceptions import (
+    RequestError,
+    after_dispatch,
+    held_request,
+    upstream_failed,
+)
 from reachlink.kernel import steady_time
 from reachlink.limits import backoff_s
 from reachlink.membership import LeavingSource
@@ -75,6 +80,8 @@
         # Attempts so far, the present one included, and whether the first was counted.
         self._attempt = 1
         self._earned_retries = False
+        # Whether a replica has got the request and did not say that it had not run.
+        self._may_have_run = False
 
     @property
     def job(self) -> AnswerJob:
@@ -86,6 +93,11 @@
         """State of the answer."""
         return self._delivery
 
+    @property
+    def outcome(self) -> Outcome:
+        """What is known of the attempts so far: none of them ran, or one may have."""
+        return Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+
     async def run(self) -> None:
         """Deliver a new answer.
 
@@ -100,6 +112,10 @@
         except HeldRequestError as error:
             self._drop(self._delivery.generation)
             raise held_request(error) from error
+        except RequestError as error:
+            if self._may_have_run:
+                raise after_dispatch(error) from error
+            raise
         finally:
             self._leave()
 
@@ -117,7 +133,7 @@
         """Return the final answer after the last attempt."""
         job = self._job
         hold = self._node.hold(job.service.upstream, job.ticket.excluded)
-        return upstream_failed(reason, self._outcome(), hold)
+        return upstream_failed(reason, self.outcome, hold)
 
     def _given_nothing(self) -> bool:
         """Return whether the caller has no token yet."""
@@ -165,17 +181,21 @@
         self._sent_at = steady_time()
         self._offset_when_sent = self._delivery.next_offset
         self._node.client.pacing.note_sent(replica.address, self._sent_at)
+        earlier, self._may_have_run = self._may_have_run, True
         try:
             stream = await self._adapter.open(replica, job.request)
         except UpstreamHeldBackError:
             # It asked for that after it was chosen, or others had the permit: nothing was
             # sent, nor is it excluded, nor does it count.
+            self._may_have_run = earlier
             return None
         except UpstreamUnreachableError as error:
+            self._may_have_run = earlier
             health.on_failure(steady_time(), self._node.random)
             await self._not_run(attempt, str(error))
             return None
         except UpstreamRefusedError as error:
+            self._may_have_run = earlier
             self._note_refusal(replica, error)
             await self._not_run(attempt, error.message)
             return None
@@ -242,10 +262,6 @@
         self._attempt = attempt + 1
         await asyncio.sleep(backoff_s(attempt, self._node.random))
 
-    def _outcome(self) -> Outcome:
-        """Return what is known of earlier attempts: none of them ran, or one may have."""
-        return Outcome.UNKNOWN if self._delivery.generation else Outcome.NOT_RUN
-
     async def _after_broken_dispatch(
         self, attempt: int, replica: Replica, reason: str
     ) -> TokenStream | None:
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -55,6 +55,8 @@
 # When to come back after every attempt has failed, in seconds: a replica that fails is
 # left alone for as long at first.
 FAILED_RETRY_S = 1.0
+# Status that promises that a request has not run.
+_NOT_RUN_STATUS = 503
 
 
 def upstream_failed(reason: str, outcome: Outcome, hold: Hold | None) -> RequestError:
@@ -70,11 +72,34 @@
     hold : Hold, optional
         Until when all replicas are held back by what they have asked for, if so.
     """
-    status = 503 if outcome is Outcome.NOT_RUN else 502
+    status = _NOT_RUN_STATUS if outcome is Outcome.NOT_RUN else 502
     retry_s = FAILED_RETRY_S if hold is None else hold.remaining_s
     return RequestError(status, "upstream_failed", reason, outcome, retry_s)
 
 
+def after_dispatch(error: RequestError) -> RequestError:
+    """Return an error for a request of which an earlier attempt may have run.
+
+    Parameters
+    ----------
+    error : RequestError
+        What ended the last attempt, which by itself may not have run.
+
+    Returns
+    -------
+    RequestError
+        The error without the promise that the request has not run; status 503 is one, too.
+    """
+    if error.outcome is not Outcome.NOT_RUN:
+        return error
+    status, code = error.status, error.code
+    if status == _NOT_RUN_STATUS:
+        status, code = 502, "upstream_failed"
+    return RequestError(
+        status, code, error.message, Outcome.UNKNOWN, error.retry_after_s, error.param
+    )
+
+
 class HeldOverBudgetError(RequestError):
     """A body that the instance has no room for; what is left of it is not read.
 
