Release the claim of a generation whose caller leaves before it is sent

What callers saw: a caller that gave up while its generation waited for room, and came again with the same idempotency key, was refused with 409 `outcome_unknown` until the claim expired, though no replica had got the request.

Cause: a request that ended by anything but a `RequestError` completed its claim with outcome `unknown`, whether it had been sent or not.

Change: it completes it with what `AnswerRun` knows of its attempts.

The 409 is by reading `ClaimBook` and `ClaimedKey`.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -148,6 +148,7 @@
             If the rest cannot be delivered.
         """
         self._replica = replica
+        self._may_have_run = True
         self._delivery.start_at(position.generation, position.offset + 1)
         ticket = self._job.ticket
         ticket.flight = self._node.ledger.place(ticket.key, replica.name, 0)
--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -181,6 +181,7 @@
             outcome = error.outcome
             raise
         except (asyncio.CancelledError, Exception):
+            outcome = run.outcome
             self._node.spawn(run.abandon())
             raise
         finally:
@@ -209,6 +210,7 @@
                 raise
             await sink.fail(error)
         except (asyncio.CancelledError, Exception) as error:
+            outcome = run.outcome
             self._node.spawn(run.abandon())
             if sink.response is None or sink.caller_is_gone:
                 raise
--- a/reachlink/entry/tests/test_claims.py
+++ b/reachlink/entry/tests/test_claims.py
@@ -1,17 +1,20 @@
 """Claims of a caller's idempotency key end with the request that made them."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from reachlink.control import ClaimCommand, ClaimResult, ClaimStatus, CompleteCommand
 from reachlink.entry.tests.own_instance import (
+    MODEL,
     OwnInstance,
     Replica,
     chat_body,
     serve_tokens,
     wait_until,
 )
+from reachlink.placement import Decision, Verdict
 
 KEY_HEADERS = b"Idempotency-Key: k\r\nReachlink-Repeatable: no\r\n"
 
@@ -53,3 +56,25 @@
     completed, requests = asyncio.run(story())
     assert [command.outcome for command in completed] == ["not_run"]
     assert not requests
+
+
+def test_a_claim_of_a_caller_that_leaves_the_queue_does_not_refuse_its_next_request():
+    async def story():
+        replica = Replica(serve_tokens)
+        async with OwnInstance(replica) as instance:
+            claims = instance.node.control = SlowClaims()
+            claims.answer.set()
+            dispatcher = instance.node.dispatcher(instance.node.tree.service(MODEL))
+            full = Decision(Verdict.WAIT)
+            dispatcher._policy = SimpleNamespace(choose=lambda *args: full)
+            caller = await instance.connect()
+            caller.send("/v1/chat/completions", chat_body(), headers=KEY_HEADERS)
+            await wait_until(lambda: dispatcher.waiting == 1)
+            caller.close()
+            await wait_until(lambda: not instance.node.running_requests)
+            await asyncio.gather(*instance.node.tasks)
+            return claims.completed, replica.requests
+
+    completed, requests = asyncio.run(story())
+    assert [command.outcome for command in completed] == ["not_run"]
+    assert not requests
