Refuse keys that are no text as the caller's error

What callers saw: 500 (before it was in the errors' shape, a page of plain text and the end of the connection) where the bearer key or the idempotency key held bytes that are no UTF-8.

Cause: the server stands such bytes for surrogates, which can neither be encoded to be hashed nor be sent to the control instances.

Change: a bearer key is hashed as it came and is then nobody's, 401; an idempotency key has to be printable, 400 `invalid_header`.

--- a/reachlink/entry/_claims.py
+++ b/reachlink/entry/_claims.py
@@ -58,6 +58,8 @@
             return None
         if len(key) > MAX_KEY_CHARACTERS:
             raise RequestError(400, "invalid_header", "the key is too long", param=KEY_HEADER)
+        if not key.isprintable():
+            raise RequestError(400, "invalid_header", "the key is not text", param=KEY_HEADER)
         content = f"{request.method} {request.path_qs}\n".encode() + body
         command = ClaimCommand(
             workspace=workspace,
--- a/reachlink/settings/_keys.py
+++ b/reachlink/settings/_keys.py
@@ -16,9 +16,9 @@
     """Return the SHA-256 digest of a key, in hex.
 
     Keys are long and random, so a slow password hash would not make them
-    harder to guess.
+    harder to guess. Bytes of a header field that are no UTF-8 are hashed as they came.
     """
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
 
 
 def key_matches(key: str, key_hash: str) -> bool:
