Refuse bodies that are too deep or hold too long a number as the caller's error

What callers saw: 500 with outcome `unknown` (before, a page of plain text) for a body that is nested more deeply than the decoder goes, or that has a number of more than 4,300 digits in a field that reachlink does not read.

Cause: `RecursionError` and the `ValueError` of the second decoder were not known to `parse_body` and `upstream_body`.

Change: both are 400 `invalid_json`, outcome `not_run`.

Evidence: pytest reachlink/entry/tests/test_malformed_requests.py: 3 of 6 failed without this change, 6 passed with it.

--- a/reachlink/entry/_chat_models.py
+++ b/reachlink/entry/_chat_models.py
@@ -92,8 +92,8 @@
         message, _, where = str(error).partition(" - at ")
         param = where.strip("`").removeprefix("$.") or None
         raise RequestError(400, "invalid_body", message, param=param) from error
-    except msgspec.DecodeError as error:
-        raise RequestError(400, "invalid_json", str(error), param="body") from error
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise _invalid_json(error) from error
     if path == CHAT_PATH and not body.messages:
         raise RequestError(400, "invalid_body", "messages is empty", param="messages")
     if path == TEXT_PATH and not body.prompt:
@@ -104,12 +104,25 @@
 
 
 def upstream_body(raw: bytes, model: str, priority: int) -> bytes:
-    """Return the body for the engine: always streamed, with model and priority set."""
-    document = json.loads(raw)
-    document["stream"] = True
-    document["model"] = model
-    document["priority"] = priority
-    return msgspec.json.encode(document)
+    """Return the body for the engine: always streamed, with model and priority set.
+
+    Raises
+    ------
+    RequestError
+        If fields that reachlink does not read cannot be passed on.
+    """
+    try:
+        document = json.loads(raw)
+        document["stream"] = True
+        document["model"] = model
+        document["priority"] = priority
+        return msgspec.json.encode(document)
+    except (ValueError, RecursionError) as error:
+        raise _invalid_json(error) from error
+
+
+def _invalid_json(error: Exception) -> RequestError:
+    return RequestError(400, "invalid_json", str(error), param="body")
 
 
 def whole_answer(request_id: str, model: str, path: str, events: Sequence[TokenEvent]) -> Any:
--- a/reachlink/entry/tests/test_malformed_requests.py
+++ b/reachlink/entry/tests/test_malformed_requests.py
@@ -32,3 +32,12 @@
     headers = b"Idempotency-Key: \xff\r\nReachlink-Repeatable: no\r\n"
     status, error = ask("/readings/x", headers=headers)
     assert (status, error["code"], error["outcome"]) == (400, "invalid_header", "not_run")
+
+
+@pytest.mark.parametrize(
+    "field", [b"[" * 100_000, b"[" * 990 + b"]" * 990, b"1" * 5000], ids=["deep", "nested", "long"]
+)
+def test_a_body_that_is_too_deep_or_has_too_long_a_number_is_not_a_failure_of_the_instance(field):
+    body = b'{"model": "explain", "messages": [{"role": "user"}], "other": %b}' % field
+    status, error = ask(CHAT, body)
+    assert (status, error["code"], error["outcome"]) == (400, "invalid_json", "not_run")
