Refuse bodies that are not what their encoding says as the caller's error

What callers saw: 500 with outcome `unknown` (before, a page of plain text) for a body with `Content-Encoding: gzip` that is none.

Cause: `read_body` and the operators' handlers read through the server's decoder, whose `RequestPayloadError` nothing knew.

Change: the middleware answers it with 400 `invalid_body`, outcome `not_run`, and the connection ends after that, since what follows on it cannot be told from the rest of the body.

--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -48,6 +48,13 @@
     return json_response(error_body(error, request_id), error.status, headers)
 
 
+def _last_response(error: RequestError, request_id: str) -> web.Response:
+    """Return an error response after which nothing else is read on the connection."""
+    response = error_response(error, request_id)
+    response.force_close()
+    return response
+
+
 def error_middleware(node: EntryNode) -> Any:
     """Return the middleware that names requests and turns errors into responses."""
 
@@ -64,9 +71,12 @@
             return response
         except HeldOverBudgetError as error:
             node.on_body_refused(request_id, error.size)
-            response = error_response(error, request_id)
-            response.force_close()
-            return response
+            return _last_response(error, request_id)
+        except web.RequestPayloadError as error:
+            reason = f"the body cannot be read: {error.args[0]}"
+            return _last_response(
+                RequestError(400, "invalid_body", reason, param="body"), request_id
+            )
         except RequestError as error:
             return error_response(error, request_id)
         except web.HTTPException as error:
--- a/reachlink/entry/tests/test_malformed_requests.py
+++ b/reachlink/entry/tests/test_malformed_requests.py
@@ -41,3 +41,9 @@
     body = b'{"model": "explain", "messages": [{"role": "user"}], "other": %b}' % field
     status, error = ask(CHAT, body)
     assert (status, error["code"], error["outcome"]) == (400, "invalid_json", "not_run")
+
+
+@pytest.mark.parametrize("path", [CHAT, "/readings/x"])
+def test_a_body_that_is_not_what_its_encoding_says_is_not_a_failure_of_the_instance(path):
+    status, error = ask(path, b"no gzip", headers=b"Content-Encoding: gzip\r\n")
+    assert (status, error["code"], error["outcome"]) == (400, "invalid_body", "not_run")
