Take what an engine answers unreadably for a broken connection

What callers saw: 500 with outcome `unknown` (before, a page of plain text) where a connection broke after the dispatch and the engine then answered the question about the request's generation with what is no JSON; and for a refusal whose body is nested too deeply, though it had not run.

Cause: decoding errors of control requests were not among those that become upstream errors, so that they passed by the handling of a broken dispatch. A `RecursionError` was known nowhere.

Change: both are taken with the errors of the connection.

--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -16,6 +16,7 @@
 MODEL = "explain"
 PLAIN = "readings"
 WAIT_S = 20.0
+UNKNOWN = b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}"
 
 Serve = Callable[["ReplicaRequest", asyncio.StreamWriter], Awaitable[None]]
 
@@ -30,10 +31,19 @@
 
 
 class Replica:
-    """A replica; `serve` answers its requests of callers, everything else is unknown to it."""
+    """A replica.
 
-    def __init__(self, serve: Serve) -> None:
+    Parameters
+    ----------
+    serve : callable
+        Answers requests of callers.
+    known : bytes
+        What it answers to questions about generations; by default it knows of none.
+    """
+
+    def __init__(self, serve: Serve, known: bytes = UNKNOWN) -> None:
         self.serve = serve
+        self.known = known
         self.requests: list[ReplicaRequest] = []
         self.address = ""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -61,7 +71,7 @@
                     self.requests.append(request)
                     await self.serve(request, writer)
                 else:
-                    writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}")
+                    writer.write(self.known if "/generations" in request.path else UNKNOWN)
                 await writer.drain()
         except (OSError, asyncio.CancelledError):
             pass
--- a/reachlink/entry/tests/test_unusual_answers.py
+++ b/reachlink/entry/tests/test_unusual_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from reachlink.control import ClaimCommand, ClaimResult, ClaimStatus, CompleteCommand
-from reachlink.entry.tests.own_instance import OwnInstance, Replica, wait_until
+from reachlink.entry.tests.own_instance import OwnInstance, Replica, chat_body, wait_until
 from reachlink.messaging import encode
 
 
@@ -67,3 +67,38 @@
 
     answer = asyncio.run(story())
     assert (answer.status, answer.error()["outcome"]) == (502, "unknown")
+
+
+DEEP = b"[" * 50_000
+
+
+@pytest.mark.parametrize("body", [b"no json", b"{}", DEEP], ids=["text", "empty", "deep"])
+def test_an_unreadable_answer_about_a_generation_is_not_a_failure_of_the_instance(body):
+    async def serve(request, writer):
+        writer.close()
+
+    known = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def story():
+        async with OwnInstance(Replica(serve, known)) as instance:
+            caller = await instance.connect()
+            headers = b"Reachlink-Repeatable: no\r\n"
+            caller.send("/v1/chat/completions", chat_body(), headers)
+            return await caller.answer()
+
+    answer = asyncio.run(story())
+    assert (answer.status, answer.error()["code"]) == (502, "upstream_broken")
+
+
+def test_an_unreadable_refusal_is_not_a_failure_of_the_instance():
+    body = b'{"error": {"details": ' + DEEP
+    head = b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def story():
+        async with OwnInstance(answering(head + body)) as instance:
+            caller = await instance.connect()
+            caller.send("/readings/x")
+            return await caller.answer()
+
+    answer = asyncio.run(story())
+    assert (answer.status, answer.error()["outcome"]) == (503, "not_run")
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -16,7 +16,7 @@
     TokenEvent,
     TokenStream,
 )
-from reachlink.upstreams._http import MAX_LINE_BYTES, HttpClient, raise_refusal
+from reachlink.upstreams._http import MAX_LINE_BYTES, UNREADABLE, HttpClient, raise_refusal
 from reachlink.upstreams.exceptions import GenerationUnknownError, UpstreamBrokenError
 
 GENERATION_HEADER = "X-Generation-Id"
@@ -87,7 +87,7 @@
                     return events
         except (aiohttp.ClientError, OSError) as error:
             raise UpstreamBrokenError(str(error) or type(error).__name__) from error
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             raise UpstreamBrokenError(f"unreadable event: {error}") from error
         return []
 
@@ -217,7 +217,7 @@
         response.raise_for_status()
         try:
             return _decode_report(await response.read())
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             raise UpstreamBrokenError(f"unreadable load report: {error}") from error
 
 
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -53,6 +53,10 @@
 REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
 
 
+# What decoding raises for an answer that is no JSON, or is nested too deeply.
+UNREADABLE: tuple[type[Exception], ...] = (msgspec.DecodeError, RecursionError)
+
+
 class ErrorDetail(msgspec.Struct):
     """Content of the ``error`` field of an error body."""
 
@@ -291,7 +295,13 @@
 @contextmanager
 def _convert_errors(*broken: type[Exception]) -> Iterator[None]:
     """Convert errors of `aiohttp`, and those in `broken`, to upstream errors."""
-    failures: tuple[type[Exception], ...] = (aiohttp.ClientError, OSError, TimeoutError, *broken)
+    failures: tuple[type[Exception], ...] = (
+        aiohttp.ClientError,
+        OSError,
+        TimeoutError,
+        *UNREADABLE,
+        *broken,
+    )
     try:
         yield
     except NotReachedError as error:
@@ -327,7 +337,7 @@
     try:
         raw = await response.content.read(MAX_ERROR_BYTES)
         detail = msgspec.json.decode(raw, type=ErrorBody).error
-    except msgspec.DecodeError:
+    except UNREADABLE:
         detail = ErrorDetail(message="the upstream's error could not be read")
     except (aiohttp.ClientError, OSError) as error:
         raise UpstreamBrokenError(str(error)) from error
