Answer callers whose engine takes the request and stays silent

What callers saw: neither an answer nor a refusal for a generation, whole or streamed, whose engine accepts the connection and never sends the head of its answer.

Cause: the wait for the head of an engine's answer had no bound, nor had the wait for the rest of a generation that was found after a broken dispatch. Streams that stall are noticed only after the head.

Change: the head may take 30 s, as the answer to a call may, and the head of the rest 3 s, as at other resumes. After that the connection counts as broken: the generation is looked for, tried again where it may be, and else answered with 502 and outcome `unknown`.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -44,6 +44,8 @@
 )
 
 MAX_ATTEMPTS = 4
+# How long an engine may take to name the generation of a request, in seconds.
+ANSWER_TIMEOUT_S = 30.0
 RESUME_TIMEOUT_S = 3.0
 RESUME_PAUSE_S = 0.2
 
@@ -184,7 +186,7 @@
         self._node.client.pacing.note_sent(replica.address, self._sent_at)
         earlier, self._may_have_run = self._may_have_run, True
         try:
-            stream = await self._adapter.open(replica, job.request)
+            stream = await self._open(replica)
         except UpstreamHeldBackError:
             # It asked for that after it was chosen, or others had the permit: nothing was
             # sent, nor is it excluded, nor does it count.
@@ -207,6 +209,14 @@
         await self._bind(stream.generation)
         return stream
 
+    async def _open(self, replica: Replica) -> TokenStream:
+        """Send the request; an engine that stays silent counts as a broken connection."""
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                return await self._adapter.open(replica, self._job.request)
+        except TimeoutError as error:
+            raise UpstreamBrokenError("no answer in time") from error
+
     def _note_broken(self, replica: Replica) -> None:
         """Have it found out whether the replica ended, or only the connection."""
         request, now = self._job.request, steady_time()
@@ -267,10 +277,11 @@
         self, attempt: int, replica: Replica, reason: str
     ) -> TokenStream | None:
         """The request may run: look for its generation before anything else."""
-        with contextlib.suppress(UpstreamError):
+        with contextlib.suppress(UpstreamError, TimeoutError):
             info = await self._adapter.find(replica, self._job.request_id)
             await self._bind(info.generation)
-            return await self._adapter.resume(replica, info.generation, 0)
+            async with asyncio.timeout(RESUME_TIMEOUT_S):
+                return await self._adapter.resume(replica, info.generation, 0)
         if not self._job.repeatable:
             raise RequestError(502, "upstream_broken", reason, Outcome.UNKNOWN)
         await self._before_retry(attempt, reason)
--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -39,10 +39,15 @@
         Answers requests of callers.
     known : bytes
         What it answers to questions about generations; by default it knows of none.
+    serve_rest : callable, optional
+        Answers requests for the rest of a generation; by default in the same way.
     """
 
-    def __init__(self, serve: Serve, known: bytes = UNKNOWN) -> None:
+    def __init__(
+        self, serve: Serve, known: bytes = UNKNOWN, serve_rest: Serve | None = None
+    ) -> None:
         self.serve = serve
+        self.serve_rest = serve_rest
         self.known = known
         self.requests: list[ReplicaRequest] = []
         self.address = ""
@@ -70,6 +75,8 @@
                 if request.method in ("POST", "PUT"):
                     self.requests.append(request)
                     await self.serve(request, writer)
+                elif self.serve_rest is not None and "/events" in request.path:
+                    await self.serve_rest(request, writer)
                 else:
                     writer.write(self.known if "/generations" in request.path else UNKNOWN)
                 await writer.drain()
