Entry: log and count each connection to a caller that is broken off

Cause: a request that ends since this instance breaks its connection off left no line of its own: by an OSError of anything, its line was that of a request whose caller has left (request_ended outcome=cancelled).

Change: caller_connection_aborted with request_id, reason, error, message, answer_begun and connection_open; counter reachlink_caller_connections_aborted by reason. No change of what callers get.

Conclusion: the log and the metrics page tell which answers this instance broke off and why.

--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -8,6 +8,7 @@
 from reachlink.entry._caller_connections import CallerConnections, CallerServer
 from reachlink.entry._caller_sink import CallerSink
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
+from reachlink.entry._connection_aborts import ConnectionAbort, ConnectionAborts
 from reachlink.entry._readers import CallerReader, CallerReaders
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_daemon import RelayDaemon
@@ -61,6 +62,8 @@
     "CallerReaders",
     "CallerServer",
     "CallerSink",
+    "ConnectionAbort",
+    "ConnectionAborts",
     "RelayConfig",
     "RelayDaemon",
     "RelayHost",
--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from reachlink.entry._caller_connections import CallerConnections
+from reachlink.entry._connection_aborts import ConnectionAbort
 from reachlink.entry._readers import CallerReaders
 from reachlink.kernel import Registry
 from reachlink.limits import BufferBudget
@@ -47,6 +48,9 @@
     def on_body_refused(self, request_id: str, size: int) -> None:
         """Note that a body was refused, with its bytes so far or as its sender says."""
 
+    def on_connection_aborted(self, abort: ConnectionAbort) -> None:
+        """Note that a connection to a caller is aborted."""
+
     @property
     def closing(self) -> bool:
         """Whether callers should come back on another connection."""
--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -4,6 +4,7 @@
 from functools import partial
 from statistics import median
 
+from reachlink.entry._connection_aborts import ABORTED_DESCRIPTION
 from reachlink.entry._held_sight import BODIES_REFUSED_DESCRIPTION, export_held_bytes
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.limits import BufferBudget
@@ -71,6 +72,9 @@
         self.connections_closed = self._metrics.counter(
             "reachlink_caller_connections_closed", "1", CONNECTIONS_CLOSED_DESCRIPTION
         )
+        self.connections_aborted = self._metrics.counter(
+            "reachlink_caller_connections_aborted", "1", ABORTED_DESCRIPTION
+        )
         export_traffic(self._metrics, traffic)
 
     def export_settings(
@@ -152,6 +156,10 @@
         """Count a request for a relayed connection, by who made it and how it ended."""
         self.relays.add(1, {"role": role, "outcome": outcome})
 
+    def count_aborted_connection(self, reason: str) -> None:
+        """Count a connection to a caller that was aborted, by reason."""
+        self.connections_aborted.add(1, {"reason": reason})
+
     def export_paths(self, lost: Callable[[], float]) -> None:
         """Export how many replicas are reached through peers only."""
         self._metrics.gauge("reachlink_replica_paths_lost", "1", LOST_DESCRIPTION, lost)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -16,6 +16,7 @@
 )
 from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._configured_node import ConfiguredNode
+from reachlink.entry._connection_aborts import ConnectionAborts
 from reachlink.entry._held_sight import HeldSight
 from reachlink.entry._isolation import Isolation
 from reachlink.entry._known_controls import KnownControls
@@ -180,6 +181,8 @@
         self.connections = CallerConnections(
             lambda: self._caller_limits.idle_timeout_s, self.metrics.count_connection_closed
         )
+        aborts = ConnectionAborts(self.metrics.count_aborted_connection, self.log)
+        self.on_connection_aborted = aborts.note
         self._controls = KnownControls(self.control, config.availability_zone, config.seeds)
         self._table = TableInForce()
         self._runner = RequestRunner(
