Requests: any error but a closed connection of the caller is answered

Callers saw: a connection that closed without an answer, or the server library's own text with 500.

Cause: the border towards callers took every OSError that came out of the pipeline for a caller that has gone, and TimeoutError, ConnectionError and each error of a socket, file or peer are such errors. A CancelledError of something that was cancelled elsewhere closed the connection as well. Any other error, such as KeyError, or a field of an answer that cannot be written, got the library's 500.

Change: the sink raises CallerGoneError where the connection is gone or closing, and only that ends a request without an answer. Errors of the connection to a replica are UpstreamBrokenError, so that calls that may repeat go to another replica. Every other error is logged (request_error) and answered: 502 internal_error if a replica may have had the request, else 503 with a time to come back. A cancellation counts only if it was asked of the request's own task. An answer that could not be begun leaves the connection fit for another.

Conclusion: no error of something else closes a caller's connection before its answer has begun.

--- a/reachlink/entry/_caller_sink.py
+++ b/reachlink/entry/_caller_sink.py
@@ -1,9 +1,14 @@
 """Gives answers to callers of a relay border, within what is held for them."""
 
-from aiohttp import web
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from aiohttp import ClientConnectionResetError, web
+from aiohttp.http_writer import StreamWriter
 
 from reachlink.entry._borders import RelayHost
 from reachlink.entry._readers import CallerReader
+from reachlink.requests import CallerGoneError
 from reachlink.upstreams import AnswerHead
 
 # A whole answer is handed to its connection so many bytes at a time, so that it is not held
@@ -11,6 +16,11 @@
 PIECE_BYTES = 64 << 10
 
 
+def is_open(request: web.BaseRequest) -> bool:
+    """Return whether the connection that a request came on is open."""
+    return request.transport is not None and not request.transport.is_closing()
+
+
 class CallerSink:
     """Gives an answer to one caller, and knows how far it is ahead of it.
 
@@ -34,6 +44,11 @@
         # When its caller's patience ends, in monotonic seconds.
         self.ends_at = 0.0
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of an answer was written, so that no other answer can be given."""
+        return self._response is not None and self._request.writer.output_size > 0
+
     @property
     def response(self) -> web.StreamResponse | None:
         """What was begun, or None."""
@@ -41,6 +56,10 @@
 
     async def write_whole(self, head: AnswerHead, body: bytes) -> None:
         """Give a whole answer."""
+        with self._caller_gone():
+            await self._write_whole(head, body)
+
+    async def _write_whole(self, head: AnswerHead, body: bytes) -> None:
         if self._host.held.limited and len(body) > PIECE_BYTES:
             await self._in_pieces(head, body)
             return
@@ -61,21 +80,36 @@
         """Begin an answer whose body follows in pieces."""
         response = web.StreamResponse(status=head.status)
         response.enable_chunked_encoding()
-        await self._start(response, head)
+        with self._caller_gone():
+            await self._start(response, head)
         if self._reader is not None:
             self._reader.go_ahead()
 
     async def write(self, data: bytes) -> None:
         """Give the next piece."""
         assert self._response is not None
-        await self._response.write(data)
-        if self._reader is not None and not self._reader.within():
-            await self._wait_for_caller(self._reader)
+        with self._caller_gone():
+            await self._response.write(data)
+            if self._reader is not None and not self._reader.within():
+                await self._wait_for_caller(self._reader)
 
     async def end(self) -> None:
         """End the body: the answer is complete."""
         assert self._response is not None
-        await self._response.write_eof()
+        with self._caller_gone():
+            await self._response.write_eof()
+
+    @contextmanager
+    def _caller_gone(self) -> Iterator[None]:
+        """Report errors of writing as such of the caller only if its connection is closed."""
+        try:
+            yield
+        except ClientConnectionResetError as error:
+            raise CallerGoneError from error
+        except Exception as error:
+            if is_open(self._request):
+                raise
+            raise CallerGoneError from error
 
     async def _wait_for_caller(self, reader: CallerReader) -> None:
         """Read on from the replica only when the caller has read most of what there is."""
@@ -92,4 +126,15 @@
             response.force_close()
         transport = self._request.transport
         self._reader = self._host.readers.open(transport, self._request_id, self.ends_at)
-        await response.prepare(self._request)
+        try:
+            await response.prepare(self._request)
+        except ValueError:
+            # A field that cannot be written: the connection is left as if no answer had begun.
+            self._forget_framing()
+            raise
+
+    def _forget_framing(self) -> None:
+        """Forget how the body of an answer was to be framed of which nothing was written."""
+        writer = self._request.writer
+        if isinstance(writer, StreamWriter) and not writer.output_size:
+            writer.chunked, writer.length = False, None
--- a/reachlink/entry/_connection_aborts.py
+++ b/reachlink/entry/_connection_aborts.py
@@ -5,7 +5,7 @@
 from functools import singledispatch
 from typing import Any
 
-from reachlink.requests import RequestFailedError, StreamCutError
+from reachlink.requests import CallerGoneError, RequestFailedError, StreamCutError
 
 ABORTED_DESCRIPTION = "Connections to callers that were aborted, by reason."
 
@@ -48,6 +48,11 @@
     return error.reason
 
 
+@abort_reason.register
+def _gone_reason(error: CallerGoneError) -> str:
+    return error.reason
+
+
 class ConnectionAborts:
     """Counts and logs the connections to callers that are aborted.
 
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -2,6 +2,7 @@
 
 from reachlink.requests._attempts import AttemptFailure, AttemptLog
 from reachlink.requests._cold_rates import PlacementDeciders
+from reachlink.requests._internal_errors import INTERNAL_ERROR, is_cancelled, log_internal_error
 from reachlink.requests._load_updates import (
     AllocationSummary,
     ListedReplica,
@@ -20,11 +21,17 @@
 from reachlink.requests._replica_tracker import Allocation, ReplicaState, ReplicaTracker
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shutdown_times import SHUTDOWN_NOTICE_S, ShutdownTimes
-from reachlink.requests.exceptions import RequestFailedError, RequestsError, StreamCutError
+from reachlink.requests.exceptions import (
+    CallerGoneError,
+    RequestFailedError,
+    RequestsError,
+    StreamCutError,
+)
 
 __all__ = [
     "AnswerSink",
     "AttemptLog",
+    "CallerGoneError",
     "CallerRequest",
     "PlacementDeciders",
     "ShutdownTimes",
@@ -45,7 +52,10 @@
     "ReplicaState",
     "RetryLimits",
     "RequestFailedError",
+    "INTERNAL_ERROR",
     "RequestRunner",
+    "is_cancelled",
+    "log_internal_error",
     "RequestsError",
     "RunnerParts",
     "AttemptFailure",
--- a/reachlink/requests/_answer_body.py
+++ b/reachlink/requests/_answer_body.py
@@ -12,6 +12,25 @@
 BUFFER_POLL_INTERVAL_S = 0.02
 
 
+def broken_by(error: OSError) -> UpstreamBrokenError:
+    """Return the upstream error for an error of the connection to a replica."""
+    return UpstreamBrokenError(str(error) or type(error).__name__)
+
+
+async def read_part(answer: RelayAnswer) -> bytes:
+    """Return the next bytes of an answer; nothing at its end.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        If the body is cut off.
+    """
+    try:
+        return await answer.read()
+    except OSError as error:
+        raise broken_by(error) from error
+
+
 async def read_whole(
     answer: RelayAnswer,
     buffer: CallerBuffer | None = None,
@@ -41,7 +60,7 @@
     size = 0
     reservation = _BufferReservation(buffer, on_wait, previous_bytes)
     await reservation.reserve(min(answer.head.length, MAX_BODY_BYTES))
-    while data := await answer.read():
+    while data := await read_part(answer):
         chunks.append(data)
         size += len(data)
         if size > MAX_BODY_BYTES:
--- a/reachlink/requests/_model.py
+++ b/reachlink/requests/_model.py
@@ -34,6 +34,8 @@
         Why pacing held the request back from all replicas in the last placement, if it did.
     caller_buffer : CallerBuffer, optional
         Buffer account of the caller; None if nothing is accounted for.
+    may_have_run : bool
+        Whether a replica may have run the request by now.
     """
 
     relay: RelayRequest
@@ -45,6 +47,7 @@
     refusal: Refuse | None = None
     last_hold: Hold | None = None
     caller_buffer: CallerBuffer | None = None
+    may_have_run: bool = False
 
     @property
     def request_id(self) -> str:
@@ -63,7 +66,10 @@
 
 
 class AnswerSink(Protocol):
-    """Writes an answer to the caller."""
+    """Writes an answer to the caller.
+
+    Each method raises `CallerGoneError` if the caller has closed its connection.
+    """
 
     async def write_whole(self, head: AnswerHead, body: bytes) -> None:
         """Write a whole answer."""
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -5,6 +5,7 @@
 
 from reachlink.quarantine import CrashGuard
 from reachlink.requests._allocations import Allocations
+from reachlink.requests._answer_body import broken_by
 from reachlink.requests._copy_order import CopyOrder
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._outcome_recorder import OutcomeRecorder
@@ -21,6 +22,7 @@
     RelayAnswer,
     Replica,
     UpstreamHeldBackError,
+    UpstreamUnreachableError,
 )
 
 # Longest time in seconds that a stream that has lost its replica waits for a permit at the replica
@@ -185,19 +187,31 @@
             If replicas crash under the request; checked on every attempt and continuation.
         UpstreamHeldBackError
             If the replica has asked for a backoff, or its rate limit is used up.
+        UpstreamUnreachableError
+            If no connection could be made.
+        UpstreamBrokenError
+            If the connection failed after the request was sent, or in any other way.
         """
         parts = self._parts
         await self._guard.admit(request.relay.fingerprint, request.request_id)
         left = request.deadline - parts.clock()
         sent_at = parts.clock()
         parts.pacing.note_sent(replica.address, sent_at)
+        may_have_run, request.may_have_run = request.may_have_run, True
         try:
             answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
+        except (UpstreamHeldBackError, UpstreamUnreachableError):
+            request.may_have_run = may_have_run
+            raise
+        except OSError as error:
+            raise broken_by(error) from error
         finally:
             # A permit is valid for one attempt.
             request.relay.admitted = False
         now = parts.clock()
-        if not answer.head.not_run:
+        if answer.head.not_run:
+            request.may_have_run = may_have_run
+        else:
             parts.pacing.refusals.note_accepted(replica.address, sent_at)
         if answer.head.load is not None:
             self._pace.note_load(replica, answer.head.load, now)
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -1,17 +1,21 @@
 """Running a request from its arrival to its final answer."""
 
 import asyncio
+from typing import Any
 
 from reachlink.delivery import Outcome
 from reachlink.quarantine import HELD, HeldRequestError
+from reachlink.requests._internal_errors import INTERNAL_ERROR, is_cancelled, log_internal_error
 from reachlink.requests._model import AnswerSink, CallerRequest
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placer import Placer
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._retry_policy import RETRY_AFTER_S
 from reachlink.requests._streams import StreamRunner
 from reachlink.requests._whole_answers import WholeRunner
-from reachlink.requests.exceptions import RequestFailedError, StreamCutError
+from reachlink.requests.exceptions import CallerGoneError, RequestFailedError, StreamCutError
 from reachlink.routing import RequestKind
+from reachlink.telemetry import get_logger
 
 
 class RequestRunner:
@@ -30,6 +34,7 @@
         self._streams = StreamRunner(self._dispatcher)
         # Running requests, each by the timeout that ends it at its deadline.
         self._running: dict[asyncio.Timeout, CallerRequest] = {}
+        self._log: Any = get_logger()
 
     @property
     def placer(self) -> Placer:
@@ -64,6 +69,8 @@
             If nothing was given to the caller yet; holds the final answer to give.
         StreamCutError
             If a started stream must be aborted.
+        CallerGoneError
+            If the caller has closed its connection.
         """
         started = self._parts.clock()
         code = "cancelled"
@@ -83,13 +90,29 @@
             code = HELD
             # Not 503, which would invite the caller to retry with the same result.
             raise RequestFailedError(502, HELD, Outcome.UNKNOWN, message=str(error)) from error
-        except TimeoutError as error:
-            code = "timeout"
-            raise RequestFailedError(504, "timeout", Outcome.UNKNOWN) from error
         except (RequestFailedError, StreamCutError) as error:
             code = error.reason
             raise
+        except CallerGoneError:
+            raise
+        except (Exception, asyncio.CancelledError) as error:
+            if is_cancelled(error):
+                raise
+            failure = self._failure(request, scope, error)
+            code = failure.reason
+            raise failure from error
         finally:
             if scope is not None:
                 self._running.pop(scope, None)
             self._parts.on_outcome(request, code, self._parts.clock() - started)
+
+    def _failure(
+        self, request: CallerRequest, scope: asyncio.Timeout | None, error: BaseException
+    ) -> RequestFailedError:
+        """Return the final answer to a request that is past its deadline, or that failed here."""
+        if isinstance(error, TimeoutError) and scope is not None and scope.expired():
+            return RequestFailedError(504, "timeout", Outcome.UNKNOWN)
+        log_internal_error(self._log, request.request_id, error, request.may_have_run)
+        if request.may_have_run:
+            return RequestFailedError(502, INTERNAL_ERROR, Outcome.UNKNOWN)
+        return RequestFailedError(503, INTERNAL_ERROR, Outcome.NOT_RUN, RETRY_AFTER_S)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from reachlink.quarantine import HELD, HeldRequestError
-from reachlink.requests._answer_body import read_whole
+from reachlink.requests._answer_body import read_part, read_whole
 from reachlink.requests._attempts import AttemptFailure, pacing_failure
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_replicas import GenerationReplicas
@@ -231,11 +231,11 @@
         If there is a copy to resume from, a long silence counts as a broken connection.
         """
         if self._merger.last_event_number < 0:
-            return await answer.read()
+            return await read_part(answer)
         while True:
             try:
                 async with asyncio.timeout(MAX_SILENCE_S):
-                    return await answer.read()
+                    return await read_part(answer)
             except TimeoutError as error:
                 if self._replicas.has_arrived_copy:
                     raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
--- a/reachlink/requests/exceptions.py
+++ b/reachlink/requests/exceptions.py
@@ -3,7 +3,7 @@
 from reachlink.delivery import Outcome
 from reachlink.kernel import ReachlinkError
 
-__all__ = ["RequestFailedError", "RequestsError", "StreamCutError"]
+__all__ = ["CallerGoneError", "RequestFailedError", "RequestsError", "StreamCutError"]
 
 
 class RequestsError(ReachlinkError):
@@ -57,3 +57,15 @@
     def __init__(self, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
+
+
+class CallerGoneError(RequestsError):
+    """The caller has closed its connection, so that no answer can be given.
+
+    Only the state of the caller's own connection leads to this error. Other errors of sockets
+    and files say nothing about the caller, who is still owed an answer.
+    """
+
+    def __init__(self) -> None:
+        super().__init__("caller_gone")
+        self.reason = "caller_gone"
--- a/reachlink/requests/tests/test_runner.py
+++ b/reachlink/requests/tests/test_runner.py
@@ -45,6 +45,66 @@
     assert len(setup.adapter.sent) == 1
 
 
+SOCKET_ERRORS: list[BaseException] = [
+    OSError("no route"),
+    ConnectionResetError("reset by peer"),
+    BrokenPipeError("broken pipe"),
+    TimeoutError("timed out"),
+]
+ANY_ERRORS: list[BaseException] = [
+    KeyError("service"),
+    RuntimeError("closed"),
+    asyncio.CancelledError(),
+]
+
+
+@pytest.mark.parametrize("error", SOCKET_ERRORS + ANY_ERRORS, ids=repr)
+@pytest.mark.parametrize("kind", RequestKind)
+def test_an_error_of_something_else_does_not_end_a_request_without_an_answer(kind, error):
+    setup = world_with_script(
+        "a a", "m" if kind is RequestKind.STREAM else "p", script=failing(error)
+    )
+    failed = failure_of(setup, kind)
+    assert (failed.status, failed.outcome) == (502, Outcome.UNKNOWN)
+    assert setup.outcomes == [failed.reason]
+
+
+@pytest.mark.parametrize("error", SOCKET_ERRORS + ANY_ERRORS, ids=repr)
+@pytest.mark.parametrize("kind", RequestKind)
+def test_an_error_in_the_middle_of_an_answer_is_not_taken_for_a_gone_caller(kind, error):
+    prefix = "m" if kind is RequestKind.STREAM else "p"
+    begun = event(1) if kind is RequestKind.STREAM else b"half"
+    setup = world_with_script("a a", prefix, script=answering(200, begun, error))
+    with pytest.raises((RequestFailedError, StreamCutError)):
+        asyncio.run(setup.run(kind))
+    assert setup.outcomes != ["cancelled"]
+
+
+@pytest.mark.parametrize("error", SOCKET_ERRORS, ids=repr)
+def test_a_repeatable_call_is_sent_again_after_a_socket_error(error):
+    setup = world("a b", p1=[failing(error)], p2=[OK])
+    assert asyncio.run(setup.run(RequestKind.REPEATABLE)).body == b"whole"
+    assert [sent.replica for sent in setup.adapter.sent] == ["p1", "p2"]
+
+
+@pytest.mark.parametrize("error", [OSError("no buffer"), *ANY_ERRORS], ids=repr)
+@pytest.mark.parametrize("refused_before", [False, True])
+def test_an_error_before_a_replica_has_the_request_is_reported_as_not_run(refused_before, error):
+    setup = world_with_script("a a", script=NOT_RUN)
+    placer = setup.runner._dispatcher._waiting_placer
+    placed = placer.place_or_wait
+
+    async def place(request, tried):
+        if refused_before and not tried:
+            return await placed(request, tried)
+        raise error
+
+    placer.place_or_wait = place
+    failed = failure_of(setup, RequestKind.ONCE)
+    assert (failed.status, failed.outcome) == (503, Outcome.NOT_RUN)
+    assert failed.retry_after_s is not None
+
+
 def test_a_truncated_answer_is_not_passed_on_and_not_reported_as_not_run():
     setup = world_with_script(script=answering(200, b"half", BROKEN))
     error = failure_of(setup, RequestKind.ONCE)
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -80,7 +80,7 @@
 class FakeAnswer(RelayAnswer):
     """Answer that consists of chunks; a float is a pause in seconds, an exception is raised."""
 
-    def __init__(self, head: AnswerHead, pieces: list[bytes | Exception | float]) -> None:
+    def __init__(self, head: AnswerHead, pieces: list[bytes | BaseException | float]) -> None:
         self._head = head
         self._pieces = list(pieces)
         self.closed = False
@@ -92,7 +92,7 @@
     async def read(self) -> bytes:
         while self._pieces:
             piece = self._pieces.pop(0)
-            if isinstance(piece, Exception):
+            if isinstance(piece, BaseException):
                 raise piece
             if isinstance(piece, float):
                 await asyncio.sleep(piece)
@@ -108,7 +108,7 @@
 
 
 def answering(
-    status: int = 200, *pieces: bytes | Exception | float, **head: object
+    status: int = 200, *pieces: bytes | BaseException | float, **head: object
 ) -> Callable[[SentRequest], Awaitable[FakeAnswer]]:
     async def script(sent: SentRequest) -> FakeAnswer:
         return FakeAnswer(AnswerHead(status, **head), list(pieces))  # type: ignore[arg-type]
@@ -116,7 +116,7 @@
     return script
 
 
-def failing(error: Exception) -> Script:
+def failing(error: BaseException) -> Script:
     async def script(sent: SentRequest) -> FakeAnswer:
         raise error
 
