Streams: an answer with an error status whose body breaks off ends with 502

Callers saw: the server library's own text with 500 in place of a final answer.

Cause: an answer that is no stream is read whole, and the UpstreamBrokenError of a body that breaks off, or is too long, was caught by nobody; calls catch it.

Change: it counts as a broken attempt, as with calls: the replica is noted, and the caller gets 502.

Conclusion: this end of a stream is answered and counted like that of a call.

--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -127,8 +127,7 @@
             if answer.head.success and not answer.head.genuine:
                 return AttemptFailure.BROKEN
             if not answer.head.success:
-                await self._sink.write_whole(answer.head, await self._read_whole(answer))
-                return None
+                return await self._pass_on_whole(answer)
             self._head_sent = True
             await self._sink.begin(answer.head)
             ended = await self._relay_events(answer)
@@ -240,8 +239,15 @@
                 if self._replicas.has_arrived_copy:
                     raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
 
-    async def _read_whole(self, answer: RelayAnswer) -> bytes:
-        return await read_whole(answer, self._request.caller_buffer)
+    async def _pass_on_whole(self, answer: RelayAnswer) -> AttemptFailure | None:
+        """Pass on an answer that is no stream; return a failure if its body breaks off."""
+        try:
+            body = await read_whole(answer, self._request.caller_buffer)
+        except UpstreamBrokenError:
+            self._note_broken(self._replicas.primary)
+            return AttemptFailure.BROKEN
+        await self._sink.write_whole(answer.head, body)
+        return None
 
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
         self._sent_at = self._dispatcher.now()
--- a/reachlink/requests/tests/test_runner.py
+++ b/reachlink/requests/tests/test_runner.py
@@ -214,6 +214,15 @@
     assert sink.body == body and sink.ended
 
 
+@pytest.mark.parametrize("pieces", [(BROKEN,), (b"half", BROKEN), (b"x" * (8 << 20), b"x")])
+def test_a_stream_refused_with_a_body_that_breaks_off_gets_a_final_answer(pieces):
+    setup = world_with_script("a a", "m", script=answering(500, *pieces))
+    error = failure_of(setup, RequestKind.STREAM)
+    assert (error.status, error.reason, error.outcome) == (502, "broken", Outcome.UNKNOWN)
+    assert len(setup.adapter.sent) == 1
+    assert not setup.tracker.state("m1").allocations
+
+
 def test_a_stream_with_a_missing_event_does_not_look_complete():
     setup = world_with_script("a a", "m", script=answering(200, event(1), event(3)))
     with pytest.raises(StreamCutError, match="event_missing"):
