End planned stops of both interfaces in the same way

What callers of the product's own interface saw: answers given during a planned stop did not announce that their connection closes, and a request that followed an answer closely met a closed connection.

Cause: the drain ended as soon as nothing ran; nothing said Connection: close.

Change: both daemons end a planned stop by CallerConnections.finish, which waits for unsent answers by UnsentAnswers (while a caller reads, in place of 2 s in all). Responses of the own interface get Connection: close while the instance drains.

Evidence: pytest reachlink/entry/tests/test_planned_stop.py: 2 of 4 failed before (KeyError: 'Connection'), 4 passed after; test_caller_connections: passed.

--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from reachlink.entry._unsent_answers import UnsentAnswers
 from reachlink.kernel import steady_time
 from reachlink.telemetry import get_logger
 
@@ -19,8 +20,6 @@
 # Time in seconds for which the connections must be quiet before a planned stop closes them: a
 # caller that has just got an answer may send its next request at once.
 QUIET_S = 0.5
-# Longest time in seconds for which a planned stop waits for callers to read their last answers.
-MAX_UNREAD_S = 2.0
 # Keep-alive time of the HTTP server in seconds, which must not expire before the idle time.
 SERVER_KEEPALIVE_S = 86400.0
 
@@ -60,12 +59,6 @@
         """Whether the connection is open."""
         return self._transport is not None
 
-    @property
-    def unread_bytes(self) -> int:
-        """Number of bytes that this process still has to send."""
-        transport = self._transport
-        return 0 if transport is None else transport.get_write_buffer_size()
-
     @property
     def _transport(self) -> asyncio.Transport | None:
         """Transport of the connection; None if it is closed or closing."""
@@ -129,6 +122,7 @@
         self._on_closed = on_closed
         self._clock = clock
         self._connections: dict[web.RequestHandler, CallerConnection] = {}
+        self._unsent = UnsentAnswers(lambda: self._connections, clock)
         self._timer: asyncio.TimerHandle | None = None
         self._log: Any = get_logger()
 
@@ -167,10 +161,15 @@
         finally:
             connection.rest(self._clock(), self._idle_timeout_s())
 
-    async def finish(self) -> None:
+    async def finish(self, unread_patience_s: float) -> None:
         """Answer the requests that are still on their way to this instance, then read no more.
 
         For the end of a planned stop, when no new connections are accepted.
+
+        Parameters
+        ----------
+        unread_patience_s : float
+            Time in seconds for which callers may read nothing of their last answers.
         """
         while not self._is_quiet():
             await asyncio.sleep(SETTLE_S)
@@ -181,8 +180,11 @@
             if connection.running:
                 # Its request was read before; the rest of the body may not have been.
                 connection.resume()
-        while self.running_count or self._is_sending():
+        while self.running_count:
             await asyncio.sleep(SETTLE_S)
+        await self._unsent.sent(unread_patience_s)
+        if unsent := self._unsent.count:
+            self._log.warning("answers_cut", count=unsent, reason="not read in time")
         self._log.info("caller_connections_finished", open=len(self._connections))
 
     def close(self) -> None:
@@ -195,15 +197,7 @@
         """Return whether no caller has been answered for some time, or is being answered."""
         since = self._clock() - QUIET_S
         open_ones = [one for one in self._connections.values() if one.is_open]
-        recent = any(one.running or one.rests_since > since for one in open_ones)
-        return not recent and not self._is_sending()
-
-    def _is_sending(self) -> bool:
-        """Return whether callers are still reading their last answers."""
-        since = self._clock() - MAX_UNREAD_S
-        return any(
-            one.unread_bytes and one.rests_since > since for one in self._connections.values()
-        )
+        return not any(one.running or one.rests_since > since for one in open_ones)
 
     def _check_later(self) -> None:
         if self._timer is None and self._connections:
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -8,12 +8,13 @@
 from aiohttp import web
 
 from reachlink.control import OperatorError, OperatorHandlers
+from reachlink.entry._caller_connections import SERVER_KEEPALIVE_S, CallerConnections
 from reachlink.entry._chat import ChatHandlers
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, PlacementNote
 from reachlink.entry._follower import SettingsFollower
 from reachlink.entry._guardians import CarriedReport
-from reachlink.entry._http import error_middleware
+from reachlink.entry._http import Handler, error_middleware
 from reachlink.entry._node import (
     CHANNEL_CARRIED,
     CHANNEL_CRASHES,
@@ -24,7 +25,6 @@
 from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry._sinks import SLOW_READER_S
-from reachlink.entry._unsent_answers import UnsentAnswers
 from reachlink.entry.exceptions import RequestError
 from reachlink.kernel import json_response, steady_time, watch_suspensions
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
@@ -59,7 +59,8 @@
             self._node.control, lambda: self._node.tree, config.bootstrap_key_hash
         )
         self._runner: web.AppRunner | None = None
-        self._unsent = UnsentAnswers(self._connections)
+        # The HTTP library closes connections that rest for long.
+        self._connections = CallerConnections(lambda: SERVER_KEEPALIVE_S)
         self._tasks: list[asyncio.Task[None]] = []
         self._reports: deque[str] = deque()
         self._caches: deque[str] = deque()
@@ -106,14 +107,12 @@
         node.replica_reach.server.drain()
         node.log.info("draining", running=node.running_requests)
         await asyncio.sleep(self._config.balancer_delay_s)
-        while True:
-            while self._in_progress:
-                await asyncio.sleep(DRAIN_POLL_S)
-            await self._unsent.sent(SLOW_READER_S)
-            if not self._in_progress:
-                break
-        if unsent := self._unsent.count:
-            node.log.warning("answers_cut", count=unsent, reason="not read in time")
+        while self._in_progress:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self._stop_listening()
+        await self._connections.finish(SLOW_READER_S)
+        while self._in_progress:
+            await asyncio.sleep(DRAIN_POLL_S)
         node.log.info("drained")
 
     async def stop(self) -> None:
@@ -123,6 +122,7 @@
             node.log.warning("requests_cut", count=node.running_requests)
         for task in self._tasks:
             task.cancel()
+        self._connections.close()
         if self._runner is not None:
             await self._runner.cleanup()
         node.replica_reach.server.close()
@@ -136,13 +136,26 @@
         node = self._node
         return bool(node.running_requests or node.tasks or node.replica_reach.server.count)
 
-    def _connections(self) -> list[web.RequestHandler]:
-        server = self._runner.server if self._runner is not None else None
-        return server.connections if server is not None else []
+    async def _stop_listening(self) -> None:
+        """Accept no new connections; those that are open go on."""
+        for site in list(self._runner.sites) if self._runner is not None else ():
+            await site.stop()
+
+    async def _announce_close(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Tell callers during a planned stop that their connection closes after the answer."""
+        if self._node.draining:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
+    @web.middleware
+    async def _track(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Note that a connection does not rest while its request is handled."""
+        return await self._connections.handle(request, handler)
 
     def _app(self) -> web.Application:
         node = self._node
-        app = web.Application(middlewares=[error_middleware(node)])
+        app = web.Application(middlewares=[self._track, error_middleware(node)])
+        app.on_response_prepare.append(self._announce_close)
         app.add_routes(
             [
                 web.get("/healthz", self._health),
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -18,6 +18,8 @@
 
 # How often a planned stop looks whether requests still run, in seconds.
 DRAIN_POLL_S = 0.05
+# How long a planned stop waits for a caller that reads nothing of its last answer, in seconds.
+UNREAD_PATIENCE_S = 2.0
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -108,7 +110,7 @@
         while node.running_requests or len(node.readers) or node.replica_reach.server.count:
             await asyncio.sleep(DRAIN_POLL_S)
         await self._border.stop_listening()
-        await node.connections.finish()
+        await node.connections.finish(UNREAD_PATIENCE_S)
         node.log.info("drained")
 
     async def stop(self) -> None:
--- a/reachlink/entry/_unsent_answers.py
+++ b/reachlink/entry/_unsent_answers.py
@@ -20,10 +20,17 @@
     ----------
     connections : callable
         Returns the open connections of callers.
+    clock : callable
+        Returns the monotonic time in seconds.
     """
 
-    def __init__(self, connections: Callable[[], Iterable[web.RequestHandler]]) -> None:
+    def __init__(
+        self,
+        connections: Callable[[], Iterable[web.RequestHandler]],
+        clock: Callable[[], float] = steady_time,
+    ) -> None:
         self._connections = connections
+        self._clock = clock
 
     @property
     def count(self) -> int:
@@ -38,12 +45,12 @@
         patience_s : float
             How long nothing may be sent, in seconds.
         """
-        size, since = sum(self._sizes()), steady_time()
-        while size and steady_time() - since < patience_s:
+        size, since = sum(self._sizes()), self._clock()
+        while size and self._clock() - since < patience_s:
             await asyncio.sleep(LOOK_INTERVAL_S)
             before, size = size, sum(self._sizes())
             if size != before:
-                since = steady_time()
+                since = self._clock()
 
     def _sizes(self) -> list[int]:
         """Return how many bytes each connection holds that holds any."""
--- a/reachlink/entry/tests/test_planned_stop.py
+++ b/reachlink/entry/tests/test_planned_stop.py
@@ -7,7 +7,14 @@
 
 from reachlink.entry._daemon import DRAIN_POLL_S
 from reachlink.entry._unsent_answers import UnsentAnswers
-from reachlink.entry.tests.own_instance import WAIT_S, OwnInstance, RawCaller, Replica, wait_until
+from reachlink.entry.tests.own_instance import (
+    WAIT_S,
+    OwnInstance,
+    RawCaller,
+    Replica,
+    serve_tokens,
+    wait_until,
+)
 
 # More than the buffers of the system hold for a connection within a machine.
 LONG_BYTES = 8 << 20
@@ -58,3 +65,44 @@
 
     asyncio.run(story())
     assert unsent.count == 1
+
+
+def test_answers_given_once_a_planned_stop_has_begun_announce_that_the_connection_closes():
+    async def story():
+        begun, release = asyncio.Event(), asyncio.Event()
+
+        async def serve(request, writer):
+            begun.set()
+            await release.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+        async with OwnInstance(Replica(serve)) as instance:
+            caller = await instance.connect()
+            caller.send("/readings/x")
+            await begun.wait()
+            draining = asyncio.create_task(instance.daemon.drain())
+            await wait_until(lambda: instance.node.draining)
+            release.set()
+            answer = await caller.answer()
+            await draining
+            return answer
+
+    answer = asyncio.run(story())
+    assert answer.status == 200 and answer.headers["Connection"] == "close"
+
+
+def test_a_planned_stop_answers_a_request_that_follows_an_answer_closely():
+    async def story():
+        async with OwnInstance(Replica(serve_tokens)) as instance:
+            caller = await instance.connect()
+            caller.send("/readings/x")
+            await caller.answer()
+            draining = asyncio.create_task(instance.daemon.drain())
+            await asyncio.sleep(2 * DRAIN_POLL_S)
+            caller.send("/readings/x")
+            answer = await caller.answer()
+            await draining
+            return answer
+
+    answer = asyncio.run(story())
+    assert answer.status == 200 and answer.headers["Connection"] == "close"
