--- a/reachlink/agreement/_files.py
+++ b/reachlink/agreement/_files.py
@@ -36,6 +36,10 @@
         try:
             self.write(descriptor, data)
             os.fsync(descriptor)
+        except OSError:
+            # On a full disk, a part of the file would take the room that entries need.
+            temporary.unlink()
+            raise
         finally:
             os.close(descriptor)
         temporary.rename(path)
--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -38,6 +38,9 @@
 POLL_INTERVAL_S = 0.01
 # Interval between retries of a write while the disk is full, in seconds.
 DISK_FULL_RETRY_INTERVAL_S = 0.2
+# Interval between attempts to save a snapshot of the own state while the disk is full, in
+# seconds. The log goes on meanwhile.
+SNAPSHOT_RETRY_INTERVAL_S = 2.0
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
@@ -131,6 +134,7 @@
         self._log = get_logger()
         self._role = ""
         self._disk_full = False
+        self._next_snapshot_at = float("-inf")
         self._ended = False
         # A newly added replica has no membership yet but must reply to the leader.
         self._addresses: dict[str, str] = {}
@@ -315,21 +319,34 @@
         Nothing that depends on the write is sent meanwhile. As with a slow
         disk, the other replicas elect another leader.
         """
-        if effects.install_snapshot is not None or not effects.must_sync():
+        if not effects.must_sync():
             return
         state = self._core.state
         while True:
             try:
-                self._storage.persist(effects, state.term, state.voted_for)
+                self._write(effects)
                 break
             except DiskFullError as error:
                 self._begin_disk_full(str(error))
                 await asyncio.sleep(DISK_FULL_RETRY_INTERVAL_S)
+        if effects.install_snapshot is not None:
+            self._log_bytes = 0
         self._log_bytes += sum(len(e.data) + ENTRY_OVERHEAD_BYTES for e in effects.append)
         if self._disk_full:
             self._disk_full = False
             self._log.info("disk_regained", term=state.term, index=state.log.last_index)
 
+    def _write(self, effects: Effects) -> None:
+        state = self._core.state
+        snapshot = effects.install_snapshot
+        if snapshot is None:
+            self._storage.persist(effects, state.term, state.voted_for)
+            return
+        record = SnapshotRecord(
+            snapshot.index, snapshot.index_term, snapshot.members, snapshot.data
+        )
+        self._storage.save_snapshot(record, state.term, state.voted_for, state.log.entries)
+
     def _begin_disk_full(self, reason: str) -> None:
         if self._disk_full:
             return
@@ -344,10 +361,6 @@
         state = self._core.state
         if effects.install_snapshot is not None:
             snapshot = effects.install_snapshot
-            record = SnapshotRecord(
-                snapshot.index, snapshot.index_term, snapshot.members, snapshot.data
-            )
-            self._storage.save_snapshot(record, state.term, state.voted_for, state.log.entries)
             self._snapshot = snapshot.data
             self._machine.restore(snapshot.data)
             self._applied = snapshot.index
@@ -391,15 +404,27 @@
         due = entries >= MIN_SNAPSHOT_ENTRIES and (large or entries >= MAX_LOG_ENTRIES)
         if not due and self._log_bytes < MAX_LOG_BYTES:
             return
-        if not entries:
+        if not entries or self._clock.monotonic() < self._next_snapshot_at:
             return
-        self._snapshot = self._machine.snapshot()
-        self._core.compact(self._applied)
-        record = SnapshotRecord(
-            log.snapshot_index, log.snapshot_term, log.snapshot_members, self._snapshot
-        )
+        self._save_snapshot()
+
+    def _save_snapshot(self) -> None:
         state = self._core.state
-        self._storage.save_snapshot(record, state.term, state.voted_for, log.entries)
+        log = state.log
+        snapshot = self._machine.snapshot()
+        _, members = log.members_at(self._applied)
+        term = log.term_at(self._applied)
+        assert term is not None
+        record = SnapshotRecord(self._applied, term, members, snapshot)
+        rest = log.slice(self._applied + 1, len(log.entries))
+        try:
+            self._storage.save_snapshot(record, state.term, state.voted_for, rest)
+        except DiskFullError as error:
+            self._next_snapshot_at = self._clock.monotonic() + SNAPSHOT_RETRY_INTERVAL_S
+            self._log.error("snapshot_postponed", reason=str(error), index=self._applied)
+            return
+        self._core.compact(self._applied)
+        self._snapshot = snapshot
         self._log_bytes = 0
         self._log.info("snapshot_saved", index=self._applied, bytes=len(self._snapshot))
 
--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -161,11 +161,19 @@
             Candidate voted for in that term, written with it; empty if none.
         rest : list of Entry
             Entries after the snapshot.
+
+        Raises
+        ------
+        DiskFullError
+            If the disk is full. What was held before still is; the call may be retried.
+        StorageError
+            If the disk fails. The replica must then stop.
         """
         try:
             self._files.replace(self._folder / SNAPSHOT_FILE, frame(snapshot))
         except OSError as error:
-            raise StorageError(f"cannot write the snapshot: {error.strerror}") from error
+            kind = DiskFullError if error.errno == errno.ENOSPC else StorageError
+            raise kind(f"cannot write the snapshot: {error.strerror}") from error
         old = sorted(self._folder.glob("log-*.bin"))
         self._files.close(self._descriptor)
         self._segment += 1
