End a control instance whose replica of the log failed unexpectedly

What callers saw: after an unexpected error in its replica of the log a control instance stayed and took requests, none of which it could have accepted, until it was restarted by hand.

Cause: only errors of the disk ended the daemon; any other error ended the task alone, and nobody looked at it.

Change: any error of the replica stops the daemon as a failed disk does: requests under way are answered, and the process ends with 1.

Figures: pytest reachlink/control/tests/test_operators_are_answered.py: the new case (`break`) times out before the change and passes after it.

Conclusion: whoever starts the process sees the failure and can start it again.

--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -114,7 +114,7 @@
         )
 
     async def failed(self) -> None:
-        """Wait until the disk fails."""
+        """Wait until the replica of the log cannot go on."""
         await self._failed.wait()
 
     async def drain(self) -> None:
@@ -166,6 +166,10 @@
             # Going on could break promises made on what the disk holds.
             self._log.error("disk_failed", reason=str(error))
             self._failed.set()
+        except Exception as error:
+            # Without its replica, an instance could only refuse or keep waiting.
+            self._log.error("replica_failed", reason=f"{type(error).__name__}: {error}")
+            self._failed.set()
 
     async def _on_log(self, sender: str, body: bytes) -> None:
         node_id, _, address = sender.partition(_SEPARATOR)
--- a/reachlink/control/tests/faulty_disk.py
+++ b/reachlink/control/tests/faulty_disk.py
@@ -1,4 +1,4 @@
-"""A control daemon whose disk fails once there is a file ``fail`` beside its configuration.
+"""A control daemon whose disk fails once a file beside its configuration says so.
 
 Run as ``python -m reachlink.control.tests.faulty_disk CONFIG``.
 """
@@ -15,10 +15,12 @@
 
 
 def install_faults(folder: Path) -> None:
-    """Have syncs fail while `folder` holds ``fail``."""
+    """Have syncs fail while `folder` holds ``fail``, unexpectedly while it holds ``break``."""
     whole_sync = Files.sync
 
     def sync(files: Files, descriptor: int) -> None:
+        if (folder / "break").exists():
+            raise RuntimeError("an error that nobody expects")
         if (folder / "fail").exists():
             raise OSError(errno.EIO, os.strerror(errno.EIO))
         whole_sync(files, descriptor)
--- a/reachlink/control/tests/test_operators_are_answered.py
+++ b/reachlink/control/tests/test_operators_are_answered.py
@@ -106,11 +106,12 @@
     return lambda work, founders=1: asyncio.run(scenario(work, founders))
 
 
-def test_an_edit_is_answered_when_the_disk_fails_under_it(with_instance):
+@pytest.mark.parametrize("fault", ["fail", "break"])
+def test_an_edit_is_answered_when_the_disk_fails_under_it(with_instance, fault):
     async def work(instance):
         await instance.until(instance.leads)
         assert await instance.edit(0) == 200
-        (instance.folder / "fail").touch()
+        (instance.folder / fault).touch()
         async with asyncio.timeout(STOP_S):
             assert await instance.edit(1) in (503, 504)
             assert await instance.process.wait() == 1
