Tell watchers that a leader which waits for its disk may be behind

What callers saw: while the disk of the leading control instance was full, the others elected a new leader and took new tables and settings, but entry instances that asked the old one were told that they had the newest, for as long as the disk stayed full.

Cause: a replica that waits for its disk processes no message and doesn't notice that another one leads; as a leader it counted as in contact with the leader without end.

Change: a leader that has waited for a write for an election time-out doesn't count as in contact.

Figures: pytest reachlink/agreement/tests/test_full_disk.py: the check that is new in it fails before the change (time-out after 10 s) and passes after it. pytest reachlink/agreement: passes.

Conclusion: entry instances pass over control instances whose answers may be old, as they do for a follower without a leader.

--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -135,6 +135,8 @@
         self._role = ""
         self._disk_full = False
         self._next_snapshot_at = float("-inf")
+        # Positive infinity while nothing is written.
+        self._write_began_at = float("inf")
         self._ended = False
         # A newly added replica has no membership yet but must reply to the leader.
         self._addresses: dict[str, str] = {}
@@ -146,11 +148,16 @@
 
     @property
     def has_leader_contact(self) -> bool:
-        """Whether this replica leads or got a message of the leader within an election timeout."""
+        """Whether this replica leads or got a message of the leader within an election timeout.
+
+        A leader that waits for its disk that long doesn't count: others may have elected
+        another one meanwhile.
+        """
         state = self._core.state
+        now = self._clock.monotonic()
         if self._core.is_leader:
-            return True
-        silent = self._clock.monotonic() - state.leader_contact_at
+            return now - self._write_began_at < state.timing.election_max_s
+        silent = now - state.leader_contact_at
         return bool(state.leader) and silent < state.timing.election_max_s
 
     def member_health(self) -> dict[str, MemberHealth]:
@@ -322,6 +329,7 @@
         if not effects.must_sync():
             return
         state = self._core.state
+        self._write_began_at = self._clock.monotonic()
         while True:
             try:
                 self._write(effects)
@@ -329,6 +337,7 @@
             except DiskFullError as error:
                 self._begin_disk_full(str(error))
                 await asyncio.sleep(DISK_FULL_RETRY_INTERVAL_S)
+        self._write_began_at = float("inf")
         if effects.install_snapshot is not None:
             self._log_bytes = 0
         self._log_bytes += sum(len(e.data) + ENTRY_OVERHEAD_BYTES for e in effects.append)
--- a/reachlink/agreement/tests/test_full_disk.py
+++ b/reachlink/agreement/tests/test_full_disk.py
@@ -73,11 +73,13 @@
         pending = asyncio.create_task(service.propose(b"two"))
         await wait_until(lambda: disk.refused >= 2)
         assert not pending.done() and not running.done()
+        await wait_until(lambda: not service.has_leader_contact)
         with pytest.raises(NotLeaderError):
             await service.propose(b"three")
 
         disk.full = False
         assert await pending == 2
+        assert service.has_leader_contact
         assert await service.propose(b"four") == 3
         running.cancel()
         await asyncio.wait({running})
