Acknowledge a repeated promotion only once the membership is synced

What callers saw: nothing so far. At a single voter, a `promote` sent again could be acknowledged with a membership that a loss of power at this moment would have undone.

Cause: a change is in the log, and at a single voter committed, before the next step of the replica syncs it.

Change: the membership counts as committed once its entry is applied, which follows the sync.

Conclusion: what is acknowledged is on the disk.

--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -227,7 +227,7 @@
         """
         await self.barrier(timeout_s)
         state = self._core.state
-        if state.members_index > state.commit:
+        if state.members_index > self._applied:
             raise MembershipChangeError("the previous change is not committed yet")
         return list(state.members)
 
--- a/reachlink/control/tests/test_members.py
+++ b/reachlink/control/tests/test_members.py
@@ -54,6 +54,16 @@
     with_leader(work)
 
 
+def test_a_promotion_is_not_acknowledged_before_the_membership_is_synced(with_leader):
+    async def work(service, server):
+        members = [OWN, Member("n2", "n2:1", "zone", False)]
+        service.core.propose_members(members, SystemClock().monotonic())
+        refused = await server.answer(MembersRequest("promote", "n1"))
+        assert refused == RefusedAnswer("the previous change is not committed yet", "n1:1")
+
+    with_leader(work)
+
+
 def test_refused_changes_do_not_fill_the_log(with_leader):
     async def work(service, server):
         added = await server.answer(MembersRequest("add", "n2", "n2:1", "zone"))
