Tell calls that may have run with 502

What callers saw: 503 `no_replica` with outcome `unknown` for a repeatable call that broke at one replica, where no other was left. 503 promises on this interface that a request has not run; whoever goes by the status repeats it.

Cause: the outcome of earlier attempts was put into the error of the choice of a replica, with the status unchanged.

Change: the error is replaced as for generations: 502 `upstream_failed`, `unknown`.

--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -272,10 +272,10 @@
     )
 
 
-def replicas_held_back(hold: Hold, outcome: Outcome = Outcome.NOT_RUN) -> RequestError:
+def replicas_held_back(hold: Hold) -> RequestError:
     """Return the error for an upstream whose replicas may all get nothing now."""
     code, message = _HELD_BACK[hold.reason]
-    return RequestError(503, code, message, outcome, hold.remaining_s)
+    return RequestError(503, code, message, Outcome.NOT_RUN, hold.remaining_s)
 
 
 def _resolve(pending: _Pending, decision: Decision) -> None:
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -12,7 +12,12 @@
 from reachlink.entry._dispatcher import no_replica, replicas_held_back
 from reachlink.entry._http import MAX_BODY_BYTES, REQUEST_HEADER, read_body, require_workspace
 from reachlink.entry._node import EntryNode
-from reachlink.entry.exceptions import RequestError, held_request, upstream_failed
+from reachlink.entry.exceptions import (
+    RequestError,
+    after_dispatch,
+    held_request,
+    upstream_failed,
+)
 from reachlink.kernel import steady_time
 from reachlink.lengths import LengthKey
 from reachlink.limits import backoff_s
@@ -139,7 +144,12 @@
         wait_until = steady_time() + policy.queue_wait_s
         attempt = 1
         while attempt <= MAX_ATTEMPTS:
-            replica = await self._choose_in_time(service, excluded, outcome, wait_until)
+            try:
+                replica = await self._choose_in_time(service, excluded, wait_until)
+            except RequestError as error:
+                if outcome is Outcome.NOT_RUN:
+                    raise
+                raise after_dispatch(error) from error
             try:
                 answer = await self._attempt(service, replica, call)
                 node.guard.on_answer(call.fingerprint)
@@ -200,7 +210,7 @@
             node.ledger.finish(flight, ended=False)
 
     async def _choose_in_time(
-        self, service: ServiceInfo, excluded: set[str], outcome: Outcome, until: float
+        self, service: ServiceInfo, excluded: set[str], until: float
     ) -> Replica:
         """Return the replica for a call, after a wait where all are held back.
 
@@ -214,21 +224,19 @@
             admitted = [r for r in node.admitted(service.upstream) if r.name not in excluded]
             hold = node.hold(service.upstream, excluded)
             if admitted or hold is None:
-                return self._choose(admitted, outcome)
+                return self._choose(admitted)
             if steady_time() + hold.remaining_s >= until:
-                raise replicas_held_back(hold, outcome)
+                raise replicas_held_back(hold)
             await asyncio.sleep(HELD_LOOK_S)
 
-    def _choose(self, live: list[Replica], outcome: Outcome) -> Replica:
+    def _choose(self, live: list[Replica]) -> Replica:
         """Return the live replica with the fewest calls from here, this zone's first."""
         node = self._node
         healths = {r.name: node.ledger.replica(r.name).health for r in live}
         allowed = allowances(healths, steady_time())
         usable = [r for r in live if allowed[r.name] > 0.0]
         if not usable:
-            error = no_replica()
-            error.outcome = outcome
-            raise error
+            raise no_replica()
         return min(
             usable,
             key=lambda r: (
--- a/reachlink/entry/tests/test_outcomes_told.py
+++ b/reachlink/entry/tests/test_outcomes_told.py
@@ -38,3 +38,18 @@
     told = answer.error()
     assert (answer.status, told["outcome"]) == (502, "unknown")
     assert told["code"] == "upstream_failed"
+
+
+async def call_repeatably(replica: Replica):
+    settings = {"services.readings.repeatable": True}
+    async with OwnInstance(replica, settings=settings) as instance:
+        caller = await instance.connect()
+        caller.send("/readings/x")
+        return await caller.answer()
+
+
+def test_a_call_that_may_have_run_is_not_told_with_the_status_of_one_that_has_not():
+    answer = asyncio.run(call_repeatably(Replica(serve_broken)))
+    told = answer.error()
+    assert (answer.status, told["outcome"]) == (502, "unknown")
+    assert told["code"] == "upstream_failed"
