Log the requests whose callers have left

Change: `caller_left` with the request, the reason, how long it ran, and whether the instance drains.

--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -13,7 +13,7 @@
 from reachlink.entry._node import EntryNode
 from reachlink.entry._unforeseen import caller_is_gone, unforeseen_error
 from reachlink.entry.exceptions import HeldOverBudgetError, RequestError
-from reachlink.kernel import bearer_key, json_response
+from reachlink.kernel import bearer_key, json_response, steady_time
 from reachlink.limits import UNDECLARED_BYTES, BufferKind, CallerBuffer
 from reachlink.settings import hash_key
 
@@ -63,6 +63,7 @@
         request_id = f"req-{uuid.uuid4().hex}"
         request["request_id"] = request_id
         held = request["held"] = CallerBuffer(node.held)
+        started_at = steady_time()
         node.running_requests += 1
         try:
             response = await handler(request)
@@ -98,6 +99,13 @@
             return error_response(wrapped, request_id)
         except (asyncio.CancelledError, Exception) as error:
             if caller_is_gone(request):
+                node.log.info(
+                    "caller_left",
+                    request_id=request_id,
+                    reason=str(error) or type(error).__name__,
+                    ran_ms=round((steady_time() - started_at) * 1000.0),
+                    draining=node.draining,
+                )
                 raise
             return error_response(unforeseen_error(node.log, request_id, error), request_id)
         finally:
--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -1,6 +1,7 @@
 """One entry instance in this process, with replicas that a test writes out byte by byte."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from types import TracebackType
 from typing import Any
@@ -183,9 +184,20 @@
     async def close(self) -> None:
         """Stand for the platform's adapter."""
 
-    async def connect(self) -> "RawCaller":
-        """Return a caller on a connection of its own."""
-        return RawCaller(*await asyncio.open_connection("127.0.0.1", self.port))
+    async def connect(self, receive_buffer_bytes: int = 0) -> "RawCaller":
+        """Return a caller on a connection of its own.
+
+        Parameters
+        ----------
+        receive_buffer_bytes : int
+            How much the system takes before the caller reads; 0 for the system's choice.
+        """
+        connection = socket.socket()
+        if receive_buffer_bytes:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", self.port))
+        return RawCaller(*await asyncio.open_connection(sock=connection))
 
 
 class Answer(msgspec.Struct):
@@ -259,9 +271,9 @@
     return msgspec.json.encode({"model": MODEL, "messages": messages, **fields})
 
 
-def chat_event(request_id: str, offset: int, final: bool = False) -> bytes:
+def chat_event(request_id: str, offset: int, final: bool = False, text: str = "x") -> bytes:
     """Return one event of an engine's generation ``g1``."""
-    choice = {"delta": {"content": "x"}, "finish_reason": "stop" if final else None}
+    choice = {"delta": {"content": text}, "finish_reason": "stop" if final else None}
     data = {"id": request_id, "generation": "g1", "offset": offset, "choices": [choice]}
     return b"data: " + msgspec.json.encode(data) + b"\n\n"
 
--- a/reachlink/entry/tests/test_planned_stop.py
+++ b/reachlink/entry/tests/test_planned_stop.py
@@ -1,7 +1,6 @@
 """A planned stop ends when what was asked is answered."""
 
 import asyncio
-import socket
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -10,7 +9,6 @@
 from reachlink.entry.tests.own_instance import (
     WAIT_S,
     OwnInstance,
-    RawCaller,
     Replica,
     serve_tokens,
     wait_until,
@@ -26,21 +24,11 @@
     writer.write(head + b"x" * LONG_BYTES)
 
 
-async def slow_caller(instance: OwnInstance) -> RawCaller:
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    connection.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(connection, ("127.0.0.1", instance.port))
-    reader, writer = await asyncio.open_connection(sock=connection)
-    return RawCaller(reader, writer)
-
-
 def test_a_drain_does_not_end_under_an_answer_that_is_not_sent():
     async def story():
         replica = Replica(serve_long)
         async with OwnInstance(replica) as instance:
-            caller = await slow_caller(instance)
+            caller = await instance.connect(RECEIVE_BUFFER_BYTES)
             caller.send("/readings/x")
             await wait_until(lambda: bool(replica.requests) and not instance.node.running_requests)
             draining = asyncio.create_task(instance.daemon.drain())
--- a/reachlink/entry/tests/test_unforeseen_failures.py
+++ b/reachlink/entry/tests/test_unforeseen_failures.py
@@ -6,16 +6,22 @@
 import msgspec
 import pytest
 
+from reachlink.entry import _sinks
 from reachlink.entry.tests.own_instance import (
+    ENGINE_HEAD,
     OwnInstance,
     Replica,
     chat_body,
+    chat_event,
     serve_tokens,
     wait_until,
 )
 from reachlink.upstreams import CallResponse
 
 CHAT = "/v1/chat/completions"
+# An answer that is longer than what the system holds for a connection.
+LONG_EVENTS = 200
+EVENT_CHARACTERS = 100_000
 FAILURES = [
     KeyError("k"),
     OSError("o"),
@@ -114,6 +120,29 @@
             await reached.wait()
             caller.close()
             await wait_until(lambda: not instance.node.running_requests)
-            return instance.log.named("request_failed")
+            return instance.log.named("request_failed"), instance.log.named("caller_left")
 
-    assert asyncio.run(story()) == []
+    failed, left = asyncio.run(story())
+    assert failed == []
+    assert [line["draining"] for line in left] == [False]
+
+
+def test_a_caller_that_takes_nothing_of_a_stream_is_not_closed_without_a_word(monkeypatch):
+    monkeypatch.setattr(_sinks, "SLOW_READER_S", 0.2)
+
+    async def serve_long(request, writer):
+        writer.write(ENGINE_HEAD)
+        for offset in range(LONG_EVENTS):
+            text = "x" * EVENT_CHARACTERS
+            writer.write(chat_event(request.headers["X-Request-Id"], offset, text=text))
+            await writer.drain()
+
+    async def story():
+        async with OwnInstance(Replica(serve_long)) as instance:
+            caller = await instance.connect(receive_buffer_bytes=4096)
+            caller.send(CHAT, chat_body(stream=True))
+            await wait_until(lambda: bool(instance.log.named("caller_left")))
+            return instance.log.named("caller_left")
+
+    [line] = asyncio.run(story())
+    assert line["reason"] == "the caller reads too slowly"
