Let a failed placement end one request, and not all that wait

What callers saw: neither an answer nor a refusal, past their deadline, for every request in the queue of a service where the placement of one of them raised something unforeseen. Found by reading and played with a placement policy that fails; no policy in the tree is known to.

Cause: the timer of `Dispatcher` looks through the queue and sets itself anew after that; an exception on the way left the queue without a timer, and each later look met the same request again.

Change: what a placement raises ends the request that it was for, and the look goes on.

Evidence: pytest reachlink/entry/tests/test_waiting_requests.py -k failure_of_one had not ended after 45 s without this change; it passes with it. The other 16 tests of the file pass with and without it: a service that is removed, gets another upstream or another kind while its requests wait, and a service and workspace that are removed while a request runs or its body is read, lose no request.

--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -163,7 +163,12 @@
         self._throughput.on_busy(now)
         skipped = 0
         for waiting in self._queue.ordered(now):
-            decision = self._try(waiting.item.ticket)
+            try:
+                decision = self._try(waiting.item.ticket)
+            except Exception as error:  # noqa: BLE001 - it concerns one request, not all that wait
+                self._queue.remove(waiting)
+                _refuse(waiting.item, error)
+                continue
             if decision.verdict is Verdict.PLACE:
                 self._queue.take(waiting)
                 self._throughput.on_served(now)
@@ -283,6 +288,6 @@
         pending.future.set_result(decision)
 
 
-def _refuse(pending: _Pending, error: RequestError) -> None:
+def _refuse(pending: _Pending, error: Exception) -> None:
     if not pending.future.done():
         pending.future.set_exception(error)
--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -225,7 +225,7 @@
     ) -> None:
         """Send a POST request."""
         head = b"POST %b HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %b\r\n" % (path.encode(), key)
-        size = b"Content-Length: %d\r\n" % len(body)
+        size = b"" if b"Content-Length" in headers else b"Content-Length: %d\r\n" % len(body)
         self.writer.write(head + size + headers + b"\r\n" + body)
 
     async def answer(self) -> Answer:
