Release the claim of a call whose caller leaves before it is sent

What callers saw: a caller that gave up while all replicas were held back, and came again with the same idempotency key, was refused with 409 `outcome_unknown` until the claim expired, though no replica had got the call.

Cause: a call that ended by anything but a `RequestError` completed its claim with outcome `unknown`.

Change: what is known of the attempts of a call outlives them, so that the claim is completed by it.

Evidence: pytest reachlink/entry/tests/test_claims.py: 1 of 5 failed without this change (completed as `unknown`), 5 passed with it. The test of an answer beside control instances that are away passes with and without it.

--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -1,6 +1,7 @@
 """Calls of plain services."""
 
 import asyncio
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -44,6 +45,18 @@
 _FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Idempotency-Key")
 
 
+@dataclass(slots=True)
+class _Attempts:
+    """What is known of the attempts of one call so far."""
+
+    may_have_run: bool = False
+
+    @property
+    def outcome(self) -> Outcome:
+        """None of them ran, or one may have."""
+        return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
+
+
 class PlainHandlers:
     """Handlers of everything under the paths of plain services.
 
@@ -107,15 +120,19 @@
         call = CallRequest(
             request["request_id"], request.method, request.path_qs, headers, body, fingerprint
         )
+        attempts = _Attempts()
         outcome = Outcome.UNKNOWN
         answer: CallResponse | None = None
         try:
-            answer = await self._attempts(service, policy, repeatable, call)
+            answer = await self._attempts(service, policy, repeatable, call, attempts)
             outcome = Outcome.RAN
             return answer
         except RequestError as error:
             outcome = error.outcome
             raise
+        except (asyncio.CancelledError, Exception):
+            outcome = attempts.outcome
+            raise
         finally:
             labels = {"service": service.name, "outcome": outcome.value}
             self._node.metrics.requests.add(1, labels)
@@ -133,13 +150,17 @@
         await asyncio.wait({task}, timeout=RECORD_TIMEOUT_S)
 
     async def _attempts(
-        self, service: ServiceInfo, policy: ServicePolicy, repeatable: bool, call: CallRequest
+        self,
+        service: ServiceInfo,
+        policy: ServicePolicy,
+        repeatable: bool,
+        call: CallRequest,
+        attempts: _Attempts,
     ) -> CallResponse:
         node = self._node
         excluded: set[str] = set()
         budget = node.budget(service.upstream)
         budget.on_first_attempt(policy.retry_share)
-        outcome = Outcome.NOT_RUN
         reason = "every replica is held back"
         wait_until = steady_time() + policy.queue_wait_s
         attempt = 1
@@ -147,9 +168,10 @@
             try:
                 replica = await self._choose_in_time(service, excluded, wait_until)
             except RequestError as error:
-                if outcome is Outcome.NOT_RUN:
+                if not attempts.may_have_run:
                     raise
                 raise after_dispatch(error) from error
+            earlier, attempts.may_have_run = attempts.may_have_run, True
             try:
                 answer = await self._attempt(service, replica, call)
                 node.guard.on_answer(call.fingerprint)
@@ -158,13 +180,15 @@
                 raise held_request(error) from error
             except UpstreamHeldBackError as error:
                 # It asked for that after it was chosen, or others had the permit: nothing was sent.
+                attempts.may_have_run = earlier
                 reason = str(error)
                 continue
             except UpstreamBrokenError as error:
-                outcome, reason = Outcome.UNKNOWN, str(error)
+                reason = str(error)
                 if not repeatable:
-                    raise RequestError(502, "upstream_broken", reason, outcome) from error
+                    raise RequestError(502, "upstream_broken", reason, Outcome.UNKNOWN) from error
             except (UpstreamUnreachableError, UpstreamRefusedError) as error:
+                attempts.may_have_run = earlier
                 reason = str(error)
             excluded.add(replica.name)
             if not budget.take():
@@ -172,7 +196,7 @@
             node.metrics.retries.add(1, {"service": service.name})
             await asyncio.sleep(backoff_s(attempt, node.random))
             attempt += 1
-        raise upstream_failed(reason, outcome, node.hold(service.upstream, excluded))
+        raise upstream_failed(reason, attempts.outcome, node.hold(service.upstream, excluded))
 
     async def _attempt(
         self, service: ServiceInfo, replica: Replica, call: CallRequest
--- a/reachlink/entry/tests/test_claims.py
+++ b/reachlink/entry/tests/test_claims.py
@@ -14,18 +14,21 @@
     serve_tokens,
     wait_until,
 )
+from reachlink.pacing import Hold, HoldReason
 from reachlink.placement import Decision, Verdict
 
 KEY_HEADERS = b"Idempotency-Key: k\r\nReachlink-Repeatable: no\r\n"
 
 
 class SlowClaims:
-    """Stands for the control instances, which answer claims only after `answer` is set."""
+    """Stands for control instances that answer claims once `answer` is set, ends if `complete`."""
 
     def __init__(self) -> None:
         self.claimed = 0
         self.completed: list[CompleteCommand] = []
         self.answer = asyncio.Event()
+        self.complete = asyncio.Event()
+        self.complete.set()
 
     async def propose(self, command: object, timeout_s: float) -> ClaimResult | None:
         if isinstance(command, ClaimCommand):
@@ -33,6 +36,7 @@
             await self.answer.wait()
             return ClaimResult(ClaimStatus.GRANTED)
         assert isinstance(command, CompleteCommand)
+        await self.complete.wait()
         self.completed.append(command)
         return None
 
@@ -78,3 +82,50 @@
     completed, requests = asyncio.run(story())
     assert [command.outcome for command in completed] == ["not_run"]
     assert not requests
+
+
+def test_a_claim_of_a_caller_that_leaves_before_its_call_is_sent_does_not_refuse_its_next_request():
+    async def story():
+        replica = Replica(serve_tokens)
+        async with OwnInstance(replica) as instance:
+            claims = instance.node.control = SlowClaims()
+            claims.answer.set()
+            looks = 0
+
+            def hold(*args: object) -> Hold:
+                nonlocal looks
+                looks += 1
+                return Hold(0.01, HoldReason.BACKOFF)
+
+            instance.node.hold = hold
+            instance.node.admitted = lambda upstream: []
+            caller = await instance.connect()
+            caller.send("/readings/x", headers=KEY_HEADERS)
+            await wait_until(lambda: looks > 0)
+            caller.close()
+            await wait_until(lambda: not instance.node.running_requests)
+            await asyncio.gather(*instance.node.tasks)
+            return claims.completed, replica.requests
+
+    completed, requests = asyncio.run(story())
+    assert [command.outcome for command in completed] == ["not_run"]
+    assert not requests
+
+
+def test_an_answer_does_not_wait_for_control_instances_that_are_away():
+    async def story():
+        async with OwnInstance(Replica(serve_tokens)) as instance:
+            claims = instance.node.control = SlowClaims()
+            claims.answer.set()
+            claims.complete = asyncio.Event()
+            caller = await instance.connect()
+            caller.send("/readings/x", headers=KEY_HEADERS)
+            answer = await caller.answer()
+            open_claims = list(claims.completed)
+            claims.complete.set()
+            await asyncio.gather(*instance.node.tasks)
+            return answer, open_claims, claims.completed
+
+    answer, before, after = asyncio.run(story())
+    assert (answer.status, before) == (200, [])
+    assert [command.outcome for command in after] == ["ran"]
