Requests: a whole answer that is ready is no longer cut at the deadline

Callers saw: a long answer that had come in time, and that they were reading, was broken off by a reset when the deadline passed; also the error answer of a route of streams.

Cause: the deadline of a request covered the time in which its caller reads the answer. What was left was a 504 that could not be given, as the answer had begun.

Change: an answer is written after the deadline's scope has ended. How long that may take is bounded by the caller: the account of unread answers, which only deployments with a bound on held bytes had, is kept for each answer of 16 KB and more, and closes a caller that takes nothing for 2 s, 2 s after its patience.

Conclusion: an answer that is ready is delivered, also late. A caller that reads a little every 2 s can hold one for as long as it likes; a planned stop waits for those who still read.

--- a/reachlink/entry/_caller_sink.py
+++ b/reachlink/entry/_caller_sink.py
@@ -7,7 +7,7 @@
 from aiohttp.http_writer import StreamWriter
 
 from reachlink.entry._borders import RelayHost
-from reachlink.entry._readers import CallerReader
+from reachlink.entry._readers import LEAST_AHEAD_BYTES, CallerReader
 from reachlink.requests import CallerGoneError
 from reachlink.upstreams import AnswerHead
 
@@ -64,6 +64,9 @@
             await self._in_pieces(head, body)
             return
         response = web.Response(status=head.status, body=body)
+        if len(body) >= LEAST_AHEAD_BYTES:
+            # A shorter one is never waited for.
+            self._host.readers.watch(self._request.transport, self._request_id, self.ends_at)
         await self._start(response, head)
         await response.write_eof()
 
--- a/reachlink/entry/_readers.py
+++ b/reachlink/entry/_readers.py
@@ -31,7 +31,15 @@
         Bytes that an answer may be ahead of its caller while it comes in.
     """
 
-    __slots__ = ("_ahead_bytes", "_holding", "_transport", "ends_at", "moved_at", "request_id")
+    __slots__ = (
+        "_ahead_bytes",
+        "_holding",
+        "_noted_bytes",
+        "_transport",
+        "ends_at",
+        "moved_at",
+        "request_id",
+    )
 
     def __init__(
         self, transport: asyncio.Transport, holding: CallerBuffer, ahead_bytes: int
@@ -39,6 +47,8 @@
         self._transport = transport
         self._holding = holding
         self._ahead_bytes = ahead_bytes
+        # Unread bytes when they were counted last.
+        self._noted_bytes = 0
         self.request_id = ""
         # When its caller's patience ends, and when it took something last, in monotonic seconds.
         self.ends_at = 0.0
@@ -62,8 +72,9 @@
 
     def note(self, size: int, now: float) -> bool:
         """Count what is unread; return whether that is within the budget."""
-        if size < self._holding.total or not size:
+        if size < self._noted_bytes or not size:
             self.moved_at = now
+        self._noted_bytes = size
         return self._holding.set_size(BufferKind.ANSWER, size)
 
     def go_ahead(self) -> None:
@@ -132,6 +143,26 @@
         """
         if not self._budget.limited or transport is None:
             return None
+        return self._account(transport, request_id, ends_at)
+
+    def watch(self, transport: Any, request_id: str, ends_at: float) -> None:
+        """Have a caller closed that takes nothing of a whole answer, with or without a budget.
+
+        Parameters
+        ----------
+        transport : asyncio.Transport or None
+            The connection; None where it is lost.
+        request_id : str
+            The caller's request.
+        ends_at : float
+            When its caller's patience ends, in monotonic seconds.
+        """
+        if transport is not None:
+            self._account(transport, request_id, ends_at)
+
+    def _account(
+        self, transport: asyncio.Transport, request_id: str, ends_at: float
+    ) -> CallerReader:
         reader = self._readers.get(transport)
         if reader is None:
             holding = CallerBuffer(self._budget)
--- a/reachlink/requests/_model.py
+++ b/reachlink/requests/_model.py
@@ -65,6 +65,14 @@
         return self.relay.generation.prompt_tokens if self.relay.generation else 0
 
 
+@dataclass(slots=True, frozen=True)
+class WholeAnswer:
+    """A replica's answer that was read completely."""
+
+    head: AnswerHead
+    body: bytes
+
+
 class AnswerSink(Protocol):
     """Writes an answer to the caller.
 
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -6,7 +6,7 @@
 from reachlink.delivery import Outcome
 from reachlink.quarantine import HELD, HeldRequestError
 from reachlink.requests._internal_errors import INTERNAL_ERROR, is_cancelled, log_internal_error
-from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._model import AnswerSink, CallerRequest, WholeAnswer
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placer import Placer
 from reachlink.requests._request_dispatcher import RequestDispatcher
@@ -74,17 +74,11 @@
         """
         started = self._parts.clock()
         code = "cancelled"
-        scope: asyncio.Timeout | None = None
-        guard = self._dispatcher.guard
         try:
-            async with asyncio.timeout(max(0.0, request.deadline - started)) as scope:
-                self._running[scope] = request
-                # A held request is refused at once, before it waits for a replica.
-                guard.check(request.relay.fingerprint, request.request_id)
-                if request.route.kind is RequestKind.STREAM:
-                    await self._streams.run(request, sink)
-                else:
-                    await self._whole.run(request, sink)
+            answer = await self._run_to_deadline(request, sink)
+            if answer is not None:
+                # How long its caller takes to read it is not bounded by the deadline.
+                await sink.write_whole(answer.head, answer.body)
             code = "delivered"
         except HeldRequestError as error:
             code = HELD
@@ -98,20 +92,35 @@
         except (Exception, asyncio.CancelledError) as error:
             if is_cancelled(error):
                 raise
-            failure = self._failure(request, scope, error)
+            failure = self._internal_failure(request, error)
             code = failure.reason
             raise failure from error
         finally:
-            if scope is not None:
-                self._running.pop(scope, None)
             self._parts.on_outcome(request, code, self._parts.clock() - started)
 
-    def _failure(
-        self, request: CallerRequest, scope: asyncio.Timeout | None, error: BaseException
-    ) -> RequestFailedError:
-        """Return the final answer to a request that is past its deadline, or that failed here."""
-        if isinstance(error, TimeoutError) and scope is not None and scope.expired():
-            return RequestFailedError(504, "timeout", Outcome.UNKNOWN)
+    async def _run_to_deadline(
+        self, request: CallerRequest, sink: AnswerSink
+    ) -> WholeAnswer | None:
+        """Run one request until its deadline; return its answer if that is no stream."""
+        left_s = max(0.0, request.deadline - self._parts.clock())
+        scope = asyncio.timeout(left_s)
+        try:
+            async with scope:
+                self._running[scope] = request
+                # A held request is refused at once, before it waits for a replica.
+                self._dispatcher.guard.check(request.relay.fingerprint, request.request_id)
+                if request.route.kind is RequestKind.STREAM:
+                    return await self._streams.run(request, sink)
+                return await self._whole.run(request)
+        except TimeoutError as error:
+            if not scope.expired():
+                raise
+            raise RequestFailedError(504, "timeout", Outcome.UNKNOWN) from error
+        finally:
+            self._running.pop(scope, None)
+
+    def _internal_failure(self, request: CallerRequest, error: BaseException) -> RequestFailedError:
+        """Return the final answer to a request that ended by an error that no part expects."""
         log_internal_error(self._log, request.request_id, error, request.may_have_run)
         if request.may_have_run:
             return RequestFailedError(502, INTERNAL_ERROR, Outcome.UNKNOWN)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -11,7 +11,7 @@
 from reachlink.requests._attempts import AttemptFailure, pacing_failure
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_replicas import GenerationReplicas
-from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._model import AnswerSink, CallerRequest, WholeAnswer
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.requests._stream_times import StreamTimes
 from reachlink.requests.exceptions import StreamCutError
@@ -48,16 +48,16 @@
     def __init__(self, dispatcher: RequestDispatcher) -> None:
         self._dispatcher = dispatcher
 
-    async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
-        """Run one request to its end."""
+    async def run(self, request: CallerRequest, sink: AnswerSink) -> WholeAnswer | None:
+        """Run one request to its end; return its answer if that is no stream."""
         dispatcher = self._dispatcher
         attempts = dispatcher.retry_policy.begin(request)
         tried: set[str] = set()
         while (replica := await dispatcher.place_or_wait(request, tried)) is not None:
             tried.add(replica.name)
             failure = await _Stream(dispatcher, request, sink).start(replica)
-            if failure is None:
-                return
+            if failure is None or isinstance(failure, WholeAnswer):
+                return failure
             if failure in (AttemptFailure.LIMITED, AttemptFailure.BRITTLE):
                 tried.discard(replica.name)
             if not dispatcher.retry_policy.may_retry(request, replica, failure, attempts):
@@ -90,8 +90,14 @@
         # Whether the head of the answer was passed on to the caller.
         self._head_sent = False
 
-    async def start(self, replica: Replica) -> AttemptFailure | None:
-        """Run the stream to its end; return why it did not start at the replica, if so."""
+    async def start(self, replica: Replica) -> AttemptFailure | WholeAnswer | None:
+        """Run the stream to its end.
+
+        Returns
+        -------
+        AttemptFailure or WholeAnswer or None
+            Why it did not start at the replica, or the replica's answer if that is no stream.
+        """
         copy_task = asyncio.create_task(self._replicas.maintain_copies())
         fingerprint = self._request.relay.fingerprint
         try:
@@ -110,7 +116,7 @@
         """Return whether the caller has got no event yet."""
         return self._merger.last_event_number < 0
 
-    async def _run(self) -> AttemptFailure | None:
+    async def _run(self) -> AttemptFailure | WholeAnswer | None:
         try:
             answer = await self._open(self._replicas.primary, None)
         except UpstreamHeldBackError as error:
@@ -127,7 +133,7 @@
             if answer.head.success and not answer.head.genuine:
                 return AttemptFailure.BROKEN
             if not answer.head.success:
-                return await self._pass_on_whole(answer)
+                return await self._read_no_stream(answer)
             self._head_sent = True
             await self._sink.begin(answer.head)
             ended = await self._relay_events(answer)
@@ -239,15 +245,14 @@
                 if self._replicas.has_arrived_copy:
                     raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
 
-    async def _pass_on_whole(self, answer: RelayAnswer) -> AttemptFailure | None:
-        """Pass on an answer that is no stream; return a failure if its body breaks off."""
+    async def _read_no_stream(self, answer: RelayAnswer) -> AttemptFailure | WholeAnswer:
+        """Return an answer that is no stream, or a failure if its body breaks off."""
         try:
             body = await read_whole(answer, self._request.caller_buffer)
         except UpstreamBrokenError:
             self._note_broken(self._replicas.primary)
             return AttemptFailure.BROKEN
-        await self._sink.write_whole(answer.head, body)
-        return None
+        return WholeAnswer(answer.head, body)
 
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
         self._sent_at = self._dispatcher.now()
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -5,10 +5,9 @@
 from reachlink.limits import BufferKind
 from reachlink.requests._answer_body import read_whole
 from reachlink.requests._attempts import AttemptFailure, AttemptLog, pacing_failure
-from reachlink.requests._model import AnswerSink, CallerRequest
+from reachlink.requests._model import CallerRequest, WholeAnswer
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.upstreams import (
-    AnswerHead,
     Replica,
     UpstreamBrokenError,
     UpstreamHeldBackError,
@@ -34,24 +33,30 @@
     def __init__(self, dispatcher: RequestDispatcher) -> None:
         self._dispatcher = dispatcher
 
-    async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
-        """Run one request to its end."""
+    async def run(self, request: CallerRequest) -> WholeAnswer:
+        """Run one request and return its answer.
+
+        Raises
+        ------
+        RequestFailedError
+            If there is none.
+        """
         attempts = self._dispatcher.retry_policy.begin(request)
         tried: set[str] = set()
-        fallback: tuple[AnswerHead, bytes] | None = None
+        fallback: WholeAnswer | None = None
         while (replica := await self._dispatcher.place_or_wait(request, tried)) is not None:
             tried.add(replica.name)
             allocation = self._dispatcher.allocations.add(request, replica)
             try:
-                previous_bytes = len(fallback[1]) if fallback is not None else 0
+                previous_bytes = len(fallback.body) if fallback is not None else 0
                 result = await self._attempt(request, replica, attempts, previous_bytes)
             finally:
                 self._dispatcher.allocations.remove(replica, allocation)
-            if isinstance(result, tuple):
+            if isinstance(result, WholeAnswer):
                 # Passed on to the caller if no other replica gives a better answer.
                 fallback = result
-                _record_buffered(request, fallback[1])
-                if fallback[0].status < SERVER_ERROR or not request.route.may_repeat:
+                _record_buffered(request, fallback.body)
+                if fallback.head.status < SERVER_ERROR or not request.route.may_repeat:
                     break
                 result = AttemptFailure.FAILED
             if result in (AttemptFailure.LIMITED, AttemptFailure.BRITTLE):
@@ -60,13 +65,12 @@
             if not self._dispatcher.retry_policy.may_retry(request, replica, result, attempts):
                 break
         if fallback is not None:
-            await sink.write_whole(*fallback)
-            return
+            return fallback
         raise self._dispatcher.retry_policy.failure(request, attempts)
 
     async def _attempt(
         self, request: CallerRequest, replica: Replica, attempts: AttemptLog, previous_bytes: int
-    ) -> tuple[AnswerHead, bytes] | AttemptFailure:
+    ) -> WholeAnswer | AttemptFailure:
         """Return the answer of one replica, or why there is none.
 
         `previous_bytes` is the size of the answer of an earlier attempt that is still buffered.
@@ -107,7 +111,7 @@
             self._dispatcher.outcomes.record_success(request, replica)
             if not wait.begun:
                 self._dispatcher.pace.note_call(request, replica, sent_at)
-        return answer.head, body
+        return WholeAnswer(answer.head, body)
 
 
 def _record_buffered(request: CallerRequest, body: bytes) -> None:
