Answer while the disk of a control instance hangs

What callers saw: while a write of a control instance hung, operators' requests that it had read, and all that came to it, got neither an answer nor a refusal, readings of the table and of the settings included.

Cause: the log was written on the event loop.

A replica whose write takes longer than an election time-out takes no proposals and no messages, and doesn't count as in contact with the leader. A stop answers the requests under way before it waits for the write.

--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol
@@ -137,6 +138,8 @@
         self._next_snapshot_at = float("-inf")
         # Positive infinity while nothing is written.
         self._write_began_at = float("inf")
+        # A disk that hangs must not keep the event loop.
+        self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="log-writer")
         self._ended = False
         # A newly added replica has no membership yet but must reply to the leader.
         self._addresses: dict[str, str] = {}
@@ -156,7 +159,7 @@
         state = self._core.state
         now = self._clock.monotonic()
         if self._core.is_leader:
-            return now - self._write_began_at < state.timing.election_max_s
+            return not self._waits_for_disk()
         silent = now - state.leader_contact_at
         return bool(state.leader) and silent < state.timing.election_max_s
 
@@ -177,7 +180,7 @@
     def receive(self, sender: str, address: str, payload: bytes) -> None:
         """Queue a message from another replica, whose replies go to `address`."""
         self._addresses[sender] = address
-        if self._disk_full:
+        if self._disk_full or self._waits_for_disk():
             # Nothing can be persisted, and the sender retries what is necessary.
             return
         self._inbox.append((sender, _decode(payload)))
@@ -189,12 +192,12 @@
         Raises
         ------
         NotLeaderError
-            If this replica is not the leader, its disk is full or it has ended. Nothing
+            If this replica is not the leader, waits for its disk or has ended. Nothing
             was proposed.
         ProposalLostError
             If leadership is lost. The command may be committed later, or never.
         """
-        if self._disk_full or self._ended:
+        if self._disk_full or self._waits_for_disk() or self._ended:
             raise NotLeaderError("")
         if not self._core.is_leader:
             raise NotLeaderError(self._core.state.leader)
@@ -284,6 +287,7 @@
                 await self._wait_for_work()
         finally:
             self._ended = True
+            self._writer.shutdown(wait=False)
             self._fail_all(ProposalLostError("this replica stops"))
 
     async def _wait_for_work(self) -> None:
@@ -304,6 +308,7 @@
         effects = self._core.pop_effects()
         await self._persist(effects)
         self._execute(effects, now)
+        await self._compact()
         self._log_role_change()
 
     def _propose_waiting(self, now: float) -> None:
@@ -332,7 +337,7 @@
         self._write_began_at = self._clock.monotonic()
         while True:
             try:
-                self._write(effects)
+                await self._write(effects)
                 break
             except DiskFullError as error:
                 self._begin_disk_full(str(error))
@@ -345,16 +350,33 @@
             self._disk_full = False
             self._log.info("disk_regained", term=state.term, index=state.log.last_index)
 
-    def _write(self, effects: Effects) -> None:
+    async def _write(self, effects: Effects) -> None:
         state = self._core.state
+        hard_state = (state.term, state.voted_for)
         snapshot = effects.install_snapshot
         if snapshot is None:
-            self._storage.persist(effects, state.term, state.voted_for)
+            await self._in_writer(self._storage.persist, effects, *hard_state)
             return
         record = SnapshotRecord(
             snapshot.index, snapshot.index_term, snapshot.members, snapshot.data
         )
-        self._storage.save_snapshot(record, state.term, state.voted_for, state.log.entries)
+        rest = list(state.log.entries)
+        await self._in_writer(self._storage.save_snapshot, record, *hard_state, rest)
+
+    async def _in_writer(self, write: Callable[..., None], *arguments: Any) -> None:
+        """Run a write in the writer's thread; where cancelled, return only after the write."""
+        loop = asyncio.get_running_loop()
+        writing = loop.run_in_executor(self._writer, write, *arguments)
+        try:
+            await asyncio.shield(writing)
+        except asyncio.CancelledError:
+            await asyncio.wait({writing})
+            raise
+
+    def _waits_for_disk(self) -> bool:
+        """Whether a write takes so long that others may have elected another leader."""
+        waited = self._clock.monotonic() - self._write_began_at
+        return waited >= self._core.state.timing.election_max_s
 
     def _begin_disk_full(self, reason: str) -> None:
         if self._disk_full:
@@ -383,7 +405,6 @@
         if self._on_applied is not None and (effects.committed or effects.install_snapshot):
             self._on_applied()
         self._core.step_down_if_removed(now)
-        self._compact()
 
     def _send_to(self, node: str, message: Message) -> None:
         if node in self._addresses:
@@ -405,7 +426,7 @@
         elif not proposal.future.done():
             proposal.future.set_result(result)
 
-    def _compact(self) -> None:
+    async def _compact(self) -> None:
         log = self._core.state.log
         entries = self._applied - log.snapshot_index
         # The cost of a snapshot grows with its size: compact only once the log is as large.
@@ -415,9 +436,9 @@
             return
         if not entries or self._clock.monotonic() < self._next_snapshot_at:
             return
-        self._save_snapshot()
+        await self._save_snapshot()
 
-    def _save_snapshot(self) -> None:
+    async def _save_snapshot(self) -> None:
         state = self._core.state
         log = state.log
         snapshot = self._machine.snapshot()
@@ -426,12 +447,16 @@
         assert term is not None
         record = SnapshotRecord(self._applied, term, members, snapshot)
         rest = log.slice(self._applied + 1, len(log.entries))
+        hard_state = (state.term, state.voted_for)
+        self._write_began_at = self._clock.monotonic()
         try:
-            self._storage.save_snapshot(record, state.term, state.voted_for, rest)
+            await self._in_writer(self._storage.save_snapshot, record, *hard_state, rest)
         except DiskFullError as error:
             self._next_snapshot_at = self._clock.monotonic() + SNAPSHOT_RETRY_INTERVAL_S
             self._log.error("snapshot_postponed", reason=str(error), index=self._applied)
             return
+        finally:
+            self._write_began_at = float("inf")
         self._core.compact(self._applied)
         self._snapshot = snapshot
         self._log_bytes = 0
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -123,13 +123,13 @@
     async def stop(self) -> None:
         """Answer the requests under way, and close everything."""
         self._client.close()
+        for runner in self._runners:
+            await runner.cleanup()
         for task in self._tasks:
             task.cancel()
         for task in self._tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        for runner in self._runners:
-            await runner.cleanup()
         self._bus.close()
         self._storage.close()
         self._metrics.close()
--- a/reachlink/control/tests/faulty_disk.py
+++ b/reachlink/control/tests/faulty_disk.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import sys
+import time
 from pathlib import Path
 
 from reachlink.agreement import Files
@@ -13,12 +14,19 @@
 from reachlink.kernel import load_config, run_daemon
 from reachlink.telemetry import configure_logs
 
+POLL_S = 0.01
+
 
 def install_faults(folder: Path) -> None:
-    """Have syncs fail while `folder` holds ``fail``, unexpectedly while it holds ``break``."""
+    """Have syncs hang while `folder` holds ``hang``, and fail while it holds ``fail``.
+
+    With ``break`` they fail with an error of a kind that nobody expects.
+    """
     whole_sync = Files.sync
 
     def sync(files: Files, descriptor: int) -> None:
+        while (folder / "hang").exists():
+            time.sleep(POLL_S)
         if (folder / "break").exists():
             raise RuntimeError("an error that nobody expects")
         if (folder / "fail").exists():
--- a/reachlink/control/tests/test_operators_are_answered.py
+++ b/reachlink/control/tests/test_operators_are_answered.py
@@ -119,6 +119,19 @@
     with_instance(work)
 
 
+def test_an_edit_is_answered_while_the_disk_hangs(with_instance):
+    async def work(instance):
+        await instance.until(instance.leads)
+        assert await instance.edit(0) == 200
+        (instance.folder / "hang").touch()
+        assert await instance.edit(1) in (503, 504)
+        (instance.folder / "hang").unlink()
+        await instance.until(instance.leads)
+        assert await instance.edit(2) in (200, 409)
+
+    with_instance(work)
+
+
 def test_an_edit_is_answered_when_the_instance_is_stopped_under_it(with_instance):
     async def work(instance):
         await instance.until(instance.runs)
