Sync the parents of a new data folder

What callers saw: nothing so far; by reading.

Cause: the folder was created without a sync of the one that it stands in. Some file systems sync that with the first file, none has to.

Change: the parents of the folders that were created are synced.

Figures: pytest reachlink/agreement/tests/test_storage.py: the new test fails before the change (no folder synced) and passes after it.

Conclusion: the name of the folder is on the disk before the replica acknowledges anything.

--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -77,7 +77,7 @@
         self._segment = 0
         self._descriptor = -1
         try:
-            folder.mkdir(parents=True, exist_ok=True)
+            self._make_folder(folder)
             self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
@@ -196,6 +196,13 @@
             self._files.close(self._descriptor)
         os.close(self._lock)
 
+    def _make_folder(self, folder: Path) -> None:
+        """Create the folder and its missing parents, and sync their entries."""
+        missing = [path for path in (folder, *folder.parents) if not path.exists()]
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in missing:
+            self._files.sync_folder(path.parent)
+
     def _segment_path(self, number: int) -> Path:
         return self._folder / f"log-{number:012d}.bin"
 
--- a/reachlink/agreement/tests/test_storage.py
+++ b/reachlink/agreement/tests/test_storage.py
@@ -259,3 +259,20 @@
     data[synced:PAGE_BYTES] = bytes(PAGE_BYTES - synced)
     path.write_bytes(bytes(data))
     assert load(tmp_path).log.entries == entries
+
+
+class SyncedFolders(Files):
+    """Records the folders that were synced."""
+
+    def __init__(self) -> None:
+        self.folders: set[Path] = set()
+
+    def sync_folder(self, folder: Path) -> None:
+        super().sync_folder(folder)
+        self.folders.add(folder)
+
+
+def test_a_new_data_folder_is_not_lost_with_the_power(tmp_path):
+    files = SyncedFolders()
+    Storage(tmp_path / "var" / "data", files).close()
+    assert files.folders >= {tmp_path, tmp_path / "var"}
