Tell a whole answer that the engine wrote unreadably as such

What callers saw: 500 with outcome `unknown` (before, a page of plain text) for a generation that had run to its end, where an event of the engine held something else than text.

Cause: events are checked for what delivery needs when they come, and decoded for their text when the answer is put together, where a decoding error was not known.

Change: 502 `upstream_broken`, outcome `ran`.

--- a/reachlink/entry/_chat_models.py
+++ b/reachlink/entry/_chat_models.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from reachlink.delivery import Outcome
 from reachlink.entry.exceptions import RequestError
 from reachlink.placement import UNLIMITED
 from reachlink.upstreams import TokenEvent
@@ -125,13 +126,27 @@
     return RequestError(400, "invalid_json", str(error), param="body")
 
 
+def _read_event(event: TokenEvent) -> _Event:
+    try:
+        return _decode_event(event.data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        reason = f"an event of the engine cannot be read: {error}"
+        raise RequestError(502, "upstream_broken", reason, Outcome.RAN) from error
+
+
 def whole_answer(request_id: str, model: str, path: str, events: Sequence[TokenEvent]) -> Any:
-    """Return the answer of a request that was not streamed."""
+    """Return the answer of a request that was not streamed.
+
+    Raises
+    ------
+    RequestError
+        If an event of the engine has no text where one belongs.
+    """
     texts: list[str] = []
     finish_reason: str | None = None
     usage: dict[str, int] | None = None
     for event in events:
-        decoded = _decode_event(event.data)
+        decoded = _read_event(event)
         if decoded.choices:
             choice = decoded.choices[0]
             texts.append(choice.delta.content or choice.text)
--- a/reachlink/entry/tests/test_unusual_answers.py
+++ b/reachlink/entry/tests/test_unusual_answers.py
@@ -5,7 +5,14 @@
 import pytest
 
 from reachlink.control import ClaimCommand, ClaimResult, ClaimStatus, CompleteCommand
-from reachlink.entry.tests.own_instance import OwnInstance, Replica, chat_body, wait_until
+from reachlink.entry.tests.own_instance import (
+    ENGINE_HEAD,
+    OwnInstance,
+    Replica,
+    chat_body,
+    chat_event,
+    wait_until,
+)
 from reachlink.messaging import encode
 
 
@@ -102,3 +109,21 @@
 
     answer = asyncio.run(story())
     assert (answer.status, answer.error()["outcome"]) == (503, "not_run")
+
+
+def test_an_event_without_text_is_not_a_failure_of_the_instance():
+    async def serve(request, writer):
+        event = chat_event(request.headers["X-Request-Id"], 0, final=True)
+        writer.write(ENGINE_HEAD + event.replace(b'"x"', b"5") + b"data: [DONE]\n\n")
+        await writer.drain()
+        writer.close()
+
+    async def story():
+        async with OwnInstance(Replica(serve)) as instance:
+            caller = await instance.connect()
+            caller.send("/v1/chat/completions", chat_body())
+            return await caller.answer()
+
+    answer = asyncio.run(story())
+    told = answer.error()
+    assert (answer.status, told["code"], told["outcome"]) == (502, "upstream_broken", "ran")
