--- a/reachlink/agreement/_replay.py
+++ b/reachlink/agreement/_replay.py
@@ -30,12 +30,17 @@
         self._snapshot_term = snapshot_term
         self._entries: list[Entry] = []
         self._hard_state = HardStateRecord(0, "")
+        self._segment_has_entry = False
 
     @property
     def hard_state(self) -> HardStateRecord:
         """Latest term and vote."""
         return self._hard_state
 
+    def begin_segment(self) -> None:
+        """Note that the next record is the first of a segment, which follows a snapshot."""
+        self._segment_has_entry = False
+
     @singledispatchmethod
     def apply(self, record: Record) -> None:
         """Apply the next record.
@@ -58,6 +63,7 @@
     @apply.register
     def _(self, record: EntryRecord) -> None:
         entry = record.entry
+        self._begin_entries(entry.index)
         self._truncate_from(entry.index)
         if self._entries and entry.index != self._entries[-1].index + 1:
             self._skip_covered()
@@ -88,6 +94,15 @@
             return []
         return self._entries[at + 1 :]
 
+    def _begin_entries(self, index: int) -> None:
+        """Drop the entries of earlier segments if the snapshot covers all before `index`.
+
+        A received snapshot may have replaced them, so that they say nothing about this entry.
+        """
+        if not self._segment_has_entry and index <= self._snapshot_index + 1:
+            self._entries.clear()
+        self._segment_has_entry = True
+
     def _truncate_from(self, index: int) -> None:
         if self._entries:
             del self._entries[max(0, index - self._entries[0].index) :]
--- a/reachlink/agreement/_storage.py
+++ b/reachlink/agreement/_storage.py
@@ -239,6 +239,7 @@
     def _load_segment(self, path: Path, replay: Replay, last: bool) -> None:
         data = path.read_bytes()
         end = 0
+        replay.begin_segment()
         try:
             for position, record in read_records(data):
                 end = position
--- a/reachlink/agreement/tests/test_storage.py
+++ b/reachlink/agreement/tests/test_storage.py
@@ -15,7 +15,13 @@
     Storage,
     StorageError,
 )
-from reachlink.agreement._records import SnapshotRecord
+from reachlink.agreement._records import (
+    EntryRecord,
+    HardStateRecord,
+    LogRecord,
+    SnapshotRecord,
+    frame,
+)
 
 
 def command(index: int, term: int = 1) -> Entry:
@@ -208,6 +214,22 @@
     assert (loaded.term, loaded.voted_for) == (2, "n2")
 
 
+def unbatched(*records: LogRecord) -> bytes:
+    """Return a segment in which each record has its own checksum."""
+    return b"".join(frame(record) for record in records)
+
+
+def test_an_entry_after_a_received_snapshot_stays_beside_an_unbatched_segment(tmp_path):
+    snapshot, later = SnapshotRecord(8, 2, [], b"state"), command(9, term=2)
+    replaced = [EntryRecord(command(i)) for i in range(1, 11)]
+    (tmp_path / "snapshot.bin").write_bytes(frame(snapshot))
+    (tmp_path / "log-000000000001.bin").write_bytes(unbatched(*replaced))
+    segment_after = unbatched(HardStateRecord(2, "n2"), EntryRecord(later))
+    (tmp_path / "log-000000000002.bin").write_bytes(segment_after)
+    loaded = load(tmp_path)
+    assert loaded.log.entries == [later]
+
+
 class SyncedSizes(Files):
     """Records the size of each file at its last sync, by inode."""
 
