Count a relayed connection until the peer has got the rest of it

What callers may see: at a planned stop of an instance that relays for a peer, the end of an answer is lost and the peer takes the connection to the replica for broken, although the replica has sent the whole answer.

Cause: a relayed connection was no longer counted once the replica had closed its end. Up to the high-water mark and one read of the answer, and the mark of its end, may then still stand in the buffer of the connection to the peer. The drain ended, and the buffer was lost with the process (the latter by reading).

Change: it counts until the connections to the replica and to the peer are both closed.

--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -82,7 +82,10 @@
 
     @property
     def count(self) -> int:
-        """Number of connections that are relayed, or held for a peer."""
+        """Number of connections that are relayed, or held for a peer.
+
+        One whose replica has closed it counts until the peer has got the rest.
+        """
         return len(self._relays)
 
     def drain(self) -> None:
@@ -217,6 +220,8 @@
         self._transport: asyncio.Transport | None = None
         self._peer: asyncio.Transport | None = None
         self._ended = False
+        self._lost = False
+        self._peer_lost = False
 
     @property
     def held_bytes(self) -> int:
@@ -254,13 +259,25 @@
         self._ended = True
         return False
 
+    def peer_lost(self) -> None:
+        """Note that the connection to the peer is closed, and nothing is left to be sent there."""
+        assert self._transport is not None
+        self._peer_lost = True
+        if not self._transport.is_closing():
+            self._transport.close()
+        self._note_if_closed()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self._on_closed(self)
-        if self._peer is None or self._peer.is_closing():
-            return
-        if self._ended and exc is None:
-            self._peer.write(END)
-        self._peer.close()
+        self._lost = True
+        if self._peer is not None and not self._peer.is_closing():
+            if self._ended and exc is None:
+                self._peer.write(END)
+            self._peer.close()
+        self._note_if_closed()
+
+    def _note_if_closed(self) -> None:
+        if self._lost and (self._peer is None or self._peer_lost):
+            self._on_closed(self)
 
     def pause_writing(self) -> None:
         if self._peer is not None:
@@ -279,6 +296,7 @@
         self._claim = claim
         self._token = b""
         self._transport: asyncio.Transport | None = None
+        self._end: _ReplicaEnd | None = None
         self._replica: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -305,13 +323,14 @@
             self._transport.abort()
             return
         self._transport.write(CLAIMED)
+        self._end = end
         self._replica = end.join(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        if self._replica is not None and not self._replica.is_closing():
-            self._replica.close()
+        if self._end is not None:
+            self._end.peer_lost()
 
     def pause_writing(self) -> None:
         if self._replica is not None:
--- a/reachlink/reachability/tests/test_relays.py
+++ b/reachlink/reachability/tests/test_relays.py
@@ -199,6 +199,31 @@
     with_world(work, echo)
 
 
+def test_a_peer_that_stops_waits_until_the_end_of_an_answer_has_left_it(monkeypatch):
+    # More than the buffers of the system hold, so that the rest stays in the peer.
+    length = 8 * len(BIG)
+    monkeypatch.setattr(relay_server, "HIGH_WATER_BYTES", 2 * length)
+
+    async def answer(reader, writer):
+        await reader.readexactly(1)
+        writer.write(8 * BIG)
+
+    async def work(world: World) -> None:
+        cut, peer = world.instances
+        cut.direct.error = ConnectionRefusedError()
+        made = await cut.dialer.dial(world.address)
+        made.socket.send(b"?")
+        end = next(iter(peer.server._relays))
+        await until(lambda: not end.is_open)
+        assert peer.server.count == 1
+        reader, writer = await asyncio.open_connection(sock=made.socket)
+        assert len(await reader.read()) > length
+        await until(lambda: peer.server.count == 0)
+        writer.close()
+
+    with_world(work, answer)
+
+
 def test_without_a_peer_that_reaches_the_replica_the_error_is_that_of_the_direct_attempt():
     async def work(world: World) -> None:
         for one in world.instances:
