Read what has arrived before an overdue connection is closed

What callers saw: after a stall of the process, a connection was closed on which a request had been sent within the idle time; and a request that had just been read was closed on as well where one turn of the event loop took longer than 50 ms.

Cause: the event loop runs due timers before it reads. The check therefore saw a connection that had rested for too long, and paused its reading, before the loop had read what had arrived during the stall. The close itself was a timer too: if the turn in which the request was read was long, it ran before the request's handler had begun.

Change: a task closes overdue connections. It first lets the loop read and looks again, then pauses the reading. A task that wakes up runs behind the handlers of requests that were read before.

Evidence: pytest reachlink/entry/tests/test_caller_connections.py: both new tests failed without the change (1 answer in place of 2, none in place of 1); the file passed three times with it. The second test runs on uvloop, whose order of timers and tasks it is about.

--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -14,6 +14,9 @@
 IDLE_MARGIN_S = 1.0
 # Interval in seconds between two checks of the resting connections.
 CHECK_INTERVAL_S = 0.5
+# Time in seconds for which an overdue connection is read before its close: after a stall of the
+# process, timers run before what has arrived meanwhile is read.
+LAST_READ_S = 0.05
 # Passes of the event loop after which a request that was read has begun to be handled.
 SETTLE_PASSES = 4
 # Interval in seconds at which the end of a planned stop looks at the connections.
@@ -194,6 +197,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        for task in self._closing:
+            task.cancel()
 
     def _is_quiet(self) -> bool:
         """Return whether no caller has been answered for some time, or is being answered."""
@@ -207,25 +212,31 @@
 
     def _check(self) -> None:
         self._timer = None
-        now, idle_timeout_s = self._clock(), self._idle_timeout_s()
         for protocol, connection in list(self._connections.items()):
             if not connection.is_open and not connection.running:
                 self.discard(protocol)
-            elif connection.is_overdue(now, idle_timeout_s):
-                connection.pause()
-                task = asyncio.ensure_future(self._close_overdue(protocol, connection))
-                self._closing.add(task)
-                task.add_done_callback(self._closing.discard)
+            elif self._is_overdue(connection):
+                self._close_later(protocol, connection)
         self._check_later()
 
+    def _is_overdue(self, connection: CallerConnection) -> bool:
+        return connection.is_open and connection.is_overdue(self._clock(), self._idle_timeout_s())
+
+    def _close_later(self, protocol: web.RequestHandler, connection: CallerConnection) -> None:
+        task = asyncio.create_task(self._close_overdue(protocol, connection))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
     async def _close_overdue(
         self, protocol: web.RequestHandler, connection: CallerConnection
     ) -> None:
-        """Close a connection, unless a request was read before the reading was paused."""
-        await _settle()
-        if not connection.is_open:
+        """Close a connection, unless a request has come in by now."""
+        await asyncio.sleep(LAST_READ_S)
+        if not self._is_overdue(connection):
             return
-        if not connection.is_overdue(self._clock(), self._idle_timeout_s()):
+        connection.pause()
+        await _settle()
+        if not self._is_overdue(connection):
             connection.resume()
             return
         self._log.info(
--- a/reachlink/entry/tests/test_caller_connections.py
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -1,12 +1,15 @@
 """Connections of callers in virtual time: when they are closed, and what is read before."""
 
 import asyncio
+import time
 
 import pytest
+import uvloop
 from aiohttp import web
 
 from reachlink.entry import CallerConnections, CallerServer
-from reachlink.entry._caller_connections import QUIET_S
+from reachlink.entry import _caller_connections as caller_connections
+from reachlink.entry._caller_connections import LAST_READ_S, QUIET_S
 from reachlink.entry.tests.wire import Wire
 from reachlink.testing._virtual_loop import run_virtually
 
@@ -74,6 +77,43 @@
     run_virtually(work())
 
 
+def test_a_request_that_was_sent_in_time_while_the_process_stood_still_is_answered():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        await ask(wire)
+        loop = asyncio.get_running_loop()
+        loop.advance(IDLE_S + 2.0)
+        # The event loop runs the timers that are due before it reads.
+        loop.call_soon(loop.call_soon, wire.send, REQUEST)
+        await asyncio.sleep(1.0)
+        assert answers(wire) == 2 and not wire.closed
+
+    run_virtually(work())
+
+
+def test_a_request_that_was_read_is_answered_though_the_turn_of_the_event_loop_is_long(monkeypatch):
+    monkeypatch.setattr(caller_connections, "IDLE_MARGIN_S", -IDLE_S)
+
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        checked = asyncio.Event()
+
+        def send_before_a_long_turn():
+            listener.on_idle_time = checked.set
+            wire.send(REQUEST)
+            asyncio.get_running_loop().call_soon(time.sleep, 2 * LAST_READ_S)
+
+        listener.on_idle_time = send_before_a_long_turn
+        await checked.wait()
+        await asyncio.sleep(2 * LAST_READ_S)
+        assert answers(wire) == 1
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(work())
+
+
 def test_a_connection_is_not_closed_for_idleness_while_its_request_is_handled():
     async def work():
         listener = Listener(handling_s=4 * IDLE_S)
