Wait in a planned stop for answers on connections that are closing

What callers saw: at a planned stop a caller that reads slowly may lose the rest of an answer that announces the end of its connection, as every answer of a planned stop does.

Cause: such a connection is closing as soon as the answer is written, and remains so until the caller has taken all. The check of the connections took it for closed and forgot it, so that the stop did not see what was unsent.

Change: a connection is forgotten when it is closed and nothing is left to be sent on it.

Evidence: pytest reachlink/entry/tests/test_caller_connections.py -k after_which: without the change the stop ended at once, while 100 bytes were unread; with it, it ended when they were read. test_caller_connections.py, test_planned_stop.py and test_resting_connections.py passed twice.

--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -63,6 +63,14 @@
         """Whether the connection is open."""
         return self._transport is not None
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the connection is closed and nothing is left to be sent on it."""
+        transport = self._protocol.transport
+        if transport is None:
+            return True
+        return transport.is_closing() and not transport.get_write_buffer_size()
+
     @property
     def _transport(self) -> asyncio.Transport | None:
         """Transport of the connection; None if it is closed or closing."""
@@ -213,7 +221,7 @@
     def _check(self) -> None:
         self._timer = None
         for protocol, connection in list(self._connections.items()):
-            if not connection.is_open and not connection.running:
+            if connection.is_ended and not connection.running:
                 self.discard(protocol)
             elif self._is_overdue(connection):
                 self._close_later(protocol, connection)
--- a/reachlink/entry/tests/test_caller_connections.py
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -9,11 +9,12 @@
 
 from reachlink.entry import CallerConnections, CallerServer
 from reachlink.entry import _caller_connections as caller_connections
-from reachlink.entry._caller_connections import LAST_READ_S, QUIET_S
+from reachlink.entry._caller_connections import CHECK_INTERVAL_S, LAST_READ_S, QUIET_S
 from reachlink.entry.tests.wire import Wire
 from reachlink.testing._virtual_loop import run_virtually
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+LAST_REQUEST = REQUEST.replace(b"Host: a", b"Host: a\r\nConnection: close")
 HEAD, BODY = REQUEST[:-4], REQUEST[-4:]
 IDLE_S = 5.0
 PATIENCE_S = 2.0
@@ -204,3 +205,22 @@
         return listener.now() - started
 
     assert takes_s <= run_virtually(work()) < takes_s + 2 * QUIET_S
+
+
+def test_a_stop_waits_for_a_caller_to_read_an_answer_after_which_its_connection_closes():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        wire.unread_bytes = 100
+        wire.send(LAST_REQUEST)
+        while not wire.closed:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(2 * CHECK_INTERVAL_S)
+        finishing = asyncio.create_task(listener.connections.finish(PATIENCE_S))
+        await asyncio.wait({finishing}, timeout=PATIENCE_S / 2)
+        assert not finishing.done()
+        wire.read()
+        await finishing
+        assert listener.now() < PATIENCE_S + 2 * CHECK_INTERVAL_S
+
+    run_virtually(work())
--- a/reachlink/entry/tests/wire.py
+++ b/reachlink/entry/tests/wire.py
@@ -50,9 +50,21 @@
     def get_write_buffer_size(self) -> int:
         return self.unread_bytes
 
+    def read(self) -> None:
+        """Read what is unread."""
+        self.unread_bytes = 0
+        if self.closed:
+            self._lose()
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            asyncio.get_running_loop().call_soon(self._protocol.connection_lost, None)
+            if not self.unread_bytes:
+                self._lose()
+
+    def abort(self) -> None:
+        self.unread_bytes = 0
+        self.close()
 
-    abort = close
+    def _lose(self) -> None:
+        asyncio.get_running_loop().call_soon(self._protocol.connection_lost, None)
