Read once more before a planned stop reads no more

What callers saw: a request that was sent while the process stood still, at the end of a planned stop, was not read, although it had come before the connections counted as quiet.

Cause: the event loop runs due timers before it reads; the look that found the connections quiet was such a timer.

Change: the connections must be quiet at two looks in a row, between which the loop has read.

Evidence: pytest reachlink/entry/tests/test_caller_connections.py: 13 passed; without the change it did not end within 100 s (test_a_stop_answers_a_request_that_was_sent_while_the_process_stood_still).

--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -184,8 +184,7 @@
         unread_patience_s : float
             Time in seconds for which callers may read nothing of their last answers.
         """
-        while not self._is_quiet():
-            await asyncio.sleep(FINISH_POLL_S)
+        await self._wait_until_quiet()
         for connection in self._connections.values():
             connection.pause()
         await _settle()
@@ -208,6 +207,13 @@
         for task in self._closing:
             task.cancel()
 
+    async def _wait_until_quiet(self) -> None:
+        """Wait until the connections are quiet, and still are after one more reading."""
+        was_quiet = False
+        while not (was_quiet and self._is_quiet()):
+            was_quiet = self._is_quiet()
+            await asyncio.sleep(FINISH_POLL_S)
+
     def _is_quiet(self) -> bool:
         """Return whether no caller has been answered for some time, or is being answered."""
         since = self._clock() - QUIET_S
--- a/reachlink/entry/tests/test_caller_connections.py
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -179,6 +179,23 @@
     run_virtually(work())
 
 
+def test_a_stop_answers_a_request_that_was_sent_while_the_process_stood_still():
+    async def work():
+        listener = Listener()
+        wire = listener.connect()
+        await ask(wire)
+        loop = asyncio.get_running_loop()
+        finishing = asyncio.create_task(listener.connections.finish(PATIENCE_S))
+        await asyncio.sleep(0.0)
+        loop.advance(2 * QUIET_S)
+        # The event loop runs the timers that are due before it reads.
+        loop.call_soon(loop.call_soon, wire.send, REQUEST)
+        await finishing
+        assert answers(wire) == 2
+
+    run_virtually(work())
+
+
 def test_a_stop_reads_no_request_that_it_does_not_answer():
     async def work():
         listener = Listener()
