Read what has arrived before a silent replica counts as lost

What callers may see: after the entry instance has stood still for 1.4 s, each stream that has a copy leaves its replica, although the events have arrived; where the copy cannot go on, the stream is cut.

Cause: the event loop runs due timers before it reads, so that the limit for a silence ended the read before the bytes were taken from the socket.

Change: after the limit, the bytes that have arrived are read; only if there are none within 50 ms, the replica counts as lost.

--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -31,6 +31,9 @@
 # Time in seconds without an event after which a replica counts as lost. Longer than a sound replica
 # may be silent, and below the silence after which callers leave.
 MAX_SILENCE_S = 1.4
+# Time in seconds for which bytes are read that arrived while this process stood still: the event
+# loop runs the timers that are due before it reads.
+ARRIVED_READ_S = 0.05
 # Time in seconds from which on a write counts as delayed by the caller. A caller that reads slowly
 # determines itself when the next events are read.
 SLOW_WRITE_S = 0.005
@@ -241,9 +244,23 @@
             try:
                 async with asyncio.timeout(MAX_SILENCE_S):
                     return await read_part(answer)
-            except TimeoutError as error:
+            except TimeoutError:
                 if self._replicas.has_arrived_copy:
-                    raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
+                    return await self._read_arrived(answer)
+
+    async def _read_arrived(self, answer: RelayAnswer) -> bytes:
+        """Return the bytes that have arrived during a silence that is too long.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            If there are none.
+        """
+        try:
+            async with asyncio.timeout(ARRIVED_READ_S):
+                return await read_part(answer)
+        except TimeoutError as error:
+            raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
 
     async def _read_no_stream(self, answer: RelayAnswer) -> AttemptFailure | WholeAnswer:
         """Return an answer that is no stream, or a failure if its body breaks off."""
