One place each for the state of a caller's connection and where an error was raised

`caller_is_gone` and `is_open` asked the same of a request, as did `_where` and `_raised_at` of an error. `is_open` now has a module of its own, and `raised_at` is the one of the request lifecycle.

--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -6,7 +6,8 @@
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._caller_bodies import body_pieces
 from reachlink.entry._caller_connections import CallerConnections, CallerServer
-from reachlink.entry._caller_sink import CallerSink, is_open
+from reachlink.entry._caller_sink import CallerSink
+from reachlink.entry._caller_state import is_open
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
 from reachlink.entry._connection_aborts import ConnectionAbort, ConnectionAborts
 from reachlink.entry._readers import CallerReader, CallerReaders
--- a/reachlink/entry/_caller_sink.py
+++ b/reachlink/entry/_caller_sink.py
@@ -7,6 +7,7 @@
 from aiohttp.http_writer import StreamWriter
 
 from reachlink.entry._borders import RelayHost
+from reachlink.entry._caller_state import is_open
 from reachlink.entry._readers import LEAST_AHEAD_BYTES, CallerReader
 from reachlink.requests import CallerGoneError
 from reachlink.upstreams import AnswerHead
@@ -16,11 +17,6 @@
 PIECE_BYTES = 64 << 10
 
 
-def is_open(request: web.BaseRequest) -> bool:
-    """Return whether the connection that a request came on is open."""
-    return request.transport is not None and not request.transport.is_closing()
-
-
 class CallerSink:
     """Gives an answer to one caller, and knows how far it is ahead of it.
 
--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -10,8 +10,9 @@
 
 from reachlink.control import ControlUnavailableError, OutcomeUnknownError
 from reachlink.delivery import InvalidPositionError, Outcome
+from reachlink.entry._caller_state import is_open
 from reachlink.entry._node import EntryNode
-from reachlink.entry._unforeseen import caller_is_gone, unforeseen_error
+from reachlink.entry._unforeseen import unforeseen_error
 from reachlink.entry.exceptions import HeldOverBudgetError, RequestError
 from reachlink.kernel import bearer_key, json_response, steady_time
 from reachlink.limits import UNDECLARED_BYTES, BufferKind, CallerBuffer
@@ -98,7 +99,7 @@
             )
             return error_response(wrapped, request_id)
         except (asyncio.CancelledError, Exception) as error:
-            if caller_is_gone(request):
+            if not is_open(request):
                 node.log.info(
                     "caller_left",
                     request_id=request_id,
--- a/reachlink/entry/_sinks.py
+++ b/reachlink/entry/_sinks.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from reachlink.delivery import Position, PositionCodec
+from reachlink.entry._caller_state import is_open
 from reachlink.entry._http import REQUEST_HEADER, error_body
-from reachlink.entry._unforeseen import caller_is_gone
 from reachlink.entry.exceptions import RequestError
 from reachlink.upstreams import TokenEvent
 
@@ -47,7 +47,7 @@
     @property
     def caller_is_gone(self) -> bool:
         """Whether the caller's connection is closed."""
-        return caller_is_gone(self._request)
+        return not is_open(self._request)
 
     async def begin(self, position: Position) -> None:
         """Take the generation's identity for the event ids."""
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -2,7 +2,12 @@
 
 from reachlink.requests._attempts import AttemptFailure, AttemptLog
 from reachlink.requests._cold_rates import PlacementDeciders
-from reachlink.requests._internal_errors import INTERNAL_ERROR, is_cancelled, log_internal_error
+from reachlink.requests._internal_errors import (
+    INTERNAL_ERROR,
+    is_cancelled,
+    log_internal_error,
+    raised_at,
+)
 from reachlink.requests._load_updates import (
     AllocationSummary,
     ListedReplica,
@@ -56,6 +61,7 @@
     "RequestRunner",
     "is_cancelled",
     "log_internal_error",
+    "raised_at",
     "RequestsError",
     "RunnerParts",
     "AttemptFailure",
--- a/reachlink/requests/_internal_errors.py
+++ b/reachlink/requests/_internal_errors.py
@@ -19,6 +19,12 @@
     return isinstance(error, asyncio.CancelledError) and task is not None and task.cancelling() > 0
 
 
+def raised_at(error: BaseException) -> str:
+    """Return the file and line that raised an error, as ``file:line``; empty if unknown."""
+    frames = extract_tb(error.__traceback__)
+    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
+
+
 def log_internal_error(log: Any, request_id: str, error: BaseException, may_have_run: bool) -> None:
     """Log the error that a request ended by.
 
@@ -38,12 +44,6 @@
         request_id=request_id,
         error=type(error).__name__,
         message=str(error),
-        at=_raised_at(error),
+        at=raised_at(error),
         may_have_run=may_have_run,
     )
-
-
-def _raised_at(error: BaseException) -> str:
-    """Return the file and line that raised an error."""
-    frames = extract_tb(error.__traceback__)
-    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
