Entry: giving answers moves from the platform's border to the entry layer

Change: what names nothing of the wire moves to reachlink/entry: the refusal of a request that cannot be decoded, the run to an answer or a connection that is broken off, the request for a body. No change of what callers get.

Conclusion: the border decodes and encodes; the entry layer knows how requests end.

--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -4,17 +4,17 @@
 from typing import TYPE_CHECKING, Any
 
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
-from reachlink.entry._caller_bodies import body_pieces
+from reachlink.entry._caller_answers import decoded_or_refused, give_answer
+from reachlink.entry._caller_bodies import ask_for_body, body_pieces
 from reachlink.entry._caller_connections import CallerConnections, CallerServer
 from reachlink.entry._caller_sink import CallerSink
-from reachlink.entry._caller_state import is_open
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
 from reachlink.entry._connection_aborts import ConnectionAbort, ConnectionAborts
 from reachlink.entry._readers import CallerReader, CallerReaders
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_daemon import RelayDaemon
 from reachlink.entry._relay_node import RelayNode
-from reachlink.entry.exceptions import EntryError, RequestError
+from reachlink.entry.exceptions import EntryError, RequestError, RequestRefusedError
 
 if TYPE_CHECKING:
     from reachlink.entry._daemon import EntryDaemon
@@ -82,8 +82,11 @@
     "PlatformSource",
     "ReplicaLoad",
     "RequestError",
+    "RequestRefusedError",
+    "ask_for_body",
     "body_pieces",
-    "is_open",
+    "decoded_or_refused",
+    "give_answer",
     "Ticket",
     "main",
 ]
--- a/reachlink/entry/_caller_bodies.py
+++ b/reachlink/entry/_caller_bodies.py
@@ -4,11 +4,14 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
+from aiohttp import HttpVersion11, web
+
 from reachlink.entry.exceptions import RequestError
 
 # How long a body may come in, as a multiple of how long it may rest meanwhile: one that
 # trickles in would be held for as long as its sender likes.
 IDLE_TIMES = 4.0
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class BodyContent(Protocol):
@@ -54,3 +57,15 @@
             yield piece
     except TimeoutError as error:
         raise RequestError(408, "body_too_slow", "the body came too slowly") from error
+
+
+async def ask_for_body(request: web.BaseRequest) -> None:
+    """Tell a caller that waits with its body to send it (RFC 9110, section 10.1.1)."""
+    if request.headers.get("Expect", "").lower() != "100-continue":
+        return
+    if request.version < HttpVersion11:
+        return
+    writer = request.writer
+    await writer.write(_CONTINUE)
+    # The final answer has not begun.
+    writer.output_size = 0
--- a/reachlink/entry/_caller_sink.py
+++ b/reachlink/entry/_caller_sink.py
@@ -40,6 +40,11 @@
         # When its caller's patience ends, in monotonic seconds.
         self.ends_at = 0.0
 
+    @property
+    def request_id(self) -> str:
+        """Name of the request, for log lines."""
+        return self._request_id
+
     @property
     def begun(self) -> bool:
         """Whether a part of an answer was written, so that no other answer can be given."""
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -8,7 +8,13 @@
 # Time to come back where the instance holds as much as it may, in seconds.
 HELD_RETRY_S = 0.3
 
-__all__ = ["EntryError", "HeldOverBudgetError", "RequestError", "held_request"]
+__all__ = [
+    "EntryError",
+    "HeldOverBudgetError",
+    "RequestError",
+    "RequestRefusedError",
+    "held_request",
+]
 
 
 class EntryError(ReachlinkError):
@@ -125,3 +131,28 @@
     Not 503, which asks callers to come back: they would meet the same.
     """
     return RequestError(502, HELD, str(error), Outcome.UNKNOWN)
+
+
+class RequestRefusedError(EntryError):
+    """A request that gets a final answer of a callers' border, as it surely has not run.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason : str
+        Short code for logs and metrics, and the body of the answer.
+    retry_after_s : float, optional
+        Time in seconds after which the caller should come back.
+    closes : bool
+        Whether the connection is closed after the answer.
+    """
+
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None, closes: bool = False
+    ) -> None:
+        super().__init__(reason)
+        self.closes = closes
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
