End a call that is cancelled as its answer arrives

What callers may see: a request whose deadline ends in the turn of the event loop in which a peer's answer arrives goes on without a deadline, and waits for its replica without end. The request of a caller that leaves at that moment is sent to a replica in vain. (Both by reading.)

Cause: in Python 3.11, `asyncio.wait_for` drops a cancellation if what it waits for is done by then. A deadline is such a cancellation, and comes only once.

Change: the call waits under `asyncio.timeout_at`, which passes a cancellation on.

Evidence: pytest reachlink/messaging -k cancelled_as: without the change the cancelled call returned its answer; with it, it is cancelled. reachlink/messaging and reachlink/agreement passed twice, reachlink/coordination and reachlink/control once.

--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -146,7 +146,9 @@
             await asyncio.sleep(CONNECT_POLL_INTERVAL_S)
         peer.pending_calls[number] = future
         try:
-            return await asyncio.wait_for(future, max(0.0, deadline - self._loop.time()))
+            # Unlike `wait_for`, a cancellation ends it even if the answer arrives at that moment.
+            async with asyncio.timeout_at(deadline):
+                return await future
         except TimeoutError as error:
             raise CallTimeoutError(f"{channel} at {address}") from error
         finally:
--- a/reachlink/messaging/tests/test_bus.py
+++ b/reachlink/messaging/tests/test_bus.py
@@ -34,6 +34,34 @@
     asyncio.run(scenario())
 
 
+def test_a_call_that_is_cancelled_as_its_answer_arrives_is_cancelled():
+    async def scenario():
+        client, server = Bus("a", b""), Bus("b", b"")
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        received = asyncio.Event()
+
+        async def never(sender: str, body: bytes) -> bytes:
+            received.set()
+            await asyncio.sleep(60.0)
+            return b""
+
+        server.handle("c", never)
+        server.bind(address)
+        call = asyncio.create_task(client.call(address, "c", b"", 30.0))
+        try:
+            await received.wait()
+            (answer,) = client._peers[address].pending_calls.values()
+            answer.set_result(b"")
+            call.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await call
+        finally:
+            client.close()
+            server.close()
+
+    asyncio.run(scenario())
+
+
 def test_answers_after_the_timeout_of_their_call_are_counted():
     async def scenario():
         client, server = Bus("a", b""), Bus("b", b"")
