End a replica of the log that is cancelled as it is woken up

What operators may see: the stop of a control instance hangs, so that the requests under way at it get no answer until the process is killed.

Cause: in Python 3.11, `asyncio.wait_for` drops a cancellation if what it waits for is done by then. A message that arrives in the same turn of the event loop as the stop, or up to two turns before, had this effect; the replica then ran on and the stop waited for it.

Change: the replica, and those that wait for a change of its state, wait under `asyncio.timeout`.

Evidence: pytest reachlink/agreement/tests/test_stop.py: without the change 3 of 4 cases failed (the replica still ran 5 s after it was cancelled), with it all pass. reachlink/agreement passed twice, reachlink/control once.

--- a/reachlink/agreement/_service.py
+++ b/reachlink/agreement/_service.py
@@ -296,7 +296,9 @@
             return
         delay = max(0.0, self._core.next_due() - self._clock.monotonic())
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wakeup.wait(), delay)
+            # Unlike `wait_for`, a cancellation ends it even at the moment of a wake-up.
+            async with asyncio.timeout(delay):
+                await self._wakeup.wait()
 
     async def _step(self) -> None:
         now = self._clock.monotonic()
--- a/reachlink/control/_server.py
+++ b/reachlink/control/_server.py
@@ -252,7 +252,8 @@
 
     async def _wait_change(self, timeout_s: float) -> bool:
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
         except TimeoutError:
             return False
         return True
