--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -6,7 +6,8 @@
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._caller_answers import decoded_or_refused, give_answer
 from reachlink.entry._caller_bodies import ask_for_body, body_pieces
-from reachlink.entry._caller_connections import CallerConnections, CallerServer
+from reachlink.entry._caller_connections import CallerConnections
+from reachlink.entry._caller_server import CallerListener, CallerServer
 from reachlink.entry._caller_sink import CallerSink
 from reachlink.entry._config import EntryConfig, PeerConfig, PlatformSource
 from reachlink.entry._connection_aborts import ConnectionAbort, ConnectionAborts
@@ -61,6 +62,7 @@
     "CallerConnections",
     "CallerReader",
     "CallerReaders",
+    "CallerListener",
     "CallerServer",
     "CallerSink",
     "ConnectionAbort",
--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -24,8 +24,6 @@
 # Time in seconds for which the connections must be quiet before a planned stop closes them: a
 # caller that has just got an answer may send its next request at once.
 QUIET_S = 0.5
-# Keep-alive time of the HTTP server in seconds, which must not expire before the idle time.
-SERVER_KEEPALIVE_S = 86400.0
 
 
 class CallerConnection:
@@ -271,42 +269,3 @@
     """
     for _ in range(SETTLE_PASSES):
         await asyncio.sleep(0)
-
-
-class CallerServer(web.Server):
-    """HTTP server whose connections rest for as long as the settings in force say.
-
-    Parameters
-    ----------
-    handler : callable
-        Answers requests.
-    connections : CallerConnections
-        Connections of the server.
-    **options : object
-        Passed to `aiohttp.web.Server`.
-    """
-
-    def __init__(
-        self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        connections: CallerConnections,
-        **options: Any,
-    ) -> None:
-        super().__init__(
-            lambda request: connections.handle(request, handler),
-            keepalive_timeout=SERVER_KEEPALIVE_S,
-            **options,
-        )
-        self._caller_connections = connections
-
-    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
-        """Note a new connection."""
-        super().connection_made(handler, transport)
-        self._caller_connections.add(handler)
-
-    def connection_lost(
-        self, handler: web.RequestHandler, exc: BaseException | None = None
-    ) -> None:
-        """Note the end of a connection."""
-        super().connection_lost(handler, exc)
-        self._caller_connections.discard(handler)
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 
 from reachlink.control import OperatorError, OperatorHandlers
-from reachlink.entry._caller_connections import SERVER_KEEPALIVE_S, CallerConnections
+from reachlink.entry._caller_connections import CallerConnections
+from reachlink.entry._caller_server import SERVER_KEEPALIVE_S
 from reachlink.entry._chat import ChatHandlers
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, PlacementNote
--- a/reachlink/entry/tests/test_caller_connections.py
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -29,7 +29,7 @@
         # Called each time that the idle time in force is looked up.
         self.on_idle_time = lambda: None
         self.connections = CallerConnections(self._idle_s, self.closed.append, self.now)
-        self._server = CallerServer(self._answer, self.connections, access_log=None)
+        self._server = CallerServer(self._answer, self.connections)
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -167,11 +167,16 @@
     async def work():
         listener = Listener(handling_s=1.0)
         wire = listener.connect()
-        await asyncio.sleep(QUIET_S + 0.1)
+        paused, pause = asyncio.Event(), wire.pause_reading
+
+        def read_and_pause():
+            wire.send(HEAD)
+            pause()
+            paused.set()
+
+        wire.pause_reading = read_and_pause
         finishing = asyncio.create_task(listener.connections.finish(PATIENCE_S))
-        wire.send(HEAD)
-        while wire.reading:
-            await asyncio.sleep(0.0)
+        await paused.wait()
         wire.send(BODY)
         await finishing
         assert answers(wire) == 1
