--- a/reachlink/entry/tests/asking.py
+++ b/reachlink/entry/tests/asking.py
@@ -5,7 +5,7 @@
 WORKSPACE = "borettslag-nord"
 
 
-async def ask(fleet: Fleet, entry: str, module: str) -> tuple[int, bool]:
+async def ask(fleet: Fleet, entry: str, module: str, prompt: str = "hello") -> tuple[int, bool]:
     """Ask one instance for a call that must not be repeated, or for a generation.
 
     Parameters
@@ -16,6 +16,8 @@
         Name of the instance.
     module : str
         ``"service"`` for a call, ``"engine"`` for a generation.
+    prompt : str
+        Content of the message that a generation answers.
 
     Returns
     -------
@@ -30,7 +32,7 @@
         url = f"http://{address}/v1/chat/completions"
         body = {
             "model": "explain",
-            "messages": [{"role": "user", "content": "hello"}],
+            "messages": [{"role": "user", "content": prompt}],
             "max_tokens": 2,
         }
     async with fleet.session.post(url, json=body, headers=headers) as response:
--- a/reachlink/testing/proxy.py
+++ b/reachlink/testing/proxy.py
@@ -13,6 +13,8 @@
 from reachlink.testing.engine import refusal
 
 _CHUNK = 64 << 10
+# Modes in which open connections are reset.
+_RESETTING = frozenset({"reset", "accept_reset"})
 
 
 class LinkConfig(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -37,9 +39,9 @@
 class FaultRequest(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """Which links a fault concerns.
 
-    ``mode`` is ``stall`` (bytes vanish in silence, both ways), ``stall_up``,
-    ``stall_down`` (one way), or ``reset`` (connections are reset, new ones
-    refused).
+    ``mode`` is ``stall`` (new connections are accepted, bytes vanish in silence, both ways),
+    ``stall_up``, ``stall_down`` (one way), ``reset`` (connections are reset, new ones
+    refused), or ``accept_reset`` (connections are reset, new ones accepted and then reset).
     """
 
     availability_zone: str = ""
@@ -125,6 +127,7 @@
             link.opened.clear()
             if fault.mode == "reset":
                 link.refuse()
+            if fault.mode in _RESETTING:
                 _abort_all(link)
         return json_response({"links": len(links)})
 
@@ -176,7 +179,7 @@
 
 def _handler(link: Link):  # type: ignore[no-untyped-def]
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if link.mode == "reset":
+        if link.mode in _RESETTING:
             writer.transport.abort()
             return
         link.writers.add(writer)
