A path to a replica works if the replica answers on it, not if a connection is accepted

On the product's own interface a generation was refused at all instances, as a request under which replicas crash.

Cause: an accepted connection counted as a working path, so that no peer was asked, and as a sign of the replica; the look at the replica after a broken run met the same link, and the reset counted as a crash. Class: what lies between taken for the replica.

Change: connections that end without a byte of the answer raise a suspicion, as overdue answers do. An examination sends a small request that gives no work (the load report, within the replica's permits and backoffs) on a new direct connection, and through up to three peers: a path works if a byte of an answer comes. An instance that suspects its path offers it to no peer, and a peer without an answer is asked last. Whether a replica has crashed is looked at after the examination; if that takes over 0.3 s, nobody can tell, as in silence.

Links that accept and are silent from when a generation is asked for are not covered yet: requests sent in the last quarter of a second before the loss wait until their deadline.

Conclusion: mended for what is sent once the path is known to be lost.

--- a/reachlink/entry/_replica_reach.py
+++ b/reachlink/entry/_replica_reach.py
@@ -59,7 +59,9 @@
         relays = RelayClient(
             bus, self._peers, self._target_at, lambda outcome: count("asked", outcome)
         )
-        client.dialer = RelayingDialer(direct, relays, client.paths, client.abort_silent)
+        client.dialer = RelayingDialer(
+            direct, relays, client.paths, client.abort_silent, client.probe_request
+        )
         host = bus_address.rpartition(":")[0]
         self.server = RelayServer(
             bus,
--- a/reachlink/entry/tests/test_instances_that_reach_no_replica.py
+++ b/reachlink/entry/tests/test_instances_that_reach_no_replica.py
@@ -64,3 +64,19 @@
     here, others = run(first_attempts_after_cut(fleet, module, mode))
     assert served(others) == 1.0
     assert served(here) >= LEAST_SHARE
+
+
+@pytest.mark.parametrize("mode", ["accept_reset"])
+def test_a_generation_whose_connections_end_on_links_that_accept_is_held_nowhere(run, fleet, mode):
+    zone = fleet.scenario.availability_zones[0]
+    prompt = f"asked as the links end: {mode}"
+
+    async def story():
+        await ask_all(fleet, "engine", prompt)
+        await cut(fleet, zone, mode)
+        at_once = await ask_all(fleet, "engine", prompt)
+        return at_once, await ask_all(fleet, "engine", prompt)
+
+    at_once, later = run(story())
+    assert served([status for where, status in at_once + later if where != zone]) == 1.0
+    assert served([status for where, status in later if where == zone]) >= LEAST_SHARE
--- a/reachlink/reachability/_dialer.py
+++ b/reachlink/reachability/_dialer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 
 from reachlink.kernel import steady_time
+from reachlink.reachability._exchange import ProbeRequest, exchange, no_probe_request
 from reachlink.reachability._paths import ConnectFailure, DirectPath, PathTracker, failure_of
 from reachlink.reachability._relay_client import RelayClient, discard
 from reachlink.reachability._sockets import ReplicaSocket, connect_socket
@@ -15,6 +16,9 @@
 RELAY_AFTER_S = 0.08
 # Time in seconds between two direct attempts while a path is lost or suspected.
 PROBE_INTERVAL_S = 0.4
+# Maximum number of peers through which a replica that does not answer is asked. Peers whose own
+# links are cut say so soon.
+MAX_PEERS_EXAMINED = 3
 # Time in seconds after the last request for a replica from which its path is no longer probed.
 PROBE_WHILE_USED_S = 5.0
 
@@ -35,6 +39,12 @@
     def suspect(self, path: DirectPath) -> None:  # noqa: B027
         """Examine a path on which answers are overdue; nothing to do without peers."""
 
+    def avoid(self, peer: str) -> None:  # noqa: B027
+        """Ask a peer last whose relayed connection ended without a byte."""
+
+    async def settle(self, address: str) -> None:  # noqa: B027
+        """Wait until it is known whose fault it is that a replica does not answer."""
+
     def close(self) -> None:  # noqa: B027
         """End work in the background; there is none without peers."""
 
@@ -65,9 +75,7 @@
             self._paths.note_connect_failed(path, failure_of(error), now - begun, now)
             reason = str(error) or type(error).__name__
             raise NotReachedError(f"cannot connect to {address}: {reason}") from error
-        path.heard_at = self._paths.connected_at = now = steady_time()
-        if path.suspected_at is not None or path.is_lost:
-            self._paths.note_working(path, now)
+        path.connected_at = self._paths.connected_at = steady_time()
         return ReplicaSocket(connected)
 
 
@@ -84,6 +92,8 @@
         Direct paths to the replicas.
     on_lost : callable
         Called with a path that has gone silent although a peer reaches the replica.
+    probe_request : callable
+        Returns what is sent to a replica to see whether it answers.
     """
 
     def __init__(
@@ -92,11 +102,15 @@
         relays: RelayClient,
         paths: PathTracker,
         on_lost: Callable[[DirectPath], None] = lambda path: None,
+        probe_request: ProbeRequest = no_probe_request,
     ) -> None:
         self._direct = direct
         self._relays = relays
         self._paths = paths
         self.on_lost = on_lost
+        self._probe_request = probe_request
+        # Suspected paths of which nothing is known yet, by address.
+        self._unsettled: dict[str, asyncio.Event] = {}
         self._examinations: dict[str, asyncio.Task[None]] = {}
 
     async def dial(self, address: str) -> ReplicaSocket:
@@ -114,9 +128,23 @@
 
     def suspect(self, path: DirectPath) -> None:
         """Examine a path on which answers are overdue."""
-        path.suspect(steady_time())
+        now = steady_time()
+        path.dialed_at = now
+        if path.suspected_at is None and not path.is_lost:
+            self._unsettled.setdefault(path.address, asyncio.Event())
+        path.suspect(now)
         self._examine(path, self._check_suspected)
 
+    def avoid(self, peer: str) -> None:
+        """Ask a peer last whose relayed connection ended without a byte."""
+        self._relays.avoid(peer)
+
+    async def settle(self, address: str) -> None:
+        """Wait until a suspected path works, is lost, or nobody can tell."""
+        unsettled = self._unsettled.get(address)
+        if unsettled is not None:
+            await unsettled.wait()
+
     def close(self) -> None:
         """End work in the background."""
         for task in self._examinations.values():
@@ -155,6 +183,12 @@
     def _forget(self, address: str, done: "asyncio.Task[None]") -> None:
         if self._examinations.get(address) is done:
             del self._examinations[address]
+            self._end_doubt(address)
+
+    def _end_doubt(self, address: str) -> None:
+        unsettled = self._unsettled.pop(address, None)
+        if unsettled is not None:
+            unsettled.set()
 
     async def _check_suspected(self, path: DirectPath) -> None:
         """Find out whether a silent path is lost, or its replica is silent to all."""
@@ -164,6 +198,7 @@
             elif await self._peers_reach(path):
                 await self._watch_lost(path)
             else:
+                self._end_doubt(path.address)
                 await self._pause(path)
 
     async def _watch_lost(self, path: DirectPath) -> None:
@@ -186,26 +221,46 @@
 
     def _note_lost(self, path: DirectPath) -> None:
         self._paths.note_lost(path, steady_time())
+        self._end_doubt(path.address)
+        self._abort_silent(path)
+
+    def _abort_silent(self, path: DirectPath) -> None:
         if path.failure is ConnectFailure.SILENT:
             self.on_lost(path)
 
     async def _works(self, path: DirectPath) -> bool:
-        """Return whether a direct connection can be made."""
+        """Return whether the replica answers on a new direct connection."""
         try:
             connected = await self._direct.dial(path.address)
         except NotReachedError:
             return False
-        connected.close()
-        return True
+        failure = await self._exchange(path, connected)
+        if failure is not None:
+            self._paths.note_unanswered(path, failure, steady_time())
+        return failure is None
 
     async def _peers_reach(self, path: DirectPath) -> bool:
-        """Return whether a peer can connect to the replica."""
-        try:
-            connected = await self._relays.connect(path.address)
-        except NotReachedError:
-            return False
-        connected.close()
-        return True
+        """Return whether the replica answers through a peer."""
+        for _ in range(MAX_PEERS_EXAMINED):
+            try:
+                connected = await self._relays.connect(path.address)
+            except NotReachedError:
+                return False
+            if await self._exchange(path, connected) is None:
+                return True
+            self._relays.avoid(connected.peer)
+        return False
+
+    async def _exchange(self, path: DirectPath, connected: ReplicaSocket) -> ConnectFailure | None:
+        """Return why a connection is not answered; None if it is, or nothing may be sent."""
+        request = await self._probe_request(path.address)
+        if not request:
+            connected.close()
+            return None
+        failure = await exchange(connected, request)
+        if failure is None and not connected.relayed:
+            path.heard_at = steady_time()
+        return failure
 
 
 def _succeeded(attempt: "asyncio.Task[ReplicaSocket]") -> bool:
--- a/reachlink/reachability/_paths.py
+++ b/reachlink/reachability/_paths.py
@@ -54,7 +54,10 @@
     address : str
         Address of the replica.
     heard_at : float
-        Time at which bytes arrived from the replica, or a connection to it was made.
+        Time at which bytes arrived from the replica.
+    connected_at : float
+        Time at which a connection to it was made, which says less: what lies between may
+        accept it.
     failed_at : float
         Time at which a connection to it failed.
     logged_at : float
@@ -65,8 +68,8 @@
         Time at which the path was found to be lost while a peer reaches the replica; None
         if it is not.
     suspected_at : float, optional
-        Time at which answers became overdue without a byte from the replica; None if they
-        are not.
+        Time at which answers became overdue or ended without a byte from the replica; None if
+        none has.
     trusted_until : float
         Time before which overdue answers raise no suspicion.
     failure : ConnectFailure
@@ -75,6 +78,7 @@
 
     address: str = ""
     heard_at: float = float("-inf")
+    connected_at: float = float("-inf")
     failed_at: float = float("-inf")
     logged_at: float = float("-inf")
     dialed_at: float = float("-inf")
@@ -88,7 +92,7 @@
     @property
     def noted_at(self) -> float:
         """Time of the last sign of the replica, good or bad."""
-        return max(self.heard_at, self.failed_at)
+        return max(self.heard_at, self.connected_at, self.failed_at)
 
     @property
     def is_lost(self) -> bool:
@@ -96,8 +100,9 @@
         return self.lost_at is not None
 
     def is_failing(self, now: float, within_s: float) -> bool:
-        """Return whether a connection failed lately and nothing was heard since."""
-        return self.failed_at > self.heard_at and now - self.failed_at < within_s
+        """Return whether a connection failed lately and none was made since."""
+        sound_at = max(self.heard_at, self.connected_at)
+        return self.failed_at > sound_at and now - self.failed_at < within_s
 
     def may_reuse(self, idle_since: float) -> bool:
         """Return whether a connection that is idle since a time may get another request."""
@@ -108,7 +113,7 @@
         return now - max(self.heard_at, sent_at) >= SUSPECT_AFTER_S
 
     def suspect(self, now: float) -> None:
-        """Distrust idle connections, because answers are overdue."""
+        """Distrust idle connections: answers are overdue, or ended without a byte."""
         if self.suspected_at is None:
             self.suspected_at = now
             self._distrusted_before = now
@@ -184,6 +189,19 @@
             heard_ago_s=_age_s(path.heard_at, now),
         )
 
+    def note_unanswered(self, path: DirectPath, failure: ConnectFailure, now: float) -> None:
+        """Record that a connection was made and what was sent on it was not answered."""
+        path.failed_at, path.failure = now, failure
+        if now - path.logged_at < LOG_INTERVAL_S:
+            return
+        path.logged_at = now
+        self._log.info(
+            "connection_unanswered",
+            address=path.address,
+            reason=failure.value,
+            heard_ago_s=_age_s(path.heard_at, now),
+        )
+
     def note_lost(self, path: DirectPath, now: float) -> None:
         """Record that only peers reach a replica."""
         path.lose(now)
--- a/reachlink/reachability/_relay_client.py
+++ b/reachlink/reachability/_relay_client.py
@@ -111,6 +111,10 @@
             raise NotReachedError(f"no peer reaches {address}")
         return connected
 
+    def avoid(self, peer: str) -> None:
+        """Ask a peer last for some time: what was sent through it was not answered."""
+        self._peers.avoid(peer, steady_time())
+
     async def _first(
         self, peers: list[RelayPeer], target: RelayTarget, deadline: float
     ) -> ReplicaSocket | None:
@@ -194,7 +198,7 @@
         except BaseException:
             claimed.close()
             raise
-        return ReplicaSocket(claimed, relayed=True)
+        return ReplicaSocket(claimed, relayed=True, peer=peer.name)
 
     def _remember(self, address: str, replica_away: bool) -> None:
         now = steady_time()
--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -112,7 +112,7 @@
             return RelayReply(RelayOutcome.UNKNOWN)
         now = steady_time()
         path = self._paths.path(address, now)
-        if path.is_lost:
+        if path.is_lost or path.suspected_at is not None:
             return RelayReply(RelayOutcome.CUT_OFF)
         if path.is_failing(now, RECENT_FAILURE_S):
             return await self._unreachable(address)
--- a/reachlink/reachability/_sockets.py
+++ b/reachlink/reachability/_sockets.py
@@ -24,10 +24,13 @@
         The socket.
     relayed : bool
         Whether it leads there through a peer.
+    peer : str
+        Name of that peer.
     """
 
     socket: socket.socket
     relayed: bool = False
+    peer: str = ""
 
     def close(self) -> None:
         """Close the socket."""
--- a/reachlink/reachability/tests/relays.py
+++ b/reachlink/reachability/tests/relays.py
@@ -37,6 +37,8 @@
         self.error: OSError | None = None
         # Replicas that are not reached besides, whatever the error is.
         self.unreachable: set[str] = set()
+        # Address that is connected to in place of the replica's, if there is one.
+        self.instead = ""
         self.attempted: list[str] = []
 
     @property
@@ -46,7 +48,7 @@
     async def dial(self, address: str) -> ReplicaSocket:
         self.attempted.append(address)
         if self.error is None and address not in self.unreachable:
-            return await self._direct.dial(address)
+            return await self._direct.dial(self.instead or address)
         path = self._paths.path(address, 0.0)
         await asyncio.sleep(0.2 if isinstance(self.error, TimeoutError) else 0.0)
         self._paths.note_connect_failed(
--- a/reachlink/reachability/tests/test_dialer.py
+++ b/reachlink/reachability/tests/test_dialer.py
@@ -83,3 +83,47 @@
         assert cut.direct.attempts == attempts
 
     with_world(work, echo)
+
+
+async def listen_only(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.read()
+
+
+async def ask_nothing(address: str) -> bytes:
+    return b"?"
+
+
+def test_a_path_on_which_connections_are_accepted_and_not_answered_is_lost(monkeypatch):
+    monkeypatch.setattr(dialer, "PROBE_INTERVAL_S", 0.05)
+
+    async def work(world: World) -> None:
+        cut = world.instances[0]
+        cut.dialer._probe_request = ask_nothing
+        silent = await asyncio.start_server(listen_only, "127.0.0.1", 0)
+        cut.direct.instead = f"127.0.0.1:{silent.sockets[0].getsockname()[1]}"
+        path = path_of(world, cut)
+        cut.dialer.suspect(path)
+        await until(lambda: path.is_lost)
+        assert cut.lost == [world.address]
+        assert (await cut.dialer.dial(world.address)).relayed
+        cut.direct.instead = ""
+        await until(lambda: not path.is_lost)
+        silent.close()
+
+    with_world(work, echo)
+
+
+def test_a_replica_that_accepts_and_resets_everywhere_has_no_lost_path():
+    async def reset(reader, writer) -> None:
+        writer.transport.abort()
+
+    async def work(world: World) -> None:
+        first = world.instances[0]
+        first.dialer._probe_request = ask_nothing
+        path = path_of(world, first)
+        first.dialer.suspect(path)
+        async with asyncio.timeout(5.0):
+            await first.dialer.settle(world.address)
+        assert not path.is_lost
+
+    with_world(work, reset)
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -20,6 +20,7 @@
 from reachlink.upstreams.exceptions import GenerationUnknownError, UpstreamBrokenError
 
 GENERATION_HEADER = "X-Generation-Id"
+LOAD_PATH = "/v1/load"
 REQUEST_HEADER = "X-Request-Id"
 _DATA = b"data: "
 _DONE = b"[DONE]"
@@ -129,6 +130,7 @@
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
+        client.probe_path = LOAD_PATH
 
     async def open(self, replica: Replica, request: GenerationRequest) -> TokenStream:
         """Dispatch a request and return its stream."""
@@ -205,15 +207,20 @@
     """Request the load report; any answer shows that the replica is up.
 
     An open connection alone does not show that: a proxy in between may accept it although
-    the replica has ended.
+    the replica has ended, or cannot be reached from here.
     """
-    async with client.control("GET", _url(replica, "load"), background=True) as response:
+    await client.settle(replica.address)
+    async with client.control(
+        "GET", f"http://{replica.address}{LOAD_PATH}", background=True
+    ) as response:
         await response.read()
 
 
 async def read_load(client: HttpClient, replica: Replica) -> LoadReport:
     """Return the latest load report of a replica, decoded from JSON."""
-    async with client.control("GET", _url(replica, "load"), background=True) as response:
+    async with client.control(
+        "GET", f"http://{replica.address}{LOAD_PATH}", background=True
+    ) as response:
         response.raise_for_status()
         try:
             return _decode_report(await response.read())
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -1,6 +1,7 @@
 """Connections to replicas, reused only if no bytes of another request can be on them."""
 
 import asyncio
+import math
 import re
 from collections.abc import Callable
 from typing import Any
@@ -48,7 +49,11 @@
         self.path = DirectPath()
         # Whether the connection leads through a peer.
         self.relayed = False
-        self.sent_at = 0.0
+        # Called if the connection ends without a byte of an answer.
+        self.on_unanswered: Callable[[], None] = lambda: None
+        self.sent_at = float("inf")
+        self._received_at = float("-inf")
+        self._replica_ended = False
 
     @property
     def reusable(self) -> bool:
@@ -60,8 +65,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes; abort the connection if it is idle."""
+        self._received_at = steady_time()
         if not self.relayed:
-            self.path.heard_at = steady_time()
+            self.path.heard_at = self._received_at
         if self.idle and data:
             self.abort()
             return
@@ -82,8 +88,16 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Note that the replica has ended the connection."""
+        self._replica_ended = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body in progress if the connection was lost by an error."""
+        ended_by_other = exc is not None or self._replica_ended
+        if ended_by_other and not self.idle and self._received_at < self.sent_at < math.inf:
+            self.on_unanswered()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc!r}"))
@@ -107,9 +121,9 @@
 
     def add(self, connection: ReplicaConnection, now: float) -> None:
         """Add a connection that a request is sent on."""
+        connection.sent_at = now
         if connection.relayed:
             return
-        connection.sent_at = now
         path = connection.path
         path.dialed_at = now
         self._connections.setdefault(path.address, {})[connection] = None
@@ -213,10 +227,18 @@
         protocol = ReplicaConnection(self._loop)
         protocol.path = self._paths.path(address, steady_time())
         protocol.relayed = connected.relayed
+        protocol.on_unanswered = lambda: self._note_unanswered(protocol.path, connected.peer)
         used = RelayedProtocol(protocol) if connected.relayed else protocol
         await self._loop.create_connection(lambda: used, sock=connected.socket)
         return protocol
 
+    def _note_unanswered(self, path: DirectPath, peer: str) -> None:
+        """Have the path examined, or the peer avoided, over which nothing came back."""
+        if peer:
+            self._dialer.avoid(peer)
+        else:
+            self._dialer.suspect(path)
+
     def _check_backoff(self, req: aiohttp.ClientRequest) -> None:
         remaining_s = self._pacing.backoffs.remaining_s(address_of(req.url), steady_time())
         if remaining_s > 0.0:
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -33,6 +33,7 @@
 from reachlink.upstreams.exceptions import (
     UpstreamBrittleError,
     UpstreamBrokenError,
+    UpstreamHeldBackError,
     UpstreamLimitedError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
@@ -42,6 +43,8 @@
 _NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
+# Longest wait for the examination of a path, in seconds. Shorter than a probe of a replica.
+SETTLE_TIMEOUT_S = 0.3
 # Longest wait of a control request for its permit at a replica with a rate limit, in seconds.
 CONTROL_PERMIT_WAIT_S = 0.5
 MAX_ERROR_BYTES = 64 << 10
@@ -101,6 +104,8 @@
         connections fail, before the first request.
     on_connect_failed : callable
         Called with the kind of each failure to connect to a replica.
+    probe_path : str
+        Path at which replicas answer a GET request without work; empty if there is none.
     """
 
     def __init__(
@@ -116,6 +121,7 @@
         self.on_connect_failed: Callable[[ConnectFailure], None] = lambda failure: None
         self.paths = PathTracker(lambda failure: self.on_connect_failed(failure))
         self.dialer: Dialer = DirectDialer(self.paths, connect_timeout_s)
+        self.probe_path = ""
         self._max_connections = max_connections
         self._bounded = bounded
         self._open_session: aiohttp.ClientSession | None = None
@@ -268,6 +274,29 @@
             connected = await self.dialer.dial(address)
         connected.close()
 
+    async def probe_request(self, address: str) -> bytes:
+        """Return a request that gives a replica no work; nothing if it may get none now."""
+        if not self.probe_path or self.pacing.backoffs.remaining_s(address, steady_time()) > 0.0:
+            return b""
+        try:
+            await self.admit(address, background=True)
+        except UpstreamHeldBackError:
+            return b""
+        head = f"GET {self.probe_path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
+        return head.encode()
+
+    async def settle(self, address: str) -> None:
+        """Wait until it is known whose fault it is that a replica does not answer.
+
+        Raises
+        ------
+        UpstreamUnreachableError
+            If that takes too long; the cause is a `TimeoutError`.
+        """
+        with _convert_timeout(address):
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                await self.dialer.settle(address)
+
     def abort_silent(self, path: DirectPath) -> None:
         """Abort the connections on a lost path that await an answer in vain."""
         if self._connector is not None:
@@ -292,6 +321,15 @@
                     yield response
 
 
+@contextmanager
+def _convert_timeout(address: str) -> Iterator[None]:
+    """Convert the end of a wait for an examination to an error that says that nobody can tell."""
+    try:
+        yield
+    except TimeoutError as error:
+        raise UpstreamUnreachableError(f"whether {address} answers is not known yet") from error
+
+
 @contextmanager
 def _convert_errors(*broken: type[Exception]) -> Iterator[None]:
     """Convert errors of `aiohttp`, and those in `broken`, to upstream errors."""
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -10,7 +10,7 @@
     Replica,
     ServiceAdapter,
 )
-from reachlink.upstreams._chat_engine import REQUEST_HEADER, read_load, touch
+from reachlink.upstreams._chat_engine import LOAD_PATH, REQUEST_HEADER, read_load, touch
 from reachlink.upstreams._http import HttpClient, raise_refusal
 from reachlink.upstreams.exceptions import UpstreamBrokenError
 
@@ -31,6 +31,7 @@
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
+        client.probe_path = LOAD_PATH
 
     async def call(self, replica: Replica, request: CallRequest) -> CallResponse:
         """Dispatch a call at most once and return the complete answer."""
