Give up answers that become overdue after the path to their replica was lost

What callers saw: where links accept connections and are silent, a generation asked for as the cut began got neither an answer nor a refusal until its deadline.

Cause: connections without a byte for 0.25 s were aborted once, as the path was found to be lost. Requests sent in the quarter of a second before that were not overdue then, and later suspicions of a lost path did nothing.

Change: a suspicion of a path that was lost in silence aborts what is overdue on it.

Evidence: the unit test fails without the change (pytest reachlink/reachability/tests/test_dialer.py). pytest reachlink/entry/tests/test_instances_that_reach_no_replica.py did not end in 120 s, 120 s and 100 s in three of four runs without it, in the case [stall] (one request running at a cut instance); with it four of four runs pass, this case in 2.4 s.

Conclusion: mended.

--- a/reachlink/entry/tests/test_instances_that_reach_no_replica.py
+++ b/reachlink/entry/tests/test_instances_that_reach_no_replica.py
@@ -66,7 +66,7 @@
     assert served(here) >= LEAST_SHARE
 
 
-@pytest.mark.parametrize("mode", ["accept_reset"])
+@pytest.mark.parametrize("mode", ["accept_reset", "stall"])
 def test_a_generation_whose_connections_end_on_links_that_accept_is_held_nowhere(run, fleet, mode):
     zone = fleet.scenario.availability_zones[0]
     prompt = f"asked as the links end: {mode}"
--- a/reachlink/reachability/_dialer.py
+++ b/reachlink/reachability/_dialer.py
@@ -130,7 +130,11 @@
         """Examine a path on which answers are overdue."""
         now = steady_time()
         path.dialed_at = now
-        if path.suspected_at is None and not path.is_lost:
+        if path.is_lost:
+            # Requests that were sent shortly before the loss were not overdue then.
+            self._abort_silent(path)
+            return
+        if path.suspected_at is None:
             self._unsettled.setdefault(path.address, asyncio.Event())
         path.suspect(now)
         self._examine(path, self._check_suspected)
--- a/reachlink/reachability/tests/test_dialer.py
+++ b/reachlink/reachability/tests/test_dialer.py
@@ -85,6 +85,19 @@
     with_world(work, echo)
 
 
+def test_answers_that_become_overdue_on_a_lost_path_are_given_up_too():
+    async def work(world: World) -> None:
+        cut = world.instances[0]
+        cut.direct.error = TimeoutError()
+        path = path_of(world, cut)
+        cut.dialer.suspect(path)
+        await until(lambda: path.is_lost)
+        cut.dialer.suspect(path)
+        assert cut.lost == [world.address, world.address]
+
+    with_world(work, echo)
+
+
 async def listen_only(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await reader.read()
 
