Do not give up answers of a busy replica because new connections to it fail

Cause, as far as it is shown: with large tables coming in, replicas are slow to accept connections.

Change: on a lost path, an answer is given up after 1.4 s without a byte from the replica, as a stream with a copy is, in place of 0.25 s. New requests go through peers as before.

On a link that is silent for good, what was sent just before is given up 1.15 s later than before.

--- a/reachlink/reachability/__init__.py
+++ b/reachlink/reachability/__init__.py
@@ -8,6 +8,7 @@
 
 from reachlink.reachability._dialer import Dialer, DirectDialer, RelayingDialer
 from reachlink.reachability._paths import (
+    GIVE_UP_AFTER_S,
     SUSPECT_AFTER_S,
     ConnectFailure,
     DirectPath,
@@ -22,6 +23,7 @@
 from reachlink.reachability.exceptions import NotReachedError, ReachabilityError
 
 __all__ = [
+    "GIVE_UP_AFTER_S",
     "SUSPECT_AFTER_S",
     "ConnectFailure",
     "Dialer",
--- a/reachlink/reachability/_paths.py
+++ b/reachlink/reachability/_paths.py
@@ -21,6 +21,10 @@
 # Time in seconds that an answer is awaited without any byte from its replica before the path is
 # suspected. Twice the usual work of a call; a wrong suspicion costs one connection.
 SUSPECT_AFTER_S = 0.25
+# Time in seconds without any byte from a replica after which answers on a lost path are given up.
+# Longer than a sound replica may be silent: new connections to a busy one can fail while it works
+# on what it has.
+GIVE_UP_AFTER_S = 1.4
 # Time in seconds after a successful probe in which a path is not suspected again.
 TRUST_S = 1.0
 
@@ -112,6 +116,10 @@
         """Return whether nothing was heard for long since a request was sent at `sent_at`."""
         return now - max(self.heard_at, sent_at) >= SUSPECT_AFTER_S
 
+    def is_given_up(self, sent_at: float, now: float) -> bool:
+        """Return whether an answer to a request sent at `sent_at` is given up on a lost path."""
+        return now - max(self.heard_at, sent_at) >= GIVE_UP_AFTER_S
+
     def suspect(self, now: float) -> None:
         """Distrust idle connections: answers are overdue, or ended without a byte."""
         if self.suspected_at is None:
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -137,10 +137,10 @@
         if on_path is not None:
             on_path.pop(connection, None)
 
-    def abort_overdue(self, path: DirectPath, now: float) -> None:
-        """Abort the connections on which nothing was heard for long."""
+    def abort_silent(self, path: DirectPath, now: float) -> None:
+        """Abort the connections on which nothing was heard for longer than sound replicas take."""
         for connection in list(self._connections.get(path.address, ())):
-            if path.is_overdue(connection.sent_at, now):
+            if path.is_given_up(connection.sent_at, now):
                 connection.fail("the path to the replica is lost")
 
     def _look_later(self, path: DirectPath) -> None:
@@ -216,7 +216,7 @@
 
     def abort_silent(self, path: DirectPath) -> None:
         """Abort the connections on a lost path that await an answer in vain."""
-        self._awaited.abort_overdue(path, steady_time())
+        self._awaited.abort_silent(path, steady_time())
 
     async def _create_connection(
         self, req: aiohttp.ClientRequest, traces: list[Any], timeout: aiohttp.ClientTimeout
