Do not cut a stream because one connection to the replica with its copy is slow

Replicas are slow to accept connections there, and one attempt decided about the stream, although nothing had been sent.

Change: where it is the only copy, a connection that is not made is tried again for 1.5 s.

Evidence: pytest reachlink/requests/tests/test_silent_replicas.py: the new test fails before (StreamCutError: no_copy_left), 5 passed now; reachlink/requests: 262 passed.

--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -34,6 +34,11 @@
 # Time in seconds for which bytes are read that arrived while this process stood still: the event
 # loop runs the timers that are due before it reads.
 ARRIVED_READ_S = 0.05
+# Time in seconds for which connections to the only replica with a copy are tried: a busy replica may
+# be slow to accept one, and nothing has been sent.
+COPY_CONNECT_S = 1.5
+# Pause between two of these attempts in seconds.
+COPY_CONNECT_PAUSE_S = 0.05
 # Time in seconds from which on a write counts as delayed by the caller. A caller that reads slowly
 # determines itself when the next events are read.
 SLOW_WRITE_S = 0.005
@@ -156,7 +161,8 @@
             if not await self._dispatcher.wait_for_permit(self._request, target):
                 self._log_continuation_failed(target, "held back")
                 continue
-            answer = await self._continue_at(target, memory)
+            connect_s = COPY_CONNECT_S if len(options) == 1 else 0.0
+            answer = await self._continue_at(target, memory, connect_s)
             if answer is None:
                 continue
             try:
@@ -165,7 +171,9 @@
                 answer.close()
         raise StreamCutError("no_copy_left")
 
-    async def _continue_at(self, target: Replica, memory: MovedMemory) -> RelayAnswer | None:
+    async def _continue_at(
+        self, target: Replica, memory: MovedMemory, connect_s: float
+    ) -> RelayAnswer | None:
         """Ask a replica to resume the generation; return None if it cannot."""
         lost = await self._replicas.move_to(target)
         self._moves += 1
@@ -181,7 +189,8 @@
             after_event=self._merger.last_event_number,
         )
         try:
-            answer = await self._open(target, Continuation(self._merger.last_event_number, memory))
+            continuation = Continuation(self._merger.last_event_number, memory)
+            answer = await self._open_copy(target, continuation, connect_s)
         except UpstreamError as error:
             self._log_continuation_failed(target, str(error))
             return None
@@ -191,6 +200,19 @@
             return None
         return answer
 
+    async def _open_copy(
+        self, target: Replica, continuation: Continuation, connect_s: float
+    ) -> RelayAnswer:
+        """Open a continuation; try again while no connection is made, for some time."""
+        ends_at = self._dispatcher.now() + connect_s
+        while True:
+            try:
+                return await self._open(target, continuation)
+            except UpstreamUnreachableError:
+                if self._dispatcher.now() >= ends_at:
+                    raise
+            await asyncio.sleep(COPY_CONNECT_PAUSE_S)
+
     def _log_continuation_failed(self, target: Replica, reason: str) -> None:
         self._dispatcher.log.warning(
             "continuation_failed",
--- a/reachlink/requests/tests/test_silent_replicas.py
+++ b/reachlink/requests/tests/test_silent_replicas.py
@@ -10,7 +10,7 @@
 from reachlink.requests.tests.world import FakeAnswer, answering, stream
 from reachlink.routing import RequestKind
 from reachlink.testing import run_virtually
-from reachlink.upstreams import AnswerHead
+from reachlink.upstreams import AnswerHead, UpstreamUnreachableError
 
 # For how long a sound replica may be silent, in seconds.
 SILENT_S = 1.2
@@ -85,3 +85,19 @@
     sink, took_s = run_virtually(scenario())
     assert sink.body == stream(1, 8) and sink.ended
     assert took_s < 0.9 + CALLERS_LEAVE_AFTER_S
+
+
+def test_a_stream_is_not_cut_because_a_connection_to_the_replica_with_its_copy_is_slow():
+    refusals = [UpstreamUnreachableError("TimeoutError")] * 3
+
+    async def script(sent):
+        if sent.continuation is None:
+            return await answering(200, stream(1, 3), 0.9, stream(4, 5), 30.0)(sent)
+        if refusals:
+            raise refusals.pop()
+        return await answering(200, stream(6, 8))(sent)
+
+    setup = virtual_time_world("a a", "m", script=script)
+    setup.adapter.move_result = MOVED
+    sink = run_virtually(setup.run(RequestKind.STREAM))
+    assert sink.body == stream(1, 8) and sink.ended
