--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -34,8 +34,8 @@
 # Time in seconds for which bytes are read that arrived while this process stood still: the event
 # loop runs the timers that are due before it reads.
 ARRIVED_READ_S = 0.05
-# Time in seconds for which connections to the only replica with a copy are tried: a busy replica may
-# be slow to accept one, and nothing has been sent.
+# Time in seconds for which connections to the only replica with a copy are tried: a busy replica
+# may be slow to accept one, and nothing has been sent.
 COPY_CONNECT_S = 1.5
 # Pause between two of these attempts in seconds.
 COPY_CONNECT_PAUSE_S = 0.05
