Name the prompt parts and the model of requests that broke off in the logs

Cause: run_broken named the fingerprint of the whole request only, so that the logs could not show whether requests under which replicas crashed share a part of their prompts.

Change: each border computes keyed digests of the prompt's parts and of the model beside the fingerprint (RequestFeatures): the parts that the header names, or the messages of a chat and the beginning of a prompt at several lengths. Nothing of the text is kept; 16 parts at the most. run_broken logs them. Nothing decides by them yet.

Checked: pytest reachlink/quarantine reachlink/requests reachlink/upstreams and the callers' border: passed; mypy, ruff clean.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -109,7 +109,9 @@
             If it cannot be delivered whole.
         """
         try:
-            async with self._node.guard.watched(self._job.request.fingerprint, self._given_nothing):
+            async with self._node.guard.watched(
+                self._job.request.features.fingerprint, self._given_nothing
+            ):
                 await self._run_attempts()
         except HeldRequestError as error:
             self._drop(self._delivery.generation)
@@ -174,9 +176,9 @@
         """Place and dispatch; None where the request did not run and may try again."""
         job, guard = self._job, self._node.guard
         # At once, before it waits for room, and again when it has got some.
-        guard.check(job.request.fingerprint, job.request_id)
+        guard.check(job.request.features.fingerprint, job.request_id)
         replica = await self._place()
-        await guard.admit(job.request.fingerprint, job.request_id)
+        await guard.admit(job.request.features.fingerprint, job.request_id)
         if not self._earned_retries:
             self._earned_retries = True
             self._node.budget(job.service.upstream).on_first_attempt(job.policy.retry_share)
@@ -221,7 +223,7 @@
         """Have it found out whether the replica ended, or only the connection."""
         request, now = self._job.request, steady_time()
         begun = self._delivery.next_offset > self._offset_when_sent
-        run = BrokenRun(request.request_id, request.fingerprint, replica, self._sent_at, now, begun)
+        run = BrokenRun(request.request_id, request.features, replica, self._sent_at, now, begun)
         self._node.guard.on_broken(run)
 
     async def _bind(self, generation: str) -> None:
@@ -412,7 +414,7 @@
     def _succeed(self) -> None:
         assert self._replica is not None
         self._node.ledger.replica(self._replica.name).health.on_success(steady_time())
-        self._node.guard.on_answer(self._job.request.fingerprint)
+        self._node.guard.on_answer(self._job.request.features.fingerprint)
         self._release(ended=True)
 
     def _cancel_later(self, generation: str) -> None:
--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -25,6 +25,7 @@
 )
 from reachlink.entry._jobs import AnswerJob
 from reachlink.entry._node import EntryNode
+from reachlink.entry._prompt_parts import prompt_parts
 from reachlink.entry._sinks import BufferSink, StreamSink
 from reachlink.entry._unforeseen import unforeseen_error
 from reachlink.entry.exceptions import RequestError
@@ -32,7 +33,12 @@
 from reachlink.lengths import LengthKey
 from reachlink.placement import MemoryProfile, PlacementRequest
 from reachlink.settings import ServiceInfo, ServiceKind, ServicePolicy
-from reachlink.upstreams import GenerationRequest, digest_prompt
+from reachlink.upstreams import (
+    GenerationRequest,
+    PromptDigest,
+    RequestFeatures,
+    digest_prompt,
+)
 
 EVENT_ID_HEADER = "Last-Event-ID"
 REPEATABLE_HEADER = "Reachlink-Repeatable"
@@ -153,12 +159,24 @@
                 request["request_id"],
                 request.path,
                 upstream_body(raw, body.model, policy.priority),
-                node.fingerprinter.fingerprint(workspace, "POST", request.path, raw),
+                self._features(request, workspace, raw, body, digest),
             ),
             repeatable=repeatable,
             buffered=not body.stream,
         )
 
+    def _features(
+        self,
+        request: web.Request,
+        workspace: str,
+        raw: bytes,
+        body: GenerationBody,
+        digest: PromptDigest,
+    ) -> RequestFeatures:
+        maker = self._node.fingerprinter
+        fingerprint = maker.fingerprint(workspace, "POST", request.path, raw)
+        return maker.features(fingerprint, body.model, prompt_parts(body, digest.blocks))
+
     async def _run(
         self,
         request: web.Request,
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -30,6 +30,7 @@
     CallRequest,
     CallResponse,
     Replica,
+    RequestFeatures,
     ServiceAdapter,
     UpstreamBrokenError,
     UpstreamHeldBackError,
@@ -117,8 +118,9 @@
         fingerprint = self._node.fingerprinter.fingerprint(
             workspace, request.method, request.path_qs, body
         )
+        features = RequestFeatures(fingerprint)
         call = CallRequest(
-            request["request_id"], request.method, request.path_qs, headers, body, fingerprint
+            request["request_id"], request.method, request.path_qs, headers, body, features
         )
         attempts = _Attempts()
         outcome = Outcome.UNKNOWN
@@ -174,7 +176,7 @@
             earlier, attempts.may_have_run = attempts.may_have_run, True
             try:
                 answer = await self._attempt(service, replica, call)
-                node.guard.on_answer(call.fingerprint)
+                node.guard.on_answer(call.features.fingerprint)
                 return answer
             except HeldRequestError as error:
                 raise held_request(error) from error
@@ -207,8 +209,11 @@
         flight = node.ledger.place(LengthKey(service.name), replica.name, 0)
         sent_at = steady_time()
         try:
-            await node.guard.admit(call.fingerprint, call.request_id)
-            async with node.guard.watched(call.fingerprint), asyncio.timeout(CALL_TIMEOUT_S):
+            await node.guard.admit(call.features.fingerprint, call.request_id)
+            async with (
+                node.guard.watched(call.features.fingerprint),
+                asyncio.timeout(CALL_TIMEOUT_S),
+            ):
                 node.client.pacing.note_sent(replica.address, steady_time())
                 answer = await adapter.call(replica, call)
             health.on_success(steady_time())
@@ -227,7 +232,7 @@
             now = steady_time()
             health.on_failure(now, node.random)
             node.guard.on_broken(
-                BrokenRun(call.request_id, call.fingerprint, replica, sent_at, now, begun=False)
+                BrokenRun(call.request_id, call.features, replica, sent_at, now, begun=False)
             )
             raise
         finally:
--- a/reachlink/quarantine/_crash_watch.py
+++ b/reachlink/quarantine/_crash_watch.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from reachlink.kernel import steady_time
-from reachlink.quarantine._fingerprint import fingerprint_text
+from reachlink.quarantine._fingerprint import fingerprint_list, fingerprint_text
 from reachlink.telemetry import get_logger
-from reachlink.upstreams import Liveness, Replica, probe_repeatedly
+from reachlink.upstreams import Liveness, Replica, RequestFeatures, probe_repeatedly
 
 # Time in seconds after the end of a connection during which a restart of its replica
 # counts as a crash. It is longer than a replica takes to come back after a crash: an
@@ -27,8 +27,8 @@
     ----------
     request_id : str
         Id of the request.
-    fingerprint : int
-        Fingerprint of the request, shared by its repetitions.
+    features : RequestFeatures
+        Digests of the request and of what it shares with others.
     replica : Replica
         Replica to which the request was sent.
     sent_at, broken_at : float
@@ -39,7 +39,7 @@
     """
 
     request_id: str
-    fingerprint: int
+    features: RequestFeatures
     replica: Replica
     sent_at: float
     broken_at: float
@@ -83,9 +83,9 @@
     def on_broken(self, run: BrokenRun) -> None:
         """Check in the background whether the replica of a broken run has crashed."""
         task = asyncio.create_task(self._check(run))
-        tasks = self._running_checks.setdefault(run.fingerprint, set())
+        tasks = self._running_checks.setdefault(run.features.fingerprint, set())
         tasks.add(task)
-        task.add_done_callback(lambda done: self._end(run.fingerprint, done))
+        task.add_done_callback(lambda done: self._end(run.features.fingerprint, done))
 
     async def settle(self, fingerprint: int, timeout_s: float) -> None:
         """Wait until the running checks of a request end, up to a timeout.
@@ -112,7 +112,9 @@
         self._log.info(
             "run_broken",
             request_id=run.request_id,
-            fingerprint=fingerprint_text(run.fingerprint),
+            fingerprint=fingerprint_text(run.features.fingerprint),
+            parts=fingerprint_list(run.features.parts),
+            model=fingerprint_text(run.features.model),
             replica=run.replica.name,
             replica_is=found.value,
             begun=run.begun,
--- a/reachlink/quarantine/_fingerprint.py
+++ b/reachlink/quarantine/_fingerprint.py
@@ -1,12 +1,21 @@
 """Fingerprints that identify repeated requests at all instances; does no I/O."""
 
 import hashlib
+from collections.abc import Sequence
+
+from reachlink.upstreams import RequestFeatures
 
 # Length of a fingerprint in bytes. With 64 bits, the probability that any two of a million
 # concurrent requests have the same fingerprint is 1 in 37 million (birthday bound).
 DIGEST_BYTES = 8
 # Maximum key length of BLAKE2b, in bytes (RFC 7693).
 MAX_KEY_BYTES = 64
+# Maximum number of prompt parts kept of a request. Of longer prompts, the first and the last parts
+# are kept: the former are shared most, and each part of a conversation was once among the latter.
+MAX_PARTS = 16
+# Kinds of digests, so that a part and a model of the same name differ.
+_PART = b"part"
+_MODEL = b"model"
 
 
 class Fingerprinter:
@@ -56,6 +65,29 @@
         digest.update(body)
         return int.from_bytes(digest.digest(), "big")
 
+    def features(self, fingerprint: int, model: str, parts: Sequence[str]) -> RequestFeatures:
+        """Return the features of a request.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Fingerprint of the request.
+        model : str
+            Name of the model; empty if there is none.
+        parts : sequence of str
+            Parts of the prompt in order, as names or as texts.
+        """
+        half = MAX_PARTS // 2
+        kept = parts if len(parts) <= MAX_PARTS else [*parts[:half], *parts[-half:]]
+        part_digests = tuple(self._digest(_PART, part) for part in kept)
+        model_digest = self._digest(_MODEL, model) if model else 0
+        return RequestFeatures(fingerprint, part_digests, model_digest)
+
+    def _digest(self, kind: bytes, text: str) -> int:
+        raw = text.encode()
+        digest = hashlib.blake2b(raw, digest_size=DIGEST_BYTES, key=self._key, person=kind)
+        return int.from_bytes(digest.digest(), "big")
+
 
 def fingerprint_of(text: str) -> int:
     """Parse a fingerprint from its hexadecimal form.
@@ -79,3 +111,8 @@
     '00000000000000ff'
     """
     return f"{fingerprint:016x}"
+
+
+def fingerprint_list(fingerprints: Sequence[int]) -> str:
+    """Return fingerprints in hexadecimal form, separated by commas."""
+    return ",".join(fingerprint_text(fingerprint) for fingerprint in fingerprints)
--- a/reachlink/quarantine/_guard.py
+++ b/reachlink/quarantine/_guard.py
@@ -148,7 +148,7 @@
 
     def _on_crash(self, run: BrokenRun) -> None:
         self._quarantine.note_crash(
-            run.fingerprint,
+            run.features.fingerprint,
             run.replica.name,
             run.sent_at,
             run.broken_at,
--- a/reachlink/quarantine/tests/test_guard.py
+++ b/reachlink/quarantine/tests/test_guard.py
@@ -6,7 +6,12 @@
 import pytest
 
 from reachlink.quarantine import BrokenRun, CrashGuard, HeldRequestError, Quarantine
-from reachlink.upstreams import Replica, UpstreamBrokenError, UpstreamUnreachableError
+from reachlink.upstreams import (
+    Replica,
+    RequestFeatures,
+    UpstreamBrokenError,
+    UpstreamUnreachableError,
+)
 
 REPLICA = Replica("r1", "chat", "a", "r1:1")
 GUILTY = 1
@@ -33,7 +38,9 @@
 
 def broken(number: int = 0) -> BrokenRun:
     at = float(number)
-    return BrokenRun(f"id-{number}", GUILTY, REPLICA, at + 0.8, at + 0.9, begun=False)
+    return BrokenRun(
+        f"id-{number}", RequestFeatures(GUILTY), REPLICA, at + 0.8, at + 0.9, begun=False
+    )
 
 
 def count_crashes(port: Port, runs: int = 1) -> int:
--- a/reachlink/requests/_outcome_recorder.py
+++ b/reachlink/requests/_outcome_recorder.py
@@ -35,12 +35,12 @@
     def record_success(self, request: CallerRequest, replica: Replica) -> None:
         """Record that a replica delivered its answer."""
         self._record_outcome(ReplicaOutcome(replica.name, succeeded=True))
-        self._guard.on_answer(request.relay.fingerprint)
+        self._guard.on_answer(request.relay.features.fingerprint)
 
     def record_failed_answer(self, request: CallerRequest, replica: Replica) -> None:
         """Record that a replica answered with a server error."""
         self._record_outcome(ReplicaOutcome(replica.name, succeeded=False))
-        self._guard.on_answer(request.relay.fingerprint)
+        self._guard.on_answer(request.relay.features.fingerprint)
 
     def record_no_answer(self, replica: Replica) -> None:
         """Record that a replica gave no answer, or not a genuine one."""
@@ -71,7 +71,7 @@
         self.record_no_answer(replica)
         run = BrokenRun(
             request.request_id,
-            request.relay.fingerprint,
+            request.relay.features,
             replica,
             sent_at,
             self._parts.clock(),
--- a/reachlink/requests/_placer.py
+++ b/reachlink/requests/_placer.py
@@ -153,7 +153,7 @@
             avoid_resuming=avoid_resuming,
             zones=_sorted_zones(request.zones),
             need=need_of(request, self._parts.clock()),
-            fingerprint=request.relay.fingerprint,
+            fingerprint=request.relay.features.fingerprint,
         )
 
     async def place_copy(
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -108,7 +108,7 @@
             async with scope:
                 self._running[scope] = request
                 # A held request is refused at once, before it waits for a replica.
-                self._dispatcher.guard.check(request.relay.fingerprint, request.request_id)
+                self._dispatcher.guard.check(request.relay.features.fingerprint, request.request_id)
                 if request.route.kind is RequestKind.STREAM:
                     return await self._streams.run(request, sink)
                 return await self._whole.run(request)
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -107,7 +107,7 @@
             Why it did not start at the replica, or the replica's answer if that is no stream.
         """
         copy_task = asyncio.create_task(self._replicas.maintain_copies())
-        fingerprint = self._request.relay.fingerprint
+        fingerprint = self._request.relay.features.fingerprint
         try:
             await self._replicas.begin(replica)
             async with self._dispatcher.guard.watched(fingerprint, self._has_sent_no_event):
--- a/reachlink/requests/_waiting_placer.py
+++ b/reachlink/requests/_waiting_placer.py
@@ -127,7 +127,7 @@
         self._log.info(
             "generation_placed",
             request_id=request.request_id,
-            fingerprint=fingerprint_text(request.relay.fingerprint),
+            fingerprint=fingerprint_text(request.relay.features.fingerprint),
             replica=replica.name,
             near=self._placer.reachable.is_near(replica),
             need_tokens=need_tokens(request),
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -75,7 +75,7 @@
 
         `previous_bytes` is the size of the answer of an earlier attempt that is still buffered.
         """
-        fingerprint = request.relay.fingerprint
+        fingerprint = request.relay.features.fingerprint
         may_retry = attempts.may_repeat and attempts.sent + 1 < attempts.max_attempts
         timeout_s = request.route.objective_s * SLOW_REPLICA_OBJECTIVES if may_retry else None
         sent_at = self._dispatcher.now()
--- a/reachlink/requests/tests/test_refused.py
+++ b/reachlink/requests/tests/test_refused.py
@@ -9,6 +9,7 @@
 from reachlink.requests.tests.world import OK, FakeSink, world, world_with_script
 from reachlink.routing import RequestKind
 from reachlink.scheduling import RefusalReason, Refuse
+from reachlink.upstreams import RequestFeatures
 
 
 def failure_of(setup, kind, refusal: Refuse | None) -> RequestFailedError:
@@ -44,5 +45,5 @@
 def test_a_placement_query_has_the_fingerprint_of_the_request():
     setup = world_with_script(script=OK)
     request = setup.request(RequestKind.ONCE)
-    request.relay.fingerprint = 77
+    request.relay.features = RequestFeatures(77)
     assert setup.runner.placer.query(request, set()).fingerprint == 77
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -30,6 +30,7 @@
     RelayAnswer,
     RelayRequest,
     Replica,
+    RequestFeatures,
     UpstreamBrokenError,
     UpstreamUnreachableError,
 )
@@ -288,7 +289,7 @@
         **route: object,
     ) -> FakeSink:
         request = self.request(kind, output_tokens, expected_tokens)
-        request.relay.fingerprint = fingerprint
+        request.relay.features = RequestFeatures(fingerprint)
         request.route = replace(request.route, **route)  # type: ignore[arg-type]
         sink = FakeSink()
         await self.runner.run(request, sink)
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -19,6 +19,7 @@
     TokenStream,
 )
 from reachlink.upstreams._events import EventSplitter, StreamEvent
+from reachlink.upstreams._features import RequestFeatures
 from reachlink.upstreams._http import HttpClient
 from reachlink.upstreams._liveness import Liveness, probe, probe_repeatedly
 from reachlink.upstreams._loads import LoadDecoder
@@ -67,6 +68,7 @@
     "RelayAdapter",
     "RelayAnswer",
     "RelayRequest",
+    "RequestFeatures",
     "EventSplitter",
     "StreamEvent",
     "ADAPTERS",
--- a/reachlink/upstreams/_base.py
+++ b/reachlink/upstreams/_base.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from reachlink.kernel import Registry
+from reachlink.upstreams._features import RequestFeatures
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,14 +37,12 @@
     """A request for a generation, ready for dispatch.
 
     ``body`` is the caller's JSON body with the fields that reachlink sets.
-    ``fingerprint`` is equal for requests that differ only in their identifiers; 0 if
-    there is none.
     """
 
     request_id: str
     path: str
     body: bytes
-    fingerprint: int = 0
+    features: RequestFeatures = RequestFeatures()
 
 
 class TokenEvent(msgspec.Struct, frozen=True, gc=False):
@@ -161,14 +160,14 @@
 
 @dataclass(slots=True, frozen=True)
 class CallRequest:
-    """A call to a plain service; ``fingerprint`` as in `GenerationRequest`."""
+    """A call to a plain service."""
 
     request_id: str
     method: str
     path: str
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
-    fingerprint: int = 0
+    features: RequestFeatures = RequestFeatures()
 
 
 @dataclass(slots=True, frozen=True)
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -7,6 +7,7 @@
 
 from reachlink.kernel import Registry
 from reachlink.upstreams._base import LoadReport, LoadSample, Replica
+from reachlink.upstreams._features import RequestFeatures
 
 Headers = list[tuple[str, str]]
 """Header fields in order of arrival; a name may occur more than once."""
@@ -116,8 +117,8 @@
         Priority; 0 is the most urgent.
     generation : GenerationFacts, optional
         Parameters of the generation; None for requests to plain services.
-    fingerprint : int
-        Equal for requests that differ only in their identifiers; 0 if there is none.
+    features : RequestFeatures
+        Digests of the request and of what it shares with others.
     admitted : bool
         Whether the request already has a permit, for replicas that advertise a rate limit.
     """
@@ -130,7 +131,7 @@
     workspace: str = ""
     priority: int = 5
     generation: GenerationFacts | None = None
-    fingerprint: int = 0
+    features: RequestFeatures = RequestFeatures()
     admitted: bool = False
 
 
