--- a/reachlink/entry/tests/test_crashing_requests.py
+++ b/reachlink/entry/tests/test_crashing_requests.py
@@ -25,11 +25,15 @@
 
 
 async def ask(fleet: Fleet, entry: str, prompt: str) -> tuple[int, str]:
+    return await ask_body(fleet, entry, body(prompt))
+
+
+async def ask_body(fleet: Fleet, entry: str, document: dict) -> tuple[int, str]:
     """Return the status and error code of an answer; 0 where there was none."""
     url = f"http://{fleet.plan(entry).address}/v1/chat/completions"
     headers = fleet.workspace_headers("borettslag-nord")
     try:
-        async with fleet.session.post(url, json=body(prompt), headers=headers) as response:
+        async with fleet.session.post(url, json=document, headers=headers) as response:
             answer = await response.json()
             return response.status, answer.get("error", {}).get("code", "")
     except aiohttp.ClientError:
