--- a/reachlink/cli/_logs.py
+++ b/reachlink/cli/_logs.py
@@ -34,10 +34,10 @@
 
 @reporting
 def trace(request_id: str, *files: Path) -> None:
-    """Show every line about a request, the replicas that it used, and what is the same request.
+    """Show every line about a request, the replicas that it used, and what holds it.
 
-    A request that is held was sent to no replica: what held it are the crashes under
-    others with its fingerprint.
+    A request that is held was sent to no replica: what holds it are the crashes under others
+    with its fingerprint or with parts of its prompt.
 
     Parameters
     ----------
@@ -58,12 +58,18 @@
 def _is_about(record: LogRecord, own: list[LogRecord]) -> bool:
     """Return whether a line is about what a request used, or about the same request."""
     replicas = {r.fields.get("replica", "") for r in own} - {""}
-    held = {r.fields.get("fingerprint", "") for r in own if r.event in _ABOUT_CRASHES} - {""}
-    if record.event in _ABOUT_CRASHES and record.fields.get("fingerprint") in held:
+    held_by = set().union(*(_digests(r) for r in own if r.event in _ABOUT_CRASHES))
+    if record.event in _ABOUT_CRASHES and held_by & _digests(record):
         return True
     return not record.request_id and record.fields.get("replica") in replicas
 
 
+def _digests(record: LogRecord) -> set[str]:
+    """Return the digests of requests, their parts and verdicts that a line names."""
+    names = ("fingerprint", "held_by", "parts", "digests")
+    return {d for name in names for d in record.fields.get(name, "").split(",")} - {""}
+
+
 def _records(files: tuple[Path, ...]) -> Iterator[LogRecord]:
     for path in files:
         try:
--- a/reachlink/cli/tests/test_logs.py
+++ b/reachlink/cli/tests/test_logs.py
@@ -94,3 +94,20 @@
     events = [text.split("event=")[1].split()[0] for text in lines]
     assert events == ["run_broken", "quarantine_begun", "request_held"]
     assert other not in "".join(lines)
+
+
+def test_a_trace_of_a_held_request_shows_the_crashes_under_others_with_its_part(tmp_path, capsys):
+    logs = tmp_path / "e1.log"
+    part, other = "00000000000000ff", "00000000000000ee"
+    lines = [
+        line("run_broken", 5, request_id="x", fingerprint="1", parts=f"{part},2", replica="r1"),
+        line("run_broken", 5, request_id="y", fingerprint="3", parts=other, replica="r1"),
+        line("quarantine_begun", 6, fingerprint=part, digests=part, replicas="r1,r2,r3"),
+        line("request_held", 7, request_id="a", fingerprint="4", held_by=part, crashes=3),
+    ]
+    logs.write_text("\n".join(lines))
+    call("trace", "a", str(logs))
+    shown = capsys.readouterr().out.splitlines()
+    events = [text.split("event=")[1].split()[0] for text in shown]
+    assert events == ["run_broken", "quarantine_begun", "request_held"]
+    assert other not in "".join(shown)
--- a/reachlink/control/_held_requests.py
+++ b/reachlink/control/_held_requests.py
@@ -100,4 +100,7 @@
         replicas=[crash.replica for crash in verdict.crashes],
         first_crash_s_ago=round(now - verdict.first_at, 3),
         last_crash_s_ago=round(now - verdict.last_at, 3),
+        whole=verdict.whole,
+        digests=[fingerprint_text(digest) for digest in sorted(verdict.digests)],
+        positions=list(verdict.positions),
     )
--- a/reachlink/control/_protocol.py
+++ b/reachlink/control/_protocol.py
@@ -185,13 +185,34 @@
 
 
 class HeldStatus(msgspec.Struct, frozen=True):
-    """A request that is held, and why; times in seconds."""
+    """What is held, and why; times in seconds.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Identifies the verdict; named to release it.
+    crashes : int
+        Number of crashes that it explains.
+    replicas : list of str
+        Replicas that crashed.
+    first_crash_s_ago, last_crash_s_ago : float
+        Ages of the first and the last crash.
+    whole : bool
+        Whether one whole request is held, rather than all that share parts of a prompt.
+    digests : list of str
+        Digests that a held request has, all of them.
+    positions : list of int
+        Positions of the parts in the prompt under which the last replica crashed, from 1.
+    """
 
     fingerprint: str
     crashes: int
     replicas: list[str]
     first_crash_s_ago: float
     last_crash_s_ago: float
+    whole: bool = True
+    digests: list[str] = []
+    positions: list[int] = []
 
 
 class QuarantineAnswer(msgspec.Struct, tag="quarantined", frozen=True):
--- a/reachlink/control/tests/test_held_requests.py
+++ b/reachlink/control/tests/test_held_requests.py
@@ -10,6 +10,7 @@
 from reachlink.membership import InstanceRecord
 from reachlink.messaging import CallTimeoutError, encode
 from reachlink.quarantine import CHANNEL_QUARANTINE, Quarantine
+from reachlink.upstreams import RequestFeatures
 
 ENTRIES = [InstanceRecord(name, f"{name}:1", "a") for name in ("e1", "e2")]
 
@@ -26,7 +27,7 @@
         self.silent = silent
         self.quarantine = Quarantine(Random(1))
         for at in (1.0, 2.0, 3.0):
-            self.quarantine.note_crash(255, f"r{at:.0f}", at - 0.1, at, False, at)
+            self.quarantine.note_crash(RequestFeatures(255), f"r{at:.0f}", at - 0.1, at, False, at)
 
     async def call(self, address: str, channel: str, body: bytes, timeout_s: float) -> bytes:
         if address in self.silent:
--- a/reachlink/coordination/_quarantine_exchange.py
+++ b/reachlink/coordination/_quarantine_exchange.py
@@ -179,8 +179,7 @@
     async def _on_release(self, sender: str, body: bytes) -> bytes:
         """Release a request; the others receive the release as they do any clearance."""
         order = decode(body, ReleaseOrder)
-        was_held = self._quarantine.verdict(order.fingerprint, self._clock()) is not None
-        self._quarantine.clear(order.fingerprint, self._clock())
+        was_held = self._quarantine.release(order.fingerprint, self._clock())
         self._log.info(
             "request_released",
             fingerprint=fingerprint_text(order.fingerprint),
--- a/reachlink/coordination/tests/test_quarantine_exchange.py
+++ b/reachlink/coordination/tests/test_quarantine_exchange.py
@@ -10,8 +10,9 @@
 from reachlink.coordination.tests.world import Instance, Network
 from reachlink.messaging import decode, encode
 from reachlink.quarantine import QuarantineNote
+from reachlink.upstreams import RequestFeatures
 
-GUILTY = 7
+GUILTY = RequestFeatures(7)
 
 
 def crash(instance: Instance, number: int) -> None:
--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -29,7 +29,7 @@
 from reachlink.kernel import steady_time
 from reachlink.limits import backoff_s
 from reachlink.membership import LeavingSource
-from reachlink.quarantine import BrokenRun, HeldRequestError
+from reachlink.quarantine import EARLY_CRASH_S, BrokenRun, HeldRequestError
 from reachlink.upstreams import (
     EngineAdapter,
     GenerationUnknownError,
@@ -75,10 +75,12 @@
         self._delivery = Delivery(job.request_id, job.repeatable, job.buffered)
         self._replica: Replica | None = None
         self._rhythm = StallDetector()
-        # When the request was sent to its present replica, in monotonic seconds, and how
-        # many tokens had come by then.
+        # When the request was sent to its present replica, and when its first token arrived from
+        # there, in monotonic seconds; None before.
         self._sent_at = 0.0
-        self._offset_when_sent = 0
+        self._begun_at: float | None = None
+        # Whether the answer of the present replica was recorded as making progress.
+        self._progress_recorded = False
         # Attempts so far, the present one included, and whether the first was counted.
         self._attempt = 1
         self._earned_retries = False
@@ -109,13 +111,11 @@
             If it cannot be delivered whole.
         """
         try:
-            async with self._node.guard.watched(
-                self._job.request.features.fingerprint, self._given_nothing
-            ):
+            async with self._node.guard.watched(self._job.request.features, self._given_nothing):
                 await self._run_attempts()
         except HeldRequestError as error:
             self._drop(self._delivery.generation)
-            raise held_request(error) from error
+            raise held_request(error, self._may_have_run) from error
         except RequestError as error:
             if self._may_have_run:
                 raise after_dispatch(error) from error
@@ -176,15 +176,16 @@
         """Place and dispatch; None where the request did not run and may try again."""
         job, guard = self._job, self._node.guard
         # At once, before it waits for room, and again when it has got some.
-        guard.check(job.request.features.fingerprint, job.request_id)
+        guard.check(job.request.features, job.request_id)
         replica = await self._place()
-        await guard.admit(job.request.features.fingerprint, job.request_id)
+        await guard.admit(job.request.features, job.request_id)
         if not self._earned_retries:
             self._earned_retries = True
             self._node.budget(job.service.upstream).on_first_attempt(job.policy.retry_share)
         health = self._node.ledger.replica(replica.name).health
         self._sent_at = steady_time()
-        self._offset_when_sent = self._delivery.next_offset
+        self._begun_at = None
+        self._progress_recorded = False
         self._node.client.pacing.note_sent(replica.address, self._sent_at)
         earlier, self._may_have_run = self._may_have_run, True
         try:
@@ -222,8 +223,9 @@
     def _note_broken(self, replica: Replica) -> None:
         """Have it found out whether the replica ended, or only the connection."""
         request, now = self._job.request, steady_time()
-        begun = self._delivery.next_offset > self._offset_when_sent
-        run = BrokenRun(request.request_id, request.features, replica, self._sent_at, now, begun)
+        run = BrokenRun(
+            request.request_id, request.features, replica, self._sent_at, now, self._begun_at
+        )
         self._node.guard.on_broken(run)
 
     async def _bind(self, generation: str) -> None:
@@ -357,12 +359,22 @@
                 rhythm.on_batch(steady_time())
                 steps = delivery.on_events(events)
                 if steps and type(steps[0]) is Forward:
+                    self._note_begun()
                     watch.pause()
                     await self._forward(steps[0].events)
                     watch.go_on()
                 if steps and type(steps[-1]) is not Forward:
                     return steps
 
+    def _note_begun(self) -> None:
+        """Record when the first token arrives, and once that the answer makes progress."""
+        now = steady_time()
+        if self._begun_at is None:
+            self._begun_at = now
+        if not self._progress_recorded and now - self._begun_at > EARLY_CRASH_S:
+            self._progress_recorded = True
+            self._node.guard.on_progress(self._job.request.features, self._begun_at)
+
     async def _forward(self, events: Sequence[TokenEvent]) -> None:
         delivery, flight = self._delivery, self._job.ticket.flight
         if flight is not None:
@@ -414,7 +426,8 @@
     def _succeed(self) -> None:
         assert self._replica is not None
         self._node.ledger.replica(self._replica.name).health.on_success(steady_time())
-        self._node.guard.on_answer(self._job.request.features.fingerprint)
+        begun_at = self._sent_at if self._begun_at is None else self._begun_at
+        self._node.guard.on_answer(self._job.request.features, begun_at)
         self._release(ended=True)
 
     def _cancel_later(self, generation: str) -> None:
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -175,11 +175,12 @@
                 raise after_dispatch(error) from error
             earlier, attempts.may_have_run = attempts.may_have_run, True
             try:
+                sent_at = steady_time()
                 answer = await self._attempt(service, replica, call)
-                node.guard.on_answer(call.features.fingerprint)
+                node.guard.on_answer(call.features, sent_at)
                 return answer
             except HeldRequestError as error:
-                raise held_request(error) from error
+                raise held_request(error, sent=True) from error
             except UpstreamHeldBackError as error:
                 # It asked for that after it was chosen, or others had the permit: nothing was sent.
                 attempts.may_have_run = earlier
@@ -209,9 +210,9 @@
         flight = node.ledger.place(LengthKey(service.name), replica.name, 0)
         sent_at = steady_time()
         try:
-            await node.guard.admit(call.features.fingerprint, call.request_id)
+            await node.guard.admit(call.features, call.request_id)
             async with (
-                node.guard.watched(call.features.fingerprint),
+                node.guard.watched(call.features),
                 asyncio.timeout(CALL_TIMEOUT_S),
             ):
                 node.client.pacing.note_sent(replica.address, steady_time())
@@ -231,9 +232,7 @@
         except UpstreamBrokenError:
             now = steady_time()
             health.on_failure(now, node.random)
-            node.guard.on_broken(
-                BrokenRun(call.request_id, call.features, replica, sent_at, now, begun=False)
-            )
+            node.guard.on_broken(BrokenRun(call.request_id, call.features, replica, sent_at, now))
             raise
         finally:
             node.ledger.finish(flight, ended=False)
--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -54,8 +54,8 @@
     connect_timeout_s : float
         Longest time to make a connection to a replica, in seconds.
     crashes_to_hold : float
-        Crashes of replicas under one request from which on it is sent to none, where
-        no other request explains them; one whose answer had begun counts half.
+        Crashes of replicas under one request, or one part of prompts, from which on it
+        is sent to none, where nothing else explains them; one late in its answer counts half.
     crashes_kept_s : float
         How long a crash counts, in seconds.
     zone_regions : dict of str to str
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -55,7 +55,7 @@
         )
         self._node.metrics.export_quarantine(
             lambda: len(self._node.quarantine.held(steady_time())),
-            lambda: len(self._node.quarantine.fingerprints),
+            lambda: len(self._node.quarantine.suspects),
         )
         self._platform = PLATFORMS.get(config.platform.adapter)(config.platform.url)
         self._reader = ListReader(
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -125,12 +125,12 @@
         self.size = size
 
 
-def held_request(error: HeldRequestError) -> RequestError:
-    """Return the final answer to a request that replicas crash under.
-
-    Not 503, which asks callers to come back: they would meet the same.
-    """
-    return RequestError(502, HELD, str(error), Outcome.UNKNOWN)
+def held_request(error: HeldRequestError, sent: bool) -> RequestError:
+    """Return the final answer to a held request, which was sent to a replica before or not."""
+    if error.whole or sent:
+        # Not 503, which would promise that the same request, sent before, has not run.
+        return RequestError(502, HELD, error.describe(True), Outcome.UNKNOWN)
+    return RequestError(503, HELD, error.describe(False), Outcome.NOT_RUN, error.ends_in_s)
 
 
 class RequestRefusedError(EntryError):
--- a/reachlink/quarantine/__init__.py
+++ b/reachlink/quarantine/__init__.py
@@ -1,10 +1,11 @@
 """Quarantine of requests that crash replicas.
 
-A request may crash every replica that starts to process it, and may arrive again with
-another request id at any instance. `Fingerprinter` identifies repeated requests,
-`CrashGuard` detects connections that ended because their replica crashed, `Quarantine`
-keeps the crashes that all instances found, and `judge` selects the request to blame among
-those that were at the crashed replicas.
+A request, or one part of its prompt that others share, may crash every replica that starts
+to process it, and may arrive again with another request id at any instance. `Fingerprinter`
+identifies repeated requests and parts, `CrashGuard` detects connections that ended because
+their replica crashed, `Quarantine` keeps the crashes that all instances found and the sound
+answers that speak against them, and `judge` selects what to blame among the requests that
+were at the crashed replicas.
 """
 
 from reachlink.quarantine._crash_watch import BrokenRun, CrashWatch, Probe
@@ -15,8 +16,9 @@
 )
 from reachlink.quarantine._guard import CrashGuard
 from reachlink.quarantine._judging import (
-    BEGUN_WEIGHT,
     CRASHES_TO_HOLD,
+    EARLY_CRASH_S,
+    LATE_WEIGHT,
     Crash,
     Involvement,
     Verdict,
@@ -35,12 +37,13 @@
 from reachlink.quarantine.exceptions import HELD, HeldRequestError, QuarantineError
 
 __all__ = [
-    "BEGUN_WEIGHT",
     "CHANNEL_QUARANTINE",
     "CHANNEL_RELEASE",
     "CRASHES_TO_HOLD",
     "HELD",
     "CRASH_RETENTION_S",
+    "EARLY_CRASH_S",
+    "LATE_WEIGHT",
     "MAX_KEPT",
     "NOTE_REPEAT_S",
     "BrokenRun",
--- a/reachlink/quarantine/_crash_watch.py
+++ b/reachlink/quarantine/_crash_watch.py
@@ -1,12 +1,13 @@
 """Detects whether a replica crashed when a connection to it ended."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from reachlink.kernel import steady_time
 from reachlink.quarantine._fingerprint import fingerprint_list, fingerprint_text
+from reachlink.quarantine._judging import EARLY_CRASH_S
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import Liveness, Replica, RequestFeatures, probe_repeatedly
 
@@ -34,8 +35,8 @@
     sent_at, broken_at : float
         Times at which the request was sent and at which the connection ended; monotonic,
         in seconds.
-    begun : bool
-        Whether a part of the answer had arrived.
+    begun_at : float, optional
+        Time at which the first part of the answer arrived; None if none did.
     """
 
     request_id: str
@@ -43,7 +44,12 @@
     replica: Replica
     sent_at: float
     broken_at: float
-    begun: bool
+    begun_at: float | None = None
+
+    @property
+    def late(self) -> bool:
+        """Whether the answer had been arriving for longer than `EARLY_CRASH_S`."""
+        return self.begun_at is not None and self.broken_at - self.begun_at > EARLY_CRASH_S
 
 
 class CrashWatch:
@@ -72,8 +78,8 @@
         self._probe = probe
         self._on_crash = on_crash
         self._clock = clock
-        # Running checks by fingerprint of the request.
-        self._running_checks: dict[int, set[asyncio.Task[None]]] = {}
+        # Running checks, with the runs that they are about, by digest.
+        self._running_checks: dict[int, dict[asyncio.Task[None], BrokenRun]] = {}
         # Broken runs whose replica answered or was unreachable, by name of the replica.
         self._undecided: dict[str, list[BrokenRun]] = {}
         # Running probes by replica: all runs that ended with one replica share a probe.
@@ -83,29 +89,34 @@
     def on_broken(self, run: BrokenRun) -> None:
         """Check in the background whether the replica of a broken run has crashed."""
         task = asyncio.create_task(self._check(run))
-        tasks = self._running_checks.setdefault(run.features.fingerprint, set())
-        tasks.add(task)
-        task.add_done_callback(lambda done: self._end(run.features.fingerprint, done))
+        for digest in run.features.digests():
+            self._running_checks.setdefault(digest, {})[task] = run
+        task.add_done_callback(lambda done: self._end(run, done))
+
+    def replicas_checked(self, digest: int) -> set[str]:
+        """Return the replicas of the running checks about a digest."""
+        return {run.replica.name for run in self._running_checks.get(digest, {}).values()}
 
-    async def settle(self, fingerprint: int, timeout_s: float) -> None:
-        """Wait until the running checks of a request end, up to a timeout.
+    async def settle(self, digests: Iterable[int], timeout_s: float) -> None:
+        """Wait until the running checks about digests end, up to a timeout.
 
         Parameters
         ----------
-        fingerprint : int
-            Fingerprint of the request.
+        digests : iterable of int
+            Digests of requests or of what they share.
         timeout_s : float
             Maximum wait in seconds.
         """
-        tasks = self._running_checks.get(fingerprint)
+        tasks = {task for digest in digests for task in self._running_checks.get(digest, ())}
         if tasks:
-            await asyncio.wait(set(tasks), timeout=timeout_s)
+            await asyncio.wait(tasks, timeout=timeout_s)
 
-    def _end(self, fingerprint: int, done: asyncio.Task[None]) -> None:
-        tasks = self._running_checks[fingerprint]
-        tasks.discard(done)
-        if not tasks:
-            del self._running_checks[fingerprint]
+    def _end(self, run: BrokenRun, done: asyncio.Task[None]) -> None:
+        for digest in run.features.digests():
+            tasks = self._running_checks[digest]
+            del tasks[done]
+            if not tasks:
+                del self._running_checks[digest]
 
     async def _check(self, run: BrokenRun) -> None:
         found = await self._probe_shared(run.replica)
@@ -113,11 +124,11 @@
             "run_broken",
             request_id=run.request_id,
             fingerprint=fingerprint_text(run.features.fingerprint),
-            parts=fingerprint_list(run.features.parts),
-            model=fingerprint_text(run.features.model),
+            parts=fingerprint_list(run.features.shared_digests()),
             replica=run.replica.name,
             replica_is=found.value,
-            begun=run.begun,
+            begun=run.begun_at is not None,
+            late=run.late,
             ran_ms=round((run.broken_at - run.sent_at) * 1000.0),
             looked_ms=round((self._clock() - run.broken_at) * 1000.0),
         )
--- a/reachlink/quarantine/_fingerprint.py
+++ b/reachlink/quarantine/_fingerprint.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Sequence
 
-from reachlink.upstreams import RequestFeatures
+from reachlink.upstreams import GenerationFacts, RequestFeatures
 
 # Length of a fingerprint in bytes. With 64 bits, the probability that any two of a million
 # concurrent requests have the same fingerprint is 1 in 37 million (birthday bound).
@@ -83,6 +83,15 @@
         model_digest = self._digest(_MODEL, model) if model else 0
         return RequestFeatures(fingerprint, part_digests, model_digest)
 
+    def relayed(
+        self, workspace: str, method: str, target: str, body: bytes, facts: GenerationFacts | None
+    ) -> RequestFeatures:
+        """Return the features of a request that is relayed; `facts` is None for plain services."""
+        fingerprint = self.fingerprint(workspace, method, target, body)
+        if facts is None:
+            return RequestFeatures(fingerprint)
+        return self.features(fingerprint, facts.model, [part.key for part in facts.parts])
+
     def _digest(self, kind: bytes, text: str) -> int:
         raw = text.encode()
         digest = hashlib.blake2b(raw, digest_size=DIGEST_BYTES, key=self._key, person=kind)
--- a/reachlink/quarantine/_judging.py
+++ b/reachlink/quarantine/_judging.py
@@ -1,17 +1,22 @@
-"""Selects the requests to blame among those at crashed replicas; does no I/O."""
+"""Selects what to blame for crashes among the requests at crashed replicas; does no I/O."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-# Weight of the crashes, not explained by another request, at which a request is held.
+from reachlink.upstreams import RequestFeatures
+
+# Weight of the crashes, not explained by anything else, at which requests are held.
 CRASHES_TO_HOLD = 3.0
-# Weight of a crash against a request whose answer had begun; 1 otherwise. A request that
-# crashes replicas usually does so when its processing starts; one that crashes them later
-# is held after six crashes.
-BEGUN_WEIGHT = 0.5
+# Weight of a crash against a request that had been answered for longer than `EARLY_CRASH_S`; 1
+# otherwise. What crashes replicas usually does so when its processing starts; what crashes them
+# later is held after six crashes.
+LATE_WEIGHT = 0.5
+# Longest time in seconds from the first part of an answer to a crash that the start of the answer
+# may have caused.
+EARLY_CRASH_S = 1.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Involvement:
     """A request that was at a replica when it crashed; times are monotonic, in seconds.
 
@@ -19,30 +24,36 @@
     ----------
     note_id : int
         Id of the note that reported the involvement.
-    fingerprint : int
-        Fingerprint of the request.
+    features : RequestFeatures
+        Digests of the request and of what it shares with others.
     replica : str
         Name of the replica.
     sent_at, crashed_at : float
         Times at which the request was sent and at which the replica crashed.
-    begun : bool
-        Whether a part of the answer had arrived.
+    late : bool
+        Whether the answer had been arriving for longer than `EARLY_CRASH_S`.
+    suspects : set of int
+        Digests of the request that no sound answer has cleared of the crash.
     """
 
     note_id: int
-    fingerprint: int
+    features: RequestFeatures
     replica: str
     sent_at: float
     crashed_at: float
-    begun: bool
+    late: bool
+    suspects: set[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.suspects = set(self.features.digests())
 
     @property
     def weight(self) -> float:
         """Weight of the crash against the request."""
-        return BEGUN_WEIGHT if self.begun else 1.0
+        return LATE_WEIGHT if self.late else 1.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Crash:
     """One crash of one replica, with the requests that were there.
 
@@ -52,26 +63,50 @@
         Name of the replica.
     at : float
         Time of the crash; monotonic, in seconds.
+    involvements : list of Involvement
+        Requests that were there.
     weights : dict of int to float
-        Weight of the crash against each request, by fingerprint.
+        Weight of the crash against each digest.
     """
 
     replica: str
     at: float
+    involvements: list[Involvement] = field(default_factory=list)
     weights: dict[int, float] = field(default_factory=dict)
 
     def add(self, found: Involvement) -> None:
         """Add a request that was at the replica."""
-        before = self.weights.get(found.fingerprint, 0.0)
-        self.weights[found.fingerprint] = max(before, found.weight)
+        self.involvements.append(found)
+        for digest in found.suspects:
+            self.weights[digest] = max(self.weights.get(digest, 0.0), found.weight)
+
+    def beside(self, digest: int) -> set[int]:
+        """Return the suspects of the requests that have a digest, itself included."""
+        found = [i.suspects for i in self.involvements if digest in i.suspects]
+        return set().union(*found)
 
 
 @dataclass(slots=True, frozen=True)
 class Verdict:
-    """Reason why a request is held: the crashes that it explains."""
+    """Reason why requests are held: the crashes that their common digests explain.
+
+    Attributes
+    ----------
+    fingerprint : int
+        Digest that identifies the verdict: that of the whole request if there is one,
+        otherwise of a part.
+    digests : frozenset of int
+        A request is held if it has all of them. No sound answer tells them apart yet.
+    crashes : tuple of Crash
+        Crashes that they explain.
+    whole : bool
+        Whether they are those of one whole request, rather than of parts that requests share.
+    """
 
     fingerprint: int
+    digests: frozenset[int]
     crashes: tuple[Crash, ...]
+    whole: bool
 
     @property
     def last_at(self) -> float:
@@ -83,6 +118,16 @@
         """Time of the first crash; monotonic, in seconds."""
         return min(crash.at for crash in self.crashes)
 
+    @property
+    def positions(self) -> tuple[int, ...]:
+        """Positions of the parts in the prompt under which the last replica crashed, from 1."""
+        last = max(self.crashes, key=lambda crash: crash.at)
+        for involvement in last.involvements:
+            if self.digests <= involvement.suspects:
+                parts = involvement.features.parts
+                return tuple(n for n, part in enumerate(parts, 1) if part in self.digests)
+        return ()
+
 
 def crashes_of(involvements: Iterable[Involvement]) -> list[Crash]:
     """Return the crashes in which requests were involved.
@@ -104,41 +149,52 @@
 def judge(
     involvements: Iterable[Involvement], crashes_to_hold: float = CRASHES_TO_HOLD
 ) -> dict[int, Verdict]:
-    """Return the requests to hold, by fingerprint.
+    """Return what is held, by the fingerprint of each verdict.
 
-    A crash ends all requests at a replica, ten or more, and one of them caused it. The
-    request with the largest total weight is held first. The crashes that it explains then
-    count against no other request, so that a request that only shared replicas with it is
-    not held.
+    A crash ends all requests at a replica, ten or more, and something in one of them caused
+    it. The digest with the largest total weight is blamed first, together with those that
+    stood beside it in each of its crashes. The crashes that it explains then count against
+    nothing else, so that a request that only shared replicas with it is not held.
 
     Parameters
     ----------
     involvements : iterable of Involvement
         Requests at crashed replicas.
     crashes_to_hold : float
-        Total weight of crashes at which a request is held.
+        Total weight of crashes at which requests are held.
     """
     crashes = crashes_of(involvements)
-    crashes_by_request: dict[int, list[Crash]] = {}
+    crashes_by_digest: dict[int, list[Crash]] = {}
     total_weights: dict[int, float] = {}
     for crash in crashes:
-        for fingerprint, weight in crash.weights.items():
-            crashes_by_request.setdefault(fingerprint, []).append(crash)
-            total_weights[fingerprint] = total_weights.get(fingerprint, 0.0) + weight
-    suspects = {f for f, weight in total_weights.items() if weight >= crashes_to_hold}
+        for digest, weight in crash.weights.items():
+            crashes_by_digest.setdefault(digest, []).append(crash)
+            total_weights[digest] = total_weights.get(digest, 0.0) + weight
+    suspects = {d for d, weight in total_weights.items() if weight >= crashes_to_hold}
     explained: set[int] = set()
     held: dict[int, Verdict] = {}
     while suspects:
-        # Ties go to the smaller fingerprint, so that all instances decide alike.
-        worst = max(suspects, key=lambda f: (total_weights[f], -f))
+        # Ties go to the smaller digest, so that all instances decide alike.
+        worst = max(suspects, key=lambda d: (total_weights[d], -d))
         newly_explained = [
-            crash for crash in crashes_by_request[worst] if id(crash) not in explained
+            crash for crash in crashes_by_digest[worst] if id(crash) not in explained
         ]
-        held[worst] = Verdict(worst, tuple(newly_explained))
+        verdict = _verdict(worst, newly_explained)
+        held[verdict.fingerprint] = verdict
         suspects.discard(worst)
         for crash in newly_explained:
             explained.add(id(crash))
-            for fingerprint, weight in crash.weights.items():
-                total_weights[fingerprint] -= weight
-        suspects = {f for f in suspects if total_weights[f] >= crashes_to_hold}
+            for digest, weight in crash.weights.items():
+                total_weights[digest] -= weight
+        suspects = {d for d in suspects if total_weights[d] >= crashes_to_hold}
     return held
+
+
+def _verdict(digest: int, crashes: list[Crash]) -> Verdict:
+    """Return the verdict on a digest and those that stood beside it in all of its crashes."""
+    digests = frozenset.intersection(*(frozenset(crash.beside(digest)) for crash in crashes))
+    requests = [i.features for crash in crashes for i in crash.involvements]
+    fingerprints = digests.intersection(request.fingerprint for request in requests)
+    parts = digests.intersection(part for request in requests for part in request.parts)
+    name = min(fingerprints or parts or digests)
+    return Verdict(name, digests, tuple(crashes), bool(fingerprints))
--- a/reachlink/quarantine/_notes.py
+++ b/reachlink/quarantine/_notes.py
@@ -13,7 +13,7 @@
 
 
 class ReleaseOrder(msgspec.Struct, array_like=True, frozen=True):
-    """Order of an operator to release the request with a fingerprint."""
+    """Order of an operator to release what a verdict holds, by its fingerprint."""
 
     fingerprint: int
 
@@ -26,7 +26,7 @@
     note_id : int
         Random id that identifies duplicates, whichever instance the note comes from.
     fingerprint : int
-        Fingerprint of the request.
+        Fingerprint of the request; 0 if it has none.
     replica : str
         Name of the replica.
     ran_s : float
@@ -34,8 +34,12 @@
     age_s : float
         Time from the crash to the sending of the note, in seconds; an age, since the
         clocks of instances are not comparable.
-    begun : bool
-        Whether a part of the answer had arrived.
+    late : bool
+        Whether the answer had been arriving for longer than `EARLY_CRASH_S`.
+    parts : tuple of int
+        Digests of the parts of the prompt, in order.
+    model : int
+        Digest of the model; 0 if there is none.
     """
 
     note_id: int
@@ -43,15 +47,17 @@
     replica: str
     ran_s: float
     age_s: float
-    begun: bool
+    late: bool
+    parts: tuple[int, ...] = ()
+    model: int = 0
 
 
 class ClearanceNote(msgspec.Struct, array_like=True, frozen=True):
-    """Report that a request got a complete answer or was released by an operator.
+    """Report that a request got a sound answer, or that an operator released what was held.
 
-    The crashes known against the request no longer count. They are listed by id: if they
-    were selected by time, a crash note that arrives late would count at some instances and
-    not at others.
+    The crashes known against the digests of the request no longer count against these. They
+    are listed by id: if they were selected by time, a crash note that arrives late would count
+    at some instances and not at others.
 
     Attributes
     ----------
@@ -61,11 +67,14 @@
         Time from the clearance to the sending of the note, in seconds.
     void : tuple of int
         Ids of the crash notes that no longer count.
+    digests : tuple of int
+        Digests against which they no longer count; empty for all.
     """
 
     note_id: int
     age_s: float
     void: tuple[int, ...]
+    digests: tuple[int, ...] = ()
 
 
 class QuarantineNote(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/quarantine/_quarantine.py
+++ b/reachlink/quarantine/_quarantine.py
@@ -7,6 +7,7 @@
 
 from reachlink.quarantine._judging import CRASHES_TO_HOLD, Involvement, Verdict, judge
 from reachlink.quarantine._notes import ClearanceNote, CrashNote, QuarantineNote
+from reachlink.upstreams import RequestFeatures
 
 # Time in seconds for which a crash counts. A crash has its cause in the weights or the
 # program of the replica, which does not change within minutes, and each crash ends all
@@ -16,19 +17,26 @@
 # Time in seconds for which a new note is repeated to peers. Several messages carry it, so
 # that one of them may be lost; further losses are detected by differing digests.
 NOTE_REPEAT_S = 0.4
-# Maximum number of involvements kept, at about 250 B each. A crash adds one for each
-# request that ran at the replica. If there are too many, the requests with the fewest
-# involvements are dropped first, and held requests only after all others.
+# Maximum number of involvements kept. A crash adds one for each request that ran at the replica.
+# If there are too many, those whose digests are in the fewest crashes are dropped first, and held
+# requests only after all others.
 MAX_KEPT = 2000
+# Stands for all digests of a request in the pairs of crash notes and digests that are cleared.
+_ALL = 0
 
 
 @dataclass(slots=True, frozen=True)
 class _Clearance:
-    """Ids of crash notes that no longer count; times are monotonic, in seconds."""
+    """Crash notes that no longer count against digests; times are monotonic, in seconds."""
 
     void: tuple[int, ...]
+    digests: tuple[int, ...]
     at: float
 
+    def pairs(self) -> set[tuple[int, int]]:
+        """Return the pairs of an id of a crash note and a digest."""
+        return {(note_id, d) for note_id in self.void for d in self.digests or (_ALL,)}
+
 
 class Quarantine:
     """Requests that are held and the crashes that they are held for.
@@ -38,20 +46,20 @@
     random : random.Random
         Generator of the ids of notes.
     crashes_to_hold : float
-        Total weight of crashes at which a request is held.
+        Total weight of crashes at which requests are held.
     kept_s : float
         Time in seconds for which a crash counts.
 
     Examples
     --------
+    >>> from reachlink.upstreams import RequestFeatures
     >>> quarantine = Quarantine(Random(1))
     >>> for second in (1.0, 2.0, 3.0):
-    ...     quarantine.note_crash(7, "r1", second - 0.1, second, False, second)
-    >>> quarantine.verdict(7, 3.0) is not None
-    True
-    >>> quarantine.clear(7, 4.0)
+    ...     features = RequestFeatures(fingerprint=int(second), parts=(7,))
+    ...     quarantine.note_crash(features, f"r{second}", second - 0.1, second, False, second)
+    >>> quarantine.verdict(RequestFeatures(fingerprint=9, parts=(7, 8)), 3.0) is not None
     True
-    >>> quarantine.verdict(7, 4.0) is None
+    >>> quarantine.verdict(RequestFeatures(fingerprint=9, parts=(8,)), 3.0) is None
     True
     """
 
@@ -65,39 +73,53 @@
         self._crashes_to_hold = crashes_to_hold
         self._kept_s = kept_s
         self._involvements: dict[int, Involvement] = {}
-        # Ids of crash notes by fingerprint; read at the end of every answer.
+        # Ids of the crash notes that count against each digest; read at the end of every answer.
         self._crash_ids: dict[int, set[int]] = {}
+        # Digests that enough crash notes count against to be held.
+        self._frequent: set[int] = set()
         # Times and ids of recent notes, and the digest of all notes; both are read for
         # every message to peers.
         self._recent: deque[tuple[float, int]] = deque()
         self._digest = 0
         self._clearances: dict[int, _Clearance] = {}
-        # Ids of crash notes that no longer count, including notes not yet received.
-        self._void: set[int] = set()
+        # Ids of crash notes, including notes not yet received, with digests against which they
+        # no longer count.
+        self._cleared: set[tuple[int, int]] = set()
         self._held: dict[int, Verdict] = {}
         self._listeners: list[Callable[[], None]] = []
 
     @property
-    def fingerprints(self) -> set[int]:
-        """Fingerprints of the requests that a crash counts against."""
+    def suspects(self) -> set[int]:
+        """Digests that a crash counts against."""
         return set(self._crash_ids)
 
+    @property
+    def crashes_to_hold(self) -> float:
+        """Total weight of crashes at which requests are held."""
+        return self._crashes_to_hold
+
     def held(self, now: float) -> list[Verdict]:
-        """Return the verdicts on all held requests."""
+        """Return all verdicts."""
         self._forget_old(now)
         return list(self._held.values())
 
-    def is_suspect(self, fingerprint: int) -> bool:
-        """Return whether a crash counts against a request."""
-        return fingerprint in self._crash_ids
+    def crash_count(self, digest: int) -> int:
+        """Return the number of crash notes that count against a digest."""
+        return len(self._crash_ids.get(digest, ()))
 
-    def verdict(self, fingerprint: int, now: float) -> Verdict | None:
-        """Return the verdict on a held request, or None if the request is not held."""
-        verdict = self._held.get(fingerprint)
+    def verdict(self, features: RequestFeatures, now: float) -> Verdict | None:
+        """Return the verdict by which a request is held, or None if it is not held."""
+        if not self._held:
+            return None
+        verdict = self._find(features)
         if verdict is None or verdict.first_at > now - self._kept_s:
             return verdict
         self._forget_old(now)
-        return self._held.get(fingerprint)
+        return self._find(features)
+
+    def remaining_s(self, verdict: Verdict, now: float) -> float:
+        """Return the time in seconds until the first crash of a verdict counts no more."""
+        return max(0.0, verdict.first_at + self._kept_s - now)
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Add a listener that is called after every change of the known crashes."""
@@ -105,43 +127,74 @@
 
     def note_crash(
         self,
-        fingerprint: int,
+        features: RequestFeatures,
         replica: str,
         sent_at: float,
         crashed_at: float,
-        begun: bool,
+        late: bool,
         now: float,
     ) -> None:
         """Record that a replica crashed while a request of this instance was there.
 
         Parameters
         ----------
-        fingerprint : int
-            Fingerprint of the request; 0 if the request has none.
+        features : RequestFeatures
+            Digests of the request and of what it shares with others.
         replica : str
             Name of the replica.
         sent_at, crashed_at : float
             Times at which the request was sent and at which the replica crashed;
             monotonic, in seconds.
-        begun : bool
-            Whether a part of the answer had arrived.
+        late : bool
+            Whether the answer had been arriving for longer than `EARLY_CRASH_S`.
         now : float
             Monotonic time in seconds.
         """
-        if not fingerprint:
+        if not features.digests():
             return
         note_id = self._random.getrandbits(63)
-        self._add(Involvement(note_id, fingerprint, replica, sent_at, crashed_at, begun), now)
+        self._add(Involvement(note_id, features, replica, sent_at, crashed_at, late), now)
         self._on_change(now)
 
-    def clear(self, fingerprint: int, now: float) -> bool:
-        """Clear a request after an answer or a release; return whether it was a suspect."""
-        crash_ids = tuple(self._crash_ids.get(fingerprint, ()))
-        if not crash_ids:
+    def note_sound(
+        self, features: RequestFeatures, begun_at: float, complete: bool, now: float
+    ) -> bool:
+        """Clear the digests of a request that got a sound answer; return whether any was a suspect.
+
+        Parameters
+        ----------
+        features : RequestFeatures
+            Digests of the request and of what it shares with others.
+        begun_at : float
+            Time at which the replica began the answer; monotonic, in seconds. The crashes
+            before it no longer count: what crashes replicas has not crashed this one.
+        complete : bool
+            Whether the answer is complete. One that has only been arriving for longer than
+            `EARLY_CRASH_S` clears of the crashes that the start of an answer may have caused.
+        now : float
+            Monotonic time in seconds.
+        """
+        digests = tuple(d for d in features.digests() if d in self._crash_ids)
+        void: set[int] = set()
+        for digest in digests:
+            void.update(n for n in self._crash_ids[digest] if self._clears(n, begun_at, complete))
+        if not void:
             return False
-        note_id = self._random.getrandbits(63)
-        self._take_clearance(ClearanceNote(note_id, 0.0, crash_ids), now)
-        self._on_change(now)
+        self._clear(tuple(sorted(void)), digests, now)
+        return True
+
+    def release(self, fingerprint: int, now: float) -> bool:
+        """End the verdict with a fingerprint; return whether there was one.
+
+        Its crashes no longer count against anything.
+        """
+        verdict = self._held.get(fingerprint)
+        if verdict is None:
+            return False
+        note_ids = {i.note_id for crash in verdict.crashes for i in crash.involvements}
+        for digest in verdict.digests:
+            note_ids.update(self._crash_ids[digest])
+        self._clear(tuple(sorted(note_ids)), (), now)
         return True
 
     def take(self, note: QuarantineNote, now: float) -> bool:
@@ -167,40 +220,91 @@
         """Return a digest that is equal at instances that know the same notes."""
         return self._digest
 
+    def _find(self, features: RequestFeatures) -> Verdict | None:
+        digests = features.digests()
+        for digest in digests:
+            verdict = self._held.get(digest)
+            if verdict is not None and verdict.digests.issubset(digests):
+                return verdict
+        return None
+
+    def _clears(self, note_id: int, begun_at: float, complete: bool) -> bool:
+        involvement = self._involvements[note_id]
+        return involvement.crashed_at < begun_at and (complete or not involvement.late)
+
+    def _clear(self, void: tuple[int, ...], digests: tuple[int, ...], now: float) -> None:
+        note_id = self._random.getrandbits(63)
+        self._take_clearance(ClearanceNote(note_id, 0.0, void, digests), now)
+        self._on_change(now)
+
     def _note(self, now: float, note_ids: list[int]) -> QuarantineNote:
         involvements = [self._involvements[n] for n in note_ids if n in self._involvements]
         clearances = [(n, self._clearances[n]) for n in note_ids if n in self._clearances]
         return QuarantineNote(
             self._digest,
             [_crash_note(i, now) for i in involvements],
-            [ClearanceNote(n, round(now - c.at, 3), c.void) for n, c in clearances],
+            [ClearanceNote(n, round(now - c.at, 3), c.void, c.digests) for n, c in clearances],
         )
 
     def _take_crash(self, note: CrashNote, now: float) -> bool:
-        known = note.note_id in self._involvements or note.note_id in self._void
-        if known or note.age_s >= self._kept_s:
+        if note.note_id in self._involvements or note.age_s >= self._kept_s:
             return False
+        features = RequestFeatures(note.fingerprint, note.parts, note.model)
         crashed_at = now - note.age_s
         sent_at = crashed_at - note.ran_s
-        involvement = Involvement(
-            note.note_id, note.fingerprint, note.replica, sent_at, crashed_at, note.begun
+        return self._add(
+            Involvement(note.note_id, features, note.replica, sent_at, crashed_at, note.late), now
         )
-        self._add(involvement, now)
-        return True
 
     def _take_clearance(self, note: ClearanceNote, now: float) -> bool:
         if note.note_id in self._clearances or note.age_s >= self._kept_s:
             return False
-        self._clearances[note.note_id] = _Clearance(note.void, now - note.age_s)
+        clearance = _Clearance(note.void, note.digests, now - note.age_s)
+        self._clearances[note.note_id] = clearance
         self._add_note_id(note.note_id, now)
-        self._void.update(note.void)
-        self._drop(note_id for note_id in note.void if note_id in self._involvements)
+        self._cleared.update(clearance.pairs())
+        for note_id in note.void:
+            if note_id in self._involvements:
+                self._remove_cleared(self._involvements[note_id])
         return True
 
-    def _add(self, involvement: Involvement, now: float) -> None:
-        self._involvements[involvement.note_id] = involvement
-        self._crash_ids.setdefault(involvement.fingerprint, set()).add(involvement.note_id)
-        self._add_note_id(involvement.note_id, now)
+    def _add(self, involvement: Involvement, now: float) -> bool:
+        """Add an involvement; return whether it counts against any digest."""
+        note_id = involvement.note_id
+        suspects = self._uncleared(involvement)
+        if not suspects:
+            return False
+        involvement.suspects = suspects
+        self._involvements[note_id] = involvement
+        for digest in suspects:
+            ids = self._crash_ids.setdefault(digest, set())
+            ids.add(note_id)
+            if len(ids) >= self._crashes_to_hold:
+                self._frequent.add(digest)
+        self._add_note_id(note_id, now)
+        return True
+
+    def _uncleared(self, involvement: Involvement) -> set[int]:
+        note_id = involvement.note_id
+        if (note_id, _ALL) in self._cleared:
+            return set()
+        return {d for d in involvement.suspects if (note_id, d) not in self._cleared}
+
+    def _remove_cleared(self, involvement: Involvement) -> None:
+        left = self._uncleared(involvement)
+        self._remove_suspects(involvement, involvement.suspects - left)
+        if not left:
+            self._drop([involvement.note_id])
+
+    def _remove_suspects(self, involvement: Involvement, digests: set[int]) -> None:
+        involvement.suspects = involvement.suspects - digests
+        for digest in digests:
+            ids = self._crash_ids[digest]
+            ids.discard(involvement.note_id)
+            if len(ids) < self._crashes_to_hold:
+                self._frequent.discard(digest)
+            if not ids:
+                del self._crash_ids[digest]
 
     def _add_note_id(self, note_id: int, now: float) -> None:
         self._recent.append((now, note_id))
@@ -210,10 +314,7 @@
         for note_id in list(note_ids):
             involvement = self._involvements.pop(note_id)
             self._digest ^= note_id
-            rest = self._crash_ids[involvement.fingerprint]
-            rest.discard(note_id)
-            if not rest:
-                del self._crash_ids[involvement.fingerprint]
+            self._remove_suspects(involvement, involvement.suspects)
 
     def _on_change(self, now: float) -> None:
         self._forget_old(now)
@@ -223,7 +324,10 @@
             listener()
 
     def _judge(self) -> None:
-        self._held = judge(self._involvements.values(), self._crashes_to_hold)
+        # Only what shares a frequent digest can be held, or be explained by what is.
+        note_ids = {n for digest in self._frequent for n in self._crash_ids[digest]}
+        involvements = [self._involvements[n] for n in note_ids]
+        self._held = judge(involvements, self._crashes_to_hold)
 
     def _forget_old(self, now: float) -> None:
         since = now - self._kept_s
@@ -235,29 +339,33 @@
 
     def _forget_clearances(self, note_ids: list[int]) -> None:
         for note_id in note_ids:
-            self._void.difference_update(self._clearances.pop(note_id).void)
+            self._cleared.difference_update(self._clearances.pop(note_id).pairs())
             self._digest ^= note_id
 
     def _enforce_bounds(self) -> None:
-        """Drop involvements of the requests with the fewest of them, the oldest first."""
+        """Drop involvements whose digests are in the fewest crashes, the oldest first."""
         excess = len(self._involvements) - MAX_KEPT
         if excess > 0:
-            drop_order = sorted(
-                self._involvements.values(),
-                key=lambda i: (len(self._crash_ids[i.fingerprint]), i.crashed_at),
-            )
+            drop_order = sorted(self._involvements.values(), key=self._keep_rank)
             self._drop(i.note_id for i in drop_order[:excess])
         if len(self._clearances) > MAX_KEPT:
             oldest = sorted(self._clearances, key=lambda note_id: self._clearances[note_id].at)
             self._forget_clearances(oldest[:-MAX_KEPT])
 
+    def _keep_rank(self, involvement: Involvement) -> tuple[int, float]:
+        most = max(len(self._crash_ids[digest]) for digest in involvement.suspects)
+        return most, involvement.crashed_at
+
 
 def _crash_note(involvement: Involvement, now: float) -> CrashNote:
+    features = involvement.features
     return CrashNote(
         involvement.note_id,
-        involvement.fingerprint,
+        features.fingerprint,
         involvement.replica,
         round(involvement.crashed_at - involvement.sent_at, 3),
         round(now - involvement.crashed_at, 3),
-        involvement.begun,
+        involvement.late,
+        features.parts,
+        features.model,
     )
--- a/reachlink/quarantine/exceptions.py
+++ b/reachlink/quarantine/exceptions.py
@@ -13,20 +13,30 @@
 
 
 class HeldRequestError(QuarantineError):
-    """A request is not sent to a replica because it crashes replicas.
+    """A request is not sent to a replica because it, or a part of its prompt, crashes replicas.
 
     Parameters
     ----------
     fingerprint : int
-        Fingerprint of the request.
+        Fingerprint of the verdict.
     crashes : int
-        Number of crashes that the request explains.
+        Number of crashes that the verdict explains.
+    whole : bool
+        Whether the replicas crashed under the same request, rather than under others that
+        share a part of its prompt.
+    ends_in_s : float
+        Time in seconds until the request may be sent again.
     """
 
-    def __init__(self, fingerprint: int, crashes: int) -> None:
-        super().__init__(
-            f"not sent: {crashes} replicas have crashed while they ran the same request; "
-            "earlier tries of it may have run"
-        )
+    def __init__(self, fingerprint: int, crashes: int, whole: bool, ends_in_s: float) -> None:
+        shared = "the same request" if whole else "requests that share a part of its prompt"
+        super().__init__(f"not sent: {crashes} replicas have crashed while they ran {shared}")
         self.fingerprint = fingerprint
         self.crashes = crashes
+        self.whole = whole
+        self.ends_in_s = ends_in_s
+
+    def describe(self, may_have_run: bool) -> str:
+        """Return the message for the caller, who has to know whether the request may have run."""
+        outcome = "earlier tries of it may have run" if may_have_run else "it has not run"
+        return f"{self}; {outcome}"
--- a/reachlink/quarantine/tests/test_guard.py
+++ b/reachlink/quarantine/tests/test_guard.py
@@ -14,7 +14,7 @@
 )
 
 REPLICA = Replica("r1", "chat", "a", "r1:1")
-GUILTY = 1
+GUILTY = RequestFeatures(1)
 
 
 class Port:
@@ -38,9 +38,7 @@
 
 def broken(number: int = 0) -> BrokenRun:
     at = float(number)
-    return BrokenRun(
-        f"id-{number}", RequestFeatures(GUILTY), REPLICA, at + 0.8, at + 0.9, begun=False
-    )
+    return BrokenRun(f"id-{number}", GUILTY, REPLICA, at + 0.8, at + 0.9)
 
 
 def count_crashes(port: Port, runs: int = 1) -> int:
@@ -90,7 +88,7 @@
         guard.on_replica_restarted("r2")
         assert quarantine.held(now[0]) == []
         guard.on_replica_restarted("r1")
-        assert [verdict.fingerprint for verdict in quarantine.held(now[0])] == [GUILTY]
+        assert [verdict.fingerprint for verdict in quarantine.held(now[0])] == [GUILTY.fingerprint]
 
     asyncio.run(work())
 
@@ -105,7 +103,7 @@
         guard = CrashGuard(quarantine, Port(REFUSED).touch, lambda: 10.0)
         guard.on_broken(broken(5))
         guard.check(GUILTY, "id-1")
-        await guard.admit(2, "other")
+        await guard.admit(RequestFeatures(2), "other")
         with pytest.raises(HeldRequestError):
             await guard.admit(GUILTY, "id-2")
 
@@ -143,7 +141,7 @@
         quarantine = Quarantine(Random(1))
         guard = CrashGuard(quarantine, Port(None).touch, lambda: 10.0)
         waiting = asyncio.create_task(wait(guard))
-        other = asyncio.create_task(wait(guard, fingerprint=2))
+        other = asyncio.create_task(wait(guard, RequestFeatures(2)))
         begun = asyncio.create_task(wait(guard, may_stop=False))
         await asyncio.sleep(0.0)
         hold(quarantine)
@@ -159,8 +157,10 @@
     asyncio.run(work())
 
 
-async def wait(guard: CrashGuard, fingerprint: int = GUILTY, may_stop: bool = True) -> None:
-    async with guard.watched(fingerprint, lambda: may_stop):
+async def wait(
+    guard: CrashGuard, features: RequestFeatures = GUILTY, may_stop: bool = True
+) -> None:
+    async with guard.watched(features, lambda: may_stop):
         await asyncio.Event().wait()
 
 
@@ -184,7 +184,7 @@
         hold(quarantine)
         with pytest.raises(HeldRequestError):
             guard.check(GUILTY, "id-1")
-        guard.on_answer(GUILTY)
+        guard.on_answer(GUILTY, begun_at=9.0)
         guard.check(GUILTY, "id-2")
 
     asyncio.run(work())
@@ -201,7 +201,7 @@
         for _ in range(3):
             hold(quarantine)
             await asyncio.sleep(0.0)
-            quarantine.clear(GUILTY, 10.0)
+            quarantine.note_sound(GUILTY, 10.0, True, 10.0)
         with pytest.raises(HeldRequestError):
             await waiting
 
@@ -215,3 +215,40 @@
             await asyncio.Event().wait()
         finally:
             await asyncio.sleep(0.05)
+
+
+def with_part(number: int, part: int) -> RequestFeatures:
+    return RequestFeatures(number, (part,))
+
+
+def test_new_request_waits_for_the_crash_check_that_may_hold_its_part():
+    quarantine = Quarantine(Random(1))
+    for at in (1.0, 2.0):
+        quarantine.note_crash(with_part(int(at), 9), f"r{at}", at - 0.1, at, False, at)
+
+    async def work() -> None:
+        guard = CrashGuard(quarantine, Port(REFUSED).touch, lambda: 10.0)
+        guard.on_broken(BrokenRun("id-3", with_part(3, 9), REPLICA, 5.0, 5.1))
+        await guard.admit(with_part(4, 8), "other")
+        with pytest.raises(HeldRequestError) as held:
+            await guard.admit(with_part(5, 9), "id-5")
+        assert not held.value.whole
+
+    asyncio.run(work())
+
+
+def test_waiting_request_is_stopped_when_its_part_becomes_held():
+    async def work() -> None:
+        quarantine = Quarantine(Random(1))
+        guard = CrashGuard(quarantine, Port(None).touch, lambda: 10.0)
+        waiting = asyncio.create_task(wait(guard, with_part(4, 9)))
+        other = asyncio.create_task(wait(guard, with_part(5, 8)))
+        await asyncio.sleep(0.0)
+        for at in (1.0, 2.0, 3.0):
+            quarantine.note_crash(with_part(int(at), 9), f"r{at}", at - 0.1, at, False, at)
+        with pytest.raises(HeldRequestError):
+            await waiting
+        assert not other.done()
+        other.cancel()
+
+    asyncio.run(work())
--- a/reachlink/quarantine/tests/test_judging.py
+++ b/reachlink/quarantine/tests/test_judging.py
@@ -6,16 +6,23 @@
 import pytest
 
 from reachlink.quarantine import Involvement, crashes_of, judge
+from reachlink.upstreams import RequestFeatures
 
 GUILTY, OTHER = 1, 2
 _ids = itertools.count()
 
 
 def there(
-    fingerprint: int, at: float, replica: str = "", begun: bool = False, ran_s: float = 0.1
+    fingerprint: int,
+    at: float,
+    replica: str = "",
+    late: bool = False,
+    ran_s: float = 0.1,
+    parts: tuple[int, ...] = (),
 ) -> Involvement:
     """Return the involvement of a request in a crash, by default of a separate replica."""
-    return Involvement(next(_ids), fingerprint, replica or f"r{at}", at - ran_s, at, begun)
+    features = RequestFeatures(fingerprint, parts)
+    return Involvement(next(_ids), features, replica or f"r{at}", at - ran_s, at, late)
 
 
 def test_request_is_held_after_three_crashes():
@@ -43,14 +50,14 @@
     assert judge(crashes).keys() == {GUILTY}
 
 
-def test_tie_blames_request_whose_answer_had_not_begun():
+def test_tie_blames_request_that_crashed_early():
     crashes = [there(GUILTY, at, f"r{at}") for at in (1.0, 2.0, 3.0)]
-    crashes += [there(OTHER, at, f"r{at}", begun=True) for at in (1.0, 2.0, 3.0)]
+    crashes += [there(OTHER, at, f"r{at}", late=True) for at in (1.0, 2.0, 3.0)]
     assert judge(crashes).keys() == {GUILTY}
 
 
 def test_request_that_crashes_late_is_held_after_six_crashes():
-    crashes = [there(GUILTY, float(at), begun=True) for at in range(6)]
+    crashes = [there(GUILTY, float(at), late=True) for at in range(6)]
     assert judge(crashes[:5]) == {}
     assert judge(crashes).keys() == {GUILTY}
 
@@ -72,3 +79,46 @@
     expected = judge(seen)
     random.shuffle(seen)
     assert judge(seen).keys() == expected.keys()
+
+
+# Parts of prompts: one that crashes replicas, and sound ones.
+DEADLY, SYSTEM, DOCUMENT, THING = 101, 102, 103, 104
+
+
+def test_new_requests_with_one_part_are_held():
+    crashes = [there(n, float(n), parts=(SYSTEM, DEADLY, 200 + n)) for n in (1, 2, 3)]
+    assert judge(crashes[:2]) == {}
+    (verdict,) = judge(crashes).values()
+    assert verdict.digests == {SYSTEM, DEADLY}
+    assert not verdict.whole
+    assert verdict.positions == (1, 2)
+
+
+def test_part_is_held_alone_after_a_crash_without_the_parts_beside_it():
+    crashes = [there(n, float(n), parts=(SYSTEM, DEADLY)) for n in (1, 2, 3)]
+    crashes.append(there(4, 4.0, parts=(DOCUMENT, DEADLY)))
+    (verdict,) = judge(crashes).values()
+    assert verdict.digests == {DEADLY}
+    assert len(verdict.crashes) == 4
+
+
+def test_part_of_requests_that_shared_replicas_is_not_held():
+    crashes = [there(n, float(n), f"r{n}", parts=(SYSTEM, DEADLY)) for n in (1, 2, 3, 4)]
+    crashes += [there(10 + n, float(n), f"r{n}", parts=(THING,)) for n in (2, 3, 4)]
+    (verdict,) = judge(crashes).values()
+    assert THING not in verdict.digests
+
+
+def test_two_parts_that_crash_replicas_are_both_held():
+    crashes = [there(n, float(n), parts=(SYSTEM, DEADLY)) for n in (1, 2, 3)]
+    crashes += [there(10 + n, n + 0.5, parts=(THING, DOCUMENT)) for n in (1, 2, 3)]
+    found = {verdict.digests for verdict in judge(crashes).values()}
+    assert found == {frozenset({SYSTEM, DEADLY}), frozenset({THING, DOCUMENT})}
+
+
+def test_repeated_request_is_held_as_a_whole():
+    crashes = [there(GUILTY, float(n), parts=(SYSTEM, DEADLY)) for n in (1, 2, 3)]
+    (verdict,) = judge(crashes).values()
+    assert verdict.whole
+    assert verdict.fingerprint == GUILTY
+    assert verdict.digests == {GUILTY, SYSTEM, DEADLY}
--- a/reachlink/requests/_outcome_recorder.py
+++ b/reachlink/requests/_outcome_recorder.py
@@ -32,15 +32,21 @@
         self._guard = guard
         self._log: Any = get_logger()
 
-    def record_success(self, request: CallerRequest, replica: Replica) -> None:
-        """Record that a replica delivered its answer."""
+    def record_success(self, request: CallerRequest, replica: Replica, begun_at: float) -> None:
+        """Record that a replica delivered its answer, begun at a monotonic time."""
         self._record_outcome(ReplicaOutcome(replica.name, succeeded=True))
-        self._guard.on_answer(request.relay.features.fingerprint)
+        self._guard.on_answer(request.relay.features, begun_at)
 
-    def record_failed_answer(self, request: CallerRequest, replica: Replica) -> None:
-        """Record that a replica answered with a server error."""
+    def record_failed_answer(
+        self, request: CallerRequest, replica: Replica, begun_at: float
+    ) -> None:
+        """Record that a replica answered with a server error, begun at a monotonic time."""
         self._record_outcome(ReplicaOutcome(replica.name, succeeded=False))
-        self._guard.on_answer(request.relay.features.fingerprint)
+        self._guard.on_answer(request.relay.features, begun_at)
+
+    def record_progress(self, request: CallerRequest, begun_at: float) -> None:
+        """Record that an answer has been arriving for some time since a monotonic time."""
+        self._guard.on_progress(request.relay.features, begun_at)
 
     def record_no_answer(self, replica: Replica) -> None:
         """Record that a replica gave no answer, or not a genuine one."""
@@ -53,7 +59,11 @@
             self._placer.reachable.note_unreachable(replica)
 
     def record_broken(
-        self, request: CallerRequest, replica: Replica, sent_at: float, begun: bool
+        self,
+        request: CallerRequest,
+        replica: Replica,
+        sent_at: float,
+        begun_at: float | None = None,
     ) -> None:
         """Record that the connection to a replica ended before the answer was complete.
 
@@ -65,8 +75,8 @@
             Replica that the request was sent to.
         sent_at : float
             Monotonic time in seconds at which the request was sent.
-        begun : bool
-            Whether a part of the answer had arrived.
+        begun_at : float, optional
+            Monotonic time in seconds at which the first part of the answer arrived.
         """
         self.record_no_answer(replica)
         run = BrokenRun(
@@ -75,7 +85,7 @@
             replica,
             sent_at,
             self._parts.clock(),
-            begun,
+            begun_at,
         )
         self._guard.on_broken(run)
 
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -193,7 +193,7 @@
             If the connection failed after the request was sent, or in any other way.
         """
         parts = self._parts
-        await self._guard.admit(request.relay.features.fingerprint, request.request_id)
+        await self._guard.admit(request.relay.features, request.request_id)
         left = request.deadline - parts.clock()
         sent_at = parts.clock()
         parts.pacing.note_sent(replica.address, sent_at)
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -82,8 +82,7 @@
             code = "delivered"
         except HeldRequestError as error:
             code = HELD
-            # Not 503, which would invite the caller to retry with the same result.
-            raise RequestFailedError(502, HELD, Outcome.UNKNOWN, message=str(error)) from error
+            raise _held_failure(error, request.may_have_run) from error
         except (RequestFailedError, StreamCutError) as error:
             code = error.reason
             raise
@@ -108,7 +107,7 @@
             async with scope:
                 self._running[scope] = request
                 # A held request is refused at once, before it waits for a replica.
-                self._dispatcher.guard.check(request.relay.features.fingerprint, request.request_id)
+                self._dispatcher.guard.check(request.relay.features, request.request_id)
                 if request.route.kind is RequestKind.STREAM:
                     return await self._streams.run(request, sink)
                 return await self._whole.run(request)
@@ -125,3 +124,13 @@
         if request.may_have_run:
             return RequestFailedError(502, INTERNAL_ERROR, Outcome.UNKNOWN)
         return RequestFailedError(503, INTERNAL_ERROR, Outcome.NOT_RUN, RETRY_AFTER_S)
+
+
+def _held_failure(error: HeldRequestError, sent: bool) -> RequestFailedError:
+    """Return the final answer to a held request, which was sent to a replica before or not."""
+    if error.whole or sent:
+        # Not 503, which would promise that the same request, sent before, has not run.
+        return RequestFailedError(502, HELD, Outcome.UNKNOWN, message=error.describe(True))
+    return RequestFailedError(
+        503, HELD, Outcome.NOT_RUN, error.ends_in_s, message=error.describe(False)
+    )
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from reachlink.quarantine import HELD, HeldRequestError
+from reachlink.quarantine import EARLY_CRASH_S, HELD, HeldRequestError
 from reachlink.requests._answer_body import read_part, read_whole
 from reachlink.requests._attempts import AttemptFailure, pacing_failure
 from reachlink.requests._event_merger import EventMerger
@@ -91,10 +91,12 @@
         self._moves = 0
         # Whether no event has arrived since the generation resumed at another replica.
         self._no_event_since_move = False
-        # Monotonic time in seconds at which the request was sent to the present primary, and
-        # number of the last event at that time.
+        # Monotonic times in seconds at which the request was sent to the present primary, and at
+        # which its first event arrived from there; None before.
         self._sent_at = 0.0
-        self._last_event_when_sent = -1
+        self._begun_at: float | None = None
+        # Whether the answer of the present primary was recorded as making progress.
+        self._progress_recorded = False
         # Whether the head of the answer was passed on to the caller.
         self._head_sent = False
 
@@ -107,10 +109,10 @@
             Why it did not start at the replica, or the replica's answer if that is no stream.
         """
         copy_task = asyncio.create_task(self._replicas.maintain_copies())
-        fingerprint = self._request.relay.features.fingerprint
+        features = self._request.relay.features
         try:
             await self._replicas.begin(replica)
-            async with self._dispatcher.guard.watched(fingerprint, self._has_sent_no_event):
+            async with self._dispatcher.guard.watched(features, self._has_sent_no_event):
                 return await self._run()
         except HeldRequestError as error:
             if self._head_sent:
@@ -228,6 +230,7 @@
             while data := await self._read(answer):
                 ready = self._merger.merge(splitter.feed(data))
                 if ready:
+                    self._note_begun()
                     self._replicas.note_prompt_read()
                     self._replicas.note_progress()
                     self._note_pause()
@@ -240,9 +243,19 @@
         if splitter.rest:
             self._on_broken("stream ended within an event")
             return False
-        self._dispatcher.outcomes.record_success(self._request, self._replicas.primary)
+        begun_at = self._sent_at if self._begun_at is None else self._begun_at
+        self._dispatcher.outcomes.record_success(self._request, self._replicas.primary, begun_at)
         return True
 
+    def _note_begun(self) -> None:
+        """Record when the first event arrives, and once that the answer makes progress."""
+        now = self._dispatcher.now()
+        if self._begun_at is None:
+            self._begun_at = now
+        if not self._progress_recorded and now - self._begun_at > EARLY_CRASH_S:
+            self._progress_recorded = True
+            self._dispatcher.outcomes.record_progress(self._request, self._begun_at)
+
     async def _write(self, ready: bytes) -> None:
         """Write events to the caller; discard the interval measurement if that takes long."""
         started_at = self._dispatcher.now()
@@ -295,7 +308,8 @@
 
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
         self._sent_at = self._dispatcher.now()
-        self._last_event_when_sent = self._merger.last_event_number
+        self._begun_at = None
+        self._progress_recorded = False
         try:
             return await self._dispatcher.open(
                 self._request, replica, continuation, self._replicas.backup
@@ -310,8 +324,9 @@
             raise
 
     def _note_broken(self, replica: Replica) -> None:
-        begun = self._merger.last_event_number > self._last_event_when_sent
-        self._dispatcher.outcomes.record_broken(self._request, replica, self._sent_at, begun)
+        self._dispatcher.outcomes.record_broken(
+            self._request, replica, self._sent_at, self._begun_at
+        )
 
     def _note_pause(self) -> None:
         """Record the pause before an event; log it if it exceeds the limit of the route."""
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -75,16 +75,16 @@
 
         `previous_bytes` is the size of the answer of an earlier attempt that is still buffered.
         """
-        fingerprint = request.relay.features.fingerprint
         may_retry = attempts.may_repeat and attempts.sent + 1 < attempts.max_attempts
         timeout_s = request.route.objective_s * SLOW_REPLICA_OBJECTIVES if may_retry else None
         sent_at = self._dispatcher.now()
         try:
             async with (
-                self._dispatcher.guard.watched(fingerprint),
+                self._dispatcher.guard.watched(request.relay.features),
                 asyncio.timeout(timeout_s) as scope,
             ):
                 answer = await self._dispatcher.open(request, replica)
+                begun_at = self._dispatcher.now()
                 if answer.head.not_run:
                     answer.close()
                     return self._dispatcher.outcomes.record_refusal(replica, answer.head, sent_at)
@@ -96,7 +96,7 @@
             self._dispatcher.outcomes.record_unreachable(replica, error)
             return AttemptFailure.UNREACHABLE
         except UpstreamBrokenError:
-            self._dispatcher.outcomes.record_broken(request, replica, sent_at, begun=False)
+            self._dispatcher.outcomes.record_broken(request, replica, sent_at)
             return AttemptFailure.BROKEN
         except TimeoutError:
             self._dispatcher.outcomes.record_no_answer(replica)
@@ -106,9 +106,9 @@
             self._dispatcher.outcomes.record_no_answer(replica)
             return AttemptFailure.BROKEN
         if answer.head.status >= SERVER_ERROR:
-            self._dispatcher.outcomes.record_failed_answer(request, replica)
+            self._dispatcher.outcomes.record_failed_answer(request, replica, begun_at)
         else:
-            self._dispatcher.outcomes.record_success(request, replica)
+            self._dispatcher.outcomes.record_success(request, replica, begun_at)
             if not wait.begun:
                 self._dispatcher.pace.note_call(request, replica, sent_at)
         return WholeAnswer(answer.head, body)
--- a/reachlink/requests/tests/test_held.py
+++ b/reachlink/requests/tests/test_held.py
@@ -1,21 +1,24 @@
 """Requests that crash replicas, on each kind of route."""
 
 import asyncio
+import itertools
 
 import pytest
 
+from reachlink.quarantine import EARLY_CRASH_S
 from reachlink.requests import RequestFailedError, StreamCutError
 from reachlink.requests.tests.world import BROKEN, World, event, failing, stream, wait_until, world
 from reachlink.requests.tests.world import answering as answers
 from reachlink.routing import RequestKind
+from reachlink.upstreams import RequestFeatures
 
-FINGERPRINT = 7
+GUILTY = RequestFeatures(7)
 
 
-async def ask(setup: World, kind: RequestKind, **route):
+async def ask(setup: World, kind: RequestKind, features: RequestFeatures = GUILTY, **route):
     """Return the status, reason and retry delay that the caller gets."""
     try:
-        await setup.run(kind, fingerprint=FINGERPRINT, **route)
+        await setup.run(kind, features=features, **route)
     except RequestFailedError as error:
         return error.status, error.reason, error.retry_after_s
     except StreamCutError as error:
@@ -23,10 +26,10 @@
     return 200, "", None
 
 
-def crash(setup: World, number: int, begun: bool = False) -> None:
+def crash(setup: World, number: int, late: bool = False) -> None:
     """Record that the request crashed replica `number` 0.1 s ago."""
     now = setup.now()
-    setup.quarantine.note_crash(FINGERPRINT, f"r{number}", now - 0.1, now, begun, now)
+    setup.quarantine.note_crash(GUILTY, f"r{number}", now - 0.1, now, late, now)
 
 
 async def crash_until_held(setup: World, kind: RequestKind, **route) -> list[str]:
@@ -80,7 +83,7 @@
         setup = world("a a a", "m")
         setup.adapter.scripts = {name: [answers(200, stream(0, 2), BROKEN)] for name in setup.zones}
         for at in range(6):
-            crash(setup, at, begun=True)
+            crash(setup, at, late=True)
         assert setup.quarantine.held(setup.now())
         assert (await ask(setup, RequestKind.STREAM))[0] == 502
 
@@ -102,3 +105,89 @@
         assert await asking == (0, "held_after_crashes", None)
 
     asyncio.run(scenario())
+
+
+# A part that replicas crash under, and one that its requests share with sound ones.
+DEADLY, SHARED = 21, 22
+_numbers = itertools.count(100)
+
+
+def new_request(*parts: int) -> RequestFeatures:
+    """Return a request with these parts and one of its own."""
+    number = next(_numbers)
+    return RequestFeatures(number, (*parts, number + 100_000))
+
+
+def crash_under(setup: World, *parts: int, replica: str) -> None:
+    now = setup.now()
+    setup.quarantine.note_crash(new_request(*parts), replica, now - 0.1, now, False, now)
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_new_request_with_a_part_under_which_replicas_crash_is_told_that_it_has_not_run(kind):
+    async def scenario():
+        setup = world("a a", "m" if kind is RequestKind.STREAM else "p")
+        for number in range(3):
+            crash_under(setup, SHARED, DEADLY, replica=f"r{number}")
+        status, reason, retry_after_s = await ask(setup, kind, new_request(SHARED, DEADLY))
+        assert (status, reason) == (503, "held_after_crashes")
+        assert retry_after_s == pytest.approx(3600.0, abs=1.0)
+        assert setup.adapter.sent == []
+        await ask(setup, kind, new_request(SHARED))
+        assert len(setup.adapter.sent) == 1
+
+    asyncio.run(scenario())
+
+
+def test_request_with_the_part_that_was_sent_before_is_told_that_it_may_have_run():
+    async def scenario():
+        setup = world("a a", "p")
+        for number in range(2):
+            crash_under(setup, DEADLY, replica=f"r{number}")
+        setup.adapter.scripts = {name: [failing(BROKEN)] for name in setup.zones}
+        setup.adapter.down = set(setup.zones)
+        found = await ask(setup, RequestKind.REPEATABLE, new_request(DEADLY))
+        assert found == (502, "held_after_crashes", None)
+        assert len(setup.adapter.sent) == 1
+
+    asyncio.run(scenario())
+
+
+def test_replica_that_crashes_just_after_the_first_event_counts_as_much_as_one_before():
+    async def scenario():
+        setup = world("a a a", "m")
+        setup.adapter.scripts = {name: [answers(200, event(0), BROKEN)] for name in setup.zones}
+        setup.adapter.down = set(setup.zones)
+        for number in range(2):
+            crash_under(setup, DEADLY, replica=f"r{number}")
+        await ask(setup, RequestKind.STREAM, new_request(DEADLY))
+        await wait_until(lambda: setup.quarantine.held(setup.now()))
+
+    asyncio.run(scenario())
+
+
+def test_stream_that_goes_on_clears_the_parts_that_it_shares_with_those_that_crash():
+    async def scenario():
+        setup = world("a a", "m")
+        for number in range(3):
+            crash_under(setup, SHARED, DEADLY, replica=f"r{number}")
+        events = answers(200, event(0), EARLY_CRASH_S + 0.1, event(1), 60.0)
+        setup.adapter.scripts = {name: [events] for name in setup.zones}
+        asking = asyncio.create_task(ask(setup, RequestKind.STREAM, new_request(SHARED)))
+        await wait_until(lambda: SHARED not in setup.quarantine.suspects)
+        assert DEADLY in setup.quarantine.suspects
+        asking.cancel()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("kind", [RequestKind.ONCE, RequestKind.REPEATABLE])
+def test_whole_answer_clears_the_parts_that_it_shares_with_those_that_crash(kind):
+    async def scenario():
+        setup = world("a a", "p")
+        crash_under(setup, SHARED, DEADLY, replica="r1")
+        await ask(setup, kind, new_request(SHARED))
+        assert SHARED not in setup.quarantine.suspects
+        assert DEADLY in setup.quarantine.suspects
+
+    asyncio.run(scenario())
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -38,6 +38,7 @@
 ENGINE = EngineLimits(64, 40_000, moves=True, backups=True, tokens_per_event=4)
 # Continuously sends memory to a backup, and does not move memory on request.
 BACKUP_ENGINE = EngineLimits(64, 40_000, moves=False, backups=True, tokens_per_event=4)
+NO_FEATURES = RequestFeatures()
 PLAIN = Service("plain", "/health", 10)
 ROUTES = {
     RequestKind.ONCE: Route(
@@ -285,11 +286,11 @@
         kind: RequestKind,
         output_tokens: int = 1000,
         expected_tokens: int = 0,
-        fingerprint: int = 0,
+        features: RequestFeatures = NO_FEATURES,
         **route: object,
     ) -> FakeSink:
         request = self.request(kind, output_tokens, expected_tokens)
-        request.relay.features = RequestFeatures(fingerprint)
+        request.relay.features = features
         request.route = replace(request.route, **route)  # type: ignore[arg-type]
         sink = FakeSink()
         await self.runner.run(request, sink)
--- a/reachlink/testing/_crash_load.py
+++ b/reachlink/testing/_crash_load.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from reachlink.quarantine import Involvement, crashes_of, judge
+from reachlink.upstreams import RequestFeatures
 
 LENGTH_S = 300.0
 # Time until the others know what one found, in seconds: a note and what is looked at before.
@@ -169,7 +170,7 @@
         if run in self.runs[replica]:
             self.runs[replica].remove(run)
             for known in self.known:
-                known[:] = [i for i in known if i.fingerprint != run.fingerprint]
+                known[:] = [i for i in known if i.features.fingerprint != run.fingerprint]
 
     def _crash(self, now: float, replica: int, deadly: bool) -> None:
         if replica in self.down:
@@ -189,7 +190,8 @@
                 self.at(now + 0.5, "again", run.fingerprint)
 
     def _note(self, now: float, replica: int, run: _Run, begun: bool) -> None:
-        note = Involvement(next(self.order), run.fingerprint, str(replica), run.sent_at, now, begun)
+        features = RequestFeatures(run.fingerprint)
+        note = Involvement(next(self.order), features, str(replica), run.sent_at, now, begun)
         self.at(now, "learn", (run.instance, note))
         if self.load.shared:
             for other in range(self.load.instances):
--- a/reachlink/upstreams/_features.py
+++ b/reachlink/upstreams/_features.py
@@ -27,15 +27,19 @@
     model: int = 0
 
     def digests(self) -> tuple[int, ...]:
-        """Return all digests, starting with the fingerprint.
+        """Return all digests, starting with the fingerprint."""
+        whole = (self.fingerprint,) if self.fingerprint else ()
+        return whole + self.shared_digests()
+
+    def shared_digests(self) -> tuple[int, ...]:
+        """Return the digests of the parts.
 
-        Each part occurs twice, with the model and alone: it may crash replicas of one model
+        Each part occurs twice, alone and with the model: it may crash replicas of one model
         and be harmless at those of another.
         """
         parts = tuple(dict.fromkeys(self.parts))
         with_model = tuple(_pair(part, self.model) for part in parts) if self.model else ()
-        whole = (self.fingerprint,) if self.fingerprint else ()
-        return whole + parts + with_model
+        return parts + with_model
 
 
 def _pair(part: int, model: int) -> int:
