Do not clear a request of crashes by an answer that does not show that it ran

A request that crashes replicas was cleared by any whole answer: a 504 from a replica's queue, a 500 of a replica that fails some of its requests, a 404. Its crashes then counted from zero.

Change: only a whole, successful answer clears; on both interfaces.

Checked: test_request_is_still_suspect_after_an_answer_that_does_not_show_that_it_ran failed before for 404, 500, 504; reachlink/requests passes.

--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -177,7 +177,8 @@
             try:
                 sent_at = steady_time()
                 answer = await self._attempt(service, replica, call)
-                node.guard.on_answer(call.features, sent_at)
+                if 200 <= answer.status < 300:
+                    node.guard.on_answer(call.features, sent_at)
                 return answer
             except HeldRequestError as error:
                 raise held_request(error, sent=True) from error
--- a/reachlink/requests/_outcome_recorder.py
+++ b/reachlink/requests/_outcome_recorder.py
@@ -32,16 +32,23 @@
         self._guard = guard
         self._log: Any = get_logger()
 
-    def record_success(self, request: CallerRequest, replica: Replica, begun_at: float) -> None:
-        """Record that a replica delivered its answer, begun at a monotonic time."""
-        self._record_outcome(ReplicaOutcome(replica.name, succeeded=True))
-        self._guard.on_answer(request.relay.features, begun_at)
+    def record_answer(self, replica: Replica, succeeded: bool) -> None:
+        """Record that a replica gave its whole answer, or a server error."""
+        self._record_outcome(ReplicaOutcome(replica.name, succeeded))
 
-    def record_failed_answer(
-        self, request: CallerRequest, replica: Replica, begun_at: float
-    ) -> None:
-        """Record that a replica answered with a server error, begun at a monotonic time."""
-        self._record_outcome(ReplicaOutcome(replica.name, succeeded=False))
+    def record_sound(self, request: CallerRequest, begun_at: float) -> None:
+        """Record that a replica ran a request and gave its whole answer, begun at a time.
+
+        A refusal or an error is no evidence that the replica survives the request: it may not
+        have begun it.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        begun_at : float
+            Monotonic time in seconds at which the answer began.
+        """
         self._guard.on_answer(request.relay.features, begun_at)
 
     def record_progress(self, request: CallerRequest, begun_at: float) -> None:
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -244,7 +244,8 @@
             self._on_broken("stream ended within an event")
             return False
         begun_at = self._sent_at if self._begun_at is None else self._begun_at
-        self._dispatcher.outcomes.record_success(self._request, self._replicas.primary, begun_at)
+        self._dispatcher.outcomes.record_answer(self._replicas.primary, succeeded=True)
+        self._dispatcher.outcomes.record_sound(self._request, begun_at)
         return True
 
     def _note_begun(self) -> None:
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -106,9 +106,11 @@
             self._dispatcher.outcomes.record_no_answer(replica)
             return AttemptFailure.BROKEN
         if answer.head.status >= SERVER_ERROR:
-            self._dispatcher.outcomes.record_failed_answer(request, replica, begun_at)
+            self._dispatcher.outcomes.record_answer(replica, succeeded=False)
         else:
-            self._dispatcher.outcomes.record_success(request, replica, begun_at)
+            self._dispatcher.outcomes.record_answer(replica, succeeded=True)
+            if answer.head.success:
+                self._dispatcher.outcomes.record_sound(request, begun_at)
             if not wait.begun:
                 self._dispatcher.pace.note_call(request, replica, sent_at)
         return WholeAnswer(answer.head, body)
--- a/reachlink/requests/tests/test_held.py
+++ b/reachlink/requests/tests/test_held.py
@@ -181,6 +181,18 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("status", [404, 500, 504])
+def test_request_is_still_suspect_after_an_answer_that_does_not_show_that_it_ran(status):
+    async def scenario():
+        setup = world("a a", "p")
+        crash(setup, 1)
+        setup.adapter.scripts = {name: [answers(status, b"no")] for name in setup.zones}
+        await ask(setup, RequestKind.ONCE)
+        assert GUILTY.fingerprint in setup.quarantine.suspects
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("kind", [RequestKind.ONCE, RequestKind.REPEATABLE])
 def test_whole_answer_clears_the_parts_that_it_shares_with_those_that_crash(kind):
     async def scenario():
