--- a/reachlink/entry/tests/test_unusual_answers.py
+++ b/reachlink/entry/tests/test_unusual_answers.py
@@ -127,3 +127,38 @@
     answer = asyncio.run(story())
     told = answer.error()
     assert (answer.status, told["code"], told["outcome"]) == (502, "upstream_broken", "ran")
+
+
+def test_a_call_whose_answer_ends_with_its_connection_is_delivered_whole():
+    async def serve(request, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"done": true}')
+        await writer.drain()
+        writer.close()
+
+    async def story():
+        async with OwnInstance(Replica(serve)) as instance:
+            caller = await instance.connect()
+            caller.send("/readings/x", headers=b"Reachlink-Repeatable: no\r\n")
+            return await caller.answer()
+
+    answer = asyncio.run(story())
+    assert (answer.status, answer.body) == (200, b'{"done": true}')
+
+
+@pytest.mark.parametrize("cut", [False, True], ids=["whole", "inside an event"])
+def test_a_generation_that_ends_with_its_connection_is_whole_only_after_its_last_event(cut):
+    async def serve(request, writer):
+        request_id = request.headers["X-Request-Id"]
+        events = chat_event(request_id, 0) + chat_event(request_id, 1, final=True)
+        writer.write(ENGINE_HEAD + (events[:-1] if cut else events + b"data: [DONE]\n\n"))
+        await writer.drain()
+        writer.close()
+
+    async def story():
+        async with OwnInstance(Replica(serve)) as instance:
+            caller = await instance.connect()
+            headers = b"Reachlink-Repeatable: no\r\n"
+            caller.send("/v1/chat/completions", chat_body(), headers)
+            return await caller.answer()
+
+    assert asyncio.run(story()).status == (502 if cut else 200)
