Weigh crashes less against prompt parts that had sound answers just before

Change: an instance remembers for a minute which parts had sound answers; a crash that it finds out weighs half against these, and says so in its note, so that all instances judge alike. A part that began to crash replicas only now is held after six crashes. Only parts are trusted, not whole requests.

Checked: pytest of quarantine, requests, coordination, testing, control and the tests with real processes of crashing parts and requests: passed. New tests of the weight failed before.

--- a/reachlink/quarantine/_judging.py
+++ b/reachlink/quarantine/_judging.py
@@ -11,6 +11,10 @@
 # otherwise. What crashes replicas usually does so when its processing starts; what crashes them
 # later is held after six crashes.
 LATE_WEIGHT = 0.5
+# Factor of the weight of a crash against a part with a sound answer not long before. A part that
+# many requests share is in more crashes than the one that causes them; one that began to crash
+# replicas only now is held after six crashes.
+TRUSTED_WEIGHT = 0.5
 # Longest time in seconds from the first part of an answer to a crash that the start of the answer
 # may have caused.
 EARLY_CRASH_S = 1.0
@@ -32,6 +36,8 @@
         Times at which the request was sent and at which the replica crashed.
     late : bool
         Whether the answer had been arriving for longer than `EARLY_CRASH_S`.
+    trusted : frozenset of int
+        Digests of its parts that had a sound answer not long before the crash.
     suspects : set of int
         Digests of the request that no sound answer has cleared of the crash.
     """
@@ -42,15 +48,16 @@
     sent_at: float
     crashed_at: float
     late: bool
+    trusted: frozenset[int] = frozenset()
     suspects: set[int] = field(init=False)
 
     def __post_init__(self) -> None:
         self.suspects = set(self.features.digests())
 
-    @property
-    def weight(self) -> float:
-        """Weight of the crash against the request."""
-        return LATE_WEIGHT if self.late else 1.0
+    def weight(self, digest: int) -> float:
+        """Return the weight of the crash against a digest of the request."""
+        weight = LATE_WEIGHT if self.late else 1.0
+        return weight * TRUSTED_WEIGHT if digest in self.trusted else weight
 
 
 @dataclass(slots=True, eq=False)
@@ -78,7 +85,7 @@
         """Add a request that was at the replica."""
         self.involvements.append(found)
         for digest in found.suspects:
-            self.weights[digest] = max(self.weights.get(digest, 0.0), found.weight)
+            self.weights[digest] = max(self.weights.get(digest, 0.0), found.weight(digest))
 
     def beside(self, digest: int) -> set[int]:
         """Return the suspects of the requests that have a digest, itself included."""
--- a/reachlink/quarantine/_notes.py
+++ b/reachlink/quarantine/_notes.py
@@ -40,6 +40,8 @@
         Digests of the parts of the prompt, in order.
     model : int
         Digest of the model; 0 if there is none.
+    trusted : int
+        Bit n is set if shared digest n of the features had a sound answer not long before.
     """
 
     note_id: int
@@ -50,6 +52,7 @@
     late: bool
     parts: tuple[int, ...] = ()
     model: int = 0
+    trusted: int = 0
 
 
 class ClearanceNote(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/quarantine/_quarantine.py
+++ b/reachlink/quarantine/_quarantine.py
@@ -21,6 +21,10 @@
 # If there are too many, those whose digests are in the fewest crashes are dropped first, and held
 # requests only after all others.
 MAX_KEPT = 2000
+# Time in seconds for which a sound answer speaks for the parts of its prompt at later crashes, and
+# maximum number of digests for which it is remembered.
+SOUND_MEMORY_S = 60.0
+MAX_SOUND = 8192
 # Stands for all digests of a request in the pairs of crash notes and digests that are cleared.
 _ALL = 0
 
@@ -85,6 +89,8 @@
         # Ids of crash notes, including notes not yet received, with digests against which they
         # no longer count.
         self._cleared: set[tuple[int, int]] = set()
+        # Times of the last sound answers at this instance by digest of a part, the oldest first.
+        self._sound_at: dict[int, float] = {}
         self._held: dict[int, Verdict] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -153,7 +159,8 @@
         if not features.digests():
             return
         note_id = self._random.getrandbits(63)
-        self._add(Involvement(note_id, features, replica, sent_at, crashed_at, late), now)
+        trusted = self._trusted(features, crashed_at)
+        self._add(Involvement(note_id, features, replica, sent_at, crashed_at, late, trusted), now)
         self._on_change(now)
 
     def note_sound(
@@ -174,6 +181,7 @@
         now : float
             Monotonic time in seconds.
         """
+        self._remember_sound(features, now)
         digests = tuple(d for d in features.digests() if d in self._crash_ids)
         void: set[int] = set()
         for digest in digests:
@@ -220,6 +228,18 @@
         """Return a digest that is equal at instances that know the same notes."""
         return self._digest
 
+    def _remember_sound(self, features: RequestFeatures, now: float) -> None:
+        for digest in features.shared_digests():
+            self._sound_at.pop(digest, None)
+            self._sound_at[digest] = now
+        while len(self._sound_at) > MAX_SOUND:
+            del self._sound_at[next(iter(self._sound_at))]
+
+    def _trusted(self, features: RequestFeatures, crashed_at: float) -> frozenset[int]:
+        since = crashed_at - SOUND_MEMORY_S
+        shared = features.shared_digests()
+        return frozenset(d for d in shared if self._sound_at.get(d, since) > since)
+
     def _find(self, features: RequestFeatures) -> Verdict | None:
         digests = features.digests()
         for digest in digests:
@@ -252,9 +272,12 @@
         features = RequestFeatures(note.fingerprint, note.parts, note.model)
         crashed_at = now - note.age_s
         sent_at = crashed_at - note.ran_s
-        return self._add(
-            Involvement(note.note_id, features, note.replica, sent_at, crashed_at, note.late), now
+        shared = enumerate(features.shared_digests())
+        trusted = frozenset(d for n, d in shared if note.trusted >> n & 1)
+        found = Involvement(
+            note.note_id, features, note.replica, sent_at, crashed_at, note.late, trusted
         )
+        return self._add(found, now)
 
     def _take_clearance(self, note: ClearanceNote, now: float) -> bool:
         if note.note_id in self._clearances or note.age_s >= self._kept_s:
@@ -359,6 +382,8 @@
 
 def _crash_note(involvement: Involvement, now: float) -> CrashNote:
     features = involvement.features
+    shared = enumerate(features.shared_digests())
+    trusted = sum(1 << n for n, d in shared if d in involvement.trusted)
     return CrashNote(
         involvement.note_id,
         features.fingerprint,
@@ -368,4 +393,5 @@
         involvement.late,
         features.parts,
         features.model,
+        trusted,
     )
--- a/reachlink/quarantine/tests/test_quarantine.py
+++ b/reachlink/quarantine/tests/test_quarantine.py
@@ -268,3 +268,35 @@
     assert quarantine.suspects == {1}
     quarantine.take(QuarantineNote(clearances=[ClearanceNote(6, 0.0, (5,))]), 2.0)
     assert quarantine.suspects == set()
+
+
+def test_part_that_had_a_sound_answer_just_before_weighs_half():
+    """A part that many requests share is in more crashes than those that cause them."""
+    quarantine = Quarantine(Random(1))
+    assert not clear(quarantine, request(SYSTEM), 0.5)
+    for at, part in ((1.0, DEADLY), (2.0, DOCUMENT), (3.0, DEADLY), (4.0, DOCUMENT)):
+        crash(quarantine, at, request(SYSTEM, part))
+    assert quarantine.held(4.0) == []
+    crash(quarantine, 5.0, request(SYSTEM, DEADLY))
+    assert held(quarantine, request(SYSTEM, DEADLY))
+    assert not held(quarantine, request(SYSTEM))
+
+
+def test_part_that_was_sound_until_just_before_is_held_after_six_crashes():
+    quarantine = Quarantine(Random(1))
+    clear(quarantine, request(DEADLY), 0.5)
+    for at in range(1, 6):
+        crash(quarantine, float(at), request(DEADLY))
+    assert quarantine.held(5.0) == []
+    crash(quarantine, 6.0, request(DEADLY))
+    assert held(quarantine, request(DEADLY))
+
+
+def test_other_instances_know_which_parts_had_sound_answers_where_a_replica_crashed():
+    here, there = Quarantine(Random(1)), Quarantine(Random(2))
+    clear(here, request(SYSTEM), 0.5)
+    for at in (1.0, 2.0, 3.0):
+        crash(here, at, request(SYSTEM, request().parts[0]))
+    there.take(over_the_wire(here.everything(3.1)), 3.1)
+    assert [there.held(3.1), here.held(3.1)] == [[], []]
+    assert not held(there, request(SYSTEM))
