Judge crashes that become known together once, and stop requests that wait in line

A request that waits for a replica was refused only at the end of its wait once its part became held.

Change: verdicts are made when they are asked for, and requests in progress are checked once for all notes of one turn of the loop. 1,000 records are kept in place of 2,000. Waiting for a replica is stopped by a verdict, too; it is answered at once, as not run.

Checked: reachlink/quarantine, requests, coordination, control pass.

--- a/reachlink/quarantine/_guard.py
+++ b/reachlink/quarantine/_guard.py
@@ -53,6 +53,8 @@
         self._watched: set[_Watched] = set()
         # Fingerprints of the logged verdicts by their digests.
         self._logged: dict[frozenset[int], int] = {}
+        # Whether the verdicts are looked at once the running callbacks of the loop have ended.
+        self._scheduled = False
         quarantine.listen(self._on_change)
         self._log: Any = get_logger()
 
@@ -176,6 +178,13 @@
         )
 
     def _on_change(self) -> None:
+        """Apply the verdicts, once for all crashes that become known at the same time."""
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._apply_verdicts)
+
+    def _apply_verdicts(self) -> None:
+        self._scheduled = False
         now = self._clock()
         held = {verdict.digests: verdict for verdict in self._quarantine.held(now)}
         begun = [verdict for digests, verdict in held.items() if digests not in self._logged]
--- a/reachlink/quarantine/_quarantine.py
+++ b/reachlink/quarantine/_quarantine.py
@@ -20,7 +20,7 @@
 # Maximum number of involvements kept. A crash adds one for each request that ran at the replica.
 # If there are too many, those whose digests are in the fewest crashes are dropped first, and held
 # requests only after all others.
-MAX_KEPT = 2000
+MAX_KEPT = 1000
 # Time in seconds for which a sound answer speaks for the parts of its prompt at later crashes, and
 # maximum number of digests for which it is remembered.
 SOUND_MEMORY_S = 60.0
@@ -91,7 +91,9 @@
         self._cleared: set[tuple[int, int]] = set()
         # Times of the last sound answers at this instance by digest of a part, the oldest first.
         self._sound_at: dict[int, float] = {}
+        # Verdicts by fingerprint, and whether crashes or answers have become known since.
         self._held: dict[int, Verdict] = {}
+        self._outdated = False
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -107,7 +109,7 @@
     def held(self, now: float) -> list[Verdict]:
         """Return all verdicts."""
         self._forget_old(now)
-        return list(self._held.values())
+        return list(self._verdicts().values())
 
     def crash_count(self, digest: int) -> int:
         """Return the number of crash notes that count against a digest."""
@@ -115,7 +117,7 @@
 
     def verdict(self, features: RequestFeatures, now: float) -> Verdict | None:
         """Return the verdict by which a request is held, or None if it is not held."""
-        if not self._held:
+        if not self._verdicts():
             return None
         verdict = self._find(features)
         if verdict is None or verdict.first_at > now - self._kept_s:
@@ -196,7 +198,7 @@
 
         Its crashes no longer count against anything.
         """
-        verdict = self._held.get(fingerprint)
+        verdict = self._verdicts().get(fingerprint)
         if verdict is None:
             return False
         note_ids = {i.note_id for crash in verdict.crashes for i in crash.involvements}
@@ -243,7 +245,7 @@
     def _find(self, features: RequestFeatures) -> Verdict | None:
         digests = features.digests()
         for digest in digests:
-            verdict = self._held.get(digest)
+            verdict = self._verdicts().get(digest)
             if verdict is not None and verdict.digests.issubset(digests):
                 return verdict
         return None
@@ -342,10 +344,17 @@
     def _on_change(self, now: float) -> None:
         self._forget_old(now)
         self._enforce_bounds()
-        self._judge()
+        self._outdated = True
         for listener in self._listeners:
             listener()
 
+    def _verdicts(self) -> dict[int, Verdict]:
+        """Return the verdicts; many notes that become known at once are judged together."""
+        if self._outdated:
+            self._outdated = False
+            self._judge()
+        return self._held
+
     def _judge(self) -> None:
         # Only what shares a frequent digest can be held, or be explained by what is.
         note_ids = {n for digest in self._frequent for n in self._crash_ids[digest]}
@@ -357,7 +366,7 @@
         old = [i.note_id for i in self._involvements.values() if i.crashed_at <= since]
         if old:
             self._drop(old)
-            self._judge()
+            self._outdated = True
         self._forget_clearances([n for n, c in self._clearances.items() if c.at <= since])
 
     def _forget_clearances(self, note_ids: list[int]) -> None:
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -106,7 +106,17 @@
         return self._parts.random.random()
 
     async def place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
-        """Return the replica for a request, after a short wait if necessary; None without one."""
+        """Return the replica for a request, after a short wait if necessary; None without one.
+
+        Raises
+        ------
+        HeldRequestError
+            If the request becomes held in the meantime.
+        """
+        async with self._guard.watched(request.relay.features):
+            return await self._place_or_wait(request, tried)
+
+    async def _place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
         full = await self._full_replicas(request, tried)
         if full is None:
             return None
--- a/reachlink/requests/tests/test_held.py
+++ b/reachlink/requests/tests/test_held.py
@@ -203,3 +203,23 @@
         assert DEADLY in setup.quarantine.suspects
 
     asyncio.run(scenario())
+
+
+def test_request_that_waits_for_a_replica_is_refused_when_its_part_becomes_held():
+    async def scenario():
+        setup = world("a a", "p")
+        waiting = asyncio.Event()
+
+        async def wait_for_ever(request, tried):
+            waiting.set()
+            await asyncio.Event().wait()
+
+        setup.runner._dispatcher._waiting_placer.place_or_wait = wait_for_ever
+        asking = asyncio.create_task(ask(setup, RequestKind.ONCE, new_request(DEADLY)))
+        await waiting.wait()
+        for number in range(3):
+            crash_under(setup, DEADLY, replica=f"r{number}")
+        status, reason, _ = await asking
+        assert (status, reason) == (503, "held_after_crashes")
+
+    asyncio.run(scenario())
