--- a/reachlink/coordination/_quarantine_exchange.py
+++ b/reachlink/coordination/_quarantine_exchange.py
@@ -18,8 +18,8 @@
 )
 from reachlink.telemetry import get_logger
 
-# Timeout of a synchronization in seconds: 1,000 crashes under prompts of four parts are 65 KB, which
-# take 0.1 s over a link of 5 Mbit/s, and as many clearances less.
+# Timeout of a synchronization in seconds: 1,000 crashes under prompts of four parts are 65 KB,
+# which take 0.1 s over a link of 5 Mbit/s.
 REPLY_TIMEOUT_S = 0.5
 # Time for which digests may differ before instances synchronize, in seconds: updates in transit
 # reach all instances in less than a second.
