One place for the times of an answer that may have crashed its replica

Streams and the own interface's answers tracked the same three values in the same way: AnswerTiming now.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -29,7 +29,7 @@
 from reachlink.kernel import steady_time
 from reachlink.limits import backoff_s
 from reachlink.membership import LeavingSource
-from reachlink.quarantine import EARLY_CRASH_S, BrokenRun, HeldRequestError
+from reachlink.quarantine import AnswerTiming, BrokenRun, HeldRequestError
 from reachlink.upstreams import (
     EngineAdapter,
     GenerationUnknownError,
@@ -75,12 +75,8 @@
         self._delivery = Delivery(job.request_id, job.repeatable, job.buffered)
         self._replica: Replica | None = None
         self._rhythm = StallDetector()
-        # When the request was sent to its present replica, and when its first token arrived from
-        # there, in monotonic seconds; None before.
-        self._sent_at = 0.0
-        self._begun_at: float | None = None
-        # Whether the answer of the present replica was recorded as making progress.
-        self._progress_recorded = False
+        # Times of the answer of the present replica.
+        self._timing = AnswerTiming()
         # Attempts so far, the present one included, and whether the first was counted.
         self._attempt = 1
         self._earned_retries = False
@@ -183,10 +179,8 @@
             self._earned_retries = True
             self._node.budget(job.service.upstream).on_first_attempt(job.policy.retry_share)
         health = self._node.ledger.replica(replica.name).health
-        self._sent_at = steady_time()
-        self._begun_at = None
-        self._progress_recorded = False
-        self._node.client.pacing.note_sent(replica.address, self._sent_at)
+        self._timing.start(steady_time())
+        self._node.client.pacing.note_sent(replica.address, self._timing.sent_at)
         earlier, self._may_have_run = self._may_have_run, True
         try:
             stream = await self._open(replica)
@@ -223,8 +217,9 @@
     def _note_broken(self, replica: Replica) -> None:
         """Have it found out whether the replica ended, or only the connection."""
         request, now = self._job.request, steady_time()
+        timing = self._timing
         run = BrokenRun(
-            request.request_id, request.features, replica, self._sent_at, now, self._begun_at
+            request.request_id, request.features, replica, timing.sent_at, now, timing.begun_at
         )
         self._node.guard.on_broken(run)
 
@@ -359,22 +354,15 @@
                 rhythm.on_batch(steady_time())
                 steps = delivery.on_events(events)
                 if steps and type(steps[0]) is Forward:
-                    self._note_begun()
+                    if self._timing.note_part(steady_time()):
+                        features = self._job.request.features
+                        self._node.guard.on_progress(features, self._timing.sound_since)
                     watch.pause()
                     await self._forward(steps[0].events)
                     watch.go_on()
                 if steps and type(steps[-1]) is not Forward:
                     return steps
 
-    def _note_begun(self) -> None:
-        """Record when the first token arrives, and once that the answer makes progress."""
-        now = steady_time()
-        if self._begun_at is None:
-            self._begun_at = now
-        if not self._progress_recorded and now - self._begun_at > EARLY_CRASH_S:
-            self._progress_recorded = True
-            self._node.guard.on_progress(self._job.request.features, self._begun_at)
-
     async def _forward(self, events: Sequence[TokenEvent]) -> None:
         delivery, flight = self._delivery, self._job.ticket.flight
         if flight is not None:
@@ -426,8 +414,7 @@
     def _succeed(self) -> None:
         assert self._replica is not None
         self._node.ledger.replica(self._replica.name).health.on_success(steady_time())
-        begun_at = self._sent_at if self._begun_at is None else self._begun_at
-        self._node.guard.on_answer(self._job.request.features, begun_at)
+        self._node.guard.on_answer(self._job.request.features, self._timing.sound_since)
         self._release(ended=True)
 
     def _cancel_later(self, generation: str) -> None:
--- a/reachlink/quarantine/__init__.py
+++ b/reachlink/quarantine/__init__.py
@@ -8,6 +8,7 @@
 were at the crashed replicas.
 """
 
+from reachlink.quarantine._answer_timing import AnswerTiming
 from reachlink.quarantine._crash_watch import BrokenRun, CrashWatch, Probe
 from reachlink.quarantine._fingerprint import (
     Fingerprinter,
@@ -46,6 +47,7 @@
     "LATE_WEIGHT",
     "MAX_KEPT",
     "NOTE_REPEAT_S",
+    "AnswerTiming",
     "BrokenRun",
     "ClearanceNote",
     "Crash",
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from reachlink.quarantine import EARLY_CRASH_S, HELD, HeldRequestError
+from reachlink.quarantine import HELD, AnswerTiming, HeldRequestError
 from reachlink.requests._answer_body import read_part, read_whole
 from reachlink.requests._attempts import AttemptFailure, pacing_failure
 from reachlink.requests._event_merger import EventMerger
@@ -91,12 +91,8 @@
         self._moves = 0
         # Whether no event has arrived since the generation resumed at another replica.
         self._no_event_since_move = False
-        # Monotonic times in seconds at which the request was sent to the present primary, and at
-        # which its first event arrived from there; None before.
-        self._sent_at = 0.0
-        self._begun_at: float | None = None
-        # Whether the answer of the present primary was recorded as making progress.
-        self._progress_recorded = False
+        # Times of the answer of the present primary.
+        self._timing = AnswerTiming()
         # Whether the head of the answer was passed on to the caller.
         self._head_sent = False
 
@@ -138,7 +134,7 @@
         try:
             if answer.head.not_run:
                 return self._dispatcher.outcomes.record_refusal(
-                    self._replicas.primary, answer.head, self._sent_at
+                    self._replicas.primary, answer.head, self._timing.sent_at
                 )
             if answer.head.success and not answer.head.genuine:
                 return AttemptFailure.BROKEN
@@ -226,11 +222,13 @@
     async def _relay_events(self, answer: RelayAnswer) -> bool:
         """Pass on events until the answer ends; return whether the stream is complete."""
         splitter = EventSplitter()
+        outcomes = self._dispatcher.outcomes
         try:
             while data := await self._read(answer):
                 ready = self._merger.merge(splitter.feed(data))
                 if ready:
-                    self._note_begun()
+                    if self._timing.note_part(self._dispatcher.now()):
+                        outcomes.record_progress(self._request, self._timing.sound_since)
                     self._replicas.note_prompt_read()
                     self._replicas.note_progress()
                     self._note_pause()
@@ -243,20 +241,10 @@
         if splitter.rest:
             self._on_broken("stream ended within an event")
             return False
-        begun_at = self._sent_at if self._begun_at is None else self._begun_at
-        self._dispatcher.outcomes.record_answer(self._replicas.primary, succeeded=True)
-        self._dispatcher.outcomes.record_sound(self._request, begun_at)
+        outcomes.record_answer(self._replicas.primary, succeeded=True)
+        outcomes.record_sound(self._request, self._timing.sound_since)
         return True
 
-    def _note_begun(self) -> None:
-        """Record when the first event arrives, and once that the answer makes progress."""
-        now = self._dispatcher.now()
-        if self._begun_at is None:
-            self._begun_at = now
-        if not self._progress_recorded and now - self._begun_at > EARLY_CRASH_S:
-            self._progress_recorded = True
-            self._dispatcher.outcomes.record_progress(self._request, self._begun_at)
-
     async def _write(self, ready: bytes) -> None:
         """Write events to the caller; discard the interval measurement if that takes long."""
         started_at = self._dispatcher.now()
@@ -308,9 +296,7 @@
         return WholeAnswer(answer.head, body)
 
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
-        self._sent_at = self._dispatcher.now()
-        self._begun_at = None
-        self._progress_recorded = False
+        self._timing.start(self._dispatcher.now())
         try:
             return await self._dispatcher.open(
                 self._request, replica, continuation, self._replicas.backup
@@ -325,8 +311,9 @@
             raise
 
     def _note_broken(self, replica: Replica) -> None:
+        timing = self._timing
         self._dispatcher.outcomes.record_broken(
-            self._request, replica, self._sent_at, self._begun_at
+            self._request, replica, timing.sent_at, timing.begun_at
         )
 
     def _note_pause(self) -> None:
--- a/reachlink/requests/tests/test_held.py
+++ b/reachlink/requests/tests/test_held.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from reachlink.quarantine import EARLY_CRASH_S
+from reachlink.quarantine import EARLY_CRASH_S, HeldRequestError
 from reachlink.requests import RequestFailedError, StreamCutError
 from reachlink.requests.tests.world import BROKEN, World, event, failing, stream, wait_until, world
 from reachlink.requests.tests.world import answering as answers
 from reachlink.routing import RequestKind
-from reachlink.upstreams import RequestFeatures
+from reachlink.upstreams import Continuation, MovedMemory, RequestFeatures
 
 GUILTY = RequestFeatures(7)
 
@@ -223,3 +223,19 @@
         assert (status, reason) == (503, "held_after_crashes")
 
     asyncio.run(scenario())
+
+
+def test_stream_is_not_resumed_elsewhere_once_its_part_is_held():
+    async def scenario():
+        setup = world("a a", "m")
+        for number in range(3):
+            crash_under(setup, DEADLY, replica=f"r{number}")
+        request = setup.request(RequestKind.STREAM)
+        request.relay.features = new_request(DEADLY)
+        replica = setup.directory.live("model")[0]
+        resumed = Continuation(4, MovedMemory("r1:1", "handle"))
+        with pytest.raises(HeldRequestError):
+            await setup.runner._dispatcher.open(request, replica, resumed)
+        assert setup.adapter.sent == []
+
+    asyncio.run(scenario())
