--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,27 +2,31 @@
 
 import asyncio
 import json
-import random
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from engines import ModelReplica, Run  # noqa: E402
+from engines import READS, WORKS, ModelReplica, Run  # noqa: E402
 from harness import CannotRunError, Record, System, main  # noqa: E402
-from standins import AppReplica, Consumer, PlatformList, table  # noqa: E402
-
-# Streams of the consumers of one zone, and time between their starts in seconds.
-STREAMS = 15
+from standins import (  # noqa: E402
+    AppReplica,
+    Consumer,
+    PlatformList,
+    send_as_guessed,
+    table,
+)
+
+# Time between the starts of two streams of the consumers of one zone, in seconds.
 STREAM_EVERY_S = 0.3
-# Prompt tokens and most tokens out; the consumer's guess of the latter.
+# Prompt tokens and most tokens out; the consumers' guess of the latter.
 USAGE, GUESS = "1460,2224", 300
-# Events that come out, of four tokens each: more than the guess in trouble, as guessed else.
-LONG_EVENTS, AS_GUESSED_EVENTS = (300, 480), (60, 75)
+# Events that come out of the streams, of four tokens each: more than the guess in trouble, as
+# guessed else. The first two end 1.65 s after the replica's memory has run out.
+LONG_EVENTS, AS_GUESSED_EVENTS = [286, 280, *[420] * 13], [75] * 15
 # The rule's time after which the replica before must have stopped, in seconds.
 STILL_AT_WORK_S = 0.4
-SEED = 1
 
 
 async def play(record: Record, trouble: bool) -> list[str]:
@@ -48,6 +52,7 @@
         await asyncio.sleep(listed.LAG_S + 0.1)
         await system.start(table())
         await asyncio.sleep(3.0)
+        await send_as_guessed(consumer, system.entries[1:], USAGE)
         ends = await serve(system, consumer, LONG_EVENTS if trouble else AS_GUESSED_EVENTS)
         served = sum(end == "200 sealed" for end in ends)
         record.add("streams complete:", served, "of", len(ends))
@@ -62,26 +67,20 @@
             await server.close()
 
 
-async def serve(system: System, consumer: Consumer, events: tuple[int, int]) -> list[str]:
+async def serve(system: System, consumer: Consumer, lengths: list[int]) -> list[str]:
     """Send the streams; return how each ended."""
-    pick = random.Random(SEED)
-
-    async def one(number: int, length: int) -> str:
-        data = json.dumps({"events": length}).encode()
-        end, _ = await consumer.call(
-            system.entries[0], "/chat/1", f"stream-{number:02d}", 39000, USAGE, GUESS, data
-        )
-        return end
-
     tasks = []
-    for number in range(STREAMS):
-        tasks.append(asyncio.ensure_future(one(number, pick.randint(*events))))
+    for number, length in enumerate(lengths):
+        data = json.dumps({"events": length}).encode()
+        name = f"stream-{number:02d}"
+        call = consumer.call(system.entries[0], "/chat/1", name, 39000, USAGE, GUESS, data)
+        tasks.append(asyncio.ensure_future(call))
         await asyncio.sleep(STREAM_EVERY_S)
-    return list(await asyncio.gather(*tasks))
+    return [end for end, _ in await asyncio.gather(*tasks)]
 
 
 def doubled(models: list[ModelReplica]) -> list[str]:
-    """Return the continuations during which the replica before was still at work."""
+    """Return the continuations 0.4 s after whose begin the replica before is still at work."""
     breaks: list[str] = []
     runs = [(one, run) for one in models for run in [*one.ended, *one.runs.values()]]
     for replica, run in runs:
@@ -93,22 +92,28 @@
                 continue
             if earlier.states[0][0] >= began:
                 continue
-            worked_s = at_work(earlier, began + STILL_AT_WORK_S, ended)
-            if worked_s > 0.0:
+            later = began + STILL_AT_WORK_S
+            if later < ended and state_at(earlier, later) in (READS, WORKS):
                 breaks.append(
                     f"TWICE: {run.request_id} goes on at {replica.id} from {began:.3f} to "
-                    f"{ended:.3f}; later than {STILL_AT_WORK_S} s after that begin, {before.id} "
-                    f"works on it for {worked_s:.3f} s more"
+                    f"{ended:.3f}; {STILL_AT_WORK_S} s after that begin {before.id} is at work on "
+                    f"it ({state_at(earlier, later)}), until {replica.id} ends for "
+                    f"{at_work(earlier, later, ended):.3f} s"
                 )
     return breaks
 
 
+def state_at(run: Run, time: float) -> str:
+    """Return the state of a run at a time."""
+    return [state for at, state in run.states if at <= time][-1]
+
+
 def at_work(run: Run, since: float, until: float) -> float:
     """Return for how long a replica worked on a run between two times, in seconds."""
     total = 0.0
     ends = [at for at, _ in run.states[1:]] + [until]
     for (began, state), end in zip(run.states, ends, strict=True):
-        if state in ("reads", "works"):
+        if state in (READS, WORKS):
             total += max(0.0, min(end, until) - max(began, since))
     return total
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,13 @@
 
 from engines import ModelReplica  # noqa: E402
 from harness import BOUNDS, CannotRunError, Program, Record, System, main  # noqa: E402
-from standins import AppReplica, Consumer, PlatformList, table  # noqa: E402
+from standins import (  # noqa: E402
+    AppReplica,
+    Consumer,
+    PlatformList,
+    send_as_guessed,
+    table,
+)
 
 # Time between the starts of two streams, in seconds.
 STREAM_EVERY_S = 0.3
@@ -47,7 +53,10 @@
         await asyncio.sleep(listed.LAG_S + 0.1)
         await system.start(table())
         await asyncio.sleep(3.0)
-        return await stop_while_serving(system, consumer, record, trouble)
+        await send_as_guessed(consumer, system.entries[1:], USAGE)
+        cut = await stop_while_serving(system, consumer, record, trouble)
+        passed_on = {run.request_id for one in models for run in [*one.ended, *one.runs.values()]}
+        return [line for name, line in cut.items() if name in passed_on]
     finally:
         await consumer.close()
         await system.close()
@@ -57,7 +66,7 @@
 
 async def stop_while_serving(
     system: System, consumer: Consumer, record: Record, trouble: bool
-) -> list[str]:
+) -> dict[str, str]:
     """Serve streams through one daemon, stop it as planned, and return the streams it cut."""
     entry = system.entries[0]
     begun = record.now()
@@ -76,11 +85,17 @@
         raise CannotRunError("no stream was served")
     # In the last sixth of the grace a replica may still be at work.
     until = stopped + GRACE_S * 5 / 6
-    return [
-        f"LOST: stream-{number:02d} was cut at {at:.3f}, {at - stopped:.1f} s after the SIGTERM"
+    return {
+        name(number): f"LOST: {name(number)} was cut at {at:.3f}, {at - stopped:.1f} s after the "
+        "SIGTERM"
         for number, (end, at) in enumerate(ends)
-        if end != "200 sealed" and stopped < at < until
-    ]
+        if end == "cut" and stopped < at < until
+    }
+
+
+def name(number: int) -> str:
+    """Return the id of a stream."""
+    return f"stream-{number:02d}"
 
 
 async def watched(
@@ -88,9 +103,7 @@
 ) -> tuple[str, float]:
     """Send one stream; return how and when it ended."""
     data = json.dumps({"events": events}).encode()
-    end, _ = await consumer.call(
-        entry, "/chat/1", f"stream-{number:02d}", 39000, USAGE, GUESS, data
-    )
+    end, _ = await consumer.call(entry, "/chat/1", name(number), 39000, USAGE, GUESS, data)
     return end, record.now()
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -330,12 +330,16 @@
     record.add("trouble", "on" if trouble else "off")
 
     async def limited() -> list[str]:
+        # Whoever ends this script ends what it started, too.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(LONGEST_S):
             return await play(record, trouble)
 
     try:
         breaks = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         # Whatever fails here says nothing about the rule.
         record.add("could not run:", type(error).__name__, error)
         code = COULD_NOT_RUN
--- a/review/standins.py
+++ b/review/standins.py
@@ -22,6 +22,8 @@
 SHARED_TOKENS = 79
 # Prompt tokens that a model replica reads in a second.
 READ_TOKENS_S = 14000.0
+# Streams whose guesses are right, before those that outgrow theirs, and their events.
+GUESSED_RIGHT, SHORT_EVENTS = 16, 20
 _numbers = itertools.count(1)
 
 
@@ -340,6 +342,17 @@
         return end, bytes(body)
 
 
+async def send_as_guessed(consumer: Consumer, entries: list[Program], usage: str) -> None:
+    """Send short streams with the right guess, and wait for their ends."""
+    data = json.dumps({"events": SHORT_EVENTS}).encode()
+    calls = []
+    for number in range(GUESSED_RIGHT):
+        entry, name = entries[number % len(entries)], f"as-guessed-{number:02d}"
+        guess = SHORT_EVENTS * STRIDE
+        calls.append(consumer.call(entry, "/chat/1", name, 39000, usage, guess, data))
+    await asyncio.gather(*calls)
+
+
 async def every(interval_s: float, until: Callable[[], bool], act: Callable[[int], Any]) -> None:
     """Start what `act` returns at regular intervals, and wait for all of it."""
     tasks: list[asyncio.Task[Any]] = []
