Streams: stop a generation at its replica before it resumes at a copy

Cause: a closed connection was taken for a stopped run. After 1.4 s of silence, or a broken connection, the stream went on at its copy and its old connection was closed; an order to stop was sent only where there was no copy. A replica that does not drop a request with its connection lets the preempted run in again and works on it to its end. A single order would not do either: a preempted run can't be stopped (`not_running`), and comes back a moment later.

Change: PrimaryStop orders the primary to stop first. Confirmed: the stream resumes from the memory that was moved. Not running but waiting there (report): the connection is read on and the order repeated each 0.2 s; the run either makes events again or is stopped the moment it is let in. Not running and nothing waits, twice: it resumes at the copy. No answer: it resumes at the copy, and the order is repeated in the background until it is confirmed, the replica has dropped it, is gone, or six orders in a row had no answer. Replicas at which an attempt to resume broke off after it was sent are ordered to stop as well.

Why it works: only the replica's own answer counts as the end of a run, and where there can be none (preempted) nothing begins elsewhere.

--- a/reachlink/requests/_answer_body.py
+++ b/reachlink/requests/_answer_body.py
@@ -31,6 +31,15 @@
         raise broken_by(error) from error
 
 
+async def read_within(answer: RelayAnswer, seconds: float) -> bytes | None:
+    """Return the next bytes of an answer as `read_part`, or None if none arrive in time."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await read_part(answer)
+    except TimeoutError:
+        return None
+
+
 async def read_whole(
     answer: RelayAnswer,
     buffer: CallerBuffer | None = None,
--- a/reachlink/requests/_generation_replicas.py
+++ b/reachlink/requests/_generation_replicas.py
@@ -14,8 +14,9 @@
 from reachlink.requests._copy_targets import CopyTargets
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_progress import GenerationProgress
-from reachlink.requests._generation_stopper import GenerationStopper
+from reachlink.requests._generation_stopper import StopResult
 from reachlink.requests._model import CallerRequest
+from reachlink.requests._primary_stop import PrimaryStop
 from reachlink.requests._replica_tracker import Allocation
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.requests._shadow_copy import ShadowCopy
@@ -88,7 +89,7 @@
         # Monotonic time in seconds at which the primary was found to be leaving; None if it
         # is not.
         self._leaving_since: float | None = None
-        self._stopper = GenerationStopper(dispatcher, request)
+        self._primary_stop = PrimaryStop(dispatcher, request)
         # Monotonic time in seconds before which no copy is started.
         self._no_copy_before = 0.0
 
@@ -113,6 +114,11 @@
         """Whether there is a backup, or a shadow copy whose memory has arrived."""
         return self._backup is not None or (self._shadow is not None and self._shadow.has_memory)
 
+    @property
+    def stop_result(self) -> StopResult | None:
+        """What is known of the generation at the primary since an order to stop it."""
+        return self._primary_stop.result
+
     async def begin(self, replica: Replica) -> None:
         """Start at a replica, with a backup if it is needed and there is room for one."""
         self._primary = self._allocate(replica, reads=True)
@@ -141,6 +147,7 @@
         If a generation gets longer than estimated, its expected memory increases with it.
         Otherwise, full engines would preempt other generations for it (test_promise_load).
         """
+        self._primary_stop.reset()
         progress = self._progress()
         for carrier in (self._primary, self._backup, self._shadow_allocation):
             if carrier is not None:
@@ -153,8 +160,39 @@
         self._free(self._primary)
         self._free(self._backup)
 
+    async def leaves_silent_primary(self) -> bool:
+        """Stop the generation at a silent primary; return whether it may resume elsewhere."""
+        primary = self._primary
+        assert primary is not None
+        return await self._primary_stop.leaves_silent(
+            primary.replica, primary.born, self.shadow, self._merger.last_event_number
+        )
+
     async def continuations(self) -> list[tuple[Replica, MovedMemory]]:
-        """Return the replicas and memory from which the generation may resume, best first."""
+        """Return the replicas and memory from which the generation may resume, best first.
+
+        Unless the primary has stopped the generation already, it is ordered to.
+        """
+        if self.stop_result is None:
+            await self._stop_broken_primary()
+        copies = await self._copies()
+        stopped = self.stop_result.options(self.primary) if self.stop_result is not None else []
+        moved = [option for option in stopped if option[0].name != self.primary.name]
+        kept = [option for option in stopped if option[0].name == self.primary.name]
+        return [*moved, *(copy for copy in copies if copy not in moved), *kept]
+
+    def confirm_stopped(self, earlier: list[Replica]) -> None:
+        """Have the earlier primaries stopped that have not confirmed that they are.
+
+        Parameters
+        ----------
+        earlier : list of Replica
+            The previous primary, and replicas at which resuming failed.
+        """
+        self._primary_stop.confirm(earlier, self.primary, self._merger.last_event_number)
+
+    async def _copies(self) -> list[tuple[Replica, MovedMemory]]:
+        """Return the copies from which the generation may resume; they are not refreshed again."""
         found: list[tuple[Replica, MovedMemory]] = []
         if self._shadow is not None and self._shadow_allocation is not None:
             memory = await self._shadow.stop()
@@ -164,16 +202,23 @@
         if self._backup is not None and self._may_resume_from(self._backup):
             replica = self._backup.replica
             found.append((replica, MovedMemory(replica.address, self._request.request_id)))
-        return found or await self._stop_at_primary()
+        return found
 
-    async def _stop_at_primary(self) -> list[tuple[Replica, MovedMemory]]:
-        """Stop the generation at a primary that may still run it; return where to resume."""
+    async def _stop_broken_primary(self) -> None:
+        """Stop the generation at a primary that may still run it although its connection broke."""
+        primary = self._primary
+        assert primary is not None
         engine = self._request.service.engine
-        if engine is None or not engine.moves or not self._placer.stays(self.primary):
-            return []
-        target = await self._choose_shadow_target(leaving=True)
+        if engine is None or not engine.moves or not self._placer.stays(primary.replica):
+            return
         after_event = self._merger.last_event_number
-        return await self._stopper.stop(self.primary, target, after_event)
+        if self.has_arrived_copy:
+            await self._primary_stop.stop_broken(
+                primary.replica, primary.born, self.shadow, after_event
+            )
+            return
+        target = await self._choose_shadow_target(leaving=True)
+        await self._primary_stop.stop_without_copy(primary.replica, target, after_event)
 
     def _may_resume_from(self, carrier: _ReplicaAllocation) -> bool:
         """Return whether a generation may resume from a copy."""
--- a/reachlink/requests/_placer.py
+++ b/reachlink/requests/_placer.py
@@ -73,6 +73,11 @@
         """Return the last start time of a replica, in Unix milliseconds; 0 if unknown."""
         return self._parts.directory.born(replica.name)
 
+    def is_gone(self, replica: Replica, born: int) -> bool:
+        """Return whether a replica that started at `born` has ended or started anew."""
+        known = self._parts.directory.find(replica.name) is not None
+        return not known or 0 < born < self.born(replica)
+
     def takes_work(self, replica: Replica) -> bool:
         """Return whether a replica is not leaving and its zone is in service."""
         return self._parts.directory.may_get_work(replica.name)
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -1,6 +1,7 @@
 """Placing requests and sending them to replicas."""
 
 import asyncio
+from collections.abc import Coroutine
 from typing import Any
 
 from reachlink.quarantine import CrashGuard
@@ -51,6 +52,7 @@
         self._retry_policy = RetryPolicy(parts, self._placer)
         self._outcome_recorder = OutcomeRecorder(parts, self._placer, self._guard)
         self._log: Any = get_logger()
+        self._background: set[asyncio.Task[None]] = set()
 
     @property
     def placer(self) -> Placer:
@@ -101,6 +103,12 @@
         """Return the monotonic time in seconds."""
         return self._parts.clock()
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work in the background that outlasts the request it is for."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def random_fraction(self) -> float:
         """Return a random number from 0 to 1."""
         return self._parts.random.random()
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -1,13 +1,14 @@
 """Requests whose answer is a stream of events, which continues if its replica is lost.
 
 While a generation runs, its memory is copied to a second replica. If the primary is lost, the
-generation resumes at the second replica after the last event that the caller got.
+generation resumes at the second replica after the last event that the caller got. Before that,
+the primary is ordered to stop the generation: it may run on although nobody reads it.
 """
 
 import asyncio
 
 from reachlink.quarantine import HELD, AnswerTiming, HeldRequestError
-from reachlink.requests._answer_body import read_part, read_whole
+from reachlink.requests._answer_body import read_part, read_whole, read_within
 from reachlink.requests._attempts import AttemptFailure, pacing_failure
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_replicas import GenerationReplicas
@@ -28,9 +29,11 @@
     UpstreamUnreachableError,
 )
 
-# Time in seconds without an event after which a replica counts as lost. Longer than a sound replica
-# may be silent, and below the silence after which callers leave.
+# Time in seconds without an event after which a generation with a copy is to leave its replica.
+# Longer than a sound replica may be silent, and below the silence after which callers leave.
 MAX_SILENCE_S = 1.4
+# Interval in seconds between two checks of a replica at which a generation waits for memory.
+WAITING_CHECK_INTERVAL_S = 0.2
 # Time in seconds for which bytes are read that arrived while this process stood still: the event
 # loop runs the timers that are due before it reads.
 ARRIVED_READ_S = 0.05
@@ -155,6 +158,7 @@
         """Resume at a replica that has a copy; return whether the stream is complete."""
         options = await self._replicas.continuations()
         options.sort(key=lambda option: self._dispatcher.remaining_hold_s(option[0]))
+        may_run_at = [self._replicas.primary]
         for target, memory in options:
             if not await self._dispatcher.wait_for_permit(self._request, target):
                 self._log_continuation_failed(target, "held back")
@@ -162,7 +166,9 @@
             connect_s = COPY_CONNECT_S if len(options) == 1 else 0.0
             answer = await self._continue_at(target, memory, connect_s)
             if answer is None:
+                may_run_at.append(target)
                 continue
+            self._replicas.confirm_stopped(may_run_at)
             try:
                 return await self._relay_events(answer)
             finally:
@@ -260,31 +266,26 @@
     async def _read(self, answer: RelayAnswer) -> bytes:
         """Return the next bytes.
 
-        If there is a copy to resume from, a long silence counts as a broken connection.
-        """
-        if self._merger.last_event_number < 0:
-            return await read_part(answer)
-        while True:
-            try:
-                async with asyncio.timeout(MAX_SILENCE_S):
-                    return await read_part(answer)
-            except TimeoutError:
-                if self._replicas.has_arrived_copy:
-                    return await self._read_arrived(answer)
-
-    async def _read_arrived(self, answer: RelayAnswer) -> bytes:
-        """Return the bytes that have arrived during a silence that is too long.
-
         Raises
         ------
         UpstreamBrokenError
-            If there are none.
+            If the connection breaks, or the replica is silent for long and the generation may
+            resume from a copy.
         """
-        try:
-            async with asyncio.timeout(ARRIVED_READ_S):
-                return await read_part(answer)
-        except TimeoutError as error:
-            raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s") from error
+        if self._merger.last_event_number < 0:
+            return await read_part(answer)
+        wait_s = MAX_SILENCE_S
+        while (data := await read_within(answer, wait_s)) is None:
+            wait_s = MAX_SILENCE_S
+            if not self._replicas.has_arrived_copy:
+                continue
+            data = await read_within(answer, ARRIVED_READ_S)
+            if data is not None:
+                return data
+            if await self._replicas.leaves_silent_primary():
+                raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s")
+            wait_s = WAITING_CHECK_INTERVAL_S
+        return data
 
     async def _read_no_stream(self, answer: RelayAnswer) -> AttemptFailure | WholeAnswer:
         """Return an answer that is no stream, or a failure if its body breaks off."""
--- a/reachlink/requests/tests/test_stopped_generations.py
+++ b/reachlink/requests/tests/test_stopped_generations.py
@@ -5,7 +5,7 @@
 import pytest
 
 from reachlink.requests import StreamCutError
-from reachlink.requests._generation_stopper import MAX_STOPS
+from reachlink.requests._primary_stop import MAX_STOPS
 from reachlink.requests.tests.test_moving import MEMORY, virtual_time_world
 from reachlink.requests.tests.world import BROKEN, answering, stream
 from reachlink.routing import RequestKind
