Control: refuse operators' requests that nobody waits for any more

Cause: the age of an order was counted from the begin of its handler. A control daemon that stood still for 7 s finds the order in its socket, whose operator turned to another daemon after 1 s. Its own view is old, so the order is overtaken; the daemon learns the newest base and gives it again on that, "within 0.85 s". The base, made for this, is undone by giving again; and where no newer order was given it never helped.

Change: LoopGaps notes each 0.1 s that the event loop runs, so that the longest time for which bytes that are read now may have waited is known, whatever held the process up. RequestFreshness refuses (503, nothing done) what may have waited over 0.85 s, and what has the end of its connection behind it. Both interfaces, every request that changes something: tables, orders about zones, edits, members, releases. The time for giving an order again counts from the bytes' arrival.

Why it works: what a process reads after a gap is as old as the gap, as far as anybody can tell; what a cut path delivers late comes with the close of its sender.

--- a/reachlink/control/__init__.py
+++ b/reachlink/control/__init__.py
@@ -26,6 +26,7 @@
 )
 from reachlink.control._config import ControlConfig
 from reachlink.control._daemon import ControlDaemon, found_cluster, founding_id
+from reachlink.control._freshness import RequestFreshness
 from reachlink.control._machine import ControlMachine
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._protocol import StatusAnswer, StatusRequest, WatchRequest
@@ -36,6 +37,7 @@
     ControlUnavailableError,
     OperatorError,
     OutcomeUnknownError,
+    OutdatedRequestError,
     UnknownZoneError,
 )
 
@@ -79,6 +81,8 @@
     "OperatorHandlers",
     "OperatorTools",
     "OutcomeUnknownError",
+    "OutdatedRequestError",
+    "RequestFreshness",
     "StatusAnswer",
     "StatusRequest",
     "StoredAnswer",
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -15,6 +15,7 @@
 )
 from reachlink.control._client import ControlClient
 from reachlink.control._config import ControlConfig
+from reachlink.control._freshness import RequestFreshness
 from reachlink.control._machine import ControlMachine
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._proposals import propose_through
@@ -23,7 +24,7 @@
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
 from reachlink.control._zone_orders import ZoneOrders
-from reachlink.kernel import SystemClock, process_started_at
+from reachlink.kernel import LoopGaps, SystemClock, process_started_at
 from reachlink.messaging import Bus, export_traffic
 from reachlink.telemetry import Metrics, get_logger
 
@@ -77,6 +78,8 @@
         self._metrics = Metrics("control", config.name, config.availability_zone)
         export_traffic(self._metrics, self._bus.traffic)
         self._client = ControlClient(self._bus, [config.bus_address])
+        self._gaps = LoopGaps()
+        self._freshness = RequestFreshness(self._gaps)
         self._runners: list[web.AppRunner] = []
         self._seeds = list(config.seeds)
         self._tasks: list[asyncio.Task[None]] = []
@@ -89,12 +92,14 @@
         self._bus.handle(CHANNEL_ROSTER, self._server.on_roster)
         self._bus.bind(self._config.bus_address)
         self._tasks.append(asyncio.create_task(self._run()))
+        self._tasks.append(asyncio.create_task(self._gaps.watch()))
         if self._seeds:
             self._tasks.append(asyncio.create_task(self._steward().run()))
         handlers = OperatorHandlers(
             self._client,
             lambda: self._machine.tree,
             self._config.bootstrap_key_hash,
+            self._freshness,
             self._config.zones,
         )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
@@ -144,7 +149,7 @@
             lambda: self._machine.tree,
             self._config.zones,
         )
-        return OperatorTools(TablePublisher(self._server), zones)
+        return OperatorTools(TablePublisher(self._server), zones, self._freshness)
 
     def _steward(self) -> Steward:
         config = self._config
--- a/reachlink/control/_operator_http.py
+++ b/reachlink/control/_operator_http.py
@@ -18,6 +18,7 @@
     NoteCommand,
     Result,
 )
+from reachlink.control._freshness import RequestFreshness
 from reachlink.control._protocol import (
     AuditAnswer,
     AuditRequest,
@@ -36,6 +37,7 @@
     ControlUnavailableError,
     OperatorError,
     OutcomeUnknownError,
+    OutdatedRequestError,
     UnknownZoneError,
 )
 from reachlink.kernel import bearer_key, json_response
@@ -91,6 +93,8 @@
             return _error(OperatorError(400, "unknown_path", str(error)))
         except msgspec.DecodeError as error:
             return _error(OperatorError(400, "invalid_body", str(error)))
+        except OutdatedRequestError as error:
+            return _error(OperatorError(503, "request_outdated", str(error)))
         except ControlUnavailableError as error:
             return _error(OperatorError(503, "control_unavailable", str(error)))
         except UnknownZoneError as error:
@@ -112,6 +116,8 @@
         Returns the settings in force at this instance.
     bootstrap_key_hash : str
         Hash of the key that acts as an operator until the settings name one.
+    freshness : RequestFreshness
+        Tells whether the sender of a request still waits.
     zones : collection of str
         The availability zones of the deployment; where empty, any name will do.
     """
@@ -121,11 +127,13 @@
         control: ControlClient,
         tree: Callable[[], SettingsTree],
         bootstrap_key_hash: str,
+        freshness: RequestFreshness,
         zones: Collection[str] = (),
     ) -> None:
         self._control = control
         self._tree = tree
         self._bootstrap = bootstrap_key_hash
+        self._freshness = freshness
         self._zones = ZoneOrders(self._propose, tree, zones)
 
     def routes(self) -> list[web.RouteDef]:
@@ -183,6 +191,7 @@
             raw += await request.content.read(MAX_EDIT_BYTES + 1 - len(raw))
         if len(raw) > MAX_EDIT_BYTES:
             raise OperatorError(413, "body_too_large", "the edit is too large")
+        await self._freshness.check(request)
         body = msgspec.json.decode(raw, type=EditBody)
         command = EditCommand(
             edit_id=body.edit_id or uuid.uuid4().hex,
@@ -231,6 +240,7 @@
         """Add, promote or remove a replica of the log."""
         author = self.authorize(request, write=True)
         body = msgspec.json.decode(await request.read(), type=MembersBody)
+        await self._freshness.check(request)
         change = MembersRequest(
             body.action,
             body.node_id,
@@ -256,8 +266,9 @@
         author = self.authorize(request, write=True)
         zone = request.match_info["zone"]
         body = msgspec.json.decode(await request.read(), type=ZoneBody)
+        unread_s = await self._freshness.check(request)
         issuer = Issuer(author, request.remote or "", body.reason)
-        result = await self._zones.order(zone, body.out_of_service, issuer)
+        result = await self._zones.order(zone, body.out_of_service, issuer, unread_s)
         return json_response({"status": result.status.value, "revision": result.revision})
 
     @_answering
@@ -277,6 +288,7 @@
             fingerprint = fingerprint_of(text)
         except ValueError as error:
             raise OperatorError(400, "invalid_fingerprint", str(error)) from error
+        await self._freshness.check(request)
         answer = await self._control.request(ReleaseRequest(fingerprint), EDIT_TIMEOUT_S)
         assert isinstance(answer, ReleaseAnswer)
         note = NoteCommand("release", author, request.remote or "", text, time.time())
--- a/reachlink/control/_publishing.py
+++ b/reachlink/control/_publishing.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from reachlink.control._commands import PublishCommand, PublishResult
+from reachlink.control._freshness import RequestFreshness
 from reachlink.control._proposals import PAUSE_S, propose_through
 from reachlink.control._server import ControlServer
 from reachlink.control._zone_orders import ZoneOrders
@@ -74,6 +75,7 @@
 
     tables: TablePublisher
     zones: ZoneOrders
+    freshness: RequestFreshness
 
 
 OperatorBorder = Callable[[OperatorTools], list[web.RouteDef]]
--- a/reachlink/control/_zone_orders.py
+++ b/reachlink/control/_zone_orders.py
@@ -9,8 +9,8 @@
 from reachlink.kernel import steady_time
 from reachlink.settings import SettingsTree, UnknownPathError, parse_path, zone_order_path
 
-# How long after it came an order that another one has overtaken is given again on the
-# newest, in seconds. Operators' clients turn to another instance after one second: given
+# How long after it arrived, read or not, an order that another one has overtaken is given again on
+# the newest, in seconds. Operators' clients turn to another instance after one second: given
 # again later, it could undo what they had confirmed there since.
 GIVEN_AGAIN_S = 0.85
 
@@ -54,7 +54,9 @@
         self._tree = tree
         self._known = known
 
-    async def order(self, zone: str, out_of_service: bool, issuer: Issuer) -> ZoneResult:
+    async def order(
+        self, zone: str, out_of_service: bool, issuer: Issuer, unread_s: float = 0.0
+    ) -> ZoneResult:
         """Give an order; safe to repeat.
 
         Parameters
@@ -65,6 +67,8 @@
             Whether its replicas are to get nothing more.
         issuer : Issuer
             Who gives it.
+        unread_s : float
+            Time in seconds for which the order may have waited unread.
 
         Raises
         ------
@@ -77,7 +81,7 @@
             It may have been done.
         """
         self._check(zone)
-        given_at = self._clock()
+        given_at = self._clock() - unread_s
         held = self._tree().zone_orders.get(zone)
         base = held.revision if held is not None else 0
         while self._clock() - given_at < GIVEN_AGAIN_S:
--- a/reachlink/control/exceptions.py
+++ b/reachlink/control/exceptions.py
@@ -6,6 +6,7 @@
     "ControlError",
     "ControlUnavailableError",
     "OperatorError",
+    "OutdatedRequestError",
     "OutcomeUnknownError",
     "UnknownZoneError",
 ]
@@ -19,6 +20,10 @@
     """No control instance could take the request; nothing was done."""
 
 
+class OutdatedRequestError(ControlUnavailableError):
+    """The sender of a request no longer waits for its answer; nothing was done."""
+
+
 class OutcomeUnknownError(ControlError):
     """The request was handed over but its answer was lost.
 
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from reachlink.control import OperatorError, OperatorHandlers
+from reachlink.control import OperatorError, OperatorHandlers, RequestFreshness
 from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._caller_server import SERVER_KEEPALIVE_S
 from reachlink.entry._chat import ChatHandlers
@@ -27,7 +27,7 @@
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry._sinks import SLOW_READER_S
 from reachlink.entry.exceptions import RequestError
-from reachlink.kernel import json_response, steady_time, watch_suspensions
+from reachlink.kernel import LoopGaps, json_response, steady_time, watch_suspensions
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
 from reachlink.messaging import decode, encode
 from reachlink.pacing import LimitUpdate
@@ -56,8 +56,12 @@
         self._node = EntryNode(config)
         self._follower = SettingsFollower(self._node)
         self._platform = PLATFORMS.get(config.platform.adapter)(self._platform_url())
+        self._gaps = LoopGaps()
         self._operators = OperatorHandlers(
-            self._node.control, lambda: self._node.tree, config.bootstrap_key_hash
+            self._node.control,
+            lambda: self._node.tree,
+            config.bootstrap_key_hash,
+            RequestFreshness(self._gaps),
         )
         self._runner: web.AppRunner | None = None
         # The HTTP library closes connections that rest for long.
@@ -81,6 +85,7 @@
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(node.crash_news.run()),
             asyncio.create_task(watch_suspensions(node.on_resumed)),
+            asyncio.create_task(self._gaps.watch()),
             self._every(config.platform.interval_s, self._read_platform),
             self._every(config.digest_interval_s, self._send_digests),
             self._every(config.report_interval_s, self._read_reports),
--- a/reachlink/kernel/__init__.py
+++ b/reachlink/kernel/__init__.py
@@ -4,6 +4,7 @@
 from reachlink.kernel._config import load_config
 from reachlink.kernel._counts import parse_count
 from reachlink.kernel._lifecycle import run_daemon
+from reachlink.kernel._loop_gaps import LoopGaps
 from reachlink.kernel._registry import Registry
 from reachlink.kernel._slices import run_in_slices
 from reachlink.kernel._suspension import watch_suspensions
@@ -13,6 +14,7 @@
 __all__ = [
     "Clock",
     "ConfigError",
+    "LoopGaps",
     "ReachlinkError",
     "Registry",
     "SystemClock",
