Streams: never let go of the only replica that holds a generation

Cause, two of one class, a belief that nobody confirms any more: (1) a transfer that was refused because the generation was preempted for a moment ended the copying for good, while the instance went on believing in the copy, whose replica had freed it 5 s later; (2) on the next silence the connection to the only replica that held the generation was closed before it was known whether another one could resume it.

The connection to a silent replica stays open until another one has resumed the generation, at most 0.3 s from when that was asked and nothing confirmed that the first has stopped; where none can resume it, the stream is read on there (`stream_stays`). A replica that answered the order to stop is no longer recorded as broken.

Why it works: either a copy is known to be there, or the holder is kept; events merge by their numbers, so nothing is doubled.

--- a/reachlink/requests/_generation_replicas.py
+++ b/reachlink/requests/_generation_replicas.py
@@ -14,12 +14,12 @@
 from reachlink.requests._copy_targets import CopyTargets
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_progress import GenerationProgress
-from reachlink.requests._generation_stopper import StopResult
+from reachlink.requests._generation_stopper import StopOutcome, StopResult
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._primary_stop import PrimaryStop
 from reachlink.requests._replica_tracker import Allocation
 from reachlink.requests._request_dispatcher import RequestDispatcher
-from reachlink.requests._shadow_copy import ShadowCopy
+from reachlink.requests._shadow_copy import ShadowCopy, copy_lifetime_s
 from reachlink.upstreams import MovedMemory, MoveFailure, Replica
 
 # Interval between two checks of a generation's replicas, in seconds.
@@ -90,6 +90,8 @@
         # is not.
         self._leaving_since: float | None = None
         self._primary_stop = PrimaryStop(dispatcher, request)
+        # Monotonic time in seconds of the last event.
+        self._progressed_at = dispatcher.now()
         # Monotonic time in seconds before which no copy is started.
         self._no_copy_before = 0.0
 
@@ -111,14 +113,41 @@
 
     @property
     def has_arrived_copy(self) -> bool:
-        """Whether there is a backup, or a shadow copy whose memory has arrived."""
-        return self._backup is not None or (self._shadow is not None and self._shadow.has_memory)
+        """Whether there is a backup or a shadow copy whose memory has arrived and not lapsed."""
+        return self._has_backup or (self._shadow is not None and self._shadow.has_memory)
+
+    @property
+    def _has_backup(self) -> bool:
+        """Whether there is a backup that has not lapsed: a preempted primary sends it nothing."""
+        unsent_s = self._dispatcher.now() - self._progressed_at
+        return self._backup is not None and unsent_s < copy_lifetime_s(self._copy_kept_s)
+
+    @property
+    def _copy_kept_s(self) -> float:
+        """Time in seconds for which a replica keeps memory that is not refreshed."""
+        engine = self._request.service.engine
+        return engine.move_keep_s if engine is not None else 0.0
 
     @property
     def stop_result(self) -> StopResult | None:
         """What is known of the generation at the primary since an order to stop it."""
         return self._primary_stop.result
 
+    @property
+    def may_run_at_primary(self) -> bool:
+        """Whether the primary has not confirmed that it has stopped the generation."""
+        return self.stop_result is None or not self.stop_result.stopped
+
+    @property
+    def is_primary_unanswering(self) -> bool:
+        """Whether the primary did not answer an order to stop the generation."""
+        result = self.stop_result
+        return result is not None and result.outcome is StopOutcome.UNANSWERED
+
+    def forget_stop(self) -> None:
+        """Forget what is known of the generation at the primary, which is read on."""
+        self._primary_stop.reset()
+
     async def begin(self, replica: Replica) -> None:
         """Start at a replica, with a backup if it is needed and there is room for one."""
         self._primary = self._allocate(replica, reads=True)
@@ -148,6 +177,7 @@
         Otherwise, full engines would preempt other generations for it (test_promise_load).
         """
         self._primary_stop.reset()
+        self._progressed_at = self._dispatcher.now()
         progress = self._progress()
         for carrier in (self._primary, self._backup, self._shadow_allocation):
             if carrier is not None:
@@ -199,7 +229,7 @@
             if memory is not None and self._may_resume_from(self._shadow_allocation):
                 found.append((self._shadow_allocation.replica, memory))
             self._shadow = None
-        if self._backup is not None and self._may_resume_from(self._backup):
+        if self._backup is not None and self._has_backup and self._may_resume_from(self._backup):
             replica = self._backup.replica
             found.append((replica, MovedMemory(replica.address, self._request.request_id)))
         return found
@@ -381,6 +411,7 @@
             target,
             self._dispatcher.log,
             self._dispatcher.now,
+            self._copy_kept_s,
         )
 
     async def _choose_shadow_target(self, leaving: bool) -> Replica | None:
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -8,18 +8,19 @@
 import asyncio
 
 from reachlink.quarantine import HELD, AnswerTiming, HeldRequestError
-from reachlink.requests._answer_body import read_part, read_whole, read_within
+from reachlink.requests._answer_body import read_whole
 from reachlink.requests._attempts import AttemptFailure, pacing_failure
 from reachlink.requests._event_merger import EventMerger
+from reachlink.requests._event_source import MAX_SILENCE_S, EventSource, StreamEnd
 from reachlink.requests._generation_replicas import GenerationReplicas
 from reachlink.requests._model import AnswerSink, CallerRequest, WholeAnswer
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._stream_log import StreamLog
 from reachlink.requests._stream_times import StreamTimes
 from reachlink.requests.exceptions import StreamCutError
 from reachlink.scheduling import EventIntervalMeter
 from reachlink.upstreams import (
     Continuation,
-    EventSplitter,
     MovedMemory,
     RelayAnswer,
     Replica,
@@ -29,19 +30,14 @@
     UpstreamUnreachableError,
 )
 
-# Time in seconds without an event after which a generation with a copy is to leave its replica.
-# Longer than a sound replica may be silent, and below the silence after which callers leave.
-MAX_SILENCE_S = 1.4
-# Interval in seconds between two checks of a replica at which a generation waits for memory.
-WAITING_CHECK_INTERVAL_S = 0.2
-# Time in seconds for which bytes are read that arrived while this process stood still: the event
-# loop runs the timers that are due before it reads.
-ARRIVED_READ_S = 0.05
 # Time in seconds for which connections to the only replica with a copy are tried: a busy replica
 # may be slow to accept one, and nothing has been sent.
 COPY_CONNECT_S = 1.5
 # Pause between two of these attempts in seconds.
 COPY_CONNECT_PAUSE_S = 0.05
+# Longest time in seconds for which the connection to a silent replica that has not confirmed that
+# it has stopped the generation stays open while another replica is to resume it.
+BOTH_OPEN_S = 0.3
 # Time in seconds from which on a write counts as delayed by the caller. A caller that reads slowly
 # determines itself when the next events are read.
 SLOW_WRITE_S = 0.005
@@ -91,7 +87,7 @@
         self._interval_meter = EventIntervalMeter()
         # Whether the primary had unread prompts when the last event interval was measured.
         self._had_unread_prompts = True
-        self._moves = 0
+        self._log = StreamLog(dispatcher, request, self._replicas, self._merger)
         # Whether no event has arrived since the generation resumed at another replica.
         self._no_event_since_move = False
         # Times of the answer of the present primary.
@@ -145,111 +141,130 @@
                 return await self._read_no_stream(answer)
             self._head_sent = True
             await self._sink.begin(answer.head)
-            ended = await self._relay_events(answer)
+            await self._relay_to_end(EventSource(answer, self._replicas))
         finally:
             answer.close()
-        while not ended:
-            ended = await self._continue()
         await self._sink.end()
-        self._log_delivered()
+        self._log.delivered(self._times)
         return None
 
-    async def _continue(self) -> bool:
-        """Resume at a replica that has a copy; return whether the stream is complete."""
+    async def _relay_to_end(self, source: EventSource) -> None:
+        """Pass on the events of one replica after the other until the stream is complete."""
+        try:
+            while (end := await self._relay_events(source)) is not StreamEnd.COMPLETE:
+                source = await self._continue(source, end)
+        finally:
+            source.close()
+
+    async def _continue(self, source: EventSource, end: StreamEnd) -> EventSource:
+        """Resume at a replica that has a copy; return where to read on.
+
+        The connection to a silent replica stays open until another one has resumed the
+        generation: where none can, its replica is the only one that holds it.
+        """
+        if end is StreamEnd.BROKEN:
+            source.close()
         options = await self._replicas.continuations()
         options.sort(key=lambda option: self._dispatcher.remaining_hold_s(option[0]))
-        may_run_at = [self._replicas.primary]
+        previous = self._replicas.primary
+        may_run_at = [previous]
         for target, memory in options:
             if not await self._dispatcher.wait_for_permit(self._request, target):
-                self._log_continuation_failed(target, "held back")
+                self._log.continuation_failed(target, "held back")
                 continue
             connect_s = COPY_CONNECT_S if len(options) == 1 else 0.0
-            answer = await self._continue_at(target, memory, connect_s)
+            answer = await self._continue_at(target, memory, connect_s, source)
             if answer is None:
                 may_run_at.append(target)
                 continue
+            source.close()
             self._replicas.confirm_stopped(may_run_at)
-            try:
-                return await self._relay_events(answer)
-            finally:
-                answer.close()
+            return EventSource(answer, self._replicas)
+        if end is StreamEnd.SILENT and self._replicas.may_run_at_primary:
+            return await self._stay(source, previous)
         raise StreamCutError("no_copy_left")
 
+    async def _stay(self, source: EventSource, replica: Replica) -> EventSource:
+        """Read on at a silent replica, as no other one holds the generation."""
+        if self._replicas.primary.name != replica.name:
+            await self._replicas.move_to(replica)
+        self._replicas.forget_stop()
+        self._log.stays(replica)
+        return source
+
     async def _continue_at(
-        self, target: Replica, memory: MovedMemory, connect_s: float
+        self, target: Replica, memory: MovedMemory, connect_s: float, source: EventSource
     ) -> RelayAnswer | None:
         """Ask a replica to resume the generation; return None if it cannot."""
         lost = await self._replicas.move_to(target)
-        self._moves += 1
         self._no_event_since_move = True
         self._reset_interval()
-        self._dispatcher.log.info(
-            "stream_continues",
-            request_id=self._request.request_id,
-            lost=lost.name,
-            replica=target.name,
-            copy=_name(self._replicas.backup),
-            handle=memory.handle,
-            after_event=self._merger.last_event_number,
-        )
+        self._log.continues(lost, target, memory)
         try:
             continuation = Continuation(self._merger.last_event_number, memory)
-            answer = await self._open_copy(target, continuation, connect_s)
+            answer = await self._open_copy(target, continuation, connect_s, source)
         except UpstreamError as error:
-            self._log_continuation_failed(target, str(error))
+            self._log.continuation_failed(target, str(error))
             return None
         if not answer.head.success:
             answer.close()
-            self._log_continuation_failed(target, f"status {answer.head.status}")
+            self._log.continuation_failed(target, f"status {answer.head.status}")
             return None
         return answer
 
     async def _open_copy(
-        self, target: Replica, continuation: Continuation, connect_s: float
+        self,
+        target: Replica,
+        continuation: Continuation,
+        connect_s: float,
+        source: EventSource,
     ) -> RelayAnswer:
         """Open a continuation; try again while no connection is made, for some time."""
+        loop = asyncio.get_running_loop()
         ends_at = self._dispatcher.now() + connect_s
         while True:
+            closing = loop.call_later(BOTH_OPEN_S, source.close)
             try:
                 return await self._open(target, continuation)
             except UpstreamUnreachableError:
                 if self._dispatcher.now() >= ends_at:
                     raise
+            finally:
+                closing.cancel()
             await asyncio.sleep(COPY_CONNECT_PAUSE_S)
 
-    def _log_continuation_failed(self, target: Replica, reason: str) -> None:
-        self._dispatcher.log.warning(
-            "continuation_failed",
-            request_id=self._request.request_id,
-            replica=target.name,
-            reason=reason,
-        )
-
-    async def _relay_events(self, answer: RelayAnswer) -> bool:
-        """Pass on events until the answer ends; return whether the stream is complete."""
-        splitter = EventSplitter()
+    async def _relay_events(self, source: EventSource) -> StreamEnd:
+        """Pass on events until the answer ends or the generation is to resume elsewhere."""
         outcomes = self._dispatcher.outcomes
         try:
-            while data := await self._read(answer):
-                ready = self._merger.merge(splitter.feed(data))
-                if ready:
-                    if self._timing.note_part(self._dispatcher.now()):
-                        outcomes.record_progress(self._request, self._timing.sound_since)
-                    self._replicas.note_prompt_read()
-                    self._replicas.note_progress()
-                    self._note_pause()
-                    await self._write(ready)
+            while data := await source.read(self._merger.last_event_number >= 0):
+                await self._pass_on(source, data)
         except (UpstreamBrokenError, ValueError) as error:
             self._on_broken(str(error))
-            return False
+            return StreamEnd.BROKEN
         except TimeoutError as error:
             raise StreamCutError("stream_timeout") from error
-        if splitter.rest:
+        if data is None:
+            self._on_silent()
+            return StreamEnd.SILENT
+        if source.splitter.rest:
             self._on_broken("stream ended within an event")
-            return False
+            return StreamEnd.BROKEN
         outcomes.record_answer(self._replicas.primary, succeeded=True)
         outcomes.record_sound(self._request, self._timing.sound_since)
-        return True
+        return StreamEnd.COMPLETE
+
+    async def _pass_on(self, source: EventSource, data: bytes) -> None:
+        """Give the caller the events that some bytes complete."""
+        ready = self._merger.merge(source.splitter.feed(data))
+        if not ready:
+            return
+        if self._timing.note_part(self._dispatcher.now()):
+            self._dispatcher.outcomes.record_progress(self._request, self._timing.sound_since)
+        self._replicas.note_prompt_read()
+        self._replicas.note_progress()
+        self._note_pause()
+        await self._write(ready)
 
     async def _write(self, ready: bytes) -> None:
         """Write events to the caller; discard the interval measurement if that takes long."""
@@ -263,30 +278,6 @@
         self._had_unread_prompts = True
         self._interval_meter.reset()
 
-    async def _read(self, answer: RelayAnswer) -> bytes:
-        """Return the next bytes.
-
-        Raises
-        ------
-        UpstreamBrokenError
-            If the connection breaks, or the replica is silent for long and the generation may
-            resume from a copy.
-        """
-        if self._merger.last_event_number < 0:
-            return await read_part(answer)
-        wait_s = MAX_SILENCE_S
-        while (data := await read_within(answer, wait_s)) is None:
-            wait_s = MAX_SILENCE_S
-            if not self._replicas.has_arrived_copy:
-                continue
-            data = await read_within(answer, ARRIVED_READ_S)
-            if data is not None:
-                return data
-            if await self._replicas.leaves_silent_primary():
-                raise UpstreamBrokenError(f"silent for {MAX_SILENCE_S} s")
-            wait_s = WAITING_CHECK_INTERVAL_S
-        return data
-
     async def _read_no_stream(self, answer: RelayAnswer) -> AttemptFailure | WholeAnswer:
         """Return an answer that is no stream, or a failure if its body breaks off."""
         try:
@@ -326,17 +317,11 @@
             self._record_interval(event_s)
         if self._no_event_since_move:
             self._no_event_since_move = False
-            self._log_stream_joined(pause)
+            self._log.joined(pause)
         longest = self._request.route.event_gap_s
         if not longest or pause <= longest:
             return
-        self._dispatcher.log.info(
-            "stream_paused",
-            request_id=self._request.request_id,
-            replica=self._replicas.primary.name,
-            event_number=self._merger.last_event_number,
-            pause_ms=round(pause * 1000.0),
-        )
+        self._log.paused(pause)
 
     def _record_interval(self, event_s: float) -> None:
         """Record the event interval if the primary had no unread prompts at its start and end."""
@@ -348,50 +333,15 @@
         if not had_unread_before and not self._had_unread_prompts:
             self._dispatcher.pace.note_event_interval(self._request, primary, event_s)
 
-    def _log_stream_joined(self, pause_s: float) -> None:
-        self._dispatcher.log.info(
-            "stream_joined",
-            request_id=self._request.request_id,
-            replica=self._replicas.primary.name,
-            event_number=self._merger.last_event_number,
-            pause_ms=round(pause_s * 1000.0),
-            replicas=self._dispatcher.placer.options.describe(self._request.service, set()),
-        )
-
-    def _log_delivered(self) -> None:
-        """Log the timing of a complete stream beside the objectives of its route."""
-        times = self._times
-        self._dispatcher.log.info(
-            "stream_delivered",
-            request_id=self._request.request_id,
-            route=self._request.route.name,
-            workspace=self._request.relay.workspace,
-            replica=self._replicas.primary.name,
-            prompt_tokens=self._request.prompt_tokens,
-            last_event=self._merger.last_event_number,
-            first_event_ms=round((times.first_s or 0.0) * 1000.0),
-            objective_ms=round(self._request.route.objective_s * 1000.0),
-            longest_pause_ms=round(times.longest_pause_s * 1000.0),
-            longest_pause_at=times.longest_pause_at,
-            pause_goal_ms=round((self._request.route.event_gap_s or 0.0) * 1000.0),
-            moves=self._moves,
-        )
-
     def _on_broken(self, reason: str) -> None:
         replica = self._replicas.primary
         if not self._dispatcher.placer.stays(replica):
             self._dispatcher.allocations.note_gone(replica)
         self._note_broken(replica)
-        self._dispatcher.log.warning(
-            "stream_broken",
-            request_id=self._request.request_id,
-            replica=replica.name,
-            last_event=self._merger.last_event_number,
-            copy=_name(self._replicas.backup),
-            shadow=_name(self._replicas.shadow),
-            reason=reason,
-        )
-
+        self._log.broken(reason)
 
-def _name(replica: Replica | None) -> str:
-    return replica.name if replica is not None else ""
+    def _on_silent(self) -> None:
+        """Record that the generation leaves a silent replica, a failure unless it answers."""
+        if self._replicas.is_primary_unanswering:
+            self._note_broken(self._replicas.primary)
+        self._log.broken(f"silent for {MAX_SILENCE_S} s")
--- a/reachlink/requests/tests/test_silent_replicas.py
+++ b/reachlink/requests/tests/test_silent_replicas.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from reachlink.requests._streams import MAX_SILENCE_S
+from reachlink.requests._event_source import MAX_SILENCE_S
 from reachlink.requests.tests.test_moving import MOVED, virtual_time_world
 from reachlink.requests.tests.world import FakeAnswer, answering, stream
 from reachlink.routing import RequestKind
