Quarantine: crashes of several replicas at one moment count once against a sound part

Cause: each crash counts a half against a part with recent sound answers, 3.0 hold it: six crashes are enough, and the part that all requests share was at nine. What is held gets no answer that would clear it. Besides, a part counted as trusted in a crash only if every instance with a request there knew of a sound answer.

Evidence: test_part_that_all_requests_share_is_not_held_when_all_replicas_crash_at_once, the same five times, and test_sound_answer_that_one_instance_knows_of_counts_for_all fail before; test_new_part_that_crashes_several_replicas_at_once_is_held passes before and after, as do all tests of parts and requests that do crash replicas.

Change: crashes within 0.25 s are one piece of evidence against a trusted digest; trust is that of any instance at the crash. Untrusted digests count as before.

Cost: a part that begins to crash replicas while in use takes six moments in place of six crashes.

--- a/reachlink/quarantine/_judging.py
+++ b/reachlink/quarantine/_judging.py
@@ -15,6 +15,10 @@
 # many requests share is in more crashes than the one that causes them; one that began to crash
 # replicas only now is held after six crashes.
 TRUSTED_WEIGHT = 0.5
+# Time in seconds within which crashes of several replicas count once against a part with a sound
+# answer not long before: what ends many replicas at the same moment is rarely a request, and the
+# part that most requests share was at all of them.
+MOMENT_S = 0.25
 # Longest time in seconds from the first part of an answer to a crash that the start of the answer
 # may have caused.
 EARLY_CRASH_S = 1.0
@@ -54,10 +58,10 @@
     def __post_init__(self) -> None:
         self.suspects = set(self.features.digests())
 
-    def weight(self, digest: int) -> float:
-        """Return the weight of the crash against a digest of the request."""
-        weight = LATE_WEIGHT if self.late else 1.0
-        return weight * TRUSTED_WEIGHT if digest in self.trusted else weight
+    @property
+    def weight(self) -> float:
+        """Weight of the crash against the digests of the request that are not trusted."""
+        return LATE_WEIGHT if self.late else 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -73,19 +77,23 @@
     involvements : list of Involvement
         Requests that were there.
     weights : dict of int to float
-        Weight of the crash against each digest.
+        Weight of the crash against each digest, trusted or not.
+    trusted : set of int
+        Digests of parts that had a sound answer not long before, as far as any instance knows.
     """
 
     replica: str
     at: float
     involvements: list[Involvement] = field(default_factory=list)
     weights: dict[int, float] = field(default_factory=dict)
+    trusted: set[int] = field(default_factory=set)
 
     def add(self, found: Involvement) -> None:
         """Add a request that was at the replica."""
         self.involvements.append(found)
         for digest in found.suspects:
-            self.weights[digest] = max(self.weights.get(digest, 0.0), found.weight(digest))
+            self.weights[digest] = max(self.weights.get(digest, 0.0), found.weight)
+        self.trusted |= found.trusted
 
     def beside(self, digest: int) -> set[int]:
         """Return the suspects of the requests that have a digest, itself included."""
@@ -170,33 +178,41 @@
     crashes_to_hold : float
         Total weight of crashes at which requests are held.
     """
-    crashes = crashes_of(involvements)
-    crashes_by_digest: dict[int, list[Crash]] = {}
-    total_weights: dict[int, float] = {}
-    for crash in crashes:
-        for digest, weight in crash.weights.items():
-            crashes_by_digest.setdefault(digest, []).append(crash)
-            total_weights[digest] = total_weights.get(digest, 0.0) + weight
-    suspects = {d for d, weight in total_weights.items() if weight >= crashes_to_hold}
-    explained: set[int] = set()
+    unexplained: dict[int, list[Crash]] = {}
+    for crash in crashes_of(involvements):
+        for digest in crash.weights:
+            unexplained.setdefault(digest, []).append(crash)
+    weights = {digest: _total_weight(digest, found) for digest, found in unexplained.items()}
+    suspects = {d for d, weight in weights.items() if weight >= crashes_to_hold}
     held: dict[int, Verdict] = {}
     while suspects:
         # Ties go to the smaller digest, so that all instances decide alike.
-        worst = max(suspects, key=lambda d: (total_weights[d], -d))
-        newly_explained = [
-            crash for crash in crashes_by_digest[worst] if id(crash) not in explained
-        ]
-        verdict = _verdict(worst, newly_explained)
+        worst = max(suspects, key=lambda d: (weights[d], -d))
+        explained = unexplained[worst]
+        verdict = _verdict(worst, explained)
         held[verdict.fingerprint] = verdict
         suspects.discard(worst)
-        for crash in newly_explained:
-            explained.add(id(crash))
-            for digest, weight in crash.weights.items():
-                total_weights[digest] -= weight
-        suspects = {d for d in suspects if total_weights[d] >= crashes_to_hold}
+        for digest in suspects:
+            unexplained[digest] = [c for c in unexplained[digest] if c not in explained]
+            weights[digest] = _total_weight(digest, unexplained[digest])
+        suspects = {d for d in suspects if weights[d] >= crashes_to_hold}
     return held
 
 
+def _total_weight(digest: int, crashes: list[Crash]) -> float:
+    """Return the weight of crashes, in the order of their times, against a digest."""
+    total = 0.0
+    moment_at = float("-inf")
+    for crash in crashes:
+        weight = crash.weights[digest]
+        if digest not in crash.trusted:
+            total += weight
+        elif crash.at - moment_at > MOMENT_S:
+            moment_at = crash.at
+            total += weight * TRUSTED_WEIGHT
+    return total
+
+
 def _verdict(digest: int, crashes: list[Crash]) -> Verdict:
     """Return the verdict on a digest and those that stood beside it in all of its crashes."""
     digests = frozenset.intersection(*(frozenset(crash.beside(digest)) for crash in crashes))
--- a/reachlink/quarantine/tests/test_judging.py
+++ b/reachlink/quarantine/tests/test_judging.py
@@ -122,3 +122,40 @@
     assert verdict.whole
     assert verdict.fingerprint == GUILTY
     assert verdict.digests == {GUILTY, SYSTEM, DEADLY}
+
+
+def sharing(at: float, replica: str) -> Involvement:
+    """Return the involvement of a new request with a part that many requests share."""
+    number = 100 + next(_ids)
+    return there(number, at, replica, parts=(GUILTY, -number))
+
+
+def all_crash(at: float, trusting: int, replicas: int = 9) -> list[Involvement]:
+    """Return requests that share a part, at replicas that crash at the same moment.
+
+    The first `trusting` came by instances that know of a sound answer with the part.
+    """
+    seen = [sharing(at + 0.02 * n, f"r{n}") for n in range(replicas)]
+    for involvement in seen[:trusting]:
+        involvement.trusted = frozenset({GUILTY})
+    return seen
+
+
+def test_part_that_all_requests_share_is_not_held_when_all_replicas_crash_at_once():
+    assert judge(all_crash(5.0, trusting=9)) == {}
+
+
+def test_sound_part_is_not_held_when_all_replicas_crash_at_once_a_few_times():
+    assert judge([i for n in range(5) for i in all_crash(10.0 * n, trusting=9)]) == {}
+
+
+def test_new_part_that_crashes_several_replicas_at_once_is_held():
+    """Without a sound answer, each crash counts: requests with it may come in a burst."""
+    assert judge(all_crash(5.0, trusting=0, replicas=3)) != {}
+
+
+def test_sound_answer_that_one_instance_knows_of_counts_for_all():
+    seen = [sharing(float(at), f"r{at}") for at in range(5) for _ in range(2)]
+    for involvement in seen[::2]:
+        involvement.trusted = frozenset({GUILTY})
+    assert judge(seen) == {}
