Membership: one unreadable or deeply nested entry costs only that entry

What callers saw: with one entry that holds NaN, Infinity or a lone surrogate in the platform's list, no replica was known and every request was refused; with one nested 2,000 deep, the list was never read again.

Cause: a page that a strict decoder refuses was recovered with a lenient one from its first brace on, that of the page itself, so that the whole page passed for one entry; and RecursionError, no DecodeError, ended the task that reads the list.

Whatever reading the list raises is logged once and the list read again; so for the periodic work of the own interface, which one error ended.

--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -184,14 +184,27 @@
 
     def _every(self, interval_s: float, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
         async def repeat() -> None:
+            failure = ""
             while True:
                 started = steady_time()
-                await work()
+                failure = await self._attempt(work, failure)
                 passed = steady_time() - started
                 await asyncio.sleep(max(0.0, interval_s - passed))
 
         return asyncio.create_task(repeat())
 
+    async def _attempt(self, work: Callable[[], Awaitable[None]], failure: str) -> str:
+        """Do periodic work once; return its error, which is logged if it differs from `failure`."""
+        try:
+            await work()
+        except Exception as error:  # noqa: BLE001 - the work has to be done again next time
+            reason = f"{type(error).__name__}: {error}"
+            if reason != failure:
+                name = getattr(work, "__name__", repr(work))
+                self._node.log.error("periodic_work_failed", work=name, reason=reason)
+            return reason
+        return ""
+
     async def _read_platform(self) -> None:
         node = self._node
         try:
--- a/reachlink/entry/_list_reader.py
+++ b/reachlink/entry/_list_reader.py
@@ -14,7 +14,6 @@
 from reachlink.membership import (
     PlatformAdapter,
     PlatformBusyError,
-    PlatformUnavailableError,
     ReplicaDirectory,
 )
 from reachlink.telemetry import get_logger
@@ -137,7 +136,7 @@
         except PlatformBusyError:
             self._note_busy()
             return
-        except PlatformUnavailableError as error:
+        except Exception as error:  # noqa: BLE001 - the list has to be read again whatever it holds
             self._note_unavailable(error)
             return
         self._note_answer()
@@ -148,9 +147,11 @@
         self._slowdown = min(MOST_SLOWDOWN, self._slowdown * SLOWER)
         self._log.info("platform_list_busy", interval_s=round(self._interval_s(), 2))
 
-    def _note_unavailable(self, error: PlatformUnavailableError) -> None:
+    def _note_unavailable(self, error: Exception) -> None:
         if not self._failing:
-            self._log.warning("platform_list_unavailable", reason=str(error))
+            self._log.warning(
+                "platform_list_unavailable", kind=type(error).__name__, reason=str(error)
+            )
         self._failing = True
 
     def _note_answer(self) -> None:
--- a/reachlink/entry/tests/test_list_reader.py
+++ b/reachlink/entry/tests/test_list_reader.py
@@ -81,3 +81,21 @@
         await wait_until(lambda: reading.platform.read)
 
     play(Reading(ReadingRole.UNKNOWN), steps)
+
+
+def test_the_list_is_read_again_after_an_error_that_nobody_expects():
+    reading = Reading(ReadingRole.READS)
+    answer = reading.platform.instances
+
+    async def failing() -> list[ListedInstance]:
+        if not reading.platform.read:
+            await answer()
+            raise RecursionError("nested too deeply")
+        return await answer()
+
+    reading.platform.instances = failing
+
+    async def steps(reading: Reading) -> None:
+        await wait_until(lambda: reading.reader.has_read)
+
+    play(reading, steps)
--- a/reachlink/membership/_list_page.py
+++ b/reachlink/membership/_list_page.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from reachlink.membership._damaged_page import entries_of, next_token_of
+from reachlink.membership._damaged_page import recover_page
 from reachlink.membership.exceptions import PlatformUnavailableError
 from reachlink.telemetry import get_logger
 
@@ -20,6 +20,9 @@
 MAX_LOGGED = 256
 SHOWN_BYTES = 200
 
+# What decoding raises for text that is no JSON of the expected type, or is nested too deeply.
+UNREADABLE = (msgspec.DecodeError, RecursionError)
+
 T = TypeVar("T")
 
 
@@ -62,19 +65,20 @@
         """
         try:
             page = self._decode_page(raw)
-        except msgspec.DecodeError as error:
-            entries = entries_of(raw)
-            if not entries:
+        except UNREADABLE as error:
+            recovered = recover_page(raw)
+            if not recovered.entries:
                 raise PlatformUnavailableError(f"unreadable list: {error}") from error
             self._log_once(raw, str(error))
-            page = _RawPage([msgspec.Raw(entry) for entry in entries], next_token_of(raw))
+            entries = [msgspec.Raw(entry) for entry in recovered.entries]
+            page = _RawPage(entries, recovered.next_token)
         return ListPage(list(self._readable(page.instances)), page.next_token)
 
     def _readable(self, entries: list[msgspec.Raw]) -> Iterator[T]:
         for raw in entries:
             try:
                 yield self._decode_entry(raw)
-            except msgspec.DecodeError as error:
+            except UNREADABLE as error:
                 self._log_once(bytes(raw), str(error))
 
     def _log_once(self, raw: bytes, reason: str) -> None:
