Platform: signals while a program starts are held back until they are handled

What operators saw: SIGHUP within 0.8 s of its start ended an entry or control daemon, after it had begun to listen; SIGTERM ended it by the signal.

Cause: handlers are set by the event loop, a second after the process began: until then the default action holds.

Evidence: test_signals_at_start fails before in 4 of 4 cases (process gone; exit code -15).

What is left: signals in the time that the interpreter itself needs (some 20 ms).

--- a/reachlink/kernel/_lifecycle.py
+++ b/reachlink/kernel/_lifecycle.py
@@ -9,6 +9,7 @@
 import aiomisc
 
 GC_THRESHOLDS = (20_000, 20, 50)
+HELD_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon(Protocol):
@@ -54,6 +55,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
     await daemon.start()
+    # A process may have held these back since before its libraries were loaded. A daemon that
+    # handles SIGHUP does so since its start.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
     _tune_garbage_collection()
     failed = await _first_done(signals.get(), daemon.failed())
     forced = failed or await _first_done(daemon.drain(), signals.get())
