Upstreams: send a request's target just as its caller sent it

What callers saw: /path? reached the replica as /path; on the own interface, percent-encoding and dot segments were normalized as well.

Cause: the URL type of the HTTP library keeps path and query apart and writes no question mark for an empty query; of a string it normalizes the rest too.

Change: the whole target is given as the path of an encoded URL, for both ways of sending; the own interface passes on the target as received.

--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -115,13 +115,11 @@
         workspace: str,
     ) -> CallResponse:
         headers = {n: request.headers[n] for n in _FORWARDED_HEADERS if n in request.headers}
-        fingerprint = self._node.fingerprinter.fingerprint(
-            workspace, request.method, request.path_qs, body
-        )
+        # Just as it was sent, unless it names a host as well.
+        target = request.raw_path if request.raw_path.startswith("/") else request.path_qs
+        fingerprint = self._node.fingerprinter.fingerprint(workspace, request.method, target, body)
         features = RequestFeatures(fingerprint)
-        call = CallRequest(
-            request["request_id"], request.method, request.path_qs, headers, body, features
-        )
+        call = CallRequest(request["request_id"], request.method, target, headers, body, features)
         attempts = _Attempts()
         outcome = Outcome.UNKNOWN
         answer: CallResponse | None = None
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -165,12 +165,13 @@
         UpstreamBrokenError
             If the connection failed after the request was sent.
         """
-        await self.admit(address_of(URL(url)))
+        exact_url = url_of(url)
+        await self.admit(address_of(exact_url))
         sent_at = steady_time()
         with _convert_errors():
             response = await self._session.request(
                 method,
-                url,
+                exact_url,
                 headers=dict(headers),
                 data=body,
                 allow_redirects=False,
@@ -201,13 +202,14 @@
         UpstreamBrokenError
             If the connection failed after the request was sent.
         """
+        exact_url = url_of(url)
         if not admitted:
-            await self.admit(address_of(URL(url, encoded=True)))
+            await self.admit(address_of(exact_url))
         sent_at = steady_time()
         with _convert_errors(ValueError):
             response = await self._session.request(
                 method,
-                URL(url, encoded=True),
+                exact_url,
                 headers=CIMultiDict(headers),
                 data=self._payload(body),
                 skip_auto_headers=_NO_AUTO_HEADERS,
@@ -321,6 +323,27 @@
                     yield response
 
 
+def url_of(url: str) -> URL:
+    """Return a URL whose target is sent just as it is.
+
+    Examples
+    --------
+    >>> url_of("http://127.0.0.1:80/a%2fb?").raw_path_qs
+    '/a%2fb?'
+    """
+    scheme, _, rest = url.partition("://")
+    authority, slash, target = rest.partition("/")
+    base = URL(f"{scheme}://{authority}", encoded=True)
+    # A query of its own would lose its question mark if it is empty.
+    return URL.build(
+        scheme=scheme,
+        host=base.raw_host or "",
+        port=base.explicit_port,
+        path=f"{slash}{target}",
+        encoded=True,
+    )
+
+
 @contextmanager
 def _convert_timeout(address: str) -> Iterator[None]:
     """Convert the end of a wait for an examination to an error that says that nobody can tell."""
