Reachability: reach replicas only through peers in their own region

What callers saw: by reading only, nothing was seen: the body of a request with allowed_regions could pass through an instance of another region, where the direct path to its replica is lost.

Cause: the order of peers looks at zones; a region was no part of it.

Change: peers outside the region of the replica's zone are not asked. A connection is made before it is known which requests it will carry, so this binds all requests; a replica of a request with homes is in one of them, and so is the peer. Where no regions are known nothing changes. Cost: in deployments of several regions a replica whose whole region is out of reach is not asked for through a third one.

--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -107,6 +107,7 @@
             self.directory,
             self.peer_load.last_heard,
             lambda role, outcome: self.metrics.count_relay(role, outcome),
+            config.zone_regions,
         )
         self.client.recorder.on_limit_change = self._tell_at_once
         self._zones = ZonesInForce(self.directory, self.tracker, self.log)
--- a/reachlink/entry/_replica_reach.py
+++ b/reachlink/entry/_replica_reach.py
@@ -1,6 +1,6 @@
 """How an entry instance reaches replicas that it has lost, and relays to them for its peers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 from reachlink.membership import InstanceRecord, ReplicaDirectory
@@ -38,6 +38,8 @@
     count : callable
         Called with ``"asked"`` or ``"relayed"`` and the outcome of each request to or from a
         peer.
+    zone_regions : mapping of str to str, optional
+        Region of each availability zone.
     """
 
     def __init__(
@@ -51,10 +53,11 @@
         directory: ReplicaDirectory,
         heard_at: Callable[[str], float],
         count: Callable[[str, str], None],
+        zone_regions: Mapping[str, str] | None = None,
     ) -> None:
         self._name = name
         self._directory = directory
-        self._peers = RelayPeers(zone, heard_at, Random())
+        self._peers = RelayPeers(zone, heard_at, Random(), zone_regions)
         direct = client.dialer
         relays = RelayClient(
             bus, self._peers, self._target_at, lambda outcome: count("asked", outcome)
--- a/reachlink/reachability/_peers.py
+++ b/reachlink/reachability/_peers.py
@@ -1,6 +1,6 @@
 """Choice of the peers through which a replica may be reached; pure."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -46,6 +46,9 @@
         Returns the monotonic time in seconds at which a peer was last heard.
     random : random.Random
         Spreads the load over equally good peers.
+    zone_regions : mapping of str to str, optional
+        Region of each availability zone. A request that is bound to regions may pass through no
+        other one, so that only peers in the region of a replica are asked for it.
 
     Examples
     --------
@@ -58,8 +61,15 @@
     ['e2', 'e3']
     """
 
-    def __init__(self, zone: str, heard_at: Callable[[str], float], random: Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        heard_at: Callable[[str], float],
+        random: Random,
+        zone_regions: Mapping[str, str] | None = None,
+    ) -> None:
         self._zone = zone
+        self._zone_regions = zone_regions or {}
         self._heard_at = heard_at
         self._random = random
         self._peers: list[RelayPeer] = []
@@ -84,12 +94,14 @@
         self._preferred_until.pop(name, None)
 
     def by_preference(self, target_zone: str, now: float) -> list[RelayPeer]:
-        """Return all peers, the best first.
+        """Return the peers in the region of a replica's zone, the best first.
 
         A peer in the replica's zone or in this one adds no bytes between zones; the former
         reaches the replica over the shortest link.
         """
-        peers = self._random.sample(self._peers, len(self._peers))
+        region = self._zone_regions.get(target_zone)
+        found = [p for p in self._peers if self._zone_regions.get(p.availability_zone) == region]
+        peers = self._random.sample(found, len(found))
         return sorted(peers, key=lambda peer: self._rank(peer, target_zone, now))
 
     def _rank(self, peer: RelayPeer, target_zone: str, now: float) -> tuple[bool, bool, bool, int]:
