Delivery: an engine's silence ends no answer while it has the generation

Cause: a resume that brought no token counted like one whose connection broke, and four of these in a row counted as the loss of the generation.

Evidence: test_an_answer_does_not_end_because_its_engine_has_preempted_it fails before in both cases (502 after four resumes).

Change: a stall asks to resume without counting as a break; an engine that does not have the generation says so (404), one that can't be reached is lost after four attempts as before, and 60 s without a token are an end. Pauses between resumes grow to 2 s.

After: reachlink/delivery and test_silent_engines: 14 passed.

--- a/reachlink/delivery/_stream.py
+++ b/reachlink/delivery/_stream.py
@@ -66,7 +66,9 @@
         Whether the answer is sent in one part at its end, so that the generation may be
         replaced until then.
     max_resumes : int
-        Maximum number of consecutive resumes without a new token.
+        Maximum number of consecutive resumes without a new token after broken connections.
+    max_silence_s : float
+        Longest time in seconds without a token while the engine has the generation.
     generation : str
         Id of the generation from which events are accepted; empty if there is none.
     next_offset : int
@@ -87,6 +89,7 @@
     repeatable: bool
     buffered: bool = False
     max_resumes: int = 4
+    max_silence_s: float = 60.0
     generation: str = ""
     next_offset: int = 0
     finished: bool = False
@@ -95,12 +98,14 @@
     foreign: int = 0
     gaps: int = 0
     last_break: str = ""
+    # Resumes since the last new token, and how many of them followed a broken connection.
     _resumes: int = field(default=0)
+    _breaks: int = field(default=0)
 
     def bind(self, generation: str) -> None:
         """Accept further events from this generation only."""
         self.generation = generation
-        self._resumes = 0
+        self._reset_resumes()
 
     def start_at(self, generation: str, offset: int) -> None:
         """Continue an answer whose events before `offset` the caller has received."""
@@ -139,23 +144,46 @@
         return self._steps_for(ready, gap)
 
     def on_broken(self, reason: str) -> list[Step]:
-        """Handle a connection that stalled, broke or ended early."""
+        """Handle a connection that broke or ended early."""
+        self._breaks += 1
+        if self._breaks > self.max_resumes:
+            return self.on_generation_lost(reason)
+        return self._resume(reason)
+
+    def on_stalled(self, silent_s: float) -> list[Step]:
+        """Handle a connection without a token for some time.
+
+        The engine may have preempted the generation: as long as it says, when asked to resume, that
+        it has the generation, its silence ends no answer.
+
+        Parameters
+        ----------
+        silent_s : float
+            Time since the last token, in seconds.
+        """
+        reason = f"no token for {silent_s:.1f} s"
+        if silent_s > self.max_silence_s:
+            return self.on_generation_lost(reason)
+        return self._resume(reason)
+
+    def on_generation_lost(self, reason: str) -> list[Step]:
+        """Handle the loss of the generation or of the engine that ran it."""
+        self.last_break = reason
+        if self.finished:
+            return []
+        return [self._lost(reason)]
+
+    def _resume(self, reason: str) -> list[Step]:
         self.last_break = reason
         if self.finished:
             return []
         if not self.generation:
             return [self._lost(reason)]
         self._resumes += 1
-        if self._resumes > self.max_resumes:
-            return [self._lost(reason)]
         return [Resume(self.generation, self.next_offset)]
 
-    def on_generation_lost(self, reason: str) -> list[Step]:
-        """Handle the loss of the generation or of the engine that ran it."""
-        self.last_break = reason
-        if self.finished:
-            return []
-        return [self._lost(reason)]
+    def _reset_resumes(self) -> None:
+        self._resumes = self._breaks = 0
 
     def _is_own(self, event: TokenEvent) -> bool:
         if event.generation == self.generation and event.request_id == self.request_id:
@@ -166,7 +194,7 @@
     def _steps_for(self, ready: list[TokenEvent], gap: bool) -> list[Step]:
         steps: list[Step] = []
         if ready:
-            self._resumes = 0
+            self._reset_resumes()
             self.forwarded += len(ready)
             steps.append(Forward(ready))
         if self.finished:
@@ -182,7 +210,7 @@
             self.generation = ""
             self.next_offset = 0
             self.forwarded = 0
-            self._resumes = 0
+            self._reset_resumes()
             return Regenerate()
         outcome = Outcome.RAN if self.forwarded else Outcome.UNKNOWN
         return Fail(outcome, reason)
--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -48,6 +48,8 @@
 ANSWER_TIMEOUT_S = 30.0
 RESUME_TIMEOUT_S = 3.0
 RESUME_PAUSE_S = 0.2
+# Longest pause before a resume after others without a token, in seconds.
+MAX_RESUME_PAUSE_S = 2.0
 
 
 class _LostError(Exception):
@@ -75,6 +77,8 @@
         self._delivery = Delivery(job.request_id, job.repeatable, job.buffered)
         self._replica: Replica | None = None
         self._rhythm = StallDetector()
+        # Monotonic time in seconds of the last token, or of the start of the generation.
+        self._token_at = steady_time()
         # Times of the answer of the present replica.
         self._timing = AnswerTiming()
         # Attempts so far, the present one included, and whether the first was counted.
@@ -226,6 +230,7 @@
     async def _bind(self, generation: str) -> None:
         """The answer comes from this generation."""
         self._delivery.bind(generation)
+        self._token_at = steady_time()
         self._carry()
         await self._sink.begin(self._position())
 
@@ -347,8 +352,9 @@
                 try:
                     events = await stream.read()
                 except UpstreamBrokenError as error:
-                    reason = "the stream stalled" if watch.fired else str(error)
-                    return delivery.on_broken(reason)
+                    if watch.fired:
+                        return delivery.on_stalled(steady_time() - self._token_at)
+                    return delivery.on_broken(str(error))
                 if not events:
                     return delivery.on_broken("the stream ended early")
                 rhythm.on_batch(steady_time())
@@ -365,6 +371,7 @@
 
     async def _forward(self, events: Sequence[TokenEvent]) -> None:
         delivery, flight = self._delivery, self._job.ticket.flight
+        self._token_at = steady_time()
         if flight is not None:
             if flight.tokens == 0:
                 wait = steady_time() - self._job.started_at
@@ -379,7 +386,8 @@
         self._node.metrics.resumes.add(1, {"service": self._job.service.name})
         last = "unknown"
         # The first resume goes out at once; an engine that gives nothing gets time.
-        await asyncio.sleep(RESUME_PAUSE_S * (self._delivery.resumes_without_token - 1))
+        pause_s = RESUME_PAUSE_S * (self._delivery.resumes_without_token - 1)
+        await asyncio.sleep(min(pause_s, MAX_RESUME_PAUSE_S))
         for attempt in range(1, self._delivery.max_resumes + 1):
             try:
                 async with asyncio.timeout(RESUME_TIMEOUT_S):
