--- a/reachlink/kernel/__init__.py
+++ b/reachlink/kernel/__init__.py
@@ -3,6 +3,7 @@
 from reachlink.kernel._clock import Clock, SystemClock, process_started_at, steady_time
 from reachlink.kernel._config import load_config
 from reachlink.kernel._counts import parse_count
+from reachlink.kernel._file_watch import FileWatch
 from reachlink.kernel._lifecycle import run_daemon
 from reachlink.kernel._loop_gaps import LoopGaps
 from reachlink.kernel._registry import Registry
@@ -14,6 +15,7 @@
 __all__ = [
     "Clock",
     "ConfigError",
+    "FileWatch",
     "LoopGaps",
     "ReachlinkError",
     "Registry",
