Entry: log that a control instance could not confirm the settings of an instance that starts

Cause of the missing line: a control instance that is up but hears no leader yet does answer, without being able to say what the newest settings are; the instance asks again and logs nothing. The 503 is right (a promise that nothing ran, with the time to come back), its reason was nowhere.

Change: one line at a start.

--- a/reachlink/entry/_follower.py
+++ b/reachlink/entry/_follower.py
@@ -95,6 +95,8 @@
         self._inbox = Inbox()
         # The newest revision that any control instance has told of.
         self._newest_told = 0
+        # Whether a control instance without confirmation has answered before this one was ready.
+        self._unconfirmed = False
         # Control instances asked in a row that had nothing of what is being fetched.
         self._lacking = 0
         self.peers = PeerSettings(node, self._take)
@@ -139,8 +141,10 @@
             return False
         if answer.fresh and node.tree.revision >= answer.revision:
             self._become_ready("confirmed by the control instances")
-        elif answer.stale:
-            self._accept_stale()
+        else:
+            self._note_unconfirmed(answer)
+            if answer.stale:
+                self._accept_stale()
         # Who was asked may be behind another one: there is newer to be had elsewhere.
         behind = max(answer.revision, node.tree.revision) < self._newest_told
         return node.ready and not answer.stale and not behind
@@ -163,6 +167,18 @@
         self._timeout.note_answered(asked, took_s - request.wait_s)
         return answer
 
+    def _note_unconfirmed(self, answer: SettingsAnswer) -> None:
+        """Log the first answer before the start is complete that may not be the newest."""
+        if self._unconfirmed or self._node.ready:
+            return
+        self._unconfirmed = True
+        self._node.log.info(
+            "settings_unconfirmed",
+            control=self._node.control.addresses[0],
+            revision=answer.revision,
+            has_leader=not answer.stale,
+        )
+
     def _note_lacking(self) -> None:
         """Who was asked has nothing of what is being fetched; drop it if that is so of all."""
         self._lacking += 1
