--- a/reachlink/requests/_generation_stopper.py
+++ b/reachlink/requests/_generation_stopper.py
@@ -28,6 +28,8 @@
 # Number of consecutive orders without an answer after which a replica gets no more: it has ended,
 # or is out of reach for long.
 MAX_UNANSWERED = 6
+# Longest time in seconds for a replica's report.
+REPORT_TIMEOUT_S = 0.3
 # Age in seconds that a connection's end must have for a replica's report, which is some hundred
 # milliseconds old, to show whether the replica has dropped the request.
 REPORT_DELAY_S = 0.6
@@ -96,6 +98,8 @@
     def __init__(self, dispatcher: RequestDispatcher, request: CallerRequest) -> None:
         self._dispatcher = dispatcher
         self._request = request
+        # Outcome of the last order that was logged; None after events from the replica.
+        self._logged: StopOutcome | None = None
 
     @property
     def can_stop(self) -> bool:
@@ -103,11 +107,17 @@
         engine = self._request.service.engine
         return engine is not None and engine.moves
 
+    def reset(self) -> None:
+        """Log the outcome of the next order, whatever it is."""
+        self._logged = None
+
     async def stop(
         self, primary: Replica, target: Replica | None, after_event: int, timeout_s: float
     ) -> StopResult:
         """Order a replica to stop the generation, and to move its memory.
 
+        A replica that does not run it is asked whether it lets it wait.
+
         Parameters
         ----------
         primary : Replica
@@ -122,25 +132,32 @@
         target = target or self._any_other(primary)
         if target is None:
             return StopResult(StopOutcome.UNANSWERED)
-        result, reason = await self._order(primary, target, timeout_s)
-        self._log(primary, target, after_event, result, reason)
+        result, reason = StopResult(StopOutcome.NOT_RUNNING), ""
+        if self.can_stop:
+            result, reason = await self._order(primary, target, timeout_s)
+        if result.outcome is StopOutcome.NOT_RUNNING:
+            result = StopResult(await self._outcome_by_report(primary))
+        if result.outcome is not self._logged:
+            self._logged = result.outcome
+            self._log(primary, target, after_event, result, reason)
         return result
 
-    async def is_waiting(self, primary: Replica) -> StopOutcome:
-        """Return whether generations wait at a replica, by its report: `WAITING` if they do.
+    async def _outcome_by_report(self, primary: Replica) -> StopOutcome:
+        """Return whether generations wait at a replica that does not run this one.
 
         The report is some hundred milliseconds old.
         """
         try:
-            report = await self._dispatcher.adapter.report(primary)
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                report = await self._dispatcher.adapter.report(primary)
         except UpstreamHeldBackError:
             return StopOutcome.HELD_BACK
-        except UpstreamError as error:
+        except (UpstreamError, TimeoutError) as error:
             self._dispatcher.log.info(
                 "report_unanswered",
                 request_id=self._request.request_id,
                 replica=primary.name,
-                reason=str(error),
+                reason=str(error) or type(error).__name__,
             )
             return StopOutcome.UNANSWERED
         return StopOutcome.WAITING if report.waiting else StopOutcome.NOT_RUNNING
@@ -194,7 +211,7 @@
             return False
         if self._dispatcher.now() - closed_at < REPORT_DELAY_S:
             return False
-        return await self.is_waiting(replica) is StopOutcome.NOT_RUNNING
+        return await self._outcome_by_report(replica) is StopOutcome.NOT_RUNNING
 
     async def _release(self, result: StopResult) -> None:
         """Free memory that nobody resumes from."""
--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -54,6 +54,7 @@
         """Forget what is known, since the primary has changed or makes events again."""
         self._result = None
         self._ended_checks = 0
+        self._stopper.reset()
 
     async def leaves_silent(
         self, primary: Replica, born: int, target: Replica | None, after_event: int
@@ -77,7 +78,7 @@
         if self._dispatcher.placer.is_gone(primary, born):
             self._result = StopResult(StopOutcome.NOT_RUNNING)
             return True
-        result = await self._ask(primary, target, after_event)
+        result = await self._stopper.stop(primary, target, after_event, SILENT_STOP_TIMEOUT_S)
         if result.outcome in _STAYS:
             self._ended_checks = 0
             return False
@@ -106,29 +107,18 @@
         self._stops += 1
         self._result = await self._stopper.stop(primary, target, after_event, STOP_TIMEOUT_S)
 
-    def confirm(self, earlier: list[Replica], current: Replica, after_event: int) -> None:
-        """Have earlier primaries stopped that have not confirmed that they are.
+    def keep_stopping(self, earlier: list[Replica], current: Replica, after_event: int) -> None:
+        """Have replicas stopped at which the generation may run beside the present primary.
 
         Parameters
         ----------
         earlier : list of Replica
-            The previous primary, and replicas at which resuming failed: these may run it too.
+            Replicas that have not confirmed that they have stopped it.
         current : Replica
             Replica at which the generation runs now.
         after_event : int
             Number of the last event that the caller got.
         """
-        stopped = self._result is not None and self._result.stopped
-        for replica in earlier[1:] if stopped else earlier:
+        for replica in earlier:
             if replica.name != current.name:
                 self._stopper.keep_stopping(replica, current, after_event)
-        self.reset()
-
-    async def _ask(self, primary: Replica, target: Replica | None, after_event: int) -> StopResult:
-        """Order a silent primary to stop; where it does not run it, ask whether it waits there."""
-        result = StopResult(StopOutcome.NOT_RUNNING)
-        if self._stopper.can_stop:
-            result = await self._stopper.stop(primary, target, after_event, SILENT_STOP_TIMEOUT_S)
-        if result.outcome is not StopOutcome.NOT_RUNNING:
-            return result
-        return StopResult(await self._stopper.is_waiting(primary))
--- a/reachlink/requests/_resumption.py
+++ b/reachlink/requests/_resumption.py
@@ -80,15 +80,23 @@
         kept = [option for option in stopped if option[0].name == primary.name]
         return [*moved, *(copy for copy in copies if copy not in moved), *kept]
 
-    def confirm_stopped(self, earlier: list[Replica]) -> None:
-        """Have the earlier primaries stopped that have not confirmed that they are.
+    def note_resumed(self, previous: Replica, tried: list[Replica]) -> None:
+        """Have all others stopped that may run the generation, now that its primary has resumed it.
 
         Parameters
         ----------
-        earlier : list of Replica
-            The previous primary, and replicas at which resuming failed.
+        previous : Replica
+            The previous primary.
+        tried : list of Replica
+            Replicas at which an attempt to resume broke off after it was sent.
         """
-        self._stop.confirm(earlier, self._replicas.primary, self._merger.last_event_number)
+        earlier = [previous, *tried] if self.may_run_at_primary else tried
+        self._stop.keep_stopping(earlier, self._replicas.primary, self._merger.last_event_number)
+        self.forget()
+
+    def note_stays(self, tried: list[Replica]) -> None:
+        """Have all others stopped that may run the generation, which stays at its primary."""
+        self._stop.keep_stopping(tried, self._replicas.primary, self._merger.last_event_number)
         self.forget()
 
     async def _stop_broken_primary(self) -> None:
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -172,35 +172,47 @@
         options = await self._resumption.options()
         options.sort(key=lambda option: self._dispatcher.remaining_hold_s(option[0]))
         previous = self._replicas.primary
-        may_run_at = [previous]
+        tried: list[Replica] = []
         for target, memory in options:
             if not await self._dispatcher.wait_for_permit(self._request, target):
                 self._log.continuation_failed(target, "held back")
                 continue
             connect_s = COPY_CONNECT_S if len(options) == 1 else 0.0
-            answer = await self._continue_at(target, memory, connect_s, source)
+            try:
+                answer = await self._continue_at(target, memory, connect_s, source)
+            except UpstreamBrokenError as error:
+                self._log.continuation_failed(target, str(error))
+                tried.append(target)
+                continue
             if answer is None:
-                may_run_at.append(target)
                 continue
             source.close()
-            self._resumption.confirm_stopped(may_run_at)
+            self._resumption.note_resumed(previous, tried)
             return self._source(answer)
         if end is StreamEnd.SILENT and self._resumption.may_run_at_primary:
-            return await self._stay(source, previous)
+            return await self._stay(source, previous, tried)
         raise StreamCutError("no_copy_left")
 
-    async def _stay(self, source: EventSource, replica: Replica) -> EventSource:
-        """Read on at a silent replica, as no other one holds the generation."""
+    async def _stay(
+        self, source: EventSource, replica: Replica, tried: list[Replica]
+    ) -> EventSource:
+        """Read on at a silent replica, as no other one is known to hold the generation."""
         if self._replicas.primary.name != replica.name:
             await self._replicas.move_to(replica)
-        self._resumption.forget()
+        self._resumption.note_stays(tried)
         self._log.stays(replica)
         return source
 
     async def _continue_at(
         self, target: Replica, memory: MovedMemory, connect_s: float, source: EventSource
     ) -> RelayAnswer | None:
-        """Ask a replica to resume the generation; return None if it cannot."""
+        """Ask a replica to resume the generation; return None if it does not.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            If the connection failed after the request was sent: the replica may run it.
+        """
         lost = await self._replicas.move_to(target)
         self._no_event_since_move = True
         self._reset_interval()
@@ -208,6 +220,8 @@
         try:
             continuation = Continuation(self._merger.last_event_number, memory)
             answer = await self._open_copy(target, continuation, connect_s, source)
+        except UpstreamBrokenError:
+            raise
         except UpstreamError as error:
             self._log.continuation_failed(target, str(error))
             return None
--- a/reachlink/requests/tests/preempting.py
+++ b/reachlink/requests/tests/preempting.py
@@ -131,10 +131,13 @@
     unreachable: set[str] = field(default_factory=set)
     # Other generations that wait at each engine.
     others_waiting: int = 0
+    # Continuations whose connections break although the engine runs them.
+    broken_continuations: int = 0
     runs: list[Run] = field(default_factory=list)
     copies: dict[tuple[str, str], Copy] = field(default_factory=dict)
     refused: list[str] = field(default_factory=list)
     last_orders: list[tuple[float, str]] = field(default_factory=list)
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _handles: count = field(default_factory=lambda: count(1))
 
     async def open(
@@ -155,7 +158,10 @@
         self.runs.append(run)
         run.enter(State.WORKS)
         sent = run.made
-        self._work = [*getattr(self, "_work", []), asyncio.create_task(self._make_events(run))]
+        self._tasks.append(asyncio.create_task(self._make_events(run)))
+        if run.continues and self.broken_continuations:
+            self.broken_continuations -= 1
+            raise UpstreamBrokenError("reset")
         return RunAnswer(run, sent, self.drops)
 
     async def _make_events(self, run: Run) -> None:
--- a/reachlink/requests/tests/test_stopped_before_continuing.py
+++ b/reachlink/requests/tests/test_stopped_before_continuing.py
@@ -90,6 +90,30 @@
     assert sink.body == stream(1, 200) and sink.ended
 
 
+def test_a_replica_at_which_resuming_broke_off_is_ordered_to_stop():
+    setup, engines = engines_world(events=200, drops=False, broken_continuations=1)
+
+    def fall_silent(run: Run) -> None:
+        if run.made == 50:
+            run.mute = True
+            engines.unreachable.add(run.replica)
+        if run.made == 110:
+            run.mute = False
+            engines.unreachable.clear()
+
+    engines.on_event = fall_silent
+
+    async def scenario():
+        sink = await run_stream(setup)
+        await asyncio.sleep(1.0)
+        return sink
+
+    sink = run_virtually(scenario())
+    first, second = engines.runs
+    assert sink.body == stream(1, 200) and sink.ended
+    assert (first.state, second.state) == (State.COMPLETE, State.STOPPED)
+
+
 def test_a_generation_resumes_at_its_copy_if_its_replica_has_ended_it():
     """A replica that waits for nothing and does not run the generation holds it no more."""
 
