Kernel: a slow start is no gap of the event loop

Cause: the time from the construction of LoopGaps to its first note counted as a gap. On a busy machine a start can take longer than the 0.85 s after which an operator's request counts as outdated, so that the first requests after a start were refused, although nothing can have waited before the instance listened. test_a_slow_start_is_no_gap fails before.

--- a/reachlink/kernel/_loop_gaps.py
+++ b/reachlink/kernel/_loop_gaps.py
@@ -32,7 +32,11 @@
         self._gap_ended_at = float("-inf")
 
     async def watch(self) -> None:
-        """Note that the loop runs, until cancelled."""
+        """Note that the loop runs, until cancelled.
+
+        To be started before anything is received: what was before is no gap.
+        """
+        self._ticked_at = self._clock()
         while True:
             self.tick()
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/reachlink/kernel/tests/test_loop_gaps.py
+++ b/reachlink/kernel/tests/test_loop_gaps.py
@@ -1,5 +1,7 @@
 """Bytes that are read after a process stood still may have waited that long."""
 
+import asyncio
+
 from reachlink.kernel import LoopGaps
 
 
@@ -39,3 +41,18 @@
         clock.now += 0.1
         gaps.tick()
     assert gaps.max_unread_s() == 0.0
+
+
+def test_a_slow_start_is_no_gap():
+    """Nothing can have been received before the watch began."""
+    clock = Clock()
+    gaps = LoopGaps(clock)
+    clock.now += 7.0
+
+    async def start() -> float:
+        task = asyncio.create_task(gaps.watch())
+        await asyncio.sleep(0)
+        task.cancel()
+        return gaps.max_unread_s()
+
+    assert asyncio.run(start()) == 0.0
