Streams: log and count generations that two replicas may work on

Logs had the outcomes of single orders only, and no line at all where nothing more was ordered.

WorkingReplicas records for each stream the replicas that were told to run it and are not known to have stopped; an overlap of more than 0.3 s is logged (generation_at_two_replicas) and counted (reachlink_generations_at_two_replicas).

--- a/reachlink/entry/_relay_metrics.py
+++ b/reachlink/entry/_relay_metrics.py
@@ -32,6 +32,7 @@
 MISSED_DESCRIPTION = "Places promised to refused callers that did not come in time."
 DROPPED_DESCRIPTION = "Promises given up as there were too many."
 CONNECTIONS_CLOSED_DESCRIPTION = "Connections of callers that this instance closed, by reason."
+OVERLAP_DESCRIPTION = "Generations that two replicas may have worked on for over 0.3 s."
 REFUSED_DESCRIPTION = "Requests refused by the owner of their line for this reason."
 
 
@@ -75,6 +76,9 @@
         self.connections_aborted = self._metrics.counter(
             "reachlink_caller_connections_aborted", "1", ABORTED_DESCRIPTION
         )
+        self.overlaps = self._metrics.counter(
+            "reachlink_generations_at_two_replicas", "1", OVERLAP_DESCRIPTION
+        )
         export_traffic(self._metrics, traffic)
 
     def export_settings(
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -197,6 +197,7 @@
                 peer_load=self.peer_load,
                 random=Random(),
                 on_outcome=RequestEnds(self.metrics, self._table).note,
+                on_overlap=lambda: self.metrics.overlaps.add(1),
                 retry_limits=RetryLimits(config.retry_share, config.retry_burst),
                 instance_count=self.sharing_instances,
                 on_leaving=self.reports.tell_leaving,
--- a/reachlink/requests/_generation_stopper.py
+++ b/reachlink/requests/_generation_stopper.py
@@ -10,6 +10,7 @@
 
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._working_replicas import WorkingReplicas
 from reachlink.upstreams import (
     MovedMemory,
     MoveFailure,
@@ -50,6 +51,9 @@
     UNANSWERED = "unanswered"
 
 
+_NOT_WORKING = frozenset({StopOutcome.STOPPED, StopOutcome.NOT_RUNNING})
+
+
 @dataclass(slots=True, frozen=True)
 class StopResult:
     """Result of an order to stop a generation.
@@ -93,11 +97,16 @@
         Gives access to the replicas.
     request : CallerRequest
         Request of the generation.
+    working : WorkingReplicas
+        Replicas that may work on the generation.
     """
 
-    def __init__(self, dispatcher: RequestDispatcher, request: CallerRequest) -> None:
+    def __init__(
+        self, dispatcher: RequestDispatcher, request: CallerRequest, working: WorkingReplicas
+    ) -> None:
         self._dispatcher = dispatcher
         self._request = request
+        self._working = working
         # Outcome of the last order that was logged; None after events from the replica.
         self._logged: StopOutcome | None = None
 
@@ -246,6 +255,8 @@
             except (UpstreamError, TimeoutError) as error:
                 return StopResult(StopOutcome.UNANSWERED), str(error) or type(error).__name__
             result = _result_of(moved, target)
+            if result.outcome in _NOT_WORKING:
+                self._working.end(primary.name)
             if result.outcome is not StopOutcome.MOVE_IN_PROGRESS:
                 return result, ""
             if self._dispatcher.now() + RETRY_INTERVAL_S >= ends_at:
--- a/reachlink/requests/_parts.py
+++ b/reachlink/requests/_parts.py
@@ -111,6 +111,8 @@
     on_outcome : callable
         Called at the end of a request with the request, its outcome code and its duration in
         seconds.
+    on_overlap : callable
+        Called when two replicas may have worked on one generation for too long.
     retry_limits : RetryLimits
         Limits on retries.
     instance_count : callable
@@ -144,6 +146,7 @@
     peer_load: PeerLoad
     random: Random
     on_outcome: Callable[[CallerRequest, str, float], None]
+    on_overlap: Callable[[], None] = lambda: None
     retry_limits: RetryLimits = RetryLimits()
     instance_count: Callable[[], int] = lambda: 1
     on_leaving: Callable[[str, bool], None] = lambda name, said: None
--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -3,6 +3,7 @@
 from reachlink.requests._generation_stopper import GenerationStopper, StopOutcome, StopResult
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._working_replicas import WorkingReplicas
 from reachlink.upstreams import Replica
 
 # Longest time in seconds for stopping a generation whose primary is silent. Callers leave after
@@ -31,11 +32,15 @@
         Gives access to the replicas.
     request : CallerRequest
         Request of the generation.
+    working : WorkingReplicas
+        Replicas that may work on the generation.
     """
 
-    def __init__(self, dispatcher: RequestDispatcher, request: CallerRequest) -> None:
+    def __init__(
+        self, dispatcher: RequestDispatcher, request: CallerRequest, working: WorkingReplicas
+    ) -> None:
         self._dispatcher = dispatcher
-        self._stopper = GenerationStopper(dispatcher, request)
+        self._stopper = GenerationStopper(dispatcher, request, working)
         self._result: StopResult | None = None
         self._ended_checks = 0
         self._stops = 0
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -16,6 +16,7 @@
 from reachlink.requests._retry_policy import RetryPolicy
 from reachlink.requests._wait_limits import ROOM_POLL_INTERVAL_S, may_wait_for_room
 from reachlink.requests._waiting_placer import WaitingPlacer
+from reachlink.requests._working_replicas import WorkingReplicas
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import (
     Continuation,
@@ -109,6 +110,11 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
+    def working_replicas(self, request: CallerRequest) -> WorkingReplicas:
+        """Return a record of the replicas that may work on the generation of a request."""
+        parts = self._parts
+        return WorkingReplicas(request.request_id, parts.clock, self._log, parts.on_overlap)
+
     def random_fraction(self) -> float:
         """Return a random number from 0 to 1."""
         return self._parts.random.random()
--- a/reachlink/requests/_resumption.py
+++ b/reachlink/requests/_resumption.py
@@ -6,6 +6,7 @@
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._primary_stop import PrimaryStop
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._working_replicas import WorkingReplicas
 from reachlink.upstreams import MovedMemory, Replica
 
 
@@ -22,6 +23,8 @@
         Replicas of the generation.
     merger : EventMerger
         Provides the number of the last event.
+    working : WorkingReplicas
+        Replicas that may work on the generation.
     """
 
     def __init__(
@@ -30,11 +33,12 @@
         request: CallerRequest,
         replicas: GenerationReplicas,
         merger: EventMerger,
+        working: WorkingReplicas,
     ) -> None:
         self._placer = dispatcher.placer
         self._replicas = replicas
         self._merger = merger
-        self._stop = PrimaryStop(dispatcher, request)
+        self._stop = PrimaryStop(dispatcher, request, working)
 
     @property
     def stop_result(self) -> StopResult | None:
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -88,7 +88,10 @@
         self._interval_meter = EventIntervalMeter()
         # Whether the primary had unread prompts when the last event interval was measured.
         self._had_unread_prompts = True
-        self._resumption = Resumption(dispatcher, request, self._replicas, self._merger)
+        self._working = dispatcher.working_replicas(request)
+        self._resumption = Resumption(
+            dispatcher, request, self._replicas, self._merger, self._working
+        )
         self._log = StreamLog(dispatcher, request, self._replicas, self._merger)
         # Whether no event has arrived since the generation resumed at another replica.
         self._no_event_since_move = False
@@ -146,6 +149,7 @@
             await self._relay_to_end(self._source(answer))
         finally:
             answer.close()
+            self._working.end(self._replicas.primary.name)
         await self._sink.end()
         self._log.delivered(self._times)
         return None
@@ -309,18 +313,24 @@
 
     async def _open(self, replica: Replica, continuation: Continuation | None) -> RelayAnswer:
         self._timing.start(self._dispatcher.now())
+        self._working.begin(replica.name)
         try:
-            return await self._dispatcher.open(
+            answer = await self._dispatcher.open(
                 self._request, replica, continuation, self._replicas.backup
             )
         except UpstreamHeldBackError:
+            self._working.end(replica.name)
             raise
         except UpstreamUnreachableError as error:
+            self._working.end(replica.name)
             self._dispatcher.outcomes.record_unreachable(replica, error)
             raise
         except UpstreamError:
             self._note_broken(replica)
             raise
+        if not answer.head.success:
+            self._working.end(replica.name)
+        return answer
 
     def _note_broken(self, replica: Replica) -> None:
         timing = self._timing
--- a/review/tried/broken_channels.py
+++ b/review/tried/broken_channels.py
@@ -132,7 +132,9 @@
     listed = PlatformList(system.network.ip(100), record)
     consumer = Consumer(system, record)
     zones = ["zone-a", "zone-b", "zone-c"]
-    models = [UnkindReplica(system.network.ip(111 + n), zone, record) for n, zone in enumerate(zones)]
+    models = [
+        UnkindReplica(system.network.ip(111 + n), zone, record) for n, zone in enumerate(zones)
+    ]
     apps = [AppReplica(system.network.ip(121 + n), zone, record) for n, zone in enumerate(zones)]
     servers = [listed, *models, *apps]
     try:
