--- a/reachlink/requests/tests/preempting.py
+++ b/reachlink/requests/tests/preempting.py
@@ -33,6 +33,8 @@
 
 class State(Enum):
     WORKS = "works"
+    # Makes no event, though it has its memory.
+    STALLED = "stalled"
     PREEMPTED = "preempted"
     COMPLETE = "complete"
     DROPPED = "dropped"
@@ -58,6 +60,10 @@
     mute: bool = False
     # Whether the run continues another one.
     continues: bool = False
+    # States that it enters after its present event, and for how many seconds each.
+    stalls: list[tuple[float, State]] = field(default_factory=list)
+    # Engine that gets a backup, and the handle of it.
+    backup: tuple[str, str] | None = None
 
     def enter(self, state: State) -> None:
         self.state = state
@@ -70,7 +76,14 @@
 
     def works_at(self, time: float) -> bool:
         """Return whether the engine worked on it at a time."""
-        return [s for at, s in self.states if at <= time][-1:] == [State.WORKS]
+        return self._states_until(time)[-1:] == [State.WORKS]
+
+    def waits_at(self, time: float) -> bool:
+        """Return whether it waited for memory at a time."""
+        return self._states_until(time)[-1:] == [State.PREEMPTED]
+
+    def _states_until(self, time: float) -> list[State]:
+        return [state for at, state in self.states if at <= time]
 
 
 @dataclass
@@ -82,10 +95,11 @@
 class RunAnswer(RelayAnswer):
     """Answer that passes on the events of a run."""
 
-    def __init__(self, run: Run, sent: int, drops: bool) -> None:
+    def __init__(self, run: Run, sent: int, drops: bool, drop_s: float) -> None:
         self._run = run
         self._sent = sent
         self._drops = drops
+        self._drop_s = drop_s
 
     @property
     def head(self) -> AnswerHead:
@@ -106,7 +120,11 @@
             await run.changed.wait()
 
     def close(self) -> None:
-        if self._drops and self._run.state not in ENDED:
+        if self._drops and not self._run.reset:
+            asyncio.get_running_loop().call_later(self._drop_s, self._drop)
+
+    def _drop(self) -> None:
+        if self._run.state not in ENDED:
             self._run.enter(State.DROPPED)
 
 
@@ -120,11 +138,17 @@
         Number of the event after which the first run is preempted, and for how many seconds.
     drops : bool
         Whether an engine ends a run once the connection of its request closes.
+    drop_s : float
+        Time that this takes in seconds.
+    takes_orders : bool
+        Whether the engines move memory on request; else they send backups.
     """
 
     events: int = 60
     preemptions: list[tuple[int, float]] = field(default_factory=list)
     drops: bool = True
+    drop_s: float = 0.0
+    takes_orders: bool = True
     # Called when the first run has made an event.
     on_event: Callable[[Run], None] = lambda run: None
     # Replicas that answer no order and no report.
@@ -133,9 +157,19 @@
     others_waiting: int = 0
     # Continuations whose connections break although the engine runs them.
     broken_continuations: int = 0
+    # Time that a transfer takes, in seconds; another one for the same run is refused meanwhile.
+    transfer_s: float = 0.01
+    # Time that the head of a continuation takes, in seconds; the engine begins at once.
+    head_s: float = 0.0
+    # Time after which an engine looks at an order, in seconds.
+    order_s: float = 0.0
+    # Age of a report, in seconds.
+    report_age_s: float = 0.0
     runs: list[Run] = field(default_factory=list)
     copies: dict[tuple[str, str], Copy] = field(default_factory=dict)
     refused: list[str] = field(default_factory=list)
+    # Engines that transfer memory of the generation at this time.
+    transferring: set[str] = field(default_factory=set)
     last_orders: list[tuple[float, str]] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _handles: count = field(default_factory=lambda: count(1))
@@ -149,6 +183,7 @@
         backup: Replica | None = None,
     ) -> RelayAnswer:
         run = Run(replica.name)
+        run.backup = (backup.name, request.request_id) if backup is not None else None
         if continuation is not None:
             copy = self.copies.pop((replica.name, continuation.memory.handle), None)
             if copy is None or now() - copy.moved_at > COPY_KEPT_S:
@@ -162,7 +197,9 @@
         if run.continues and self.broken_continuations:
             self.broken_continuations -= 1
             raise UpstreamBrokenError("reset")
-        return RunAnswer(run, sent, self.drops)
+        if run.continues:
+            await asyncio.sleep(self.head_s)
+        return RunAnswer(run, sent, self.drops, self.drop_s)
 
     async def _make_events(self, run: Run) -> None:
         preemptions = dict(self.preemptions) if not run.continues else {}
@@ -172,8 +209,13 @@
                 return
             run.made += 1
             run.wake()
+            if run.backup is not None:
+                self.copies[run.backup] = Copy(run.made, now())
             if run is self.runs[0]:
                 self.on_event(run)
+            await self._stand_still(run)
+            if run.state in ENDED:
+                return
             if run.made in preemptions and run.state is State.WORKS:
                 run.enter(State.PREEMPTED)
                 await asyncio.sleep(preemptions[run.made])
@@ -183,13 +225,26 @@
         if run.state not in ENDED:
             run.enter(State.COMPLETE)
 
+    async def _stand_still(self, run: Run) -> None:
+        """Let a run go through states in which it makes no event."""
+        if not run.stalls:
+            return
+        stalls, run.stalls = run.stalls, []
+        for seconds, state in stalls:
+            run.enter(state)
+            await asyncio.sleep(seconds)
+            if run.state in ENDED:
+                return
+        run.enter(State.WORKS)
+
     def _run_at(self, replica: str) -> Run | None:
         found = [r for r in self.runs if r.replica == replica and r.state not in ENDED]
         return found[-1] if found else None
 
     async def report(self, replica: Replica) -> LoadReport:
         self._check(replica)
-        waiting = [r for r in self.runs if r.replica == replica.name and r.state is State.PREEMPTED]
+        at = now() - self.report_age_s
+        waiting = [r for r in self.runs if r.replica == replica.name and r.waits_at(at)]
         return LoadReport(running=1, waiting=len(waiting) + self.others_waiting)
 
     async def move(
@@ -199,15 +254,25 @@
         self.moves.append((replica.name, target.name, last))
         if last:
             self.last_orders.append((now(), replica.name))
+        await asyncio.sleep(self.order_s)
         run = self._run_at(replica.name)
-        if run is None or run.state is not State.WORKS:
+        if run is None or run.state not in (State.WORKS, State.STALLED):
             return MoveResult(failure=MoveFailure.NOT_RUNNING)
+        if replica.name in self.transferring:
+            return MoveResult(failure=MoveFailure.MOVE_IN_PROGRESS)
         if last:
             run.enter(State.STOPPED)
-        await asyncio.sleep(0.01)
+        # The engine carries an order out even if nobody waits for its answer.
+        return await asyncio.shield(asyncio.ensure_future(self._transfer(replica, target, run)))
+
+    async def _transfer(self, replica: Replica, target: Replica, run: Run) -> MoveResult:
+        made = run.made
+        self.transferring.add(replica.name)
+        await asyncio.sleep(self.transfer_s)
+        self.transferring.discard(replica.name)
         held = next((h for name, h in self.copies if name == target.name), "")
         handle = held or f"h{next(self._handles)}"
-        self.copies[target.name, handle] = Copy(run.made, now())
+        self.copies[target.name, handle] = Copy(made, now())
         return MoveResult(MovedMemory(replica.address, handle), True)
 
     async def release(self, memory: MovedMemory) -> None:
