Streams: resume elsewhere once the replica before is known not to work on the generation

What callers saw: nothing, where events are merged by number; but a generation ran at two replicas for up to 0.6 s more than the replicas' engines took to stop (rule: 0.4 s), and a stream was cut although its replica had it, where its first transfer was in progress.

Cause: the order to stop was one attempt. 'A transfer is in progress', 'held back', 'waiting' and no answer within 0.08 s were all taken like 'stopped', and nothing more was ordered until the head of the continuation had come. At a silent replica two reports 0.2 s apart counted as proof of an end, though a report is some 0.5 s old.

Change: a StopOrder repeats the order from the break on until the replica has confirmed, is gone, or a report shows that nothing waits that is read 0.6 s after the replica first said that it does not run the generation (the answers to refused transfers count for that, so that callers of ended runs wait no longer). The continuation waits for it: without a limit while a transfer is in progress, 0.15 s for an answer (0.08 s of a replica that leaves; another order is sent beside an unanswered one), 1 s for pacing, until 1.5 s of silence for memory. Replicas that leave are ordered to stop, too. An answer that comes late is the last resort where no copy can be resumed from.

--- a/reachlink/requests/_generation_replicas.py
+++ b/reachlink/requests/_generation_replicas.py
@@ -121,11 +121,20 @@
         """Whether there is a backup or a shadow copy whose memory has arrived and not lapsed."""
         return self._has_backup or (self._shadow is not None and self._shadow.has_memory)
 
+    @property
+    def not_running_since(self) -> float | None:
+        """Monotonic time in seconds since when the primary refuses copies, as it is not running."""
+        return self._shadow.not_running_since if self._shadow is not None else None
+
+    @property
+    def silent_s(self) -> float:
+        """Time since the last event, in seconds."""
+        return self._dispatcher.now() - self._progressed_at
+
     @property
     def _has_backup(self) -> bool:
         """Whether there is a backup that has not lapsed: a preempted primary sends it nothing."""
-        unsent_s = self._dispatcher.now() - self._progressed_at
-        return self._backup is not None and unsent_s < copy_lifetime_s(self._copy_kept_s)
+        return self._backup is not None and self.silent_s < copy_lifetime_s(self._copy_kept_s)
 
     @property
     def _copy_kept_s(self) -> float:
--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -1,26 +1,35 @@
 """Making sure that a generation has stopped at its primary before it resumes elsewhere."""
 
-from reachlink.requests._generation_stopper import GenerationStopper, StopOutcome, StopResult
+import math
+
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._stop_order import Patience, StopOrder
+from reachlink.requests._stop_results import StopOutcome, StopResult
 from reachlink.requests._working_replicas import WorkingReplicas
 from reachlink.upstreams import Replica
 
 # Longest time in seconds for stopping a generation whose primary is silent. Callers leave after
 # 2 s of silence, 1.4 s of which have passed.
 SILENT_STOP_TIMEOUT_S = 0.5
-# Longest time in seconds for stopping a generation whose connection broke and that has a copy: a
-# replica in reach answers sooner, and most of the others have crashed.
-BROKEN_STOP_TIMEOUT_S = 0.08
-# Longest time in seconds for stopping a generation without a copy.
-STOP_TIMEOUT_S = 0.7
+# Longest wait in seconds for an answer of a primary whose connection broke, if there is a copy: a
+# replica in reach answers sooner, and most of the others have crashed. Orders go on meanwhile, and
+# callers' rules allow both replicas to work for 0.4 s.
+UNANSWERED_WAIT_S = 0.15
+# The same of a primary that leaves, which most probably has ended.
+LEAVING_WAIT_S = 0.08
+# Longest wait in seconds until pacing allows an order, if there is a copy.
+HELD_BACK_WAIT_S = 1.0
+# Time since the last event in seconds until which a generation with a copy may wait for memory
+# at a primary whose connection broke: callers leave after 2 s.
+WAITING_LIMIT_S = 1.5
+# Longest wait in seconds for an answer about a generation without a copy, and for all that keeps
+# a primary that leaves from stopping it.
+NO_COPY_WAIT_S = 2.0
+# Time since the last event in seconds within which a generation counts as running.
+RAN_WITHIN_S = 0.25
 # Maximum number of times that one generation without a copy is stopped.
 MAX_STOPS = 2
-# Number of consecutive checks that must find that a silent primary neither runs the generation
-# nor lets it wait: its report is some hundred milliseconds old.
-MIN_ENDED_CHECKS = 2
-# The generation is still at its primary, and nothing can stop it there at this time.
-_STAYS = frozenset({StopOutcome.WAITING, StopOutcome.HELD_BACK, StopOutcome.MOVE_IN_PROGRESS})
 
 
 class PrimaryStop:
@@ -40,9 +49,10 @@
         self, dispatcher: RequestDispatcher, request: CallerRequest, working: WorkingReplicas
     ) -> None:
         self._dispatcher = dispatcher
-        self._stopper = GenerationStopper(dispatcher, request, working)
+        self._request = request
+        self._working = working
+        self._order: StopOrder | None = None
         self._result: StopResult | None = None
-        self._ended_checks = 0
         self._stops = 0
 
     @property
@@ -53,16 +63,21 @@
     @property
     def can_stop(self) -> bool:
         """Whether the replicas of the service stop a generation on request."""
-        return self._stopper.can_stop
+        engine = self._request.service.engine
+        return engine is not None and engine.moves
 
     def reset(self) -> None:
         """Forget what is known, since the primary has changed or makes events again."""
         self._result = None
-        self._ended_checks = 0
-        self._stopper.reset()
+        self._order = None
 
     async def leaves_silent(
-        self, primary: Replica, born: int, target: Replica | None, after_event: int
+        self,
+        primary: Replica,
+        born: int,
+        target: Replica | None,
+        after_event: int,
+        not_running_since: float | None,
     ) -> bool:
         """Stop the generation at a silent primary; return whether it may resume elsewhere.
 
@@ -79,29 +94,62 @@
             Replica with the copy, to which the newest memory is moved.
         after_event : int
             Number of the last event that the caller got.
+        not_running_since : float, optional
+            Monotonic time in seconds since when the primary refuses to copy the generation, as
+            it does not run it.
         """
         if self._dispatcher.placer.is_gone(primary, born):
+            self._working.end(primary.name)
             self._result = StopResult(StopOutcome.NOT_RUNNING)
             return True
-        result = await self._stopper.stop(primary, target, after_event, SILENT_STOP_TIMEOUT_S)
-        if result.outcome in _STAYS:
-            self._ended_checks = 0
+        order = self._order or self._order_to(primary, target, after_event)
+        if order is None:
+            self._result = StopResult(StopOutcome.UNANSWERED)
+            return True
+        if self._order is None:
+            order.not_running_since = not_running_since
+        self._order = order
+        result = await order.check(SILENT_STOP_TIMEOUT_S)
+        if not order.settled and result.outcome is not StopOutcome.UNANSWERED:
             return False
-        if result.outcome is StopOutcome.NOT_RUNNING:
-            self._ended_checks += 1
-            if self._ended_checks < MIN_ENDED_CHECKS:
-                return False
         self._result = result
+        order.start()
         return True
 
     async def stop_broken(
-        self, primary: Replica, born: int, target: Replica | None, after_event: int
+        self,
+        primary: Replica,
+        born: int,
+        target: Replica | None,
+        after_event: int,
+        silent_s: float,
     ) -> None:
-        """Stop a generation that has a copy and whose connection to its primary broke."""
-        if not self._dispatcher.placer.is_gone(primary, born):
-            self._result = await self._stopper.stop(
-                primary, target, after_event, BROKEN_STOP_TIMEOUT_S
-            )
+        """Stop a generation that has a copy and whose connection to its primary broke.
+
+        Parameters
+        ----------
+        primary : Replica
+            The primary.
+        born : int
+            Start time of the primary when it got the generation, in Unix milliseconds.
+        target : Replica, optional
+            Replica with the copy.
+        after_event : int
+            Number of the last event that the caller got.
+        silent_s : float
+            Time since that event, in seconds.
+        """
+        if self._dispatcher.placer.is_gone(primary, born):
+            self._working.end(primary.name)
+            return
+        unanswered_s = LEAVING_WAIT_S
+        if self._dispatcher.placer.stays(primary):
+            unanswered_s = UNANSWERED_WAIT_S
+        patience = Patience(unanswered_s, HELD_BACK_WAIT_S, max(0.0, WAITING_LIMIT_S - silent_s))
+        order = self._order_to(primary, target, after_event)
+        if order is not None:
+            order.ran_at_break = silent_s < RAN_WITHIN_S
+            await self._settle(order, patience)
 
     async def stop_without_copy(
         self, primary: Replica, target: Replica | None, after_event: int
@@ -110,7 +158,15 @@
         if self._stops >= MAX_STOPS:
             return
         self._stops += 1
-        self._result = await self._stopper.stop(primary, target, after_event, STOP_TIMEOUT_S)
+        order = self._order_to(primary, target, after_event)
+        if order is not None:
+            await self._settle(order, self._patience_without_copy(primary))
+
+    async def wait_for_memory(self) -> None:
+        """Wait longer for the primary's answer, as there is no other copy."""
+        if self._order is not None:
+            patience = self._patience_without_copy(self._order.replica)
+            self._result = await self._order.settle(patience)
 
     def keep_stopping(self, earlier: list[Replica], current: Replica, after_event: int) -> None:
         """Have replicas stopped at which the generation may run beside the present primary.
@@ -125,5 +181,44 @@
             Number of the last event that the caller got.
         """
         for replica in earlier:
-            if replica.name != current.name:
-                self._stopper.keep_stopping(replica, current, after_event)
+            if replica.name == current.name:
+                continue
+            order = self._order
+            if order is None or order.replica.name != replica.name:
+                order = self._order_to(replica, current, after_event)
+            if order is not None:
+                order.abandon()
+                order.start()
+
+    def withdraw(self) -> None:
+        """Send no more orders to the primary, since the generation stays there."""
+        if self._order is not None:
+            self._order.withdraw()
+
+    def _patience_without_copy(self, primary: Replica) -> Patience:
+        return _NO_COPY if self._dispatcher.placer.stays(primary) else _NO_COPY_LEAVING
+
+    async def _settle(self, order: StopOrder, patience: Patience) -> None:
+        self._order = order
+        order.start()
+        self._result = await order.settle(patience)
+
+    def _order_to(
+        self, replica: Replica, target: Replica | None, after_event: int
+    ) -> StopOrder | None:
+        """Return an order to a replica; None without any replica to move the memory to."""
+        target = target or self._any_other(replica)
+        if target is None:
+            return None
+        return StopOrder(
+            self._dispatcher, self._request, self._working, replica, target, after_event
+        )
+
+    def _any_other(self, replica: Replica) -> Replica | None:
+        reachable = self._dispatcher.placer.reachable
+        live = reachable.live(self._request.service.name, self._dispatcher.now())
+        return next((other for other in live if other.name != replica.name), None)
+
+
+_NO_COPY = Patience(NO_COPY_WAIT_S, NO_COPY_WAIT_S, math.inf)
+_NO_COPY_LEAVING = Patience(NO_COPY_WAIT_S, NO_COPY_WAIT_S, NO_COPY_WAIT_S, NO_COPY_WAIT_S)
--- a/reachlink/requests/_resumption.py
+++ b/reachlink/requests/_resumption.py
@@ -2,10 +2,10 @@
 
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_replicas import GenerationReplicas
-from reachlink.requests._generation_stopper import StopResult
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._primary_stop import PrimaryStop
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._stop_results import StopResult
 from reachlink.requests._working_replicas import WorkingReplicas
 from reachlink.upstreams import MovedMemory, Replica
 
@@ -38,6 +38,8 @@
         self._placer = dispatcher.placer
         self._replicas = replicas
         self._merger = merger
+        # Primary that the generation leaves.
+        self._left: Replica | None = None
         self._stop = PrimaryStop(dispatcher, request, working)
 
     @property
@@ -65,6 +67,7 @@
             replicas.primary_born,
             replicas.shadow,
             self._merger.last_event_number,
+            replicas.not_running_since,
         )
         replicas.pause_checks(leaves)
         return leaves
@@ -78,7 +81,7 @@
         if self.stop_result is None:
             await self._stop_broken_primary()
         copies = await self._replicas.copies()
-        primary = self._replicas.primary
+        primary = self._left = self._replicas.primary
         stopped = self.stop_result.options(primary) if self.stop_result is not None else []
         moved = [option for option in stopped if option[0].name != primary.name]
         kept = [option for option in stopped if option[0].name == primary.name]
@@ -100,19 +103,27 @@
 
     def note_stays(self, tried: list[Replica]) -> None:
         """Have all others stopped that may run the generation, which stays at its primary."""
+        self._stop.withdraw()
         self._stop.keep_stopping(tried, self._replicas.primary, self._merger.last_event_number)
         self.forget()
 
+    async def late_options(self) -> list[tuple[Replica, MovedMemory]]:
+        """Return where the generation may resume once a primary answers that was not waited for."""
+        if self._left is None or not self.may_run_at_primary:
+            return []
+        await self._stop.wait_for_memory()
+        return self.stop_result.options(self._left) if self.stop_result is not None else []
+
     async def _stop_broken_primary(self) -> None:
         """Stop the generation at a primary that may still run it although its connection broke."""
         replicas = self._replicas
         primary = replicas.primary
-        if not self._stop.can_stop or not self._placer.stays(primary):
+        if not self._stop.can_stop:
             return
         after_event = self._merger.last_event_number
         if replicas.has_arrived_copy:
             born, target = replicas.primary_born, replicas.shadow
-            await self._stop.stop_broken(primary, born, target, after_event)
+            await self._stop.stop_broken(primary, born, target, after_event, replicas.silent_s)
             return
         target = await replicas.choose_departure_target()
         await self._stop.stop_without_copy(primary, target, after_event)
--- a/reachlink/requests/_shadow_copy.py
+++ b/reachlink/requests/_shadow_copy.py
@@ -76,6 +76,7 @@
         self._discarded = False
         self._move_in_progress = False
         self._move_failure: MoveFailure | None = None
+        self._not_running_since: float | None = None
         # Why the last transfer did not arrive, as logged; empty if it did.
         self._refusal = ""
         self._task = asyncio.create_task(self._run())
@@ -90,6 +91,11 @@
         """Why the last transfer was refused; None if it was not."""
         return self._move_failure
 
+    @property
+    def not_running_since(self) -> float | None:
+        """Monotonic time in seconds since when the source does not run the generation."""
+        return self._not_running_since
+
     @property
     def move_in_progress(self) -> bool:
         """Whether a transfer is in progress; the source accepts no second one meanwhile."""
@@ -177,9 +183,14 @@
                 age_s=round(self.age_s, 3),
             )
         self._refusal = ""
+        self._not_running_since = None
         self._memory, self._refreshed_at = result.memory, began_at
 
     def _note_refused(self, failure: MoveFailure) -> None:
+        if failure is not MoveFailure.NOT_RUNNING:
+            self._not_running_since = None
+        elif self._not_running_since is None:
+            self._not_running_since = self._clock()
         if failure.value == self._refusal:
             return
         self._refusal = failure.value
--- a/reachlink/requests/_stream_log.py
+++ b/reachlink/requests/_stream_log.py
@@ -4,9 +4,9 @@
 
 from reachlink.requests._event_merger import EventMerger
 from reachlink.requests._generation_replicas import GenerationReplicas
-from reachlink.requests._generation_stopper import StopResult
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._request_dispatcher import RequestDispatcher
+from reachlink.requests._stop_results import StopResult
 from reachlink.requests._stream_times import StreamTimes
 from reachlink.upstreams import MovedMemory, Replica
 
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -177,6 +177,27 @@
         options.sort(key=lambda option: self._dispatcher.remaining_hold_s(option[0]))
         previous = self._replicas.primary
         tried: list[Replica] = []
+        resumed = await self._resume_from(options, source, previous, tried)
+        if resumed is None and end is StreamEnd.BROKEN:
+            options = await self._resumption.late_options()
+            resumed = await self._resume_from(options, source, previous, tried)
+        if resumed is not None:
+            return resumed
+        if end is StreamEnd.SILENT and self._resumption.may_run_at_primary:
+            return await self._stay(source, previous, tried)
+        raise StreamCutError("no_copy_left")
+
+    async def _resume_from(
+        self,
+        options: list[tuple[Replica, MovedMemory]],
+        source: EventSource,
+        previous: Replica,
+        tried: list[Replica],
+    ) -> EventSource | None:
+        """Resume at the first replica that can; return where to read on, None if none can.
+
+        Replicas at which an attempt broke off after it was sent are added to `tried`.
+        """
         for target, memory in options:
             if not await self._dispatcher.wait_for_permit(self._request, target):
                 self._log.continuation_failed(target, "held back")
@@ -193,9 +214,7 @@
             source.close()
             self._resumption.note_resumed(previous, tried)
             return self._source(answer)
-        if end is StreamEnd.SILENT and self._resumption.may_run_at_primary:
-            return await self._stay(source, previous, tried)
-        raise StreamCutError("no_copy_left")
+        return None
 
     async def _stay(
         self, source: EventSource, replica: Replica, tried: list[Replica]
