Streams: stop a replica at which an attempt to resume broke off, and resume from its memory

What callers saw: a stream was cut (no_copy_left) whose only attempt to resume elsewhere broke off after it was sent, although the replica of that attempt had resumed it; with more than one copy, that replica got its order to stop only after the head of the next continuation.

Cause: an attempt that broke off was only noted, to be stopped later (note_resumed), and its memory was not asked for. Change: the replica is ordered to stop at once, and waited for before the next attempt (0.5 s for an answer); its memory is one more place to resume from, unless a silent primary still holds the generation.

--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -28,6 +28,8 @@
 NO_COPY_WAIT_S = 2.0
 # Time since the last event in seconds within which a generation counts as running.
 RAN_WITHIN_S = 0.25
+# Longest wait in seconds for a replica at which an attempt to resume broke off.
+BROKEN_OFF_WAIT_S = 0.5
 # Maximum number of times that one generation without a copy is stopped.
 MAX_STOPS = 2
 
@@ -162,11 +164,32 @@
         if order is not None:
             await self._settle(order, self._patience_without_copy(primary))
 
-    async def wait_for_memory(self) -> None:
-        """Wait longer for the primary's answer, as there is no other copy."""
-        if self._order is not None:
-            patience = self._patience_without_copy(self._order.replica)
-            self._result = await self._order.settle(patience)
+    async def stop_broken_off(self, replica: Replica, after_event: int) -> StopOrder | None:
+        """Stop a generation at a replica at which an attempt to resume it broke off.
+
+        Parameters
+        ----------
+        replica : Replica
+            Replica that may have resumed it.
+        after_event : int
+            Number of the last event that the caller got.
+        """
+        if not self.can_stop or self._stops >= MAX_STOPS:
+            return None
+        self._stops += 1
+        order = self._order_to(replica, None, after_event)
+        if order is not None:
+            order.start()
+            await order.settle(_BROKEN_OFF)
+        return order
+
+    async def update(self, wait: bool) -> None:
+        """Take what the primary has answered since; with `wait`, wait longer for it."""
+        if self._order is None:
+            return
+        if wait:
+            await self._order.settle(self._patience_without_copy(self._order.replica))
+        self._result = self._order.result
 
     def keep_stopping(self, earlier: list[Replica], current: Replica, after_event: int) -> None:
         """Have replicas stopped at which the generation may run beside the present primary.
@@ -190,6 +213,11 @@
                 order.abandon()
                 order.start()
 
+    def close(self) -> None:
+        """Have memory freed that the primary hands over from now on."""
+        if self._order is not None:
+            self._order.abandon()
+
     def withdraw(self) -> None:
         """Send no more orders to the primary, since the generation stays there."""
         if self._order is not None:
@@ -220,5 +248,6 @@
         return next((other for other in live if other.name != replica.name), None)
 
 
+_BROKEN_OFF = Patience(BROKEN_OFF_WAIT_S, BROKEN_OFF_WAIT_S, BROKEN_OFF_WAIT_S)
 _NO_COPY = Patience(NO_COPY_WAIT_S, NO_COPY_WAIT_S, math.inf)
 _NO_COPY_LEAVING = Patience(NO_COPY_WAIT_S, NO_COPY_WAIT_S, NO_COPY_WAIT_S, NO_COPY_WAIT_S)
--- a/reachlink/requests/_resumption.py
+++ b/reachlink/requests/_resumption.py
@@ -40,6 +40,8 @@
         self._merger = merger
         # Primary that the generation leaves.
         self._left: Replica | None = None
+        # Whether it still holds the generation as far as known, and its connection is open.
+        self._may_stay = False
         self._stop = PrimaryStop(dispatcher, request, working)
 
     @property
@@ -78,6 +80,8 @@
         Unless the primary has stopped the generation already, it is ordered to.
         """
         self._replicas.pause_checks(True)
+        # A primary that is left for its silence was ordered to stop before.
+        self._may_stay = self.stop_result is not None and self.may_run_at_primary
         if self.stop_result is None:
             await self._stop_broken_primary()
         copies = await self._replicas.copies()
@@ -107,13 +111,34 @@
         self._stop.keep_stopping(tried, self._replicas.primary, self._merger.last_event_number)
         self.forget()
 
+    def close(self) -> None:
+        """Have memory freed from which nobody resumes, since the stream has ended."""
+        self._stop.close()
+
     async def late_options(self) -> list[tuple[Replica, MovedMemory]]:
-        """Return where the generation may resume once a primary answers that was not waited for."""
+        """Return where the generation may resume if the primary has answered late that it stopped.
+
+        The answer is waited for, unless the generation may stay at the primary.
+        """
         if self._left is None or not self.may_run_at_primary:
             return []
-        await self._stop.wait_for_memory()
+        await self._stop.update(wait=not self._may_stay)
         return self.stop_result.options(self._left) if self.stop_result is not None else []
 
+    async def options_after(self, tried: Replica) -> list[tuple[Replica, MovedMemory]]:
+        """Return where the generation may resume after an attempt to resume it broke off.
+
+        The replica of that attempt may run the generation, and is ordered to stop it. Its memory
+        is used only if the primary that the generation leaves has stopped it.
+        """
+        order = await self._stop.stop_broken_off(tried, self._merger.last_event_number)
+        if order is None:
+            return []
+        if self._may_stay:
+            order.abandon()
+            return []
+        return order.result.options(tried)
+
     async def _stop_broken_primary(self) -> None:
         """Stop the generation at a primary that may still run it although its connection broke."""
         replicas = self._replicas
--- a/reachlink/requests/_stop_order.py
+++ b/reachlink/requests/_stop_order.py
@@ -167,7 +167,11 @@
 
     def abandon(self) -> None:
         """Free the memory of the generation once it stops; it is not needed any more."""
+        if self._abandoned:
+            return
         self._abandoned = True
+        if self._result.stopped:
+            self._dispatcher.spawn(self._release(self._result))
 
     async def settle(self, patience: Patience) -> StopResult:
         """Wait until the generation may resume elsewhere, for some time; return what is known."""
@@ -198,18 +202,24 @@
         await self._note(*await order)
 
     async def _repeat(self) -> None:
-        pending: set[asyncio.Task[tuple[StopResult, str]]] = set()
+        # In the order in which they were sent.
+        pending: list[asyncio.Task[tuple[StopResult, str]]] = []
         try:
             while self._is_wanted():
                 if len(pending) < MAX_PENDING:
-                    pending.add(asyncio.create_task(self._order()))
-                done, pending = await asyncio.wait(
+                    pending.append(asyncio.create_task(self._order()))
+                done, _ = await asyncio.wait(
                     pending,
                     timeout=UNANSWERED_INTERVAL_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                oldest = pending[0]
+                pending = [order for order in pending if order not in done]
                 for order in done:
-                    await self._note(*order.result())
+                    result, reason = order.result()
+                    # The generation may have ended by the order before, whose answer is to come.
+                    if order is oldest or result.outcome is not StopOutcome.NOT_RUNNING:
+                        await self._note(result, reason)
                 if done and self._is_wanted():
                     await asyncio.sleep(self._interval_s())
         finally:
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 
 from reachlink.quarantine import HELD, AnswerTiming, HeldRequestError
 from reachlink.requests._answer_body import read_whole
@@ -120,6 +121,7 @@
             raise
         finally:
             copy_task.cancel()
+            self._resumption.close()
             self._replicas.release()
 
     def _has_sent_no_event(self) -> bool:
@@ -178,7 +180,7 @@
         previous = self._replicas.primary
         tried: list[Replica] = []
         resumed = await self._resume_from(options, source, previous, tried)
-        if resumed is None and end is StreamEnd.BROKEN:
+        if resumed is None:
             options = await self._resumption.late_options()
             resumed = await self._resume_from(options, source, previous, tried)
         if resumed is not None:
@@ -198,7 +200,9 @@
 
         Replicas at which an attempt broke off after it was sent are added to `tried`.
         """
-        for target, memory in options:
+        waiting = deque(options)
+        while waiting:
+            target, memory = waiting.popleft()
             if not await self._dispatcher.wait_for_permit(self._request, target):
                 self._log.continuation_failed(target, "held back")
                 continue
@@ -208,6 +212,7 @@
             except UpstreamBrokenError as error:
                 self._log.continuation_failed(target, str(error))
                 tried.append(target)
+                waiting.extendleft(await self._resumption.options_after(target))
                 continue
             if answer is None:
                 continue
