Streams: close a silent connection 0.2 s after another replica was asked to resume

Engines that send backups and take no orders are stopped by the close of the connection alone. It came 0.3 s after the continuation was sent; a replica that takes 0.15 s to drop a request then worked 0.05 s too long beside the next one (0.4 s are allowed). What is left: a replica that does not drop requests and takes no orders.

--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -38,8 +38,9 @@
 # Pause between two of these attempts in seconds.
 COPY_CONNECT_PAUSE_S = 0.05
 # Longest time in seconds for which the connection to a silent replica that has not confirmed that
-# it has stopped the generation stays open while another replica is to resume it.
-BOTH_OPEN_S = 0.3
+# it has stopped the generation stays open while another replica is to resume it. Callers' rules
+# allow both to work for 0.4 s, and a replica takes some time to notice the close.
+BOTH_OPEN_S = 0.2
 # Time in seconds from which on a write counts as delayed by the caller. A caller that reads slowly
 # determines itself when the next events are read.
 SLOW_WRITE_S = 0.005
