Own interface: cancel a generation until its engine has answered

What callers saw: nothing; engines went on with generations that nobody read, beside the ones that replaced them. Cause: cancelling was one attempt whose failure was swallowed without a log line, and any status counted as success. A generation that was found after a broken request and could not be resumed was not cancelled at all before a repeatable request was sent elsewhere. Change: Cancellation repeats the attempt (0.1 s up to 1 s, 1 s each) until the engine answers (done, not known, or being read), is gone or has restarted, for 60 s at most; used for replaced generations, abandoned ones and those of silent peers. Looking for a generation after a broken request has a timeout (3 s, as resuming it) and a log line.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -1,7 +1,6 @@
 """Drives one generation from placement to the end of its answer."""
 
 import asyncio
-import contextlib
 from collections.abc import Sequence
 
 from reachlink.delivery import (
@@ -281,16 +280,31 @@
         self, attempt: int, replica: Replica, reason: str
     ) -> TokenStream | None:
         """The request may run: look for its generation before anything else."""
-        with contextlib.suppress(UpstreamError, TimeoutError):
-            info = await self._adapter.find(replica, self._job.request_id)
-            await self._bind(info.generation)
+        generation = ""
+        try:
+            async with asyncio.timeout(RESUME_TIMEOUT_S):
+                info = await self._adapter.find(replica, self._job.request_id)
+            generation = info.generation
+            await self._bind(generation)
             async with asyncio.timeout(RESUME_TIMEOUT_S):
-                return await self._adapter.resume(replica, info.generation, 0)
+                return await self._adapter.resume(replica, generation, 0)
+        except (UpstreamError, TimeoutError) as error:
+            self._log_not_found(replica, generation, str(error) or type(error).__name__)
         if not self._job.repeatable:
             raise RequestError(502, "upstream_broken", reason, Outcome.UNKNOWN)
+        self._drop(generation)
         await self._before_retry(attempt, reason)
         return None
 
+    def _log_not_found(self, replica: Replica, generation: str, reason: str) -> None:
+        self._node.log.info(
+            "generation_not_found",
+            request_id=self._job.request_id,
+            replica=replica.name,
+            generation=generation,
+            reason=reason,
+        )
+
     async def _deliver(self, stream: TokenStream) -> bool:
         """Follow a new generation; False where it must be generated anew."""
         done = await self._follow(stream)
@@ -437,10 +451,7 @@
         self._node.carried.remove(generation)
 
     async def _cancel(self, replica: Replica, generation: str) -> None:
-        # Not while the replica is to get nothing: what is not ended runs on for nobody.
-        await asyncio.sleep(self._node.client.pacing.remaining_s(replica.address, steady_time()))
-        with contextlib.suppress(UpstreamError):
-            await self._adapter.cancel(replica, generation, if_detached=True)
+        await self._node.cancellation.run(self._adapter, replica, generation)
 
     def _count_failure(self) -> None:
         if self._replica is not None:
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -1,7 +1,6 @@
 """The parts of an entry instance and how they are joined."""
 
 import asyncio
-import contextlib
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine, Sequence, Set
 from random import Random
@@ -10,6 +9,7 @@
 from reachlink.control import ControlClient
 from reachlink.coordination import LimitExchange, QuarantineExchange
 from reachlink.delivery import PositionCodec
+from reachlink.entry._cancellation import Cancellation
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._configured_node import ConfiguredNode
 from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
@@ -40,7 +40,7 @@
 from reachlink.quarantine import CrashGuard, Fingerprinter, Quarantine
 from reachlink.settings import ServiceInfo
 from reachlink.telemetry import get_logger
-from reachlink.upstreams import ADAPTERS, HttpClient, Replica, UpstreamError
+from reachlink.upstreams import ADAPTERS, HttpClient, Replica
 
 EXPLAINED_DECISIONS = 2048
 MAX_CANDIDATES = 8
@@ -72,6 +72,7 @@
         self.client.pacing.brittle.slots_at = self._slots_at
         self.client.pacing.brittle.service_at = lambda address: self.directory.service_at(address)
         self.directory = ReplicaDirectory(config.routes, pacing=self.client.pacing)
+        self.cancellation = Cancellation(self.directory, self.client.pacing, self.log)
         self.lengths = LengthEstimator()
         self.ledger = Ledger(self.lengths)
         self.digests = DigestBook(config.availability_zone)
@@ -233,8 +234,7 @@
         if replica is None or service is None:
             return
         self.log.info("orphan_cancelled", generation=orphan.generation, replica=orphan.replica)
-        with contextlib.suppress(UpstreamError):
-            await self.adapter(service.adapter).cancel(replica, orphan.generation, if_detached=True)
+        await self.cancellation.run(self.adapter(service.adapter), replica, orphan.generation)
 
     def tell_peers(self, channel: str, body: bytes) -> None:
         """Send a one-way message to every other entry instance."""
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -33,6 +33,8 @@
 _DATA = b"data: "
 _DONE = b"[DONE]"
 _NOT_FOUND = 404
+# The generation is being read, so that it is not cancelled.
+_CONFLICT = 409
 _log = get_logger()
 
 
@@ -182,6 +184,8 @@
         url = _url(replica, f"generations/{generation}{query}")
         async with self._client.control("DELETE", url) as response:
             await read_control(response)
+            if response.status not in (_NOT_FOUND, _CONFLICT):
+                response.raise_for_status()
 
     async def touch(self, replica: Replica) -> None:
         """Check that an engine responds."""
