Streams: wait for refused orders only, and ask for fewer reports

An order that is not answered although the one before was refused at once is being carried out: the continuation waits 0.15 s for it, and no longer for the whole second transfer. Orders come each 0.05 s for the first 0.7 s, then each 0.15 s (before: growing to 0.25 s); a replica that is ordered again and again is asked for a report each 0.3 s at the most.

--- a/reachlink/requests/_stop_order.py
+++ b/reachlink/requests/_stop_order.py
@@ -20,11 +20,14 @@
     UpstreamUnreachableError,
 )
 
-# Intervals in seconds between two orders: at first, while a transfer is in progress or no answer
-# has come, and the longest one to a replica that does not run the generation or is out of reach.
+# Intervals in seconds between two orders: at first and while a transfer is in progress, then, and
+# the longest one to a replica that is out of reach.
 REPEAT_INTERVAL_S = 0.05
-MAX_REPEAT_INTERVAL_S = 0.25
+MAX_REPEAT_INTERVAL_S = 0.15
 MAX_UNREACHABLE_INTERVAL_S = 1.0
+# Time in seconds for which the first interval applies: callers' rules allow both replicas to work
+# for 0.4 s.
+FIRST_ORDERS_S = 0.7
 # Time in seconds after which another order is sent beside one that is not answered, and the
 # largest number of orders at a time.
 UNANSWERED_INTERVAL_S = 0.15
@@ -32,6 +35,8 @@
 # Time in seconds without an answer after which a replica gets no more orders: it has ended, or is
 # out of reach for long.
 GIVE_UP_AFTER_S = 10.0
+# Interval in seconds between two reports of a replica that is ordered again and again.
+REPORT_INTERVAL_S = 0.3
 # Longest time in seconds for a replica's report.
 REPORT_TIMEOUT_S = 0.3
 # Time for which a generation must not have run for a replica's report, which is some hundred
@@ -120,6 +125,8 @@
         # Monotonic time in seconds since when the replica has answered that it does not run the
         # generation; None if it may run it.
         self.not_running_since: float | None = None
+        # Monotonic time in seconds at which the last report was asked for.
+        self._reported_at = -math.inf
         # Number of consecutive reports without a waiting generation.
         self._idle_reports = 0
         engine = request.service.engine
@@ -134,6 +141,8 @@
         # Monotonic time in seconds since when no order was answered; None after an answer.
         self._unanswered_since: float | None = None
         self._repeating = False
+        # Monotonic time in seconds at which the oldest order was sent that is not answered.
+        self._pending_since: float | None = None
         self._withdrawn = False
         # Whether the memory of the stopped generation is of no use any more.
         self._abandoned = False
@@ -157,6 +166,9 @@
 
     def start(self) -> None:
         """Repeat the order in the background until the generation has stopped."""
+        if self._withdrawn:
+            self._withdrawn = False
+            self._begun_at = self._dispatcher.now()
         if self._takes_orders and not self._repeating:
             self._repeating = True
             self._dispatcher.spawn(self._repeat())
@@ -176,7 +188,7 @@
     async def settle(self, patience: Patience) -> StopResult:
         """Wait until the generation may resume elsewhere, for some time; return what is known."""
         while not self.settled and self._repeating:
-            left_s = self._begun_at + patience.of(self._result.outcome) - self._dispatcher.now()
+            left_s = self._waits_until(patience) - self._dispatcher.now()
             if left_s <= 0.0:
                 break
             changed = self._changed
@@ -185,6 +197,14 @@
                     await changed.wait()
         return self._result
 
+    def _waits_until(self, patience: Patience) -> float:
+        """Return the monotonic time in seconds until which the generation may not resume."""
+        outcome = self._result.outcome
+        if outcome is StopOutcome.MOVE_IN_PROGRESS and self._pending_since is not None:
+            # Refusals come at once: an order that is not answered is being carried out.
+            return self._pending_since + patience.unanswered_s
+        return self._begun_at + patience.of(outcome)
+
     async def check(self, timeout_s: float) -> StopResult:
         """Send the order once, and wait for some time; return what is known."""
         order = asyncio.create_task(self._order())
@@ -208,6 +228,7 @@
             while self._is_wanted():
                 if len(pending) < MAX_PENDING:
                     pending.append(asyncio.create_task(self._order()))
+                    self._note_sent()
                 done, _ = await asyncio.wait(
                     pending,
                     timeout=UNANSWERED_INTERVAL_S,
@@ -215,6 +236,8 @@
                 )
                 oldest = pending[0]
                 pending = [order for order in pending if order not in done]
+                if oldest in done:
+                    self._pending_since = None
                 for order in done:
                     result, reason = order.result()
                     # The generation may have ended by the order before, whose answer is to come.
@@ -228,6 +251,11 @@
             for order in pending:
                 self._dispatcher.spawn(self._note_late(order))
 
+    def _note_sent(self) -> None:
+        if self._pending_since is None:
+            self._pending_since = self._dispatcher.now()
+            self._wake()
+
     def _is_wanted(self) -> bool:
         """Return whether the replica may run the generation by what is known of it."""
         if self._withdrawn or self._ended or self._result.stopped:
@@ -253,9 +281,9 @@
         age_s = self._dispatcher.now() - self._begun_at
         if self._result.outcome is StopOutcome.UNREACHABLE:
             return min(max(REPEAT_INTERVAL_S, age_s), MAX_UNREACHABLE_INTERVAL_S)
-        if self._result.outcome is StopOutcome.MOVE_IN_PROGRESS:
+        if self._result.outcome is StopOutcome.MOVE_IN_PROGRESS or age_s < FIRST_ORDERS_S:
             return REPEAT_INTERVAL_S
-        return min(max(REPEAT_INTERVAL_S, age_s / 4.0), MAX_REPEAT_INTERVAL_S)
+        return MAX_REPEAT_INTERVAL_S
 
     async def _order(self) -> tuple[StopResult, str]:
         """Send the order; return its result and the error."""
@@ -304,6 +332,9 @@
         not_running_s = now - self.not_running_since
         if self.ran_at_break and not_running_s < REPORT_DELAY_S:
             return result
+        if self._repeating and now - self._reported_at < REPORT_INTERVAL_S:
+            return self._result
+        self._reported_at = now
         outcome = await self._outcome_by_report()
         self._idle_reports = self._idle_reports + 1 if outcome is StopOutcome.NOT_RUNNING else 0
         if self._takes_orders:
