Streams: use the memory of a replica that stops a generation by an order answered late

What callers saw: a stream was cut (no_copy_left) that had stayed at its silent replica, as its copy was gone, and whose order to stop was carried out after that: the answer with the memory was taken by nobody.

--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -55,6 +55,8 @@
         self._working = working
         self._order: StopOrder | None = None
         self._result: StopResult | None = None
+        # Order to a silent primary at which the generation stays; it may be carried out late.
+        self._withdrawn: StopOrder | None = None
         self._stops = 0
 
     @property
@@ -160,7 +162,9 @@
         if self._stops >= MAX_STOPS:
             return
         self._stops += 1
-        order = self._order_to(primary, target, after_event)
+        order, self._withdrawn = self._withdrawn, None
+        if order is None or order.replica.name != primary.name:
+            order = self._order_to(primary, target, after_event)
         if order is not None:
             await self._settle(order, self._patience_without_copy(primary))
 
@@ -203,6 +207,8 @@
         after_event : int
             Number of the last event that the caller got.
         """
+        if self._withdrawn is not None and self._withdrawn.replica.name != current.name:
+            self._withdrawn = None
         for replica in earlier:
             if replica.name == current.name:
                 continue
@@ -222,6 +228,7 @@
         """Send no more orders to the primary, since the generation stays there."""
         if self._order is not None:
             self._order.withdraw()
+            self._withdrawn = self._order
 
     def _patience_without_copy(self, primary: Replica) -> Patience:
         return _NO_COPY if self._dispatcher.placer.stays(primary) else _NO_COPY_LEAVING
--- a/reachlink/requests/tests/preempting.py
+++ b/reachlink/requests/tests/preempting.py
@@ -163,6 +163,8 @@
     head_s: float = 0.0
     # Time after which an engine looks at an order, in seconds.
     order_s: float = 0.0
+    # Whether the engines have no room for copies of runs that go on.
+    refuses_copies: bool = False
     # Age of a report, in seconds.
     report_age_s: float = 0.0
     runs: list[Run] = field(default_factory=list)
@@ -260,6 +262,8 @@
             return MoveResult(failure=MoveFailure.NOT_RUNNING)
         if replica.name in self.transferring:
             return MoveResult(failure=MoveFailure.MOVE_IN_PROGRESS)
+        if self.refuses_copies and not last:
+            return MoveResult(failure=MoveFailure.NO_ROOM)
         if last:
             run.enter(State.STOPPED)
         # The engine carries an order out even if nobody waits for its answer.
--- a/reachlink/requests/tests/test_one_replica_at_a_time.py
+++ b/reachlink/requests/tests/test_one_replica_at_a_time.py
@@ -125,3 +125,23 @@
         takes_orders=False, drops=True, drop_s=0.15, head_s=head_s, on_event=mute
     )
     assert whole and overlap_s == 0.0
+
+
+def test_a_stream_that_stays_is_whole_though_its_replica_stops_it_by_an_order_answered_late():
+    def stand_still(run: Run) -> None:
+        if run.made == 50:
+            run.stalls = [(2.6, State.STALLED)]
+            engines.copies.clear()
+            engines.refuses_copies = True
+            engines.order_s = 0.8
+
+    setup, engines = engines_world(events=EVENTS, drops=False, on_event=stand_still)
+
+    async def scenario():
+        sink = await run_stream(setup)
+        await asyncio.sleep(1.0)
+        return sink, longest_overlap_s(engines.runs, asyncio.get_running_loop().time())
+
+    sink, overlap_s = run_virtually(scenario())
+    assert sink.body == stream(1, EVENTS) and sink.ended
+    assert overlap_s == 0.0
