Streams: send no order to stop to a replica at which the generation is to resume

What callers saw: a stream that resumed at a replica where it had been before was stopped there by an order of the first time; it lost time, or was cut. Cause: orders are repeated while a replica's report shows that something waits, which may be others' requests for long, and nobody withdrew them when the replica became the target again.

--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -57,6 +57,8 @@
         self._result: StopResult | None = None
         # Order to a silent primary at which the generation stays; it may be carried out late.
         self._withdrawn: StopOrder | None = None
+        # Last order to each replica, by name.
+        self._orders: dict[str, StopOrder] = {}
         self._stops = 0
 
     @property
@@ -224,6 +226,18 @@
         if self._order is not None:
             self._order.abandon()
 
+    def pause(self, replica: Replica) -> None:
+        """Send no orders to a replica at which the generation is to resume."""
+        order = self._orders.get(replica.name)
+        if order is not None:
+            order.withdraw()
+
+    def go_on(self, replica: Replica) -> None:
+        """Send orders again to a replica at which the generation could not resume."""
+        order = self._orders.get(replica.name)
+        if order is not None:
+            order.start()
+
     def withdraw(self) -> None:
         """Send no more orders to the primary, since the generation stays there."""
         if self._order is not None:
@@ -245,9 +259,11 @@
         target = target or self._any_other(replica)
         if target is None:
             return None
-        return StopOrder(
+        order = StopOrder(
             self._dispatcher, self._request, self._working, replica, target, after_event
         )
+        self._orders[replica.name] = order
+        return order
 
     def _any_other(self, replica: Replica) -> Replica | None:
         reachable = self._dispatcher.placer.reachable
--- a/reachlink/requests/_resumption.py
+++ b/reachlink/requests/_resumption.py
@@ -91,6 +91,14 @@
         kept = [option for option in stopped if option[0].name == primary.name]
         return [*moved, *(copy for copy in copies if copy not in moved), *kept]
 
+    def pause_orders(self, target: Replica) -> None:
+        """Send no orders to a replica at which the generation is to resume."""
+        self._stop.pause(target)
+
+    def continue_orders(self, target: Replica) -> None:
+        """Send orders again to a replica at which the generation could not resume."""
+        self._stop.go_on(target)
+
     def note_resumed(self, previous: Replica, tried: list[Replica]) -> None:
         """Have all others stopped that may run the generation, now that its primary has resumed it.
 
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -246,16 +246,19 @@
         self._no_event_since_move = True
         self._reset_interval()
         self._log.continues(lost, target, memory)
+        self._resumption.pause_orders(target)
         try:
             continuation = Continuation(self._merger.last_event_number, memory)
             answer = await self._open_copy(target, continuation, connect_s, source)
         except UpstreamBrokenError:
             raise
         except UpstreamError as error:
+            self._resumption.continue_orders(target)
             self._log.continuation_failed(target, str(error))
             return None
         if not answer.head.success:
             answer.close()
+            self._resumption.continue_orders(target)
             self._log.continuation_failed(target, f"status {answer.head.status}")
             return None
         return answer
--- a/reachlink/requests/tests/preempting.py
+++ b/reachlink/requests/tests/preempting.py
@@ -151,6 +151,8 @@
     takes_orders: bool = True
     # Called when the first run has made an event.
     on_event: Callable[[Run], None] = lambda run: None
+    # Called when a later one has.
+    on_later_event: Callable[[Run], None] = lambda run: None
     # Replicas that answer no order and no report.
     unreachable: set[str] = field(default_factory=set)
     # Other generations that wait at each engine.
@@ -215,6 +217,8 @@
                 self.copies[run.backup] = Copy(run.made, now())
             if run is self.runs[0]:
                 self.on_event(run)
+            else:
+                self.on_later_event(run)
             await self._stand_still(run)
             if run.state in ENDED:
                 return
--- a/reachlink/requests/tests/test_one_replica_at_a_time.py
+++ b/reachlink/requests/tests/test_one_replica_at_a_time.py
@@ -145,3 +145,22 @@
     sink, overlap_s = run_virtually(scenario())
     assert sink.body == stream(1, EVENTS) and sink.ended
     assert overlap_s == 0.0
+
+
+def test_a_generation_is_not_stopped_where_it_resumes_by_an_order_of_before():
+    def drop_at_50(run: Run) -> None:
+        if run.made == 50:
+            run.enter(State.DROPPED)
+            reset(run)
+
+    def reset_second_at_100(run: Run) -> None:
+        if run is engines.runs[1] and run.made == 100:
+            reset(run)
+
+    # Others that wait keep the first replica in doubt, so that it is ordered again and again.
+    setup, engines = engines_world("a a", events=EVENTS, others_waiting=1, on_event=drop_at_50)
+    engines.on_later_event = reset_second_at_100
+    sink = run_virtually(run_stream(setup))
+    assert sink.body == stream(1, EVENTS) and sink.ended
+    assert [run.state for run in engines.runs] == [State.DROPPED, State.STOPPED, State.COMPLETE]
+    assert engines.runs[2].replica == engines.runs[0].replica
