Tests: each part of stopping before resuming has a case that fails without it

An ablation found four parts that no test held: another order beside one that hangs (now 3 cases fail without it), a late answer where no copy is left (5), orders to replicas that leave (2), and going on at once where the run ran at the break (1). The simulated engines get hanging orders, and copies that are not usable while a transfer to them is in progress.

--- a/reachlink/requests/tests/preempting.py
+++ b/reachlink/requests/tests/preempting.py
@@ -167,6 +167,10 @@
     order_s: float = 0.0
     # Whether the engines have no room for copies of runs that go on.
     refuses_copies: bool = False
+    # Orders to stop that are never answered nor carried out.
+    hanging_orders: int = 0
+    # Whether a copy cannot be used while a transfer to it is in progress.
+    locks_copies: bool = False
     # Age of a report, in seconds.
     report_age_s: float = 0.0
     runs: list[Run] = field(default_factory=list)
@@ -190,6 +194,9 @@
         run.backup = (backup.name, request.request_id) if backup is not None else None
         if continuation is not None:
             copy = self.copies.pop((replica.name, continuation.memory.handle), None)
+            if copy is not None and self.locks_copies and self.transferring:
+                self.copies[replica.name, continuation.memory.handle] = copy
+                copy = None
             if copy is None or now() - copy.moved_at > COPY_KEPT_S:
                 self.refused.append(replica.name)
                 return _Refusal()
@@ -260,6 +267,9 @@
         self.moves.append((replica.name, target.name, last))
         if last:
             self.last_orders.append((now(), replica.name))
+        if last and self.hanging_orders:
+            self.hanging_orders -= 1
+            await asyncio.Event().wait()
         await asyncio.sleep(self.order_s)
         run = self._run_at(replica.name)
         if run is None or run.state not in (State.WORKS, State.STALLED):
--- a/reachlink/requests/tests/test_one_replica_at_a_time.py
+++ b/reachlink/requests/tests/test_one_replica_at_a_time.py
@@ -164,3 +164,51 @@
     assert sink.body == stream(1, EVENTS) and sink.ended
     assert [run.state for run in engines.runs] == [State.DROPPED, State.STOPPED, State.COMPLETE]
     assert engines.runs[2].replica == engines.runs[0].replica
+
+
+@pytest.mark.parametrize("head_s", [0.0, 0.6, 1.5])
+def test_a_replica_at_which_one_order_hangs_is_stopped_by_the_next(head_s):
+    whole, overlap_s = play(head_s=head_s, hanging_orders=1, on_event=reset_at(50))
+    assert whole and overlap_s == 0.0
+
+
+@pytest.mark.parametrize("event", [44, 48, 52, 56, 60])
+def test_a_stream_is_whole_whose_copy_is_not_usable_while_its_order_is_carried_out(event):
+    whole, overlap_s = play(transfer_s=0.6, locks_copies=True, on_event=reset_at(event))
+    assert whole and overlap_s == 0.0
+
+
+@pytest.mark.parametrize("head_s", [0.6, 1.5])
+def test_a_replica_that_leaves_is_stopped_before_its_broken_stream_resumes(head_s):
+    def leave_and_break(run: Run) -> None:
+        if run.made == 40:
+            setup.list_replicas(run.replica)
+        if run.made == 60:
+            reset(run)
+
+    setup, engines = engines_world(
+        events=EVENTS, drops=False, head_s=head_s, on_event=leave_and_break
+    )
+
+    async def scenario():
+        sink = await run_stream(setup)
+        await asyncio.sleep(1.0)
+        return sink, longest_overlap_s(engines.runs, asyncio.get_running_loop().time())
+
+    sink, overlap_s = run_virtually(scenario())
+    assert sink.body == stream(1, EVENTS) and sink.ended
+    assert overlap_s == 0.0
+
+
+def test_a_stream_whose_replica_drops_it_with_its_connection_resumes_without_a_report():
+    def drop_at_50(run: Run) -> None:
+        if run.made == 50:
+            run.enter(State.DROPPED)
+            reset(run)
+
+    setup, engines = engines_world(events=EVENTS, others_waiting=1, on_event=drop_at_50)
+    sink = run_virtually(run_stream(setup))
+    first, second = engines.runs
+    assert sink.body == stream(1, EVENTS) and sink.ended
+    # Longest pause of callers of streams in this world, in seconds.
+    assert second.states[0][0] - first.states[-1][0] < 0.18
