Streams: wait for the own transfer that keeps a replica from being stopped

What callers saw: nothing; a generation ran at two replicas for up to 0.8 s too long where its replica looks at an order after 0.3 s only and a transfer was in progress: the refusal came after the 0.15 s that an answer is waited for, so that the replica seemed not to answer. Cause: what an answer would tell is known here: the transfer that keeps the replica from stopping is the copy's own. Change: the wait for an answer begins when no transfer of the generation's memory is in progress any more.

--- a/reachlink/requests/_generation_replicas.py
+++ b/reachlink/requests/_generation_replicas.py
@@ -142,6 +142,12 @@
         engine = self._request.service.engine
         return engine.move_keep_s if engine is not None else 0.0
 
+    def is_transferring(self) -> bool:
+        """Return whether a transfer of the primary's memory is in progress."""
+        copies = [copy for copy in (self._shadow, self._discarded_shadow) if copy is not None]
+        source = self.primary.name
+        return any(copy.move_in_progress and copy.source.name == source for copy in copies)
+
     async def begin(self, replica: Replica) -> None:
         """Start at a replica, with a backup if it is needed and there is room for one."""
         self._primary = self._allocate(replica, reads=True)
--- a/reachlink/requests/_primary_stop.py
+++ b/reachlink/requests/_primary_stop.py
@@ -1,6 +1,7 @@
 """Making sure that a generation has stopped at its primary before it resumes elsewhere."""
 
 import math
+from collections.abc import Callable
 
 from reachlink.requests._model import CallerRequest
 from reachlink.requests._request_dispatcher import RequestDispatcher
@@ -129,6 +130,7 @@
         target: Replica | None,
         after_event: int,
         silent_s: float,
+        is_transferring: Callable[[], bool],
     ) -> None:
         """Stop a generation that has a copy and whose connection to its primary broke.
 
@@ -144,6 +146,8 @@
             Number of the last event that the caller got.
         silent_s : float
             Time since that event, in seconds.
+        is_transferring : callable
+            Returns whether a transfer of the generation's memory is in progress.
         """
         if self._dispatcher.placer.is_gone(primary, born):
             self._working.end(primary.name)
@@ -155,6 +159,7 @@
         order = self._order_to(primary, target, after_event)
         if order is not None:
             order.ran_at_break = silent_s < RAN_WITHIN_S
+            order.is_transferring = is_transferring
             await self._settle(order, patience)
 
     async def stop_without_copy(
--- a/reachlink/requests/_resumption.py
+++ b/reachlink/requests/_resumption.py
@@ -156,7 +156,9 @@
         after_event = self._merger.last_event_number
         if replicas.has_arrived_copy:
             born, target = replicas.primary_born, replicas.shadow
-            await self._stop.stop_broken(primary, born, target, after_event, replicas.silent_s)
+            await self._stop.stop_broken(
+                primary, born, target, after_event, replicas.silent_s, replicas.is_transferring
+            )
             return
         target = await replicas.choose_departure_target()
         await self._stop.stop_without_copy(primary, target, after_event)
--- a/reachlink/requests/_shadow_copy.py
+++ b/reachlink/requests/_shadow_copy.py
@@ -111,6 +111,11 @@
         """Time since the last transfer that arrived, or since the first attempt, in seconds."""
         return self._clock() - self._refreshed_at
 
+    @property
+    def source(self) -> Replica:
+        """Replica that runs the generation."""
+        return self._source
+
     @property
     def target(self) -> Replica:
         """Replica that gets the copy."""
--- a/reachlink/requests/_stop_order.py
+++ b/reachlink/requests/_stop_order.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from reachlink.requests._model import CallerRequest
@@ -119,6 +120,10 @@
         self._replica = replica
         self._target = target
         self._after_event = after_event
+        # Whether a transfer of the generation's memory that was asked for before is in progress.
+        self.is_transferring: Callable[[], bool] = lambda: False
+        # Monotonic time in seconds at which one was last seen in progress.
+        self._transferring_at = -math.inf
         # Whether the generation ran when its connection broke: one that does not run then was
         # dropped, and was not preempted.
         self.ran_at_break = False
@@ -188,7 +193,11 @@
     async def settle(self, patience: Patience) -> StopResult:
         """Wait until the generation may resume elsewhere, for some time; return what is known."""
         while not self.settled and self._repeating:
-            left_s = self._waits_until(patience) - self._dispatcher.now()
+            now = self._dispatcher.now()
+            left_s = self._waits_until(patience) - now
+            if self.is_transferring():
+                self._transferring_at = now
+                left_s = REPEAT_INTERVAL_S
             if left_s <= 0.0:
                 break
             changed = self._changed
@@ -200,10 +209,14 @@
     def _waits_until(self, patience: Patience) -> float:
         """Return the monotonic time in seconds until which the generation may not resume."""
         outcome = self._result.outcome
+        begun_at = self._begun_at
         if outcome is StopOutcome.MOVE_IN_PROGRESS and self._pending_since is not None:
-            # Refusals come at once: an order that is not answered is being carried out.
-            return self._pending_since + patience.unanswered_s
-        return self._begun_at + patience.of(outcome)
+            # An order that is not answered after refused ones is being carried out.
+            outcome, begun_at = StopOutcome.UNANSWERED, self._pending_since
+        if outcome is StopOutcome.UNANSWERED:
+            # The replica refuses orders during a transfer.
+            begun_at = max(begun_at, self._transferring_at)
+        return begun_at + patience.of(outcome)
 
     async def check(self, timeout_s: float) -> StopResult:
         """Send the order once, and wait for some time; return what is known."""
--- a/reachlink/requests/tests/test_one_replica_at_a_time.py
+++ b/reachlink/requests/tests/test_one_replica_at_a_time.py
@@ -67,6 +67,18 @@
     assert whole and overlap_s == 0.0
 
 
+@pytest.mark.parametrize("event", range(42, 62, 3))
+@pytest.mark.parametrize("head_s", [0.0, 0.6])
+@pytest.mark.parametrize("transfer_s", [0.3, 0.6, 1.0])
+def test_a_broken_stream_does_not_resume_during_a_transfer_though_refusals_come_late(
+    transfer_s, head_s, event
+):
+    whole, overlap_s = play(
+        transfer_s=transfer_s, order_s=0.3, head_s=head_s, on_event=reset_at(event)
+    )
+    assert whole and overlap_s == 0.0
+
+
 @pytest.mark.parametrize("event", [4, 6, 8, 10])
 @pytest.mark.parametrize("transfer_s", [0.6, 1.2])
 def test_a_stream_that_breaks_during_its_first_transfer_is_whole(transfer_s, event):
