Own interface: keep a claim for longer than any request runs

What callers saw: with answers.keep_s below the time that a request takes, a second request with the same key ran beside the first one, though such a request may run once.

--- a/reachlink/entry/_claims.py
+++ b/reachlink/entry/_claims.py
@@ -23,6 +23,9 @@
 
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 255
+# Shortest time in seconds for which a claim is kept, longer than any request runs: once it is
+# forgotten, its key may be claimed again.
+MIN_KEEP_S = 3600.0
 CLAIM_TIMEOUT_S = 3.0
 COMPLETE_TIMEOUT_S = 30.0
 
@@ -67,7 +70,7 @@
             body_hash=hashlib.sha256(content).hexdigest(),
             request_id=request["request_id"],
             instance=node.config.name,
-            keep_s=policy.keep_s,
+            keep_s=max(policy.keep_s, MIN_KEEP_S),
             at=time.time(),
         )
         return cls(node, command)
--- a/reachlink/entry/tests/test_claims.py
+++ b/reachlink/entry/tests/test_claims.py
@@ -6,6 +6,7 @@
 import pytest
 
 from reachlink.control import ClaimCommand, ClaimResult, ClaimStatus, CompleteCommand
+from reachlink.control._claims import ClaimBook
 from reachlink.entry.tests.own_instance import (
     MODEL,
     OwnInstance,
@@ -41,6 +42,47 @@
         return None
 
 
+class BookedClaims:
+    """Stands for control instances that keep claims by a clock of their own."""
+
+    def __init__(self) -> None:
+        self.book = ClaimBook()
+        self.now = 0.0
+
+    async def propose(self, command: object, timeout_s: float) -> ClaimResult:
+        if isinstance(command, ClaimCommand):
+            return self.book.claim(command, self.now)
+        assert isinstance(command, CompleteCommand)
+        return self.book.complete(command)
+
+
+def test_a_claim_is_not_forgotten_while_its_request_runs():
+    async def story():
+        begun, goes_on = asyncio.Event(), asyncio.Event()
+
+        async def serve_late(request, writer):
+            begun.set()
+            await goes_on.wait()
+            await serve_tokens(request, writer)
+
+        replica = Replica(serve_late)
+        async with OwnInstance(replica, settings={"defaults.answers.keep_s": 1.0}) as instance:
+            claims = instance.node.control = BookedClaims()
+            first, second = await instance.connect(), await instance.connect()
+            first.send("/readings/x", headers=KEY_HEADERS)
+            await begun.wait()
+            claims.now = 60.0
+            second.send("/readings/x", headers=KEY_HEADERS)
+            answer = await second.answer()
+            goes_on.set()
+            assert (await first.answer()).status == 200
+            return answer, len(replica.requests)
+
+    answer, runs = asyncio.run(story())
+    assert (answer.status, answer.error()["code"]) == (409, "in_progress")
+    assert runs == 1
+
+
 @pytest.mark.parametrize(
     "path, body", [("/readings/x", b"{}"), ("/v1/chat/completions", chat_body())]
 )
--- a/reachlink/settings/_schema.py
+++ b/reachlink/settings/_schema.py
@@ -90,7 +90,9 @@
     Setting("targets.gap_ms", Milliseconds, 100.0, _INHERITED, "Promised gap of tokens, in ms."),
     Setting("placement.spill", bool, True, _INHERITED, "Whether other zones may serve."),
     Setting("placement.link_cost_ms", Milliseconds, 3.0, _INHERITED, "Cost of another zone."),
-    Setting("answers.keep_s", Seconds, 86_400.0, _INHERITED, "How long claims are kept, in s."),
+    Setting(
+        "answers.keep_s", Seconds, 86_400.0, _INHERITED, "Time in s for claims, an hour or more."
+    ),
     Setting("answers.grace_s", Seconds, 10.0, _INHERITED, "Time to reconnect before a cancel."),
     Setting("region", Name, "", _SITE, "Region that the availability zone belongs to."),
     Setting(ZONE_ORDER, ZoneOrder, None, _SITE, "Last order that took it out of service, or back."),
