Sendings of requests that may run once are logged

What was missing: a delivered call left no line, so that nobody could tell whether it was sent once, where and by which path; attempt_failed did not say on which connection, nor what that had carried before. Change: request_sent, one line for each sending, on both interfaces, written where a connection is handed over for a request (below all retries): replica, address, number of the sending, of the connection, of the requests before on it, relaying peer, age of the last sign of the address, outcome and status. A request that may be repeated is logged from its second sending on.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -32,6 +32,7 @@
 from reachlink.upstreams import (
     EngineAdapter,
     GenerationUnknownError,
+    LoggedSend,
     Replica,
     TokenEvent,
     TokenStream,
@@ -211,9 +212,17 @@
 
     async def _open(self, replica: Replica) -> TokenStream:
         """Send the request; an engine that stays silent counts as a broken connection."""
+        request = self._job.request
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await self._adapter.open(replica, self._job.request)
+                with LoggedSend(
+                    self._node.log,
+                    request.request_id,
+                    replica.name,
+                    request.record,
+                    self._job.repeatable,
+                ):
+                    return await self._adapter.open(replica, request)
         except TimeoutError as error:
             raise UpstreamBrokenError("no answer in time") from error
 
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -35,6 +35,7 @@
 from reachlink.upstreams import (
     CallRequest,
     CallResponse,
+    LoggedSend,
     Replica,
     RequestFeatures,
     ServiceAdapter,
@@ -182,7 +183,11 @@
             earlier, attempts.may_have_run = attempts.may_have_run, True
             try:
                 sent_at = steady_time()
-                answer = await self._attempt(service, replica, call)
+                with LoggedSend(
+                    node.log, call.request_id, replica.name, call.record, repeatable
+                ) as send:
+                    answer = await self._attempt(service, replica, call)
+                    send.note_answer(answer.status)
                 if 200 <= answer.status < 300:
                     node.guard.on_answer(call.features, sent_at)
                 return answer
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -20,6 +20,7 @@
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import (
     Continuation,
+    LoggedSend,
     RelayAdapter,
     RelayAnswer,
     Replica,
@@ -223,7 +224,11 @@
         parts.pacing.note_sent(replica.address, sent_at)
         may_have_run, request.may_have_run = request.may_have_run, True
         try:
-            answer = await parts.adapter.open(replica, request.relay, left, continuation, backup)
+            with self._logged_send(request, replica) as send:
+                answer = await parts.adapter.open(
+                    replica, request.relay, left, continuation, backup
+                )
+                send.note_answer(answer.head.status, answer.head.not_run)
         except (UpstreamHeldBackError, UpstreamUnreachableError):
             request.may_have_run = may_have_run
             raise
@@ -242,6 +247,10 @@
         self._outcome_recorder.record_leaving(replica, answer.head, now)
         return answer
 
+    def _logged_send(self, request: CallerRequest, replica: Replica) -> LoggedSend:
+        record, may_repeat = request.relay.record, request.route.may_repeat
+        return LoggedSend(self._log, request.request_id, replica.name, record, may_repeat)
+
     async def _touch(self, replica: Replica) -> None:
         """Probe a replica; raises an `UpstreamError` if it does not answer."""
         await self._parts.adapter.touch(replica)
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -39,6 +39,7 @@
     RelayAnswer,
     RelayRequest,
 )
+from reachlink.upstreams._sends import LoggedSend, Send, SendRecord
 from reachlink.upstreams.exceptions import (
     GenerationUnknownError,
     UpstreamBackoffError,
@@ -82,10 +83,13 @@
     "HttpClient",
     "Liveness",
     "LoadReport",
+    "LoggedSend",
     "OrderRequest",
     "OrderStatus",
     "PromptDigest",
     "Replica",
+    "Send",
+    "SendRecord",
     "PacingRecorder",
     "ServiceAdapter",
     "TokenEvent",
--- a/reachlink/upstreams/_base.py
+++ b/reachlink/upstreams/_base.py
@@ -8,6 +8,7 @@
 
 from reachlink.kernel import Registry
 from reachlink.upstreams._features import RequestFeatures
+from reachlink.upstreams._sends import SendRecord
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,6 +44,7 @@
     path: str
     body: bytes
     features: RequestFeatures = RequestFeatures()
+    record: SendRecord = field(default_factory=SendRecord)
 
 
 class TokenEvent(msgspec.Struct, frozen=True, gc=False):
@@ -168,6 +170,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     features: RequestFeatures = RequestFeatures()
+    record: SendRecord = field(default_factory=SendRecord)
 
 
 @dataclass(slots=True, frozen=True)
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -147,7 +147,7 @@
         """Dispatch a request and return its stream."""
         headers = {REQUEST_HEADER: request.request_id, "Content-Type": "application/json"}
         url = f"http://{replica.address}{request.path}"
-        response = await self._client.dispatch("POST", url, headers, request.body)
+        response = await self._client.dispatch("POST", url, headers, request.body, request.record)
         if response.status != 200:
             await raise_refusal(response)
         return _open_stream(response)
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -1,6 +1,7 @@
 """Connections to replicas, reused only if no bytes of another request can be on them."""
 
 import asyncio
+import itertools
 import math
 import re
 from collections.abc import Callable
@@ -20,6 +21,7 @@
     PathTracker,
     RelayedProtocol,
 )
+from reachlink.upstreams._sends import Send, current_record
 from reachlink.upstreams.exceptions import UpstreamBackoffError
 
 # Idle time in seconds after which a replica is assumed to close a connection if it announces
@@ -29,6 +31,7 @@
 # have closed it already, with the notice still in transit.
 IDLE_MARGIN_S = 0.7
 
+_numbers = itertools.count(1)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -47,8 +50,12 @@
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         # Replaced by the path to the replica once the connection is made.
         self.path = DirectPath()
-        # Whether the connection leads through a peer.
+        # Whether the connection leads through a peer, and which.
         self.relayed = False
+        self.peer = ""
+        # Number of the connection in this process, and of the requests sent on it so far.
+        self.number = next(_numbers)
+        self.requests = 0
         # Called if the connection ends without a byte of an answer.
         self.on_unanswered: Callable[[], None] = lambda: None
         self.sent_at = float("inf")
@@ -208,7 +215,9 @@
             connection.release()
             raise
         if isinstance(connection.protocol, ReplicaConnection):
-            self._awaited.add(connection.protocol, steady_time())
+            now = steady_time()
+            _record_send(connection.protocol, now)
+            self._awaited.add(connection.protocol, now)
         return connection
 
     def abort_silent(self, path: DirectPath) -> None:
@@ -224,6 +233,7 @@
         protocol = ReplicaConnection(self._loop)
         protocol.path = self._paths.path(address, steady_time())
         protocol.relayed = connected.relayed
+        protocol.peer = connected.peer
         protocol.on_unanswered = lambda: self._note_unanswered(protocol.path, connected.peer)
         used = RelayedProtocol(protocol) if connected.relayed else protocol
         await self._loop.create_connection(lambda: used, sock=connected.socket)
@@ -267,6 +277,19 @@
             protocol.idle_since = steady_time()
 
 
+def _record_send(connection: ReplicaConnection, now: float) -> None:
+    """Record that the present request is sent on a connection."""
+    record = current_record()
+    path = connection.path
+    if record is not None:
+        heard_ago_s = now - path.heard_at if math.isfinite(path.heard_at) else None
+        send = Send(
+            path.address, connection.number, connection.requests, connection.peer, heard_ago_s
+        )
+        record.add(send)
+    connection.requests += 1
+
+
 def address_of(url: URL) -> str:
     """Return the replica address of a URL, as ``host:port``."""
     return f"{url.host}:{url.port}"
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -30,6 +30,7 @@
 from reachlink.upstreams._bodies import WRITE_CHUNK_BYTES, FlowControlledBody
 from reachlink.upstreams._connections import ReplicaConnector, address_of
 from reachlink.upstreams._pacing_recorder import PacingRecorder
+from reachlink.upstreams._sends import SendRecord, recording
 from reachlink.upstreams.exceptions import (
     UpstreamBrittleError,
     UpstreamBrokenError,
@@ -154,10 +155,17 @@
             await self._open_session.close()
 
     async def dispatch(
-        self, method: str, url: str, headers: Mapping[str, str], body: bytes
+        self,
+        method: str,
+        url: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        record: SendRecord | None = None,
     ) -> aiohttp.ClientResponse:
         """Send a request at most once and return the response with its body unread.
 
+        The sending is added to `record`.
+
         Raises
         ------
         UpstreamHeldBackError
@@ -170,7 +178,7 @@
         exact_url = url_of(url)
         await self.admit(address_of(exact_url))
         sent_at = steady_time()
-        with _convert_errors():
+        with _convert_errors(), recording(record):
             response = await self._session.request(
                 method,
                 exact_url,
@@ -189,11 +197,12 @@
         headers: list[tuple[str, str]],
         body: bytes,
         admitted: bool = False,
+        record: SendRecord | None = None,
     ) -> aiohttp.ClientResponse:
         """Relay a request at most once and return the response with its body unread.
 
         The target and the header fields are sent unchanged. With `admitted`, the request
-        already has its permit from `admit`.
+        already has its permit from `admit`. The sending is added to `record`.
 
         Raises
         ------
@@ -208,7 +217,7 @@
         if not admitted:
             await self.admit(address_of(exact_url))
         sent_at = steady_time()
-        with _convert_errors(ValueError):
+        with _convert_errors(ValueError), recording(record):
             response = await self._session.request(
                 method,
                 exact_url,
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -37,7 +37,9 @@
         """Dispatch a call at most once and return the complete answer."""
         headers = {**request.headers, REQUEST_HEADER: request.request_id}
         url = f"http://{replica.address}{request.path}"
-        response = await self._client.dispatch(request.method, url, headers, request.body)
+        response = await self._client.dispatch(
+            request.method, url, headers, request.body, request.record
+        )
         if response.status in _REFUSED_STATUSES:
             await raise_refusal(response)
         return await _read_response(response)
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -8,6 +8,7 @@
 from reachlink.kernel import Registry
 from reachlink.upstreams._base import LoadReport, LoadSample, Replica
 from reachlink.upstreams._features import RequestFeatures
+from reachlink.upstreams._sends import SendRecord
 
 Headers = list[tuple[str, str]]
 """Header fields in order of arrival; a name may occur more than once."""
@@ -121,6 +122,8 @@
         Digests of the request and of what it shares with others.
     admitted : bool
         Whether the request already has a permit, for replicas that advertise a rate limit.
+    record : SendRecord
+        Where the request was sent so far.
     """
 
     request_id: str
@@ -133,6 +136,7 @@
     generation: GenerationFacts | None = None
     features: RequestFeatures = RequestFeatures()
     admitted: bool = False
+    record: SendRecord = field(default_factory=SendRecord)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/reachlink/upstreams/tests/test_sends.py
@@ -0,0 +1,95 @@
+"""Each sending of a request that may run once leaves a log line that says where and how it went."""
+
+import asyncio
+
+import pytest
+from structlog.testing import capture_logs
+
+from reachlink.telemetry import get_logger
+from reachlink.upstreams import (
+    HttpClient,
+    LoggedSend,
+    Send,
+    SendRecord,
+    UpstreamBrokenError,
+    UpstreamRefusedError,
+    UpstreamUnreachableError,
+)
+from reachlink.upstreams.tests.test_connections import OK, read_request, serve
+
+
+async def relay(client: HttpClient, url: str, record: SendRecord) -> None:
+    response = await client.relay("POST", url, [("Host", "h")], b"", record=record)
+    await response.read()
+    response.release()
+
+
+def logged(record: SendRecord, may_repeat: bool, error: Exception | None = None) -> list[dict]:
+    """Return the lines of one more sending, which may fail."""
+    with capture_logs() as lines:
+        try:
+            with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat) as send:
+                record.add(Send("h:1", record.count + 1))
+                if error is not None:
+                    raise error
+                send.note_answer(200)
+        except type(error or UpstreamBrokenError("")):
+            pass
+    return [dict(line) for line in lines]
+
+
+def test_a_record_tells_new_connections_from_kept_ones():
+    async def scenario():
+        async def script(reader, writer):
+            while True:
+                await read_request(reader)
+                writer.write(OK)
+
+        server, url, _ = await serve(script)
+        client, record = HttpClient(), SendRecord()
+        await relay(client, url, record)
+        await relay(client, url, record)
+        await client.close()
+        server.close()
+        first, second = record.sends
+        assert first.connection == second.connection
+        assert (first.requests_before, second.requests_before) == (0, 1)
+        assert first.address in url and first.peer == ""
+
+    asyncio.run(scenario())
+
+
+def test_an_attempt_without_a_connection_is_no_sending():
+    async def scenario():
+        server, url, _ = await serve(lambda reader, writer: asyncio.sleep(0))
+        server.close()
+        await server.wait_closed()
+        client, record = HttpClient(), SendRecord()
+        with pytest.raises(UpstreamUnreachableError):
+            await relay(client, url, record)
+        await client.close()
+        assert record.count == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome", "status"),
+    [
+        (None, "answered", 200),
+        (UpstreamBrokenError("reset"), "broken", 0),
+        (UpstreamRefusedError(503, "full", ""), "not_run", 503),
+        (asyncio.CancelledError(), "cancelled", 0),
+    ],
+)
+def test_a_sending_is_logged_with_its_outcome(error, outcome, status):
+    (line,) = logged(SendRecord(), may_repeat=False, error=error)
+    assert (line["event"], line["request_id"], line["number"]) == ("request_sent", "id-1", 1)
+    assert (line["outcome"], line["status"], line["replica"]) == (outcome, status, "r1")
+
+
+def test_what_may_be_repeated_is_logged_from_its_second_sending_on():
+    record = SendRecord()
+    assert logged(record, may_repeat=True) == []
+    (line,) = logged(record, may_repeat=True)
+    assert line["number"] == 2
