Tests: a call that may run once runs twice, red

What is shown: a late surplus answer to a first attempt is taken for the answer to the next attempt of the same request on the same kept connection, since an answer names its request and not its attempt. With the real programs (3 control, 2 entry instances; an address whose replica was replaced, the list still shows the old name): each entry instance ran its call twice, one attempt allowed, answered 200.

--- /dev/null
+++ b/reachlink/entry/tests/test_calls_that_run_once.py
@@ -0,0 +1,38 @@
+"""A call that may run once is not sent again for what is no answer to it."""
+
+import asyncio
+
+from reachlink.entry.tests.own_instance import OwnInstance, Replica
+
+ONCE = b"Reachlink-Repeatable: no\r\n"
+
+
+def whole(request_id: str, status: bytes, body: bytes = b"{}") -> bytes:
+    head = b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\nContent-Length: %d\r\n\r\n"
+    return head % (status, request_id.encode(), len(body)) + body
+
+
+def ids(replica: Replica) -> list[str]:
+    return [request.headers["X-Request-Id"] for request in replica.requests]
+
+
+def test_a_late_surplus_refusal_of_an_earlier_call_is_not_taken_for_that_of_the_next():
+    async def scenario():
+        async def serve(request, writer):
+            earlier, now = ids(troubled)[0], request.headers["X-Request-Id"]
+            status = b"200 OK" if earlier == now else b"503 Full"
+            writer.write(whole(earlier, status))
+
+        async def serve_others(request, writer):
+            writer.write(whole(request.headers["X-Request-Id"], b"200 OK"))
+
+        troubled, other = Replica(serve), Replica(serve_others)
+        async with OwnInstance(troubled, other) as instance:
+            caller = await instance.connect()
+            while len(troubled.requests) < 2:
+                caller.send("/readings/x", headers=ONCE)
+                answer = await caller.answer()
+        assert set(ids(troubled)).isdisjoint(ids(other))
+        assert (answer.status, answer.error()["outcome"]) == (502, "unknown")
+
+    asyncio.run(scenario())
--- a/reachlink/upstreams/tests/test_connections.py
+++ b/reachlink/upstreams/tests/test_connections.py
@@ -82,6 +82,39 @@
     asyncio.run(scenario())
 
 
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "end"),
+    [
+        (HEAD + b"Content-Length: 2\r\n\r\n", b"ok"),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", b"0\r\n\r\n"),
+    ],
+    ids=["length", "chunked"],
+)
+def test_connection_with_a_surplus_answer_right_behind_a_body_is_dropped(head, end):
+    async def scenario():
+        received: list[bytes] = []
+
+        async def script(reader, writer):
+            received.append(await read_request(reader))
+            writer.write(head)
+            await asyncio.sleep(0.02)
+            writer.write(end + OK.replace(b"ok", b"NO"))
+            received.append(await read_request(reader))
+
+        server, url, opened = await serve(script)
+        client = HttpClient()
+        assert await get(client, url) == b"ok"
+        assert await get(client, url) == b"ok"
+        assert (len(opened), len(received)) == (2, 2)
+        await client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_connection_is_reused():
     async def scenario():
         async def script(reader, writer):
