Connections: send a request at most once on each

What callers saw: nothing; a call that may run once, with one attempt allowed, ran at two replicas. Cause: an answer names its request and not its attempt. A replica that has the address of one that is gone answers 421; the next attempt goes to the same address under the new name, on the same kept connection; a late second 421 to the first attempt passes for the answer to the second, which runs unseen; 421 counts as not sent, and a third attempt runs elsewhere. Change: an attempt passes over the connections on which its request was sent before; what comes late on those has another's request id for whoever uses them next, and is refused. Why this works: on a connection that carried the request once, there is one answer with its id that can be the first. Ways: closing the connection after each refusal costs a connection for each (under load, hundreds); this one costs a connection only where the same request comes to the same address again. Relayed connections serve one request as it is. Evidence: three tests red before (own process; a continuation; real programs) pass, three runs of three; without the change in the pool they fail again, with test_a_request_is_not_sent_twice_on_a_connection.

--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 import re
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -253,14 +254,8 @@
 
     async def _get(self, key: Any, traces: Any) -> Connection | None:
         idle = self._conns.get(key)
-        while idle:
-            protocol, _ = idle[-1]
-            if isinstance(protocol, ReplicaConnection) and protocol.reusable:
-                break
-            idle.pop()
-            protocol.close()
-        if idle:
-            idle.rotate(1)
+        if idle and not _bring_to_front(idle):
+            return None
         connection = await super()._get(key, traces)
         if connection is not None and isinstance(connection.protocol, ReplicaConnection):
             connection.protocol.idle = False
@@ -277,6 +272,29 @@
             protocol.idle_since = steady_time()
 
 
+def _bring_to_front(idle: deque[tuple[ResponseHandler, float]]) -> bool:
+    """Move the connection that was used last to the front; return whether there is one.
+
+    Passes over those that the present request was sent on before: a late second answer to
+    that would have the right request id. Closes those that are not reusable.
+    """
+    record = current_record()
+    passed_over: list[tuple[ResponseHandler, float]] = []
+    while idle:
+        protocol, _ = idle[-1]
+        if not isinstance(protocol, ReplicaConnection) or not protocol.reusable:
+            idle.pop()
+            protocol.close()
+        elif record is not None and record.has_used(protocol.number):
+            passed_over.append(idle.pop())
+        else:
+            break
+    found = bool(idle)
+    idle.extend(reversed(passed_over))
+    idle.rotate(1 + len(passed_over))
+    return found
+
+
 def _record_send(connection: ReplicaConnection, now: float) -> None:
     """Record that the present request is sent on a connection."""
     record = current_record()
--- a/reachlink/upstreams/_sends.py
+++ b/reachlink/upstreams/_sends.py
@@ -53,6 +53,10 @@
         """Number of sendings."""
         return len(self.sends)
 
+    def has_used(self, connection: int) -> bool:
+        """Return whether the request was sent on a connection before."""
+        return any(send.connection == connection for send in self.sends)
+
     def add(self, send: Send) -> None:
         """Record that the request is sent now."""
         self.sends.append(send)
