Connections: drop one on which a surplus answer came with the end of a body

What callers saw: 502 for a call that a sound replica would have served (platform's interface: the answer names another request); on the own interface, where that was not checked, the answer to another request; orders to replicas could read it, too. Cause: the end of the body frees the connection within the processing of the received piece; what follows in the same piece is fed to a connection that is idle already, and the next request finds an answer waiting. Surplus bytes in a piece of their own were noticed before, and such as stood behind an answer without a body. Change: an idle connection to which a head is fed is aborted.

--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -87,6 +87,10 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Process the head of an answer, which may announce the idle timeout."""
+        if self.idle:
+            # It came in one piece with the end of the answer before, which freed the connection.
+            self.abort()
+            return
         found = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get("Keep-Alive", ""))
         if found is not None:
             self.idle_timeout_s = float(found.group(1))
