Own interface: refuse an answer that names another request

What callers saw: a call that may run once, without a key, ran at two replicas; or a caller got the answer to another request. Cause: the adapters of plain services and engines did not look at X-Request-Id of the answer. A late surplus 503 to an earlier request on a kept connection was read as a refusal of the call, which counts as not run; it was sent to the next replica while the first one ran it. A claim that the call held would have been given back as well. Change: an answer that names another request is broken: 502, outcome unknown.

--- a/reachlink/entry/tests/test_calls_that_run_once.py
+++ b/reachlink/entry/tests/test_calls_that_run_once.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from reachlink.entry.tests.own_instance import OwnInstance, Replica
+import pytest
+
+from reachlink.entry.tests.own_instance import OwnInstance, Replica, chat_body, serve_tokens
 
 ONCE = b"Reachlink-Repeatable: no\r\n"
 
@@ -16,7 +18,10 @@
     return [request.headers["X-Request-Id"] for request in replica.requests]
 
 
-def test_a_late_surplus_refusal_of_an_earlier_call_is_not_taken_for_that_of_the_next():
+@pytest.mark.parametrize(
+    ("path", "body"), [("/readings/x", b"{}"), ("/v1/chat/completions", chat_body())]
+)
+def test_a_late_surplus_refusal_of_an_earlier_call_is_not_taken_for_that_of_the_next(path, body):
     async def scenario():
         async def serve(request, writer):
             earlier, now = ids(troubled)[0], request.headers["X-Request-Id"]
@@ -24,13 +29,19 @@
             writer.write(whole(earlier, status))
 
         async def serve_others(request, writer):
-            writer.write(whole(request.headers["X-Request-Id"], b"200 OK"))
+            if request.path == "/readings/x":
+                writer.write(whole(request.headers["X-Request-Id"], b"200 OK"))
+            else:
+                await serve_tokens(request, writer)
 
         troubled, other = Replica(serve), Replica(serve_others)
         async with OwnInstance(troubled, other) as instance:
             caller = await instance.connect()
-            while len(troubled.requests) < 2:
+            while len(troubled.requests) < 1:
                 caller.send("/readings/x", headers=ONCE)
+                assert (await caller.answer()).status == 200
+            while len(troubled.requests) < 2:
+                caller.send(path, body, ONCE)
                 answer = await caller.answer()
         assert set(ids(troubled)).isdisjoint(ids(other))
         assert (answer.status, answer.error()["outcome"]) == (502, "unknown")
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -148,6 +148,7 @@
         headers = {REQUEST_HEADER: request.request_id, "Content-Type": "application/json"}
         url = f"http://{replica.address}{request.path}"
         response = await self._client.dispatch("POST", url, headers, request.body, request.record)
+        check_request(response, request.request_id)
         if response.status != 200:
             await raise_refusal(response)
         return _open_stream(response)
@@ -216,6 +217,23 @@
             return _decode_orders(await read_control(response))
 
 
+def check_request(response: aiohttp.ClientResponse, request_id: str) -> None:
+    """Make sure that an answer names no other request than the one that was sent.
+
+    A surplus answer to an earlier request on the connection may come in place of the answer.
+    Upstreams that name no request are not checked.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        If it names another one.
+    """
+    named = response.headers.get(REQUEST_HEADER, request_id)
+    if named != request_id:
+        response.close()
+        raise UpstreamBrokenError(f"the answer names request {named!r}")
+
+
 async def touch(client: HttpClient, replica: Replica) -> None:
     """Request the load report; any answer shows that the replica is up.
 
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -10,7 +10,13 @@
     Replica,
     ServiceAdapter,
 )
-from reachlink.upstreams._chat_engine import LOAD_PATH, REQUEST_HEADER, read_load, touch
+from reachlink.upstreams._chat_engine import (
+    LOAD_PATH,
+    REQUEST_HEADER,
+    check_request,
+    read_load,
+    touch,
+)
 from reachlink.upstreams._http import HttpClient, raise_refusal
 from reachlink.upstreams.exceptions import UpstreamBrokenError
 
@@ -40,6 +46,7 @@
         response = await self._client.dispatch(
             request.method, url, headers, request.body, request.record
         )
+        check_request(response, request.request_id)
         if response.status in _REFUSED_STATUSES:
             await raise_refusal(response)
         return await _read_response(response)
