Connections: refuse a second sending of what may have run

Cause of the class: a claim of 'not sent' or 'not run' is believed wherever it is made, and each part above counts on it. Change: one place below all retries, where a connection is handed over for a request, knows what was sent before: what may run once gets no second connection unless its replica has said that it did not run it (refusal, 421). Both interfaces; streams on the platform's interface resume by their own rules. Nothing reached it in the tests of entry, requests, upstreams and the platform's border (1032 passed): it is a check that speaks up (request_not_sent_again) should a claim be wrong again, and keeps the call at one replica then. test_what_may_run_once_is_sent_again_only_if_it_is_known_not_to_have_run fails without it. Ablation: without it no other test fails; kept as the bound of the promise, at the cost of one look at a list of at most a few entries.

--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -38,6 +38,7 @@
     GenerationRequest,
     PromptDigest,
     RequestFeatures,
+    SendRecord,
     digest_prompt,
 )
 
@@ -167,6 +168,7 @@
                 request.path,
                 upstream_body(raw, body.model, policy.priority),
                 self._features(request, workspace, raw, body, digest),
+                SendRecord(once=not repeatable),
             ),
             repeatable=repeatable,
             buffered=not body.stream,
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -38,6 +38,7 @@
     LoggedSend,
     Replica,
     RequestFeatures,
+    SendRecord,
     ServiceAdapter,
     UpstreamBrokenError,
     UpstreamHeldBackError,
@@ -128,7 +129,15 @@
         target = request.raw_path if request.raw_path.startswith("/") else request.path_qs
         fingerprint = self._node.fingerprinter.fingerprint(workspace, request.method, target, body)
         features = RequestFeatures(fingerprint)
-        call = CallRequest(request["request_id"], request.method, target, headers, body, features)
+        call = CallRequest(
+            request["request_id"],
+            request.method,
+            target,
+            headers,
+            body,
+            features,
+            SendRecord(once=not repeatable),
+        )
         attempts = _Attempts()
         outcome = Outcome.UNKNOWN
         answer: CallResponse | None = None
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -17,6 +17,7 @@
 from reachlink.requests._wait_limits import ROOM_POLL_INTERVAL_S, may_wait_for_room
 from reachlink.requests._waiting_placer import WaitingPlacer
 from reachlink.requests._working_replicas import WorkingReplicas
+from reachlink.routing import RequestKind
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import (
     Continuation,
@@ -249,6 +250,8 @@
 
     def _logged_send(self, request: CallerRequest, replica: Replica) -> LoggedSend:
         record, may_repeat = request.relay.record, request.route.may_repeat
+        # A stream is sent again where it resumes.
+        record.once = request.route.kind is RequestKind.ONCE
         return LoggedSend(self._log, request.request_id, replica.name, record, may_repeat)
 
     async def _touch(self, replica: Replica) -> None:
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -41,6 +41,7 @@
 )
 from reachlink.upstreams._sends import LoggedSend, Send, SendRecord
 from reachlink.upstreams.exceptions import (
+    AlreadySentError,
     GenerationUnknownError,
     UpstreamBackoffError,
     UpstreamBrittleError,
@@ -73,6 +74,7 @@
     "EventSplitter",
     "StreamEvent",
     "ADAPTERS",
+    "AlreadySentError",
     "CacheChange",
     "CallRequest",
     "CallResponse",
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -205,7 +205,12 @@
         ------
         UpstreamBackoffError
             If the replica is in backoff; nothing is sent.
+        AlreadySentError
+            If the request may run once, was sent before and may have run; nothing is sent.
         """
+        record = current_record()
+        if record is not None:
+            record.check()
         self._check_backoff(req)
         address = address_of(req.url)
         self._pacing.brittle.begin(address)
--- a/reachlink/upstreams/_sends.py
+++ b/reachlink/upstreams/_sends.py
@@ -8,7 +8,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from reachlink.upstreams.exceptions import UpstreamRefusedError
+from reachlink.upstreams.exceptions import AlreadySentError, UpstreamRefusedError
 
 
 @dataclass(slots=True)
@@ -27,6 +27,8 @@
         Name of the peer that relays the connection; empty if it is direct.
     heard_ago_s : float, optional
         Time in seconds since anything was heard from the address; None if nothing was.
+    not_run : bool
+        Whether the replica has said that it did not run the request.
     """
 
     address: str
@@ -34,6 +36,7 @@
     requests_before: int = 0
     peer: str = ""
     heard_ago_s: float | None = None
+    not_run: bool = False
 
 
 @dataclass(slots=True)
@@ -42,10 +45,13 @@
 
     Attributes
     ----------
+    once : bool
+        Whether the request may be sent again only if no replica has run it.
     sends : list of Send
         The sendings; attempts without a connection are none.
     """
 
+    once: bool = False
     sends: list[Send] = field(default_factory=list)
 
     @property
@@ -53,6 +59,17 @@
         """Number of sendings."""
         return len(self.sends)
 
+    def check(self) -> None:
+        """Make sure that the request may be sent now.
+
+        Raises
+        ------
+        AlreadySentError
+            If it may run once and may have run.
+        """
+        if self.once and not all(send.not_run for send in self.sends):
+            raise AlreadySentError("the request was sent before and may have run")
+
     def has_used(self, connection: int) -> bool:
         """Return whether the request was sent on a connection before."""
         return any(send.connection == connection for send in self.sends)
@@ -126,23 +143,34 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        count = self._record.count
-        if count == self._count_before or (self._may_repeat and count == 1):
+        if isinstance(error, AlreadySentError):
+            self._log.error(
+                "request_not_sent_again",
+                request_id=self._request_id,
+                replica=self._replica,
+                sent=self._record.count,
+            )
+        if self._record.count == self._count_before:
             return
         if isinstance(error, UpstreamRefusedError):
             self.note_answer(error.status, not_run=True)
         send = self._record.sends[-1]
+        send.not_run = self._not_run
+        if self._record.count > 1 or not self._may_repeat:
+            self._log_send(send, self._outcome(error))
+
+    def _log_send(self, send: Send, outcome: str) -> None:
         self._log.info(
             "request_sent",
             request_id=self._request_id,
             replica=self._replica,
             address=send.address,
-            number=count,
+            number=self._record.count,
             connection=send.connection,
             requests_before=send.requests_before,
             peer=send.peer,
             heard_ago_s=_rounded(send.heard_ago_s),
-            outcome=self._outcome(error),
+            outcome=outcome,
             status=self._status,
         )
 
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -3,6 +3,7 @@
 from reachlink.kernel import ReachlinkError
 
 __all__ = [
+    "AlreadySentError",
     "GenerationUnknownError",
     "UpstreamBrittleError",
     "UpstreamBrokenError",
@@ -96,5 +97,9 @@
     """The connection failed after dispatch; the request may have run."""
 
 
+class AlreadySentError(UpstreamBrokenError):
+    """The request may run once, was sent before and may have run; it was not sent again."""
+
+
 class GenerationUnknownError(UpstreamError):
     """The engine does not know the generation, or no longer knows it."""
--- a/reachlink/upstreams/tests/test_sends.py
+++ b/reachlink/upstreams/tests/test_sends.py
@@ -7,6 +7,7 @@
 
 from reachlink.telemetry import get_logger
 from reachlink.upstreams import (
+    AlreadySentError,
     HttpClient,
     LoggedSend,
     Send,
@@ -117,3 +118,33 @@
         assert len(opened) == 2
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("not_run", "sent"), [(False, 1), (True, 2)])
+def test_what_may_run_once_is_sent_again_only_if_it_is_known_not_to_have_run(not_run, sent):
+    async def scenario():
+        received: list[bytes] = []
+
+        async def script(reader, writer):
+            while True:
+                received.append(await read_request(reader))
+                writer.write(OK)
+
+        server, url, _ = await serve(script)
+        client, record = HttpClient(), SendRecord(once=True)
+        with capture_logs() as lines:
+            with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat=False) as send:
+                await relay(client, url, record)
+                send.note_answer(200, not_run)
+            try:
+                with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat=False):
+                    await relay(client, url, record)
+            except AlreadySentError:
+                assert not not_run
+        await client.close()
+        server.close()
+        events = [line["event"] for line in lines]
+        assert len(received) == record.count == sent
+        assert events.count("request_not_sent_again") == 2 - sent
+
+    asyncio.run(scenario())
