Own interface: what may run once shares no connection with unnamed answers

What callers saw: a call that may run once ran at two replicas, of a service that does not name the request in its answers. Cause: there a late surplus answer to an earlier request can't be told from the answer to the call. Change: such a call passes over connections whose last answer named no request, and its own connection is closed after it unless its answer named it. Services that echo X-Request-Id keep their connections; the platform's interface refuses unnamed answers as it did, and is not concerned. Ways: not believing an unnamed refusal on a kept connection would answer 502 for what another replica would serve; believing it is the fault. Cost: a connection for each call that may run once to a service that names none.

--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -142,6 +142,7 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
         client.probe_path = LOAD_PATH
+        client.request_header = REQUEST_HEADER
 
     async def open(self, replica: Replica, request: GenerationRequest) -> TokenStream:
         """Dispatch a request and return its stream."""
--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -22,7 +22,7 @@
     PathTracker,
     RelayedProtocol,
 )
-from reachlink.upstreams._sends import Send, current_record
+from reachlink.upstreams._sends import Send, SendRecord, current_record
 from reachlink.upstreams.exceptions import UpstreamBackoffError
 
 # Idle time in seconds after which a replica is assumed to close a connection if it announces
@@ -54,6 +54,11 @@
         # Whether the connection leads through a peer, and which.
         self.relayed = False
         self.peer = ""
+        # Name of the header field in which answers may name their request; empty if all do.
+        self.request_header = ""
+        # Whether the last answer did so, and whether the last request may run once.
+        self.names_requests = True
+        self.carries_once = False
         # Number of the connection in this process, and of the requests sent on it so far.
         self.number = next(_numbers)
         self.requests = 0
@@ -63,6 +68,15 @@
         self._received_at = float("-inf")
         self._replica_ended = False
 
+    @property
+    def serves_one(self) -> bool:
+        """Whether the connection is closed after its first request.
+
+        Peers that stop soon have no relayed ones left then. Of an upstream that names no
+        requests, what may run once gets connections on which no other answer can come.
+        """
+        return self.relayed or (self.carries_once and not self.names_requests)
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
@@ -91,6 +105,8 @@
             # It came in one piece with the end of the answer before, which freed the connection.
             self.abort()
             return
+        header = self.request_header
+        self.names_requests = not header or header in data[0].headers
         found = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get("Keep-Alive", ""))
         if found is not None:
             self.idle_timeout_s = float(found.group(1))
@@ -183,14 +199,22 @@
         Direct paths to the replicas.
     dialer : Dialer
         Makes connections.
+    request_header : str
+        Name of the header field in which answers may name their request; empty if all do.
     **options : object
         Passed to `aiohttp.TCPConnector`.
     """
 
     def __init__(
-        self, pacing: PacingTracker, paths: PathTracker, dialer: Dialer, **options: Any
+        self,
+        pacing: PacingTracker,
+        paths: PathTracker,
+        dialer: Dialer,
+        request_header: str,
+        **options: Any,
     ) -> None:
         super().__init__(**options)
+        self._request_header = request_header
         self._pacing = pacing
         self._paths = paths
         self._dialer = dialer
@@ -242,6 +266,7 @@
         connected = await self._dialer.dial(address)
         protocol = ReplicaConnection(self._loop)
         protocol.path = self._paths.path(address, steady_time())
+        protocol.request_header = self._request_header
         protocol.relayed = connected.relayed
         protocol.peer = connected.peer
         protocol.on_unanswered = lambda: self._note_unanswered(protocol.path, connected.peer)
@@ -271,9 +296,8 @@
         return connection
 
     def _release(self, key: Any, protocol: ResponseHandler, *, should_close: bool = False) -> None:
-        relayed = isinstance(protocol, ReplicaConnection) and protocol.relayed
-        # A relayed connection serves one request, so that peers that stop soon have none left.
-        super()._release(key, protocol, should_close=should_close or relayed)
+        serves_one = isinstance(protocol, ReplicaConnection) and protocol.serves_one
+        super()._release(key, protocol, should_close=should_close or serves_one)
         if isinstance(protocol, ReplicaConnection):
             self._awaited.discard(protocol)
             self._pacing.brittle.end(protocol.path.address)
@@ -284,8 +308,8 @@
 def _bring_to_front(idle: deque[tuple[ResponseHandler, float]]) -> bool:
     """Move the connection that was used last to the front; return whether there is one.
 
-    Passes over those that the present request was sent on before: a late second answer to
-    that would have the right request id. Closes those that are not reusable.
+    Passes over those on which a late answer could pass for that to the present request.
+    Closes those that are not reusable.
     """
     record = current_record()
     passed_over: list[tuple[ResponseHandler, float]] = []
@@ -294,7 +318,7 @@
         if not isinstance(protocol, ReplicaConnection) or not protocol.reusable:
             idle.pop()
             protocol.close()
-        elif record is not None and record.has_used(protocol.number):
+        elif record is not None and _may_be_mistaken(protocol, record):
             passed_over.append(idle.pop())
         else:
             break
@@ -304,6 +328,16 @@
     return found
 
 
+def _may_be_mistaken(connection: ReplicaConnection, record: SendRecord) -> bool:
+    """Return whether a late answer to an earlier request may pass for that to the present one.
+
+    Either the request was sent on the connection before, so that the answer has the right
+    request id; or answers name no request, and this one may run once.
+    """
+    unnamed = record.once and not connection.names_requests
+    return unnamed or record.has_used(connection.number)
+
+
 def _record_send(connection: ReplicaConnection, now: float) -> None:
     """Record that the present request is sent on a connection."""
     record = current_record()
@@ -314,6 +348,7 @@
             path.address, connection.number, connection.requests, connection.peer, heard_ago_s
         )
         record.add(send)
+    connection.carries_once = record is not None and record.once
     connection.requests += 1
 
 
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -109,6 +109,9 @@
         Called with the kind of each failure to connect to a replica.
     probe_path : str
         Path at which replicas answer a GET request without work; empty if there is none.
+    request_header : str
+        Name of the header field in which answers may name their request; empty if those that
+        do not are refused. Set before the first request.
     """
 
     def __init__(
@@ -125,6 +128,7 @@
         self.paths = PathTracker(lambda failure: self.on_connect_failed(failure))
         self.dialer: Dialer = DirectDialer(self.paths, connect_timeout_s)
         self.probe_path = ""
+        self.request_header = ""
         self._max_connections = max_connections
         self._bounded = bounded
         self._open_session: aiohttp.ClientSession | None = None
@@ -138,6 +142,7 @@
                 self.pacing,
                 self.paths,
                 self.dialer,
+                self.request_header,
                 limit=self._max_connections,
                 ttl_dns_cache=None,
             )
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -38,6 +38,7 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
         client.probe_path = LOAD_PATH
+        client.request_header = REQUEST_HEADER
 
     async def call(self, replica: Replica, request: CallRequest) -> CallResponse:
         """Dispatch a call at most once and return the complete answer."""
