--- a/reachlink/upstreams/_connections.py
+++ b/reachlink/upstreams/_connections.py
@@ -288,7 +288,8 @@
 
     async def _get(self, key: Any, traces: Any) -> Connection | None:
         idle = self._conns.get(key)
-        if idle and not _bring_to_front(idle):
+        if idle and not _bring_to_front(idle) and idle:
+            # All that are left may be mistaken; a new one is made.
             return None
         connection = await super()._get(key, traces)
         if connection is not None and isinstance(connection.protocol, ReplicaConnection):
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -334,7 +334,10 @@
         )
         with _convert_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
-                async with self._session.request(method, url, data=body) as response:
+                # Tasks and timers that a request has started are in its context.
+                with recording(None):
+                    response = await self._session.request(method, url, data=body)
+                async with response:
                     self.recorder.record(response)
                     yield response
 
--- a/reachlink/upstreams/tests/test_sends.py
+++ b/reachlink/upstreams/tests/test_sends.py
@@ -16,6 +16,7 @@
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
+from reachlink.upstreams._sends import recording
 from reachlink.upstreams.tests.test_connections import OK, read_request, serve
 
 
@@ -148,3 +149,23 @@
         assert events.count("request_not_sent_again") == 2 - sent
 
     asyncio.run(scenario())
+
+
+def test_a_report_that_is_asked_for_while_a_request_is_sent_is_no_sending_of_it():
+    async def scenario():
+        async def script(reader, writer):
+            while True:
+                await read_request(reader)
+                writer.write(OK)
+
+        server, url, _ = await serve(script)
+        client, record = HttpClient(), SendRecord(once=True)
+        with recording(record):
+            for _ in range(2):
+                async with client.control("GET", url) as response:
+                    await response.read()
+        await client.close()
+        server.close()
+        assert record.count == 0
+
+    asyncio.run(scenario())
