--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -18,13 +18,9 @@
     TokenEvent,
     TokenStream,
 )
-from reachlink.upstreams._http import (
-    MAX_LINE_BYTES,
-    UNREADABLE,
-    HttpClient,
-    raise_refusal,
-    read_control,
-)
+from reachlink.upstreams._conversions import UNREADABLE
+from reachlink.upstreams._http import MAX_LINE_BYTES, HttpClient, read_control
+from reachlink.upstreams._refusals import raise_refusal
 from reachlink.upstreams.exceptions import GenerationUnknownError, UpstreamBrokenError
 
 GENERATION_HEADER = "X-Generation-Id"
--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -1,13 +1,12 @@
 """HTTP client that the adapters share."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterator, Mapping
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
 from random import Random
 from typing import Any
 
 import aiohttp
-import msgspec
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -23,21 +22,23 @@
     Dialer,
     DirectDialer,
     DirectPath,
-    NotReachedError,
     PathTracker,
 )
 from reachlink.telemetry import get_logger
 from reachlink.upstreams._bodies import WRITE_CHUNK_BYTES, FlowControlledBody
 from reachlink.upstreams._connections import ReplicaConnector, address_of
+from reachlink.upstreams._conversions import (
+    SingleDispatch,
+    convert_errors,
+    convert_timeout,
+    url_of,
+)
 from reachlink.upstreams._pacing_recorder import PacingRecorder
 from reachlink.upstreams._sends import SendRecord, recording
 from reachlink.upstreams.exceptions import (
     UpstreamBrittleError,
-    UpstreamBrokenError,
     UpstreamHeldBackError,
     UpstreamLimitedError,
-    UpstreamRefusedError,
-    UpstreamUnreachableError,
 )
 
 # Header fields that `aiohttp` adds by default; relayed requests bring their own.
@@ -48,33 +49,12 @@
 SETTLE_TIMEOUT_S = 0.3
 # Longest wait of a control request for its permit at a replica with a rate limit, in seconds.
 CONTROL_PERMIT_WAIT_S = 0.5
-MAX_ERROR_BYTES = 64 << 10
 # Largest answer to a control request in bytes.
 MAX_CONTROL_BYTES = 1 << 20
 MAX_LINE_BYTES = 1 << 20
 # Read buffer of an answer in bytes if buffering is bounded. `aiohttp` buffers up to twice that.
 READ_AHEAD_BYTES = 32 << 10
 
-# Statuses that mean that the upstream did not run the request.
-REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
-
-
-# What decoding raises for an answer that is no JSON, or is nested too deeply.
-UNREADABLE: tuple[type[Exception], ...] = (msgspec.DecodeError, RecursionError)
-
-
-class ErrorDetail(msgspec.Struct):
-    """Content of the ``error`` field of an error body."""
-
-    code: str | int | None = None
-    message: str = ""
-
-
-class ErrorBody(msgspec.Struct):
-    """Error body in the format of OpenAI-compatible servers."""
-
-    error: ErrorDetail = msgspec.field(default_factory=ErrorDetail)
-
 
 class HttpClient:
     """HTTP client with one session for all upstreams of a process.
@@ -183,7 +163,7 @@
         exact_url = url_of(url)
         await self.admit(address_of(exact_url))
         sent_at = steady_time()
-        with _convert_errors(), recording(record):
+        with convert_errors(), recording(record):
             response = await self._session.request(
                 method,
                 exact_url,
@@ -222,7 +202,7 @@
         if not admitted:
             await self.admit(address_of(exact_url))
         sent_at = steady_time()
-        with _convert_errors(ValueError), recording(record):
+        with convert_errors(ValueError), recording(record):
             response = await self._session.request(
                 method,
                 exact_url,
@@ -288,7 +268,7 @@
         UpstreamUnreachableError
             If the connection is refused or times out.
         """
-        with _convert_errors():
+        with convert_errors():
             connected = await self.dialer.dial(address)
         connected.close()
 
@@ -311,7 +291,7 @@
         UpstreamUnreachableError
             If that takes too long; the cause is a `TimeoutError`.
         """
-        with _convert_timeout(address):
+        with convert_timeout(address):
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
                 await self.dialer.settle(address)
 
@@ -332,7 +312,7 @@
         await self.admit(
             address_of(URL(url)), 0.0 if background else CONTROL_PERMIT_WAIT_S, background
         )
-        with _convert_errors():
+        with convert_errors():
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 # Tasks and timers that a request has started are in its context.
                 with recording(None):
@@ -342,93 +322,6 @@
                     yield response
 
 
-def url_of(url: str) -> URL:
-    """Return a URL whose target is sent just as it is.
-
-    Examples
-    --------
-    >>> url_of("http://127.0.0.1:80/a%2fb?").raw_path_qs
-    '/a%2fb?'
-    """
-    scheme, _, rest = url.partition("://")
-    authority, slash, target = rest.partition("/")
-    base = URL(f"{scheme}://{authority}", encoded=True)
-    # A query of its own would lose its question mark if it is empty.
-    return URL.build(
-        scheme=scheme,
-        host=base.raw_host or "",
-        port=base.explicit_port,
-        path=f"{slash}{target}",
-        encoded=True,
-    )
-
-
-@contextmanager
-def _convert_timeout(address: str) -> Iterator[None]:
-    """Convert the end of a wait for an examination to an error that says that nobody can tell."""
-    try:
-        yield
-    except TimeoutError as error:
-        raise UpstreamUnreachableError(f"whether {address} answers is not known yet") from error
-
-
-@contextmanager
-def _convert_errors(*broken: type[Exception]) -> Iterator[None]:
-    """Convert errors of `aiohttp`, and those in `broken`, to upstream errors."""
-    failures: tuple[type[Exception], ...] = (
-        aiohttp.ClientError,
-        OSError,
-        TimeoutError,
-        *UNREADABLE,
-        *broken,
-    )
-    try:
-        yield
-    except NotReachedError as error:
-        raise UpstreamUnreachableError(str(error), error.replica_away) from error.__cause__
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        raise UpstreamUnreachableError(str(error)) from error
-    except failures as error:
-        raise UpstreamBrokenError(str(error) or type(error).__name__) from error
-
-
-class SingleDispatch:
-    """Client middleware that sends a request at most once.
-
-    `aiohttp` itself retries requests with idempotent methods if a kept-alive connection turns
-    out to be closed. Only the retry policy may decide whether a retry is safe.
-    """
-
-    def __init__(self) -> None:
-        self._sent = False
-
-    async def __call__(
-        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        """Send the request, or fail if it was sent before."""
-        if self._sent:
-            raise UpstreamBrokenError("the connection broke after the request was sent")
-        self._sent = True
-        return await handler(request)
-
-
 async def read_control(response: aiohttp.ClientResponse) -> bytes:
     """Return the body of an answer to a control request; raises an `aiohttp.ClientError`."""
     return await read_bounded(response, MAX_CONTROL_BYTES)
-
-
-async def raise_refusal(response: aiohttp.ClientResponse) -> None:
-    """Raise the upstream error for an error response to a dispatched request."""
-    try:
-        raw = await response.content.read(MAX_ERROR_BYTES)
-        detail = msgspec.json.decode(raw, type=ErrorBody).error
-    except UNREADABLE:
-        detail = ErrorDetail(message="the upstream's error could not be read")
-    except (aiohttp.ClientError, OSError) as error:
-        raise UpstreamBrokenError(str(error)) from error
-    finally:
-        response.release()
-    if response.status in REFUSED_STATUSES:
-        code = str(detail.code or response.status)
-        raise UpstreamRefusedError(response.status, code, detail.message)
-    raise UpstreamBrokenError(f"upstream failed with status {response.status}: {detail.message}")
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -17,7 +17,8 @@
     read_load,
     touch,
 )
-from reachlink.upstreams._http import HttpClient, raise_refusal
+from reachlink.upstreams._http import HttpClient
+from reachlink.upstreams._refusals import raise_refusal
 from reachlink.upstreams.exceptions import UpstreamBrokenError
 
 MAX_RESPONSE_BYTES = 8 << 20
