Kernel: parse empty lines before a head together

Traced: each two empty lines look like the end of a head, so that 256 KiB of them were parsed in 65,537 calls, 0.19 s of processor time in one go without other load (trial on a bare connection); with both sides in one process on a busy machine more than the 0.4 s that a probe waits. A replica that does so held the event loop of an instance for as long. Change: empty lines at the begin of a head are taken as one piece: 5 calls, 0.002 s. test_empty_lines_are_parsed_together: 2,003 calls before, at most 6 now.

--- a/reachlink/kernel/_bounded_connection.py
+++ b/reachlink/kernel/_bounded_connection.py
@@ -1,6 +1,7 @@
 """Client connections on which a server can't send without end what is no answer."""
 
 import asyncio
+import re
 from functools import partial
 from typing import Any
 
@@ -15,6 +16,7 @@
 FIRST_FINAL_STATUS = 200
 
 _HEAD_END = b"\r\n\r\n"
+_EMPTY_LINES = re.compile(rb"[\r\n]+")
 
 
 class EndlessAnswerError(aiohttp.ClientPayloadError):
@@ -87,6 +89,12 @@
     def _head_end(self, data: bytes, start: int) -> int:
         """Return where the head ends that goes on at `start`; the end of `data` if later."""
         tail, self._head_tail = self._head_tail, b""
+        if not tail:
+            # Empty lines before a head end none.
+            empty = _EMPTY_LINES.match(data, start)
+            if empty is not None and empty.end() == len(data):
+                return len(data)
+            start = empty.end() if empty is not None else start
         joined = tail + data[start : start + len(_HEAD_END) - 1]
         found = joined.find(_HEAD_END) if tail else -1
         if found >= 0:
--- a/reachlink/kernel/tests/test_bounded_connection.py
+++ b/reachlink/kernel/tests/test_bounded_connection.py
@@ -67,6 +67,22 @@
     assert asyncio.run(receive(one, one, one))[2]
 
 
+def test_empty_lines_are_parsed_together(monkeypatch):
+    """Parsed one by one, those that are allowed would hold the event loop for 0.2 s."""
+    parsed: list[int] = []
+    receive_bytes = BoundedConnection._receive
+
+    def counted(protocol: BoundedConnection, data: bytes) -> None:
+        parsed.append(len(data))
+        receive_bytes(protocol, data)
+
+    monkeypatch.setattr(BoundedConnection, "_receive", counted)
+    lines = b"\r\n" * 1000
+    codes, body, _ = asyncio.run(receive(lines, lines + INTERIM + lines, lines + WHOLE))
+    assert (codes, body) == ([103, 200], b"done")
+    assert len(parsed) <= 6
+
+
 def test_a_body_that_is_read_slowly_is_whole():
     """The library stops parsing while nobody reads, and goes on with no bytes that are new."""
     body = bytes(range(256)) * (4 << 10)
