--- a/reachlink/upstreams/_http.py
+++ b/reachlink/upstreams/_http.py
@@ -149,7 +149,7 @@
     ) -> aiohttp.ClientResponse:
         """Send a request at most once and return the response with its body unread.
 
-        The sending is added to `record`.
+        The send is added to `record`.
 
         Raises
         ------
@@ -187,7 +187,7 @@
         """Relay a request at most once and return the response with its body unread.
 
         The target and the header fields are sent unchanged. With `admitted`, the request
-        already has its permit from `admit`. The sending is added to `record`.
+        already has its permit from `admit`. The send is added to `record`.
 
         Raises
         ------
--- a/reachlink/upstreams/_sends.py
+++ b/reachlink/upstreams/_sends.py
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True)
 class Send:
-    """One sending of a request.
+    """One send of a request.
 
     Attributes
     ----------
@@ -41,14 +41,14 @@
 
 @dataclass(slots=True)
 class SendRecord:
-    """All sendings of a request, in order.
+    """All sends of a request, in order.
 
     Attributes
     ----------
     once : bool
         Whether the request may be sent again only if no replica has run it.
     sends : list of Send
-        The sendings; attempts without a connection are none.
+        The sends; attempts without a connection are none.
     """
 
     once: bool = False
@@ -56,7 +56,7 @@
 
     @property
     def count(self) -> int:
-        """Number of sendings."""
+        """Number of sends."""
         return len(self.sends)
 
     def check(self) -> None:
@@ -89,7 +89,7 @@
 
 @contextmanager
 def recording(record: SendRecord | None) -> Iterator[None]:
-    """Record the sendings of a request within the context."""
+    """Record the sends of a request within the context."""
     token = _CURRENT.set(record)
     try:
         yield
@@ -98,9 +98,9 @@
 
 
 class LoggedSend:
-    """Context in which a request is sent; logs the sending once its answer begins or fails.
+    """Context in which a request is sent; logs the send once its answer begins or fails.
 
-    An attempt that gets no connection is no sending. Only the first sending of a request that
+    An attempt that gets no connection is no send. Only the first send of a request that
     may be repeated is not logged.
 
     Parameters
@@ -112,7 +112,7 @@
     replica : str
         Name of the replica that it is sent to.
     record : SendRecord
-        Sendings of the request.
+        Sends of the request.
     may_repeat : bool
         Whether the request may run more than once.
     """
--- a/reachlink/upstreams/tests/test_sends.py
+++ b/reachlink/upstreams/tests/test_sends.py
@@ -1,6 +1,9 @@
-"""Each sending of a request that may run once leaves a log line that says where and how it went."""
+"""Each send of a request that may run once leaves a log line that says where and how it went."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import pytest
 from structlog.testing import capture_logs
@@ -20,6 +23,34 @@
 from reachlink.upstreams.tests.test_connections import OK, read_request, serve
 
 
+@dataclass
+class Served:
+    """A replica that answers each request and keeps its connections, and a client of it."""
+
+    client: HttpClient
+    url: str
+    opened: list[int]
+    received: list[bytes]
+
+
+@asynccontextmanager
+async def replica() -> AsyncIterator[Served]:
+    received: list[bytes] = []
+
+    async def script(reader, writer):
+        while True:
+            received.append(await read_request(reader))
+            writer.write(OK)
+
+    server, url, opened = await serve(script)
+    client = HttpClient()
+    try:
+        yield Served(client, url, opened, received)
+    finally:
+        await client.close()
+        server.close()
+
+
 async def relay(client: HttpClient, url: str, record: SendRecord) -> None:
     response = await client.relay("POST", url, [("Host", "h")], b"", record=record)
     await response.read()
@@ -27,7 +58,7 @@
 
 
 def logged(record: SendRecord, may_repeat: bool, error: Exception | None = None) -> list[dict]:
-    """Return the lines of one more sending, which may fail."""
+    """Return the lines of one more send, which may fail."""
     with capture_logs() as lines:
         try:
             with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat) as send:
@@ -42,26 +73,19 @@
 
 def test_a_record_tells_new_connections_from_kept_ones():
     async def scenario():
-        async def script(reader, writer):
-            while True:
-                await read_request(reader)
-                writer.write(OK)
-
-        server, url, _ = await serve(script)
-        client, records = HttpClient(), [SendRecord(), SendRecord()]
-        for record in records:
-            await relay(client, url, record)
-        await client.close()
-        server.close()
+        records = [SendRecord(), SendRecord()]
+        async with replica() as served:
+            for record in records:
+                await relay(served.client, served.url, record)
         first, second = (record.sends[0] for record in records)
         assert first.connection == second.connection
         assert (first.requests_before, second.requests_before) == (0, 1)
-        assert first.address in url and first.peer == ""
+        assert first.address in served.url and first.peer == ""
 
     asyncio.run(scenario())
 
 
-def test_an_attempt_without_a_connection_is_no_sending():
+def test_an_attempt_without_a_connection_is_no_send():
     async def scenario():
         server, url, _ = await serve(lambda reader, writer: asyncio.sleep(0))
         server.close()
@@ -84,13 +108,13 @@
         (asyncio.CancelledError(), "cancelled", 0),
     ],
 )
-def test_a_sending_is_logged_with_its_outcome(error, outcome, status):
+def test_a_send_is_logged_with_its_outcome(error, outcome, status):
     (line,) = logged(SendRecord(), may_repeat=False, error=error)
     assert (line["event"], line["request_id"], line["number"]) == ("request_sent", "id-1", 1)
     assert (line["outcome"], line["status"], line["replica"]) == (outcome, status, "r1")
 
 
-def test_what_may_be_repeated_is_logged_from_its_second_sending_on():
+def test_what_may_be_repeated_is_logged_from_its_second_send_on():
     record = SendRecord()
     assert logged(record, may_repeat=True) == []
     (line,) = logged(record, may_repeat=True)
@@ -99,24 +123,15 @@
 
 def test_a_request_is_not_sent_twice_on_a_connection():
     async def scenario():
-        async def script(reader, writer):
-            while True:
-                await read_request(reader)
-                writer.write(OK)
-
-        server, url, opened = await serve(script)
-        client, repeated = HttpClient(), SendRecord()
-        await relay(client, url, repeated)
-        await relay(client, url, repeated)
-        # Both connections are kept for others; the last one used comes first.
-        other = SendRecord()
-        await relay(client, url, other)
-        await client.close()
-        server.close()
+        repeated, other = SendRecord(), SendRecord()
+        async with replica() as served:
+            # Both connections are kept for others; the last one used comes first.
+            for record in (repeated, repeated, other):
+                await relay(served.client, served.url, record)
         first, second = repeated.sends
         assert first.connection != second.connection
         assert other.sends[0].connection == second.connection
-        assert len(opened) == 2
+        assert len(served.opened) == 2
 
     asyncio.run(scenario())
 
@@ -124,48 +139,32 @@
 @pytest.mark.parametrize(("not_run", "sent"), [(False, 1), (True, 2)])
 def test_what_may_run_once_is_sent_again_only_if_it_is_known_not_to_have_run(not_run, sent):
     async def scenario():
-        received: list[bytes] = []
-
-        async def script(reader, writer):
-            while True:
-                received.append(await read_request(reader))
-                writer.write(OK)
-
-        server, url, _ = await serve(script)
-        client, record = HttpClient(), SendRecord(once=True)
-        with capture_logs() as lines:
-            with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat=False) as send:
-                await relay(client, url, record)
-                send.note_answer(200, not_run)
-            try:
-                with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat=False):
-                    await relay(client, url, record)
-            except AlreadySentError:
-                assert not not_run
-        await client.close()
-        server.close()
+        record = SendRecord(once=True)
+        async with replica() as served:
+            with capture_logs() as lines:
+                with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat=False) as send:
+                    await relay(served.client, served.url, record)
+                    send.note_answer(200, not_run)
+                try:
+                    with LoggedSend(get_logger(), "id-1", "r1", record, may_repeat=False):
+                        await relay(served.client, served.url, record)
+                except AlreadySentError:
+                    assert not not_run
         events = [line["event"] for line in lines]
-        assert len(received) == record.count == sent
+        assert len(served.received) == record.count == sent
         assert events.count("request_not_sent_again") == 2 - sent
 
     asyncio.run(scenario())
 
 
-def test_a_report_that_is_asked_for_while_a_request_is_sent_is_no_sending_of_it():
+def test_a_report_that_is_asked_for_while_a_request_is_sent_is_no_send_of_it():
     async def scenario():
-        async def script(reader, writer):
-            while True:
-                await read_request(reader)
-                writer.write(OK)
-
-        server, url, _ = await serve(script)
-        client, record = HttpClient(), SendRecord(once=True)
-        with recording(record):
-            for _ in range(2):
-                async with client.control("GET", url) as response:
-                    await response.read()
-        await client.close()
-        server.close()
+        record = SendRecord(once=True)
+        async with replica() as served:
+            with recording(record):
+                for _ in range(2):
+                    async with served.client.control("GET", served.url) as response:
+                        await response.read()
         assert record.count == 0
 
     asyncio.run(scenario())
