--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -46,6 +46,9 @@
     last_requests_s : float
         How long after a planned stop began short requests are still taken, in
         seconds; streams are refused at once.
+    stop_grace_s : float
+        Time after which the process is ended once a planned stop began, in seconds; 0 if that
+        is not known.
     retry_share : float
         Requests that may be sent again, as a share of first attempts.
     retry_burst : float
@@ -82,6 +85,7 @@
     watch_wait_s: float = 0.7
     balancer_delay_s: float = 3.2
     last_requests_s: float = 4.0
+    stop_grace_s: float = 0.0
     retry_share: float = 0.1
     retry_burst: float = 20.0
     connect_timeout_s: float = 0.25
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -26,6 +26,7 @@
 from reachlink.entry._list_reader import ReadingRole
 from reachlink.entry._load_teller import LoadTeller
 from reachlink.entry._pace_log import PaceLog
+from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._readers import CallerReaders
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_metrics import RelayMetrics
@@ -167,7 +168,7 @@
         )
         self._start_complete = asyncio.Event()
         self.not_ready_reason = "starting: no settings yet"
-        self.draining_since: float | None = None
+        self.planned_stop: PlannedStop | None = None
         self.running_requests = 0
         self.metrics = RelayMetrics(config, self.bus.traffic)
         self.client.on_connect_failed = self.metrics.count_failed_connect
@@ -310,7 +311,7 @@
     @property
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
-        return self.draining_since is not None
+        return self.planned_stop is not None
 
     @property
     def closing(self) -> bool:
@@ -319,8 +320,9 @@
 
     def begin_drain(self) -> None:
         """A planned stop begins."""
-        self.draining_since = steady_time()
-        self.log.info("draining", running=self.running_requests)
+        grace_s = self.config.stop_grace_s
+        self.planned_stop = PlannedStop(steady_time(), grace_s)
+        self.log.info("draining", running=self.running_requests, grace_s=grace_s)
 
     def zones_in(self, regions: Set[str]) -> frozenset[str]:
         """Return the availability zones of some regions."""
@@ -329,11 +331,11 @@
 
     def accepts(self, kind: RequestKind) -> bool:
         """Return whether a request may begin here: one that a stop would cut off may not."""
-        if self.draining_since is None:
+        if self.planned_stop is None:
             return True
         if kind is RequestKind.STREAM:
             return False
-        return steady_time() - self.draining_since < self.config.last_requests_s
+        return steady_time() - self.planned_stop.begun_at < self.config.last_requests_s
 
     @property
     def runner(self) -> RequestRunner:
--- a/reachlink/entry/tests/test_relay_node.py
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -8,6 +8,7 @@
 
 from reachlink.coordination._service_queue import ServiceQueue
 from reachlink.entry import RelayConfig, RelayNode
+from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry.tests.relay import CONFIG
 from reachlink.kernel import _slices, steady_time
 from reachlink.membership import InstanceRecord, ListedInstance, SettingsAnswer
@@ -138,7 +139,7 @@
     assert node.draining
     assert not node.accepts(RequestKind.STREAM)
     assert node.accepts(RequestKind.ONCE)
-    node.draining_since -= node.config.last_requests_s
+    node.planned_stop = PlannedStop(steady_time() - node.config.last_requests_s)
     assert not node.accepts(RequestKind.ONCE)
 
 
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -23,6 +23,7 @@
 from reachlink.requests._peer_load import PeerLoad
 from reachlink.requests._placement_query import PlacementPurpose, PlacementQuery, PlacementReply
 from reachlink.requests._placer import Placer
+from reachlink.requests._progress import RequestProgress, RequestStage
 from reachlink.requests._replica_tracker import Allocation, ReplicaState, ReplicaTracker
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shutdown_times import SHUTDOWN_NOTICE_S, ShutdownTimes
@@ -59,6 +60,8 @@
     "RequestFailedError",
     "INTERNAL_ERROR",
     "RequestRunner",
+    "RequestProgress",
+    "RequestStage",
     "is_cancelled",
     "log_internal_error",
     "raised_at",
--- a/reachlink/requests/_model.py
+++ b/reachlink/requests/_model.py
@@ -1,10 +1,11 @@
 """Protocol-independent request of a caller, and the interface that takes its answer."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from reachlink.limits import CallerBuffer
 from reachlink.pacing import Hold
+from reachlink.requests._progress import RequestProgress
 from reachlink.routing import Route, Service
 from reachlink.scheduling import Refuse
 from reachlink.upstreams import AnswerHead, RelayRequest
@@ -36,6 +37,8 @@
         Buffer account of the caller; None if nothing is accounted for.
     may_have_run : bool
         Whether a replica may have run the request by now.
+    progress : RequestProgress
+        How far the request has come.
     """
 
     relay: RelayRequest
@@ -48,6 +51,7 @@
     last_hold: Hold | None = None
     caller_buffer: CallerBuffer | None = None
     may_have_run: bool = False
+    progress: RequestProgress = field(default_factory=RequestProgress)
 
     @property
     def request_id(self) -> str:
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -12,6 +12,7 @@
 from reachlink.requests._outcome_recorder import OutcomeRecorder
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placer import Placer
+from reachlink.requests._progress import RequestStage
 from reachlink.requests._replica_pace import ReplicaPace
 from reachlink.requests._retry_policy import RetryPolicy
 from reachlink.requests._wait_limits import ROOM_POLL_INTERVAL_S, may_wait_for_room
@@ -129,6 +130,7 @@
         HeldRequestError
             If the request becomes held in the meantime.
         """
+        request.progress.enter(RequestStage.WAITING, self.now())
         async with self._guard.watched(request.relay.features):
             return await self._place_or_wait(request, tried)
 
@@ -224,6 +226,8 @@
         sent_at = parts.clock()
         parts.pacing.note_sent(replica.address, sent_at)
         may_have_run, request.may_have_run = request.may_have_run, True
+        request.progress.replica = replica.name
+        request.progress.enter(RequestStage.SENT, sent_at)
         try:
             with self._logged_send(request, replica) as send:
                 answer = await parts.adapter.open(
@@ -242,6 +246,7 @@
         if answer.head.not_run:
             request.may_have_run = may_have_run
         else:
+            request.progress.enter(RequestStage.ANSWERING, now)
             parts.pacing.refusals.note_accepted(replica.address, sent_at)
         if answer.head.load is not None:
             self._pace.note_load(replica, answer.head.load, now)
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -9,6 +9,7 @@
 from reachlink.requests._model import AnswerSink, CallerRequest, WholeAnswer
 from reachlink.requests._parts import RunnerParts
 from reachlink.requests._placer import Placer
+from reachlink.requests._progress import RequestStage
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.requests._retry_policy import RETRY_AFTER_S
 from reachlink.requests._streams import StreamRunner
@@ -34,6 +35,8 @@
         self._streams = StreamRunner(self._dispatcher)
         # Running requests, each by the timeout that ends it at its deadline.
         self._running: dict[asyncio.Timeout, CallerRequest] = {}
+        # All requests in progress, also those whose answer the caller has yet to take.
+        self._in_progress: dict[int, CallerRequest] = {}
         self._log: Any = get_logger()
 
     @property
@@ -41,6 +44,11 @@
         """Component that chooses replicas."""
         return self._dispatcher.placer
 
+    @property
+    def in_progress(self) -> list[CallerRequest]:
+        """Requests whose callers do not have the whole answer yet, the oldest first."""
+        return list(self._in_progress.values())
+
     def is_service_unreachable(self, service: str) -> bool:
         """Return whether this zone is cut off and has no replica of a service."""
         return self._dispatcher.placer.reachable.none_reachable(service)
@@ -74,10 +82,12 @@
         """
         started = self._parts.clock()
         code = "cancelled"
+        self._in_progress[id(request)] = request
         try:
             answer = await self._run_to_deadline(request, sink)
             if answer is not None:
                 # How long its caller takes to read it is not bounded by the deadline.
+                request.progress.enter(RequestStage.ANSWERED, self._parts.clock())
                 await sink.write_whole(answer.head, answer.body)
             code = "delivered"
         except HeldRequestError as error:
@@ -95,6 +105,7 @@
             code = failure.reason
             raise failure from error
         finally:
+            del self._in_progress[id(request)]
             self._parts.on_outcome(request, code, self._parts.clock() - started)
 
     async def _run_to_deadline(
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -369,6 +369,7 @@
     def _note_pause(self) -> None:
         """Record the pause before an event; log it if it exceeds the limit of the route."""
         now = self._dispatcher.now()
+        self._request.progress.note_event(self._merger.last_event_number, now)
         pause = self._times.note(self._merger.last_event_number, now)
         event_s = self._interval_meter.record(self._merger.last_event_number, now)
         if event_s is not None:
