Kernel: bound the reason why bytes are no answer

Callers of the own interface whose replica sent bytes that are no HTTP were told 502 with a body of 792 KB. The parser of the HTTP library puts all bytes of a read into its error, each escaped, and the text went into the answer to the caller, the log lines and the notes about the replica.

The text is cut to 300 characters at the connection, so that this holds for every reader, that of the platform's list included. The tests failed before: error texts of 524,376 and 24,129 characters in place of 600 at the most, and answers of the whole size on each kind of request in place of 2,000 bytes.

--- a/reachlink/entry/tests/test_endless_answers.py
+++ b/reachlink/entry/tests/test_endless_answers.py
@@ -87,3 +87,15 @@
 
     answer = asyncio.run(story())
     assert (answer.status, answer.error()["outcome"]) == (502, "unknown")
+
+
+# Characters of an answer that tells what went wrong, with the request's id and the field names.
+ERROR_MAX_CHARS = 2_000
+
+
+@pytest.mark.parametrize("request_kind", REQUESTS)
+def test_what_a_replica_sent_is_not_repeated_in_the_error_as_a_whole(request_kind):
+    path, body, _ = REQUESTS[request_kind]
+    answer, _ = play(ENDLESS_HEADS["no_http"], path, body)
+    assert answer.status == 502
+    assert len(answer.body) <= ERROR_MAX_CHARS
--- a/reachlink/kernel/_bounded_connection.py
+++ b/reachlink/kernel/_bounded_connection.py
@@ -8,10 +8,13 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http_exceptions import HttpProcessingError
 
 # Bytes that may arrive on a connection one after the other without being part of a body: a head,
 # with interim answers before it, or what frames the pieces of a body.
 MAX_FRAMING_BYTES = 256 << 10
+# Length of the reason why bytes are no answer; the parser puts all of them into it.
+MAX_REASON_CHARS = 300
 # First HTTP status of an answer that is not an interim one (RFC 9110, section 15.3).
 FIRST_FINAL_STATUS = 200
 
@@ -111,6 +114,8 @@
         error = self.exception()
         if error is None:
             return False
+        if isinstance(error, HttpProcessingError):
+            error.message = error.message[:MAX_REASON_CHARS]
         self.fail(str(error) or type(error).__name__)
         return True
 
--- a/reachlink/kernel/tests/test_bounded_connection.py
+++ b/reachlink/kernel/tests/test_bounded_connection.py
@@ -6,7 +6,10 @@
 import pytest
 
 from reachlink.kernel import BoundedConnection, BoundedConnector
-from reachlink.kernel._bounded_connection import MAX_FRAMING_BYTES
+from reachlink.kernel._bounded_connection import (
+    MAX_FRAMING_BYTES,
+    MAX_REASON_CHARS,
+)
 
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -67,6 +70,24 @@
     assert asyncio.run(receive(one, one, one))[2]
 
 
+@pytest.mark.parametrize(
+    "received",
+    [b"\x00\xff" * (64 << 10), WHOLE[:-8] + b"\r\nTransfer-Encoding: " + b"\xff" * 6_000],
+    ids=["no_http", "field"],
+)
+def test_what_is_no_answer_is_not_repeated_in_the_error_as_a_whole(received):
+    async def story() -> BaseException | None:
+        protocol = BoundedConnection(asyncio.get_running_loop())
+        protocol.connection_made(Transport())
+        protocol.set_response_params(read_until_eof=True, auto_decompress=False)
+        protocol.begin_request()
+        protocol.data_received(received + b"\x00\r\n\r\n")
+        return protocol.exception()
+
+    error = asyncio.run(story())
+    assert error is not None and len(str(error)) <= 2 * MAX_REASON_CHARS
+
+
 def test_empty_lines_are_parsed_together(monkeypatch):
     """Parsed one by one, those that are allowed would hold the event loop for 0.2 s."""
     parsed: list[int] = []
