Kernel: bound interim answers by number as well

A replica that sends interim answers without end was given up after 256 KiB, which may be 15,000 answers of 17 bytes: one read had them all parsed and kept before their reader ran, 0.14 s of the event loop.

More than 4,000 end the connection, after 0.03 s. An existing test lets 3,197 pass, so the number is above that. The test failed before (15,000 and 6,394 answers were parsed in place of 4,001 at the most).

--- a/reachlink/kernel/_bounded_connection.py
+++ b/reachlink/kernel/_bounded_connection.py
@@ -13,6 +13,8 @@
 # Bytes that may arrive on a connection one after the other without being part of a body: a head,
 # with interim answers before it, or what frames the pieces of a body.
 MAX_FRAMING_BYTES = 256 << 10
+# Interim answers before an answer. Small ones take far more memory and time than their bytes say.
+MAX_INTERIM_ANSWERS = 4_000
 # Length of the reason why bytes are no answer; the parser puts all of them into it.
 MAX_REASON_CHARS = 300
 # First HTTP status of an answer that is not an interim one (RFC 9110, section 15.3).
@@ -37,6 +39,7 @@
         super().__init__(loop=loop)
         self._has_head = False
         self._framing_bytes = 0
+        self._interim_answers = 0
         # The last bytes before the end of the head, which may be cut into two reads.
         self._head_tail = b""
 
@@ -44,6 +47,7 @@
         """Note that a request is sent, whose answer comes next."""
         self._has_head = False
         self._framing_bytes = 0
+        self._interim_answers = 0
         self._head_tail = b""
 
     def data_received(self, data: bytes) -> None:
@@ -66,7 +70,10 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Process the head of an answer."""
-        self._has_head = self._has_head or data[0].code >= FIRST_FINAL_STATUS
+        if data[0].code >= FIRST_FINAL_STATUS:
+            self._has_head = True
+        else:
+            self._interim_answers += 1
         super().feed_data(data, size)
 
     def fail(self, reason: str) -> None:
@@ -129,12 +136,15 @@
             return
         self._framing_bytes += len(data)
         if self._framing_bytes > MAX_FRAMING_BYTES:
-            endless = EndlessAnswerError(
-                f"{self._framing_bytes} bytes that are no part of an answer's body"
-            )
-            # For who waits for a head, and for who reads a body.
-            self.set_exception(endless)
-            self._fail_body(endless)
+            self._end(f"{self._framing_bytes} bytes that are no part of an answer's body")
+        elif self._interim_answers > MAX_INTERIM_ANSWERS:
+            self._end(f"more than {MAX_INTERIM_ANSWERS} interim answers")
+
+    def _end(self, reason: str) -> None:
+        """End the connection, for who waits for a head and for who reads a body."""
+        endless = EndlessAnswerError(reason)
+        self.set_exception(endless)
+        self._fail_body(endless)
 
 
 class BoundedConnector(aiohttp.TCPConnector):
--- a/reachlink/kernel/tests/test_bounded_connection.py
+++ b/reachlink/kernel/tests/test_bounded_connection.py
@@ -8,6 +8,7 @@
 from reachlink.kernel import BoundedConnection, BoundedConnector
 from reachlink.kernel._bounded_connection import (
     MAX_FRAMING_BYTES,
+    MAX_INTERIM_ANSWERS,
     MAX_REASON_CHARS,
 )
 
@@ -70,6 +71,16 @@
     assert asyncio.run(receive(one, one, one))[2]
 
 
+@pytest.mark.parametrize("size", [17, 41])
+def test_a_connection_ends_at_some_interim_answers_however_small_they_are(size):
+    """By their bytes alone, 15,000 small ones are parsed and kept at once."""
+    interim = b"HTTP/1.1 100 %b\r\n\r\n" % (b"a" * (size - 17))
+    codes, _, closed = asyncio.run(receive(interim * MAX_INTERIM_ANSWERS + WHOLE))
+    assert codes == [100] * MAX_INTERIM_ANSWERS + [200] and not closed
+    codes, _, closed = asyncio.run(receive(interim * 15_000))
+    assert closed and len(codes) <= MAX_INTERIM_ANSWERS + 1
+
+
 @pytest.mark.parametrize(
     "received",
     [b"\x00\xff" * (64 << 10), WHOLE[:-8] + b"\r\nTransfer-Encoding: " + b"\xff" * 6_000],
