Own interface: bound what is kept of a whole answer

An engine that sent events of its generation without end, to a caller that had asked for a whole answer, was read for as long as it sent: 67 MB in the test, where it ends, all kept. None of it was counted against the budget for what the instance holds. The caller got no answer until the engine closed.

The events of such an answer were collected without a bound; the bounds on an event and on what is no event do not apply to events that continue the answer. Bodies of plain services had one, 8 MiB, and now these events have the same. They are counted against the budget, with what each takes beside its data. The caller is told 502 with the outcome 'ran', and the generation is cancelled.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -327,6 +327,10 @@
             generation = self._delivery.generation
             try:
                 steps = await self._read(stream)
+            except RequestError:
+                # The rest of the answer is not wanted.
+                self._drop(generation)
+                raise
             finally:
                 # Also when the caller is gone: an open link keeps its generation.
                 stream.close()
--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -198,7 +198,7 @@
             sink = StreamSink(request, job.request_id, self._node.positions)
             run = AnswerRun(self._node, job, sink)
             return await self._stream(run, sink, admission, claim, run.run())
-        buffer = BufferSink()
+        buffer = BufferSink(request["held"])
         run = AnswerRun(self._node, job, buffer)
         outcome = Outcome.UNKNOWN
         try:
--- a/reachlink/entry/_sinks.py
+++ b/reachlink/entry/_sinks.py
@@ -6,10 +6,11 @@
 import msgspec
 from aiohttp import web
 
-from reachlink.delivery import Position, PositionCodec
+from reachlink.delivery import Outcome, Position, PositionCodec
 from reachlink.entry._caller_state import is_open
 from reachlink.entry._http import REQUEST_HEADER, error_body
 from reachlink.entry.exceptions import RequestError
+from reachlink.limits import BufferKind, CallerBuffer
 from reachlink.upstreams import TokenEvent
 
 GENERATION_HEADER = "X-Generation-Position"
@@ -17,6 +18,10 @@
 SLOW_READER_S = 60.0
 # A write below this size cannot fill an empty buffer, so that it never waits.
 SMALL_WRITE_BYTES = 16 << 10
+# Events of one answer that is given whole, in bytes of their data.
+MAX_WHOLE_BYTES = 8 << 20
+# Bytes that an event takes beside its data.
+EVENT_OVERHEAD_BYTES = 256
 
 
 class StreamSink:
@@ -101,18 +106,43 @@
 
 
 class BufferSink:
-    """All events of an answer that is given whole."""
+    """All events of an answer that is given whole.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    held : CallerBuffer
+        Counts the events for the caller.
+    """
+
+    def __init__(self, held: CallerBuffer) -> None:
         self.events: list[TokenEvent] = []
+        self._held = held
+        self._data_bytes = 0
 
     async def begin(self, position: Position) -> None:
         """Nothing to do: the caller sees no event ids."""
 
     async def forward(self, events: Sequence[TokenEvent]) -> None:
-        """Keep events."""
+        """Keep events.
+
+        Raises
+        ------
+        RequestError
+            If the answer is too large, or the instance has no room for it.
+        """
+        size = sum(len(event.data) for event in events)
+        self._data_bytes += size
+        if self._data_bytes > MAX_WHOLE_BYTES:
+            message = f"the answer is larger than {MAX_WHOLE_BYTES} bytes"
+            raise RequestError(502, "answer_too_long", message, Outcome.RAN)
+        held_bytes = size + len(events) * EVENT_OVERHEAD_BYTES
+        if not self._held.reserve(BufferKind.ANSWER, held_bytes):
+            message = "there is no room for the rest of the answer"
+            raise RequestError(502, "held_over_budget", message, Outcome.RAN)
         self.events.extend(events)
 
     async def restart(self) -> None:
         """Another generation begins."""
         self.events.clear()
+        self._data_bytes = 0
+        self._held.set_size(BufferKind.ANSWER, 0)
--- a/reachlink/entry/tests/test_endless_answers.py
+++ b/reachlink/entry/tests/test_endless_answers.py
@@ -1,11 +1,26 @@
 """Replicas that send bytes without end, in the head of an answer or in its body."""
 
 import asyncio
+import itertools
 
 import pytest
 
-from reachlink.entry.tests.own_instance import OwnInstance, Replica, chat_body, wait_until
-from reachlink.testing._endless import ENDLESS_BODIES, ENDLESS_HEADS, EndlessBytes, send_endlessly
+from reachlink.entry.tests.own_instance import (
+    ENGINE_HEAD,
+    OwnInstance,
+    Replica,
+    chat_body,
+    chat_event,
+    wait_until,
+)
+from reachlink.limits import BufferBudget, BufferKind
+from reachlink.testing._endless import (
+    ENDLESS_BODIES,
+    ENDLESS_HEADS,
+    SENT_MAX_BYTES,
+    EndlessBytes,
+    send_endlessly,
+)
 
 CHAT = "/v1/chat/completions"
 CALL = "/readings/x"
@@ -99,3 +114,80 @@
     answer, _ = play(ENDLESS_HEADS["no_http"], path, body)
     assert answer.status == 502
     assert len(answer.body) <= ERROR_MAX_CHARS
+
+
+# Events of one write.
+EVENTS = 100
+EVENT_TEXT = "x" * 500
+# Budget of an instance for what it holds, where there is one.
+BUDGET_BYTES = 6 << 20
+
+
+class EndlessEngine(Replica):
+    """Sends events of its generation without end, and counts the bytes."""
+
+    def __init__(self) -> None:
+        super().__init__(self._serve_events)
+        self.sent = 0
+        self.closed = False
+
+    async def _serve_events(self, request, writer):
+        writer.write(ENGINE_HEAD)
+        offsets = itertools.count()
+        request_id = request.headers["X-Request-Id"]
+        try:
+            while self.sent < SENT_MAX_BYTES:
+                batch = itertools.islice(offsets, EVENTS)
+                piece = b"".join(chat_event(request_id, n, text=EVENT_TEXT) for n in batch)
+                writer.write(piece)
+                self.sent += len(piece)
+                await writer.drain()
+                # The other side runs in the same process.
+                await asyncio.sleep(0)
+        finally:
+            self.closed = True
+
+
+@pytest.mark.parametrize("budget_bytes", [0, BUDGET_BYTES], ids=["no_budget", "budget"])
+def test_a_whole_answer_without_end_is_not_kept_without_bound(budget_bytes):
+    engine = EndlessEngine()
+    held: list[int] = []
+
+    async def story():
+        async with OwnInstance(engine) as instance:
+            budget = instance.node.held = BufferBudget(budget_bytes)
+            budget.on_pressure_change = lambda under_pressure: None
+            caller = await instance.connect()
+            caller.send(CHAT, chat_body(), b"Reachlink-Repeatable: no\r\n")
+            answer = asyncio.create_task(caller.answer())
+            while not answer.done():
+                held.append(budget.bytes_of(BufferKind.ANSWER))
+                await asyncio.sleep(0.001)
+            await wait_until(lambda: engine.closed)
+            assert budget.total == 0
+            return await answer
+
+    answer = asyncio.run(story())
+    assert (answer.status, answer.error()["outcome"]) == (502, "ran")
+    assert engine.sent < READ_MAX_BYTES
+    assert max(held) <= budget_bytes // 3
+    assert not budget_bytes or max(held) > 0
+
+
+def test_a_stream_without_end_is_read_no_faster_than_its_caller_reads():
+    engine = EndlessEngine()
+
+    async def story() -> None:
+        async with OwnInstance(engine) as instance:
+            caller = await instance.connect(receive_buffer_bytes=4 << 10)
+            caller.send(CHAT, chat_body(stream=True), b"Reachlink-Repeatable: no\r\n")
+            # Once the buffers are full nothing more is read.
+            sent = -1
+            while sent != engine.sent or not sent:
+                sent = engine.sent
+                await asyncio.sleep(0.3)
+            caller.close()
+            await wait_until(lambda: engine.closed)
+
+    asyncio.run(story())
+    assert engine.sent < READ_MAX_BYTES
