Forced stop: background work goes on under what still runs; name what is cut

A second signal during a planned stop logged requests_cut with the number of running requests, and cancelled the reading of the list, reports and settings at once. The requests went on for as long as the HTTP library waits for its handlers, without what they need where a replica fails, and most were delivered: the line was untrue, and named none. drain, cancelled, also went on beside stop. Both daemons did so.

Cause: stop logged and cancelled before the wait for handlers, which was left to the library (60 s in one daemon; 0, which it takes for no limit, in the other).

A cancelled drain has ended before stop begins. The relaying daemon's forced stop is bounded as well.

Log lines of a test's caller connections are now collected: test_planned_stop.py asserted the absence of a line that it could not see.

--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from reachlink.entry._cut_requests import log_cut_requests
 from reachlink.entry._unsent_answers import UnsentAnswers
 from reachlink.kernel import steady_time
 from reachlink.telemetry import get_logger
@@ -39,17 +40,28 @@
         Time in seconds for which callers may use a resting connection.
     """
 
-    __slots__ = ("_allowed_rest_s", "_protocol", "_rests_since", "_running")
+    __slots__ = ("_allowed_rest_s", "_began_at", "_protocol", "_request", "_rests_since")
 
     def __init__(self, protocol: web.RequestHandler, now: float, idle_timeout_s: float) -> None:
         self._protocol = protocol
-        self._running = False
+        self._request: web.BaseRequest | None = None
+        self._began_at = now
         self.rest(now, idle_timeout_s)
 
     @property
     def running(self) -> bool:
         """Whether a request is being handled."""
-        return self._running
+        return self._request is not None
+
+    @property
+    def request(self) -> web.BaseRequest | None:
+        """The request that is being handled; None if none is."""
+        return self._request
+
+    @property
+    def began_at(self) -> float:
+        """Monotonic time in seconds at which the last request began to be handled."""
+        return self._began_at
 
     @property
     def rests_since(self) -> float:
@@ -75,13 +87,13 @@
         transport = self._protocol.transport
         return None if transport is None or transport.is_closing() else transport
 
-    def begin(self) -> None:
+    def begin(self, request: web.BaseRequest, now: float) -> None:
         """Note that a request has been read."""
-        self._running = True
+        self._request, self._began_at = request, now
 
     def rest(self, now: float, idle_timeout_s: float) -> None:
         """Note that no request is being handled."""
-        self._running = False
+        self._request = None
         self._rests_since = now
         self._allowed_rest_s = idle_timeout_s
 
@@ -92,7 +104,7 @@
         either.
         """
         allowed_s = max(self._allowed_rest_s, idle_timeout_s) + IDLE_MARGIN_S
-        return not self._running and now - self._rests_since > allowed_s
+        return not self.running and now - self._rests_since > allowed_s
 
     def pause(self) -> None:
         """Read nothing more from the caller."""
@@ -166,7 +178,7 @@
     ) -> web.StreamResponse:
         """Handle a request; its connection does not rest meanwhile."""
         connection = self.add(request.protocol)
-        connection.begin()
+        connection.begin(request, self._clock())
         try:
             return await handler(request)
         finally:
@@ -197,6 +209,23 @@
             self._log.warning("answers_cut", count=unsent, reason="not read in time")
         self._log.info("caller_connections_finished", open=len(self._connections))
 
+    async def end(self, patience_s: float) -> None:
+        """Wait for what is being handled, and name what is then cut.
+
+        For the end of a stop, just before all connections are closed.
+
+        Parameters
+        ----------
+        patience_s : float
+            Longest wait in seconds.
+        """
+        until = self._clock() + patience_s
+        while self.running_count and self._clock() < until:
+            await asyncio.sleep(FINISH_POLL_S)
+        running = [(c.request, c.began_at) for c in self._connections.values()]
+        cut = [(request, began_at) for request, began_at in running if request is not None]
+        log_cut_requests(self._log, cut, self._clock())
+
     def close(self) -> None:
         """Check the connections no more."""
         if self._timer is not None:
--- a/reachlink/entry/_caller_server.py
+++ b/reachlink/entry/_caller_server.py
@@ -11,6 +11,9 @@
 
 # Keep-alive time of the HTTP library in seconds, which must not expire before the idle time.
 SERVER_KEEPALIVE_S = 86400.0
+# Time in seconds that handlers get to end once their connections close. The HTTP library takes 0
+# for no limit.
+CLOSE_TIMEOUT_S = 0.5
 
 
 class CallerServer(web.Server):
@@ -68,7 +71,7 @@
     """
 
     def __init__(self, server: CallerServer, backlog: int) -> None:
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        self._runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
         self._backlog = backlog
 
     @property
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -9,7 +9,7 @@
 
 from reachlink.control import OperatorError, OperatorHandlers, RequestFreshness
 from reachlink.entry._caller_connections import CallerConnections
-from reachlink.entry._caller_server import SERVER_KEEPALIVE_S
+from reachlink.entry._caller_server import CLOSE_TIMEOUT_S, SERVER_KEEPALIVE_S
 from reachlink.entry._chat import ChatHandlers
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, PlacementNote
@@ -36,6 +36,8 @@
 
 CHANNEL_DIGEST = "digest"
 DRAIN_POLL_S = 0.05
+# How long a forced stop waits for the requests that still run, in seconds.
+FORCED_PATIENCE_S = 60.0
 # How many replicas are read in one round, whatever their number.
 MAX_REPORTS = 6
 MAX_CACHES = 3
@@ -96,6 +98,7 @@
             self._app(),
             access_log=None,
             handler_cancellation=True,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
@@ -123,10 +126,11 @@
         node.log.info("drained")
 
     async def stop(self) -> None:
-        """Close everything at once."""
+        """Close everything, after a bounded wait for the requests that still run."""
         node = self._node
-        if node.running_requests:
-            node.log.warning("requests_cut", count=node.running_requests)
+        await self._stop_listening()
+        # Requests that still run may need another replica, or newer settings, to go on.
+        await self._connections.end(FORCED_PATIENCE_S)
         for task in self._tasks:
             task.cancel()
         self._connections.close()
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -21,6 +21,8 @@
 DRAIN_POLL_S = 0.05
 # How long a planned stop waits for a caller that reads nothing of its last answer, in seconds.
 UNREAD_PATIENCE_S = 2.0
+# How long a forced stop waits for the requests that still run, in seconds.
+FORCED_PATIENCE_S = 60.0
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -134,10 +136,11 @@
         log_unfinished(node.log, node.runner.in_progress, steady_time())
 
     async def stop(self) -> None:
-        """Close everything at once."""
+        """Close everything, after a bounded wait for the requests that still run."""
         node = self._node
-        if node.running_requests:
-            node.log.warning("requests_cut", count=node.running_requests)
+        await self._border.stop_listening()
+        # Requests that still run may need another replica, or a newer table, to go on.
+        await node.connections.end(FORCED_PATIENCE_S)
         for task in self._tasks:
             task.cancel()
         await self._border.close()
--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -158,6 +158,7 @@
         self.node = self.daemon._node
         self.log = EventLog()
         self.node.log = self.log
+        self.daemon._connections._log = self.log
         self.port = 0
 
     async def __aenter__(self) -> "OwnInstance":
--- a/reachlink/kernel/_lifecycle.py
+++ b/reachlink/kernel/_lifecycle.py
@@ -26,14 +26,15 @@
         """Stop accepting new work and wait until running work has finished."""
 
     async def stop(self) -> None:
-        """Close all resources without waiting for running work."""
+        """Close all resources; running work is waited for during a bounded time only."""
 
 
 def run_daemon(make: Callable[[], Daemon]) -> int:
     """Run a daemon until it is stopped by a signal.
 
     The first SIGTERM or SIGINT starts a planned stop: `drain`, then `stop`.
-    A second one cancels `drain`. A daemon that failed is stopped without `drain`.
+    A second one cancels `drain`, so that `stop` follows at once. A daemon that failed is
+    stopped without `drain`.
 
     Parameters
     ----------
@@ -86,6 +87,8 @@
     done, pending = await asyncio.wait({working, waiting}, return_when=asyncio.FIRST_COMPLETED)
     for task in pending:
         task.cancel()
+    # What follows must not run beside work that is still ending.
+    await asyncio.wait({working, waiting})
     if working in done:
         working.result()
         return False
