Own interface: stop_grace_s, the time until a planned stop ends the process

An instance of the own interface could not know when SIGKILL follows SIGTERM. The field is 0 (not known, as before) or more than balancer_delay_s, and is refused otherwise. EntryNode has the PlannedStop that it follows from. No decision is changed.

--- a/reachlink/entry/_config.py
+++ b/reachlink/entry/_config.py
@@ -45,6 +45,8 @@
     operator until the settings name one. ``crashes_to_hold`` and ``crashes_kept_s``
     are as in `RelayConfig`. ``held_bytes`` is the most that is held of callers' bodies
     at one time, in bytes; 0 for any number. ``relay_port`` is as in `RelayConfig`.
+    ``stop_grace_s`` is the time after which the process is ended once a planned stop began,
+    in seconds; 0 if that is not known, otherwise more than ``balancer_delay_s``.
     """
 
     name: str
@@ -61,6 +63,7 @@
     bootstrap_key_hash: str = ""
     policy: str = "forecast"
     balancer_delay_s: float = 2.0
+    stop_grace_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     digest_interval_s: float = 1.0
     report_interval_s: float = 0.5
     watch_wait_s: float = 2.0
@@ -70,3 +73,7 @@
     crashes_kept_s: float = CRASH_RETENTION_S
     held_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
     otlp_endpoint: str = ""
+
+    def __post_init__(self) -> None:
+        if 0.0 < self.stop_grace_s <= self.balancer_delay_s:
+            raise ValueError("stop_grace_s must be 0 or more than balancer_delay_s")
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -113,9 +113,8 @@
     async def drain(self) -> None:
         """Say not ready, let the balancer notice, and finish what runs."""
         node = self._node
-        node.draining = True
+        node.begin_drain()
         node.replica_reach.server.drain()
-        node.log.info("draining", running=node.running_requests)
         await asyncio.sleep(self._config.balancer_delay_s)
         while self._in_progress:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -23,6 +23,7 @@
 )
 from reachlink.entry._held_sight import HeldSight
 from reachlink.entry._ledger import Ledger
+from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._replica_reach import ReplicaReach
 from reachlink.kernel import steady_time
 from reachlink.lengths import LengthEstimator
@@ -128,7 +129,7 @@
         self.ready = False
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
-        self.draining = False
+        self.planned_stop: PlannedStop | None = None
         self.explained: OrderedDict[str, Decision] = OrderedDict()
         self.tasks: set[asyncio.Task[None]] = set()
         self._adapters: dict[str, Any] = {}
@@ -142,6 +143,17 @@
         """Whether settings of a control instance without a leader will do at last."""
         return False
 
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.planned_stop is not None
+
+    def begin_drain(self) -> None:
+        """A planned stop begins."""
+        grace_s = self.config.stop_grace_s
+        self.planned_stop = PlannedStop(steady_time(), grace_s)
+        self.log.info("draining", running=self.running_requests, grace_s=grace_s)
+
     def zone_peers(self) -> list[str]:
         """Return the addresses of the other entry instances of this zone."""
         return [p.address for p in self.config.peers if p.availability_zone == self.zone]
--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -128,6 +128,8 @@
         Further values of the settings.
     confirmed : bool
         Whether the settings are confirmed to be the newest.
+    stop_grace_s : float
+        Time after which the process is ended once a planned stop began, in seconds.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         *replicas: Replica,
         settings: dict[str, Any] | None = None,
         confirmed: bool = True,
+        stop_grace_s: float = 0.0,
     ) -> None:
         self.replicas = replicas
         self._confirmed = confirmed
@@ -153,6 +156,7 @@
             controls=["127.0.0.1:1"],
             platform=PlatformSource(url="http://127.0.0.1:1/"),
             balancer_delay_s=0.0,
+            stop_grace_s=stop_grace_s,
         )
         self.daemon = EntryDaemon(config)
         self.node = self.daemon._node
