Planned stop: refuse at once what waits for a replica and can't end in time

Callers whose streams waited in the queue of an instance that got SIGTERM saw their connection close without an answer when SIGKILL came, up to a whole grace later, and could not know that nothing had run.

Cause: the wait for a replica knew the caller's deadline and not that of the process. Now a planned stop with a known end ends these waits: 503, not run, come back in 50 ms, for each request that has run nowhere and whose deadline lies behind the time at which final answers are due. Others wait on; what may have run, and is tried again elsewhere, does so too.

--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -323,6 +323,8 @@
         grace_s = self.config.stop_grace_s
         self.planned_stop = PlannedStop(steady_time(), grace_s)
         self.log.info("draining", running=self.running_requests, grace_s=grace_s)
+        if self.planned_stop.answers_due_at is not None:
+            self._runner.begin_stop(self.planned_stop.answers_due_at)
 
     def zones_in(self, regions: Set[str]) -> frozenset[str]:
         """Return the availability zones of some regions."""
--- a/reachlink/requests/__init__.py
+++ b/reachlink/requests/__init__.py
@@ -27,6 +27,7 @@
 from reachlink.requests._replica_tracker import Allocation, ReplicaState, ReplicaTracker
 from reachlink.requests._runner import RequestRunner
 from reachlink.requests._shutdown_times import SHUTDOWN_NOTICE_S, ShutdownTimes
+from reachlink.requests._stop_limits import STOPPING, STOPPING_RETRY_S
 from reachlink.requests.exceptions import (
     CallerGoneError,
     RequestFailedError,
@@ -70,6 +71,8 @@
     "AttemptFailure",
     "PeerLoad",
     "StreamCutError",
+    "STOPPING",
+    "STOPPING_RETRY_S",
     "with_aggregated_copies",
     "sum_usages",
 ]
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -15,6 +15,7 @@
 from reachlink.requests._progress import RequestStage
 from reachlink.requests._replica_pace import ReplicaPace
 from reachlink.requests._retry_policy import RetryPolicy
+from reachlink.requests._stop_limits import StopLimits
 from reachlink.requests._wait_limits import ROOM_POLL_INTERVAL_S, may_wait_for_room
 from reachlink.requests._waiting_placer import WaitingPlacer
 from reachlink.requests._working_replicas import WorkingReplicas
@@ -54,6 +55,7 @@
         self._copy_order = CopyOrder(parts)
         self._pace = ReplicaPace(parts)
         self._retry_policy = RetryPolicy(parts, self._placer)
+        self._stop_limits = StopLimits(parts.clock)
         self._outcome_recorder = OutcomeRecorder(parts, self._placer, self._guard)
         self._log: Any = get_logger()
         self._background: set[asyncio.Task[None]] = set()
@@ -93,6 +95,11 @@
         """Component that stops requests that crash replicas."""
         return self._guard
 
+    @property
+    def stop_limits(self) -> StopLimits:
+        """Component that ends requests which a planned stop would cut off."""
+        return self._stop_limits
+
     @property
     def adapter(self) -> RelayAdapter:
         """Client of the replicas."""
@@ -129,9 +136,14 @@
         ------
         HeldRequestError
             If the request becomes held in the meantime.
+        RequestFailedError
+            If a planned stop of this instance would cut it off.
         """
         request.progress.enter(RequestStage.WAITING, self.now())
-        async with self._guard.watched(request.relay.features):
+        async with (
+            self._stop_limits.waiting(request),
+            self._guard.watched(request.relay.features),
+        ):
             return await self._place_or_wait(request, tried)
 
     async def _place_or_wait(self, request: CallerRequest, tried: set[str]) -> Replica | None:
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -68,6 +68,16 @@
             if not scope.expired():
                 scope.reschedule(now + max(0.0, request.deadline - self._parts.clock()))
 
+    def begin_stop(self, answers_due_at: float) -> None:
+        """Begin a planned stop; refuse requests that wait for a replica and can't end in time.
+
+        Parameters
+        ----------
+        answers_due_at : float
+            Monotonic time in seconds at which all final answers are due.
+        """
+        self._dispatcher.stop_limits.begin(answers_due_at)
+
     async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
         """Run one request to its end.
 
