Planned stop: take only requests whose deadline comes before its end

Calls sent late in the grace were taken and passed on, and cut by SIGKILL with no answer, among them calls that may run once. They were taken for 4 s, whatever they may last; streams were refused from the SIGTERM on, also those that would surely have ended.

Where the end is not known, the earlier rule stays.

--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -66,8 +66,16 @@
     def zones_in(self, regions: Set[str]) -> frozenset[str]:
         """Return the availability zones of some regions."""
 
-    def accepts(self, kind: RequestKind) -> bool:
-        """Return whether a request may begin here."""
+    def accepts(self, kind: RequestKind, deadline: float) -> bool:
+        """Return whether a request may begin here.
+
+        Parameters
+        ----------
+        kind : RequestKind
+            Kind of the request.
+        deadline : float
+            Monotonic time in seconds by which its final answer is given.
+        """
 
     @property
     def running_requests(self) -> int:
--- a/reachlink/entry/_planned_stop.py
+++ b/reachlink/entry/_planned_stop.py
@@ -31,3 +31,14 @@
             return None
         margin_s = min(ANSWERS_MARGIN_S, self.grace_s * ANSWERS_MARGIN_SHARE)
         return self.begun_at + self.grace_s - margin_s
+
+    def ends_after(self, deadline: float) -> bool:
+        """Return whether a request is answered in time however long it takes.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds by which its final answer is given.
+        """
+        due_at = self.answers_due_at
+        return due_at is not None and deadline <= due_at
--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -45,10 +45,10 @@
         How long the balancer may still send callers after a planned stop began.
     last_requests_s : float
         How long after a planned stop began short requests are still taken, in
-        seconds; streams are refused at once.
+        seconds, where its end is not known; streams are refused at once.
     stop_grace_s : float
         Time after which the process is ended once a planned stop began, in seconds; 0 if that
-        is not known.
+        is not known. Requests whose deadline lies beyond that are refused during the stop.
     retry_share : float
         Requests that may be sent again, as a share of first attempts.
     retry_burst : float
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -331,13 +331,24 @@
         found = self.config.zone_regions.items()
         return frozenset(zone for zone, region in found if region in regions)
 
-    def accepts(self, kind: RequestKind) -> bool:
-        """Return whether a request may begin here: one that a stop would cut off may not."""
-        if self.planned_stop is None:
+    def accepts(self, kind: RequestKind, deadline: float) -> bool:
+        """Return whether a request may begin here: one that a stop would cut off may not.
+
+        Parameters
+        ----------
+        kind : RequestKind
+            Kind of the request.
+        deadline : float
+            Monotonic time in seconds by which its final answer is given.
+        """
+        stop = self.planned_stop
+        if stop is None:
             return True
+        if stop.answers_due_at is not None:
+            return stop.ends_after(deadline)
         if kind is RequestKind.STREAM:
             return False
-        return steady_time() - self.planned_stop.begun_at < self.config.last_requests_s
+        return steady_time() - stop.begun_at < self.config.last_requests_s
 
     @property
     def runner(self) -> RequestRunner:
--- a/reachlink/entry/tests/test_relay_node.py
+++ b/reachlink/entry/tests/test_relay_node.py
@@ -133,14 +133,23 @@
     assert node.index.route(large[-1].host, large[-1].path_prefix) == large[-1]
 
 
-def test_a_stopping_instance_takes_no_stream_and_soon_nothing(node):
-    assert node.accepts(RequestKind.STREAM)
+def test_a_stop_without_a_known_end_takes_no_stream_and_soon_nothing(node):
+    deadline = steady_time() + 1.0
+    assert node.accepts(RequestKind.STREAM, deadline)
     node.begin_drain()
     assert node.draining
-    assert not node.accepts(RequestKind.STREAM)
-    assert node.accepts(RequestKind.ONCE)
+    assert not node.accepts(RequestKind.STREAM, deadline)
+    assert node.accepts(RequestKind.ONCE, deadline)
     node.planned_stop = PlannedStop(steady_time() - node.config.last_requests_s)
-    assert not node.accepts(RequestKind.ONCE)
+    assert not node.accepts(RequestKind.ONCE, deadline)
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_a_stop_with_a_known_end_takes_what_is_surely_answered_before_that(node, kind):
+    node.planned_stop = PlannedStop(steady_time(), 8.0)
+    due_at = node.planned_stop.answers_due_at
+    assert node.accepts(kind, due_at)
+    assert not node.accepts(kind, due_at + 0.01)
 
 
 def test_control_instances_of_this_zone_are_asked_first_and_seeds_stay_known(node):
