Planned stop: give what has no answer a final one before the process is ended

Streams without an event, which waited at their replica, were ended by SIGKILL without an answer. Answers that have begun go on until the end. A second signal does not end this.

--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -109,31 +109,25 @@
         node = self._node
         node.begin_drain()
         node.replica_reach.server.drain()
-        ending = asyncio.create_task(self._end_in_time())
-        try:
-            await self._finish()
-        finally:
-            ending.cancel()
-        node.log.info("drained")
-
-    async def _finish(self) -> None:
-        """Finish what runs once the balancer has noticed the planned stop."""
-        node = self._node
+        # It goes on where a second signal ends the drain.
+        self._tasks.append(asyncio.create_task(self._end_in_time()))
         await asyncio.sleep(self._config.balancer_delay_s)
         # What callers have yet to read of whole answers would be cut off as well.
         while node.running_requests or len(node.readers) or node.replica_reach.server.count:
             await asyncio.sleep(DRAIN_POLL_S)
         await self._border.stop_listening()
         await node.connections.finish(UNREAD_PATIENCE_S)
+        node.log.info("drained")
 
     async def _end_in_time(self) -> None:
-        """Log what is unfinished when the final answers are due, if that time is known."""
+        """Log what is unfinished when the final answers are due, and give those that can be."""
         node = self._node
         due_at = node.planned_stop.answers_due_at if node.planned_stop is not None else None
         if due_at is None:
             return
         await asyncio.sleep(max(0.0, due_at - steady_time()))
         log_unfinished(node.log, node.runner.in_progress, steady_time())
+        node.runner.end_unanswered()
 
     async def stop(self) -> None:
         """Close everything, after a bounded wait for the requests that still run."""
--- a/reachlink/requests/_model.py
+++ b/reachlink/requests/_model.py
@@ -83,6 +83,10 @@
     Each method raises `CallerGoneError` if the caller has closed its connection.
     """
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of an answer was written, so that no other answer can be given."""
+
     async def write_whole(self, head: AnswerHead, body: bytes) -> None:
         """Write a whole answer."""
 
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -1,6 +1,7 @@
 """Running a request from its arrival to its final answer."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import Any
 
 from reachlink.delivery import Outcome
@@ -12,6 +13,7 @@
 from reachlink.requests._progress import RequestStage
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.requests._retry_policy import RETRY_AFTER_S
+from reachlink.requests._stop_limits import stopping_failure
 from reachlink.requests._streams import StreamRunner
 from reachlink.requests._whole_answers import WholeRunner
 from reachlink.requests.exceptions import CallerGoneError, RequestFailedError, StreamCutError
@@ -19,6 +21,15 @@
 from reachlink.telemetry import get_logger
 
 
+@dataclass(slots=True)
+class _RunningRequest:
+    """A request and its answer; `stopped` where a planned stop ends it before its deadline."""
+
+    request: CallerRequest
+    sink: AnswerSink
+    stopped: bool = False
+
+
 class RequestRunner:
     """Sends requests of callers to replicas and relays the answers.
 
@@ -34,7 +45,7 @@
         self._whole = WholeRunner(self._dispatcher)
         self._streams = StreamRunner(self._dispatcher)
         # Running requests, each by the timeout that ends it at its deadline.
-        self._running: dict[asyncio.Timeout, CallerRequest] = {}
+        self._running: dict[asyncio.Timeout, _RunningRequest] = {}
         # All requests in progress, also those whose answer the caller has yet to take.
         self._in_progress: dict[int, CallerRequest] = {}
         self._log: Any = get_logger()
@@ -64,9 +75,10 @@
         requests past their deadline end at once.
         """
         now = asyncio.get_running_loop().time()
-        for scope, request in self._running.items():
+        for scope, running in self._running.items():
             if not scope.expired():
-                scope.reschedule(now + max(0.0, request.deadline - self._parts.clock()))
+                left_s = running.request.deadline - self._parts.clock()
+                scope.reschedule(now + max(0.0, left_s))
 
     def begin_stop(self, answers_due_at: float) -> None:
         """Begin a planned stop; refuse requests that wait for a replica and can't end in time.
@@ -78,6 +90,17 @@
         """
         self._dispatcher.stop_limits.begin(answers_due_at)
 
+    def end_unanswered(self) -> None:
+        """End the requests whose callers have got nothing yet, as their answers are due now.
+
+        Answers that have begun go on: breaking them off serves nobody.
+        """
+        now = asyncio.get_running_loop().time()
+        for scope, running in self._running.items():
+            if not running.sink.begun and not scope.expired():
+                running.stopped = True
+                scope.reschedule(now)
+
     async def run(self, request: CallerRequest, sink: AnswerSink) -> None:
         """Run one request to its end.
 
@@ -124,9 +147,10 @@
         """Run one request until its deadline; return its answer if that is no stream."""
         left_s = max(0.0, request.deadline - self._parts.clock())
         scope = asyncio.timeout(left_s)
+        running = _RunningRequest(request, sink)
         try:
             async with scope:
-                self._running[scope] = request
+                self._running[scope] = running
                 # A held request is refused at once, before it waits for a replica.
                 self._dispatcher.guard.check(request.relay.features, request.request_id)
                 if request.route.kind is RequestKind.STREAM:
@@ -135,6 +159,8 @@
         except TimeoutError as error:
             if not scope.expired():
                 raise
+            if running.stopped:
+                raise stopping_failure(request) from error
             raise RequestFailedError(504, "timeout", Outcome.UNKNOWN) from error
         finally:
             self._running.pop(scope, None)
--- a/reachlink/requests/tests/test_stop_limits.py
+++ b/reachlink/requests/tests/test_stop_limits.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from reachlink.delivery import Outcome
 from reachlink.kernel import steady_time
 from reachlink.requests import STOPPING, RequestFailedError, RequestStage
@@ -9,9 +11,11 @@
     FakeSink,
     World,
     answering,
+    event,
     failing,
     wait_until,
     world,
+    world_with_script,
 )
 from reachlink.routing import RequestKind
 from reachlink.upstreams import UpstreamBrokenError
@@ -96,3 +100,32 @@
     setup.adapter.open = stop_and_send
     assert asyncio.run(setup.run(RequestKind.REPEATABLE)).ended
     assert len(setup.adapter.sent) == 2
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_what_has_no_answer_when_answers_are_due_gets_one_that_does_not_deny_the_run(kind):
+    prefix = "m" if kind is RequestKind.STREAM else "p"
+    setup = world_with_script("a", prefix, script=_silent)
+
+    async def story() -> RequestFailedError:
+        running, _ = await _start(setup, kind, RequestStage.SENT)
+        setup.runner.end_unanswered()
+        return await _failure(running)
+
+    error = asyncio.run(story())
+    assert (error.status, error.reason, error.outcome) == (504, STOPPING, Outcome.UNKNOWN)
+
+
+def test_a_stream_that_has_begun_goes_on_when_answers_are_due():
+    setup = world_with_script("a", "m", script=answering(200, event(1), 0.2, event(2)))
+
+    async def story() -> FakeSink:
+        running, sink = await _start(setup, RequestKind.STREAM, RequestStage.ANSWERING)
+        await wait_until(lambda: sink.body)
+        setup.runner.begin_stop(steady_time() + 0.01)
+        setup.runner.end_unanswered()
+        await running
+        return sink
+
+    sink = asyncio.run(story())
+    assert sink.ended and sink.body == event(1) + event(2)
--- a/reachlink/requests/tests/world.py
+++ b/reachlink/requests/tests/world.py
@@ -208,6 +208,10 @@
     body: bytes = b""
     ended: bool = False
 
+    @property
+    def begun(self) -> bool:
+        return self.head is not None
+
     async def write_whole(self, head: AnswerHead, body: bytes) -> None:
         self.head, self.body, self.ended = head, body, True
 
