Own interface: a final answer before a planned stop ends the process

Callers whose requests could not end within the grace saw their connection close without a word at SIGKILL: calls, whole answers, streams, bodies half read, requests that waited for a place. Cause: the planned stop waited for all of them and did not know its end.

Change: where stop_grace_s is known, each request is handled within a scope that ends half a second before. What surely has not run gets 503, anything else 504 with outcome unknown (a claimed key is completed the same way, in the background); a stream that has begun gets an error event and is closed, and its generation is not cancelled here: the guardian does so after the grace to reconnect, so that the caller can go on elsewhere with the last event id. The drain ends by itself, 0.2 s after the answers were due. A forced stop does not outlast that time either.

Ways weighed for streams: cut by SIGKILL as now (callers with the last event id can resume as well, but can't tell it from a failed network); broken off at once where they can't end (the caller goes without tokens that it could have had, and all come back elsewhere in one moment); broken off shortly before the end with an event (chosen).

--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -17,6 +17,7 @@
 )
 from reachlink.entry._claims import ClaimedKey
 from reachlink.entry._dispatcher import Ticket
+from reachlink.entry._final_answers import is_broken_off, set_outcome
 from reachlink.entry._http import (
     MAX_BODY_BYTES,
     REQUEST_HEADER,
@@ -29,7 +30,7 @@
 from reachlink.entry._prompt_parts import prompt_parts
 from reachlink.entry._sinks import BufferSink, StreamSink
 from reachlink.entry._unforeseen import unforeseen_error
-from reachlink.entry.exceptions import RequestError
+from reachlink.entry.exceptions import RequestError, stopping_error
 from reachlink.kernel import json_response, steady_time
 from reachlink.lengths import LengthKey
 from reachlink.placement import MemoryProfile, PlacementRequest
@@ -92,6 +93,7 @@
         if last_event:
             position = node.positions.decode(last_event)
             return await self._resume(request, workspace, position)
+        set_outcome(request, lambda: Outcome.NOT_RUN)
         raw = await read_body(request, MAX_BODY_BYTES)
         body = parse_body(raw, request.path)
         service = await self._service_of(body.model)
@@ -197,9 +199,11 @@
         if body.stream:
             sink = StreamSink(request, job.request_id, self._node.positions)
             run = AnswerRun(self._node, job, sink)
-            return await self._stream(run, sink, admission, claim, run.run())
+            set_outcome(request, lambda: run.outcome)
+            return await self._stream(request, run, sink, admission, claim, run.run())
         buffer = BufferSink(request["held"])
         run = AnswerRun(self._node, job, buffer)
+        set_outcome(request, lambda: run.outcome)
         outcome = Outcome.UNKNOWN
         try:
             await run.run()
@@ -221,6 +225,7 @@
 
     async def _stream(
         self,
+        request: web.Request,
         run: AnswerRun,
         sink: StreamSink,
         admission: Admission,
@@ -238,6 +243,10 @@
             await sink.fail(error)
         except (asyncio.CancelledError, Exception) as error:
             outcome = run.outcome
+            if is_broken_off(request) and sink.response is not None:
+                # Not cancelled: its caller may go on with it at another instance.
+                await sink.fail(stopping_error(Outcome.RAN))
+                return sink.response
             self._node.spawn(run.abandon())
             if sink.response is None or sink.caller_is_gone:
                 raise
@@ -272,10 +281,13 @@
             raise RequestError(410, "answer_lost", "its upstream is gone", Outcome.RAN)
         policy = node.tree.policy(service.name, workspace, node.zone)
         job = self._resumed_job(service, policy, workspace, position)
+        # With 503 the caller would take it for not run, and ask anew.
+        set_outcome(request, lambda: Outcome.RAN)
         sink = StreamSink(request, position.request_id, node.positions)
         run = AnswerRun(node, job, sink)
         with Admission(node, service.name, workspace, policy, counted=False) as admission:
-            return await self._stream(run, sink, admission, None, run.resume(position, replica))
+            work = run.resume(position, replica)
+            return await self._stream(request, run, sink, admission, None, work)
 
     def _resumed_job(
         self, service: ServiceInfo, policy: ServicePolicy, workspace: str, position: Position
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -14,6 +14,7 @@
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._digests import Digest, PlacementNote
 from reachlink.entry._follower import SettingsFollower
+from reachlink.entry._forced_stop import forced_patience_s
 from reachlink.entry._guardians import CarriedReport
 from reachlink.entry._http import Handler, error_middleware
 from reachlink.entry._node import (
@@ -36,8 +37,8 @@
 
 CHANNEL_DIGEST = "digest"
 DRAIN_POLL_S = 0.05
-# How long a forced stop waits for the requests that still run, in seconds.
-FORCED_PATIENCE_S = 60.0
+# Time in seconds that a planned stop goes on after all final answers were due.
+LAST_WRITES_S = 0.2
 # How many replicas are read in one round, whatever their number.
 MAX_REPORTS = 6
 MAX_CACHES = 3
@@ -115,6 +116,16 @@
         node = self._node
         node.begin_drain()
         node.replica_reach.server.drain()
+        try:
+            async with asyncio.timeout(self._longest_drain_s()):
+                await self._finish()
+        except TimeoutError:
+            # The process is about to be ended: the guardian takes over what still runs.
+            node.tell_guardian()
+        node.log.info("drained", running=node.running_requests, background=len(node.tasks))
+
+    async def _finish(self) -> None:
+        """Finish what runs once the balancer has noticed the planned stop."""
         await asyncio.sleep(self._config.balancer_delay_s)
         while self._in_progress:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -122,14 +133,19 @@
         await self._connections.finish(SLOW_READER_S)
         while self._in_progress:
             await asyncio.sleep(DRAIN_POLL_S)
-        node.log.info("drained")
+
+    def _longest_drain_s(self) -> float | None:
+        """Return how long a planned stop may last, in seconds; None where nothing ends it."""
+        stop = self._node.planned_stop
+        due_at = stop.answers_due_at if stop is not None else None
+        return None if due_at is None else due_at - steady_time() + LAST_WRITES_S
 
     async def stop(self) -> None:
         """Close everything, after a bounded wait for the requests that still run."""
         node = self._node
         await self._stop_listening()
         # Requests that still run may need another replica, or newer settings, to go on.
-        await self._connections.end(FORCED_PATIENCE_S)
+        await self._connections.end(forced_patience_s(node.planned_stop, steady_time()))
         for task in self._tasks:
             task.cancel()
         self._connections.close()
--- /dev/null
+++ b/reachlink/entry/_forced_stop.py
@@ -0,0 +1,22 @@
+"""How long a forced stop waits."""
+
+from reachlink.entry._planned_stop import PlannedStop
+
+# How long a forced stop waits for the requests that still run, in seconds.
+FORCED_PATIENCE_S = 60.0
+
+
+def forced_patience_s(stop: PlannedStop | None, now: float) -> float:
+    """Return how long a forced stop waits for the requests that still run, in seconds.
+
+    Parameters
+    ----------
+    stop : PlannedStop, optional
+        The planned stop that it ends; None if there was none.
+    now : float
+        Monotonic time in seconds.
+    """
+    due_at = stop.answers_due_at if stop is not None else None
+    if due_at is None:
+        return FORCED_PATIENCE_S
+    return max(0.0, min(FORCED_PATIENCE_S, due_at - now))
--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -11,6 +11,7 @@
 from reachlink.control import ControlUnavailableError, OutcomeUnknownError
 from reachlink.delivery import InvalidPositionError, Outcome
 from reachlink.entry._caller_state import is_open
+from reachlink.entry._final_answers import is_broken_off
 from reachlink.entry._node import EntryNode
 from reachlink.entry._unforeseen import unforeseen_error
 from reachlink.entry.exceptions import (
@@ -77,7 +78,8 @@
         started_at = steady_time()
         node.running_requests += 1
         try:
-            response = await handler(request)
+            async with node.final_answers.scope(request):
+                response = await handler(request)
             # Here, since the server closes the connection where a header field cannot be sent.
             await response.prepare(request)
             return response
@@ -90,6 +92,8 @@
                 RequestError(400, "invalid_body", reason, param="body"), request_id
             )
         except RequestError as error:
+            if is_broken_off(request):
+                return _last_response(error, request_id)
             _log_refusal(node, request_id, error)
             return error_response(error, request_id)
         except web.HTTPException as error:
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -15,6 +15,7 @@
 from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
 from reachlink.entry._dispatcher import Dispatcher, Ticket
 from reachlink.entry._entry_metrics import EntryMetrics
+from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._guardians import (
     CarriedBook,
     CarriedGeneration,
@@ -130,6 +131,7 @@
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
         self.planned_stop: PlannedStop | None = None
+        self.final_answers = FinalAnswers(lambda: self.log)
         self.explained: OrderedDict[str, Decision] = OrderedDict()
         self.tasks: set[asyncio.Task[None]] = set()
         self._adapters: dict[str, Any] = {}
@@ -153,6 +155,9 @@
         grace_s = self.config.stop_grace_s
         self.planned_stop = PlannedStop(steady_time(), grace_s)
         self.log.info("draining", running=self.running_requests, grace_s=grace_s)
+        due_at = self.planned_stop.answers_due_at
+        if due_at is not None:
+            self.final_answers.set_due(due_at)
 
     def zone_peers(self) -> list[str]:
         """Return the addresses of the other entry instances of this zone."""
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -11,6 +11,7 @@
 from reachlink.entry._chat import is_repeatable
 from reachlink.entry._claims import ClaimedKey
 from reachlink.entry._dispatcher import no_replica, replicas_held_back
+from reachlink.entry._final_answers import is_broken_off, set_outcome
 from reachlink.entry._http import (
     MAX_BODY_BYTES,
     REQUEST_HEADER,
@@ -88,6 +89,7 @@
         service = await self._service_of(request.path)
         workspace = await require_workspace(node, request)
         policy = node.tree.policy(service.name, workspace, node.zone)
+        set_outcome(request, lambda: Outcome.NOT_RUN)
         body = await read_body(request, min(MAX_BODY_BYTES, policy.body_bytes))
         repeatable = is_repeatable(request, policy)
         claim = ClaimedKey.from_request(node, request, repeatable, workspace, body, policy)
@@ -139,6 +141,7 @@
             SendRecord(once=not repeatable),
         )
         attempts = _Attempts()
+        set_outcome(request, lambda: attempts.outcome)
         outcome = Outcome.UNKNOWN
         answer: CallResponse | None = None
         try:
@@ -155,17 +158,18 @@
             labels = {"service": service.name, "outcome": outcome.value}
             self._node.metrics.requests.add(1, labels)
             if claim is not None:
-                await self._record(claim, outcome, answer)
+                await self._record(claim, outcome, answer, is_broken_off(request))
 
     async def _record(
-        self, claim: ClaimedKey, outcome: Outcome, answer: CallResponse | None
+        self, claim: ClaimedKey, outcome: Outcome, answer: CallResponse | None, at_once: bool
     ) -> None:
-        """Store the answer; a slow quorum does not hold the caller up for long."""
+        """Store the answer; a slow quorum does not hold the caller up for long, or `at_once`."""
         stored = StoredAnswer(answer.status, answer.content_type, answer.body) if answer else None
         task = asyncio.ensure_future(claim.complete(outcome, stored, CALL_TIMEOUT_S))
         self._node.tasks.add(task)
         task.add_done_callback(self._node.tasks.discard)
-        await asyncio.wait({task}, timeout=RECORD_TIMEOUT_S)
+        if not at_once:
+            await asyncio.wait({task}, timeout=RECORD_TIMEOUT_S)
 
     async def _attempts(
         self,
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -9,6 +9,7 @@
 
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder
 from reachlink.entry._follower import SettingsFollower
+from reachlink.entry._forced_stop import forced_patience_s
 from reachlink.entry._list_reader import ListReader
 from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._relay_config import RelayConfig
@@ -21,8 +22,6 @@
 DRAIN_POLL_S = 0.05
 # How long a planned stop waits for a caller that reads nothing of its last answer, in seconds.
 UNREAD_PATIENCE_S = 2.0
-# How long a forced stop waits for the requests that still run, in seconds.
-FORCED_PATIENCE_S = 60.0
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -134,7 +133,7 @@
         node = self._node
         await self._border.stop_listening()
         # Requests that still run may need another replica, or a newer table, to go on.
-        await node.connections.end(FORCED_PATIENCE_S)
+        await node.connections.end(forced_patience_s(node.planned_stop, steady_time()))
         for task in self._tasks:
             task.cancel()
         await self._border.close()
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -7,6 +7,9 @@
 
 # Time to come back where the instance holds as much as it may, in seconds.
 HELD_RETRY_S = 0.3
+# Code of the final answers of an instance that stops, and the time to come back in seconds:
+# another instance is ready.
+STOPPING, STOPPING_RETRY_S = "instance_stopping", 0.05
 # Time to come back where nobody confirms the settings, in seconds.
 UNCONFIRMED_RETRY_S = 0.5
 
@@ -109,6 +112,22 @@
     )
 
 
+def stopping_error(outcome: Outcome) -> RequestError:
+    """Return the final answer of an instance that stops before a request is done.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What is known of the request. Only what has surely not run gets the status that
+        promises so.
+    """
+    if outcome is Outcome.NOT_RUN:
+        message = "this instance stops before the request could end; another one takes it"
+        return RequestError(_NOT_RUN_STATUS, STOPPING, message, outcome, STOPPING_RETRY_S)
+    message = "this instance stops before the answer was whole"
+    return RequestError(504, STOPPING, message, outcome, STOPPING_RETRY_S)
+
+
 class HeldOverBudgetError(RequestError):
     """A body that the instance has no room for; what is left of it is not read.
 
--- a/reachlink/entry/tests/test_forced_stop.py
+++ b/reachlink/entry/tests/test_forced_stop.py
@@ -6,8 +6,10 @@
 
 import pytest
 
-from reachlink.entry import _daemon, _relay_daemon
+from reachlink.entry import _forced_stop
 from reachlink.entry._caller_connections import CallerConnections
+from reachlink.entry._forced_stop import FORCED_PATIENCE_S, forced_patience_s
+from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._relay_daemon import RelayDaemon
 from reachlink.entry.tests.own_instance import (
     ENGINE_HEAD,
@@ -98,7 +100,7 @@
 
 
 def test_a_forced_stop_does_not_cut_requests_without_naming_them(monkeypatch):
-    monkeypatch.setattr(_daemon, "FORCED_PATIENCE_S", SHORT_S)
+    monkeypatch.setattr(_forced_stop, "FORCED_PATIENCE_S", SHORT_S)
 
     async def story():
         gate = Gate()
@@ -117,7 +119,7 @@
 
 
 def test_a_forced_stop_that_cuts_many_requests_does_not_log_a_line_for_each(monkeypatch):
-    monkeypatch.setattr(_daemon, "FORCED_PATIENCE_S", SHORT_S)
+    monkeypatch.setattr(_forced_stop, "FORCED_PATIENCE_S", SHORT_S)
 
     async def story():
         gate = Gate()
@@ -182,6 +184,7 @@
         client=ending,
         bus=part,
         metrics=part,
+        planned_stop=None,
     )
     return {
         "_node": node,
@@ -212,5 +215,10 @@
     assert asyncio.run(story()) == (True, ["drain ended", "stop"])
 
 
-def test_both_daemons_wait_equally_long():
-    assert _daemon.FORCED_PATIENCE_S == _relay_daemon.FORCED_PATIENCE_S
+def test_a_forced_stop_does_not_wait_beyond_the_end_of_the_planned_one():
+    stop = PlannedStop(100.0, 8.0)
+    assert forced_patience_s(stop, 106.0) == stop.answers_due_at - 106.0
+    assert forced_patience_s(stop, 108.0) == 0.0
+    assert forced_patience_s(PlannedStop(100.0, 900.0), 106.0) == FORCED_PATIENCE_S
+    assert forced_patience_s(PlannedStop(100.0), 106.0) == FORCED_PATIENCE_S
+    assert forced_patience_s(None, 106.0) == FORCED_PATIENCE_S
