Own interface: refuse at once what a planned stop does not let end

Change: a request is begun only if it ends before the final answers are due, by the 0.95 quantile of the service's last 64 durations (a service without any: 30 s for a call, no bound for a generation). Looked at when it comes, when the stop begins (waiting ones), and again when it gets its place. What may run once is not begun on an estimate: a call needs the 30 s that it may take, a whole answer is refused, a stream is judged like others since it can be resumed. Rests of answers are always taken: each event that their callers get is won.

Weighed: a refused request costs its caller one more send elsewhere; one that is cut costs the answer, or leaves open whether it ran. So the estimate leans towards refusing.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -178,6 +178,8 @@
         # At once, before it waits for room, and again when it has got some.
         guard.check(job.request.features, job.request_id)
         replica = await self._place()
+        # The place may have come late within a planned stop.
+        self._node.check_end(self._node.longest_s(job.ticket))
         await guard.admit(job.request.features, job.request_id)
         if not self._earned_retries:
             self._earned_retries = True
--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -104,6 +104,7 @@
             )
         job = self._job(request, service, policy, workspace, raw, body)
         claim = ClaimedKey.from_request(node, request, job.repeatable, workspace, raw, policy)
+        node.check_end(node.longest_s(job.ticket))
         with Admission(node, service.name, workspace, policy) as admission:
             if claim is not None:
                 stored = await claim.claim()
@@ -158,6 +159,7 @@
             deadline=steady_time() + policy.queue_wait_s,
             version=body.model,
             max_tokens=max_tokens,
+            only_whole_once=not (repeatable or body.stream),
         )
         return AnswerJob(
             request_id=request["request_id"],
@@ -200,7 +202,10 @@
             sink = StreamSink(request, job.request_id, self._node.positions)
             run = AnswerRun(self._node, job, sink)
             set_outcome(request, lambda: run.outcome)
-            return await self._stream(request, run, sink, admission, claim, run.run())
+            answer = await self._stream(request, run, sink, admission, claim, run.run())
+            if run.delivery.finished:
+                self._note_duration(job)
+            return answer
         buffer = BufferSink(request["held"])
         run = AnswerRun(self._node, job, buffer)
         set_outcome(request, lambda: run.outcome)
@@ -208,6 +213,7 @@
         try:
             await run.run()
             outcome = Outcome.RAN
+            self._note_duration(job)
         except RequestError as error:
             outcome = error.outcome
             raise
@@ -220,8 +226,11 @@
             self._count(job, outcome, run)
             if claim is not None:
                 claim.complete_later(outcome, None)
-        answer = whole_answer(job.request_id, body.model, request.path, buffer.events)
-        return json_response(answer, headers={REQUEST_HEADER: job.request_id})
+        whole = whole_answer(job.request_id, body.model, request.path, buffer.events)
+        return json_response(whole, headers={REQUEST_HEADER: job.request_id})
+
+    def _note_duration(self, job: AnswerJob) -> None:
+        self._node.durations.add(job.service.name, steady_time() - job.started_at)
 
     async def _stream(
         self,
--- a/reachlink/entry/_dispatcher.py
+++ b/reachlink/entry/_dispatcher.py
@@ -63,6 +63,8 @@
         Model version that the replica must serve; empty for any.
     max_tokens : int
         Longest output that the caller allows.
+    only_whole_once : bool
+        Whether it may run once, and its answer can't be gone on with elsewhere.
     flight : InFlight, optional
         Its place in the ledger from the moment that it is placed.
     """
@@ -79,6 +81,7 @@
     excluded: set[str] = field(default_factory=set)
     version: str = ""
     max_tokens: int = UNLIMITED
+    only_whole_once: bool = False
     flight: InFlight | None = None
 
 
@@ -183,6 +186,14 @@
         if not len(self._queue):
             self._throughput.on_idle(now)
 
+    def refuse(self, refusal: Callable[[Ticket], RequestError | None]) -> None:
+        """Refuse the waiting requests for which there is a refusal."""
+        for waiting in self._queue.ordered(self._clock()):
+            error = refusal(waiting.item.ticket)
+            if error is not None:
+                self._queue.remove(waiting)
+                _refuse(waiting.item, error)
+
     def expected_wait_s(self, position: int) -> float:
         """Return how long a request at a position in the queue will wait."""
         return self._throughput.expected_wait_s(position, self._clock())
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -8,12 +8,13 @@
 
 from reachlink.control import ControlClient
 from reachlink.coordination import LimitExchange, QuarantineExchange
-from reachlink.delivery import PositionCodec
+from reachlink.delivery import Outcome, PositionCodec
 from reachlink.entry._cancellation import Cancellation
 from reachlink.entry._config import EntryConfig
 from reachlink.entry._configured_node import ConfiguredNode
 from reachlink.entry._digests import Digest, DigestBook, PlacementNote, ReplicaLoad
 from reachlink.entry._dispatcher import Dispatcher, Ticket
+from reachlink.entry._durations import RecentDurations
 from reachlink.entry._entry_metrics import EntryMetrics
 from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._guardians import (
@@ -26,6 +27,7 @@
 from reachlink.entry._ledger import Ledger
 from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._replica_reach import ReplicaReach
+from reachlink.entry.exceptions import RequestError, stopping_error
 from reachlink.kernel import steady_time
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import BufferBudget, QuotaTracker, RetryBudget
@@ -131,6 +133,7 @@
         self.running_requests = 0
         self.not_ready_reason = "starting: no settings yet"
         self.planned_stop: PlannedStop | None = None
+        self.durations = RecentDurations()
         self.final_answers = FinalAnswers(lambda: self.log)
         self.explained: OrderedDict[str, Decision] = OrderedDict()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -158,6 +161,40 @@
         due_at = self.planned_stop.answers_due_at
         if due_at is not None:
             self.final_answers.set_due(due_at)
+            for dispatcher in self._dispatchers.values():
+                dispatcher.refuse(self._refuse_late)
+
+    def can_end_in(self, longest_s: float) -> bool:
+        """Return whether what takes some time in seconds ends before a planned stop does."""
+        due_at = None if self.planned_stop is None else self.planned_stop.answers_due_at
+        return due_at is None or steady_time() + longest_s <= due_at
+
+    def check_end(self, longest_s: float) -> None:
+        """Make sure that what has yet to begin ends before a planned stop does.
+
+        Parameters
+        ----------
+        longest_s : float
+            How long it takes, in seconds.
+
+        Raises
+        ------
+        RequestError
+            If it does not; it has not run.
+        """
+        if not self.can_end_in(longest_s):
+            raise stopping_error(Outcome.NOT_RUN)
+
+    def longest_s(self, ticket: Ticket) -> float:
+        """Return how long a generation may take, in seconds."""
+        # Nothing bounds it, and to be told that it may have run is the worst of all answers.
+        return (
+            float("inf") if ticket.only_whole_once else self.durations.longest_s(ticket.key.service)
+        )
+
+    def _refuse_late(self, ticket: Ticket) -> RequestError | None:
+        late = not self.can_end_in(self.longest_s(ticket))
+        return stopping_error(Outcome.NOT_RUN) if late else None
 
     def zone_peers(self) -> list[str]:
         """Return the addresses of the other entry instances of this zone."""
--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -93,6 +93,7 @@
         body = await read_body(request, min(MAX_BODY_BYTES, policy.body_bytes))
         repeatable = is_repeatable(request, policy)
         claim = ClaimedKey.from_request(node, request, repeatable, workspace, body, policy)
+        node.check_end(self._longest_s(service, repeatable))
         with Admission(node, service.name, workspace, policy):
             if claim is not None:
                 stored = await claim.claim()
@@ -105,6 +106,12 @@
             headers={"Content-Type": answer.content_type, REQUEST_HEADER: request["request_id"]},
         )
 
+    def _longest_s(self, service: ServiceInfo, repeatable: bool) -> float:
+        """Return how long a call may take, in seconds."""
+        known_s = self._node.durations.longest_s(service.name)
+        # One that may run once is not begun on an estimate.
+        return min(known_s, CALL_TIMEOUT_S) if repeatable else CALL_TIMEOUT_S
+
     async def _service_of(self, path: str) -> ServiceInfo:
         unknown = RequestError(404, "not_found", f"nothing is served at {path}")
         return await find_in_settings(self._node, lambda: self._find_service(path), unknown)
@@ -141,12 +148,14 @@
             SendRecord(once=not repeatable),
         )
         attempts = _Attempts()
+        began_at = steady_time()
         set_outcome(request, lambda: attempts.outcome)
         outcome = Outcome.UNKNOWN
         answer: CallResponse | None = None
         try:
             answer = await self._attempts(service, policy, repeatable, call, attempts)
             outcome = Outcome.RAN
+            self._node.durations.add(service.name, steady_time() - began_at)
             return answer
         except RequestError as error:
             outcome = error.outcome
@@ -188,7 +197,7 @@
         attempt = 1
         while attempt <= MAX_ATTEMPTS:
             try:
-                replica = await self._choose_in_time(service, excluded, wait_until)
+                replica = await self._choose_in_time(service, excluded, wait_until, repeatable)
             except RequestError as error:
                 if not attempts.may_have_run:
                     raise
@@ -263,7 +272,7 @@
             node.ledger.finish(flight, ended=False)
 
     async def _choose_in_time(
-        self, service: ServiceInfo, excluded: set[str], until: float
+        self, service: ServiceInfo, excluded: set[str], until: float, repeatable: bool
     ) -> Replica:
         """Return the replica for a call, after a wait where all are held back.
 
@@ -278,6 +287,7 @@
             hold = node.hold(service.upstream, excluded)
             if admitted or hold is None:
                 return self._choose(admitted)
+            self._node.check_end(self._longest_s(service, repeatable))
             if steady_time() + hold.remaining_s >= until:
                 raise replicas_held_back(hold)
             await asyncio.sleep(HELD_LOOK_S)
