Own interface: a stopping instance leaves unread generations to its guardian

Callers whose connection to a stopping instance closed (their own network, or a forced stop) found 410 answer_lost when they came back with their last event id elsewhere: within a planned stop an unread generation was cancelled at once rather than after the grace to reconnect that callers are promised.

Cause: the instance would not live until the end of the grace, so it did not wait. It has a guardian that does. Change: in a planned stop, a stream that can be resumed stays with the guardian, which is told at once; without any peer, and for whole answers, which can't be resumed, it is cancelled as before.

Log lines about cancelled generations are now collected in tests of an own instance: absences of such lines that the tests of the planned stop assert could not be seen before.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -488,6 +488,10 @@
         replica, generation = self._replica, self._delivery.generation
         if replica is None or not generation or self._delivery.finished:
             return
-        await asyncio.sleep(0.0 if self._node.draining else self._job.policy.grace_s)
+        if self._node.draining:
+            if not self._job.buffered and self._node.hand_over():
+                return
+        else:
+            await asyncio.sleep(self._job.policy.grace_s)
         await self._cancel(replica, generation)
         self._node.carried.remove(generation)
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -276,6 +276,11 @@
             if peer.name == guardian:
                 self.bus.send(peer.address, CHANNEL_CARRIED, encode(report))
 
+    def hand_over(self) -> bool:
+        """Leave what is carried here to the guardian; return whether there is one."""
+        self.tell_guardian()
+        return bool(self.digests.digests())
+
     def cancel_orphans(self, silent: list[str]) -> None:
         """Cancel, after the grace to reconnect, what silent wards carried."""
         for orphan in self.wards.orphans(silent):
--- a/reachlink/entry/tests/own_instance.py
+++ b/reachlink/entry/tests/own_instance.py
@@ -163,6 +163,7 @@
         self.log = EventLog()
         self.node.log = self.log
         self.daemon._connections._log = self.log
+        self.node.cancellation._log = self.log
         self.port = 0
 
     async def __aenter__(self) -> "OwnInstance":
