Tests: slow readers and operators' changes at the end of a planned stop

A caller that reads nothing does not make the stop outlast its grace; a change that the control instances have not decided gets 504, outcome unknown.

--- a/reachlink/entry/tests/test_end_of_planned_stop.py
+++ b/reachlink/entry/tests/test_end_of_planned_stop.py
@@ -18,11 +18,19 @@
     wait_until,
 )
 from reachlink.placement import Decision, Verdict
+from reachlink.settings import hash_key
 
 CHAT = "/v1/chat/completions"
 CALL = "/readings/x"
 GRACE_S = 2.0
 LONG_WAITS = {f"services.{MODEL}.limits.queue_wait_s": 60.0}
+# More than the buffers of the system hold for a connection within a machine.
+LONG_EVENTS, EVENT_CHARACTERS = 200, 100_000
+OPERATOR_KEY = b"key-of-an-operator"
+OPERATOR = {
+    "operators.o1.key_hash": hash_key(OPERATOR_KEY.decode()),
+    "operators.o1.role": "operator",
+}
 ONCE = b"Reachlink-Repeatable: no\r\n"
 
 
@@ -158,6 +166,44 @@
     assert asyncio.run(story())
 
 
+def test_a_caller_that_reads_nothing_does_not_make_a_planned_stop_outlast_its_grace():
+    async def serve_long(request, writer):
+        writer.write(ENGINE_HEAD)
+        for offset in range(LONG_EVENTS):
+            text = "x" * EVENT_CHARACTERS
+            writer.write(chat_event(request.headers["X-Request-Id"], offset, text=text))
+            await writer.drain()
+
+    async def story():
+        async with OwnInstance(Replica(serve_long), stop_grace_s=GRACE_S) as instance:
+            caller = await instance.connect(receive_buffer_bytes=4096)
+            caller.send(CHAT, chat_body(stream=True))
+            await wait_until(lambda: instance.node.carried._held != {})
+            was_done = await stop_and_kill(instance)
+            return was_done, instance.log, caller
+
+    was_done, log, _ = asyncio.run(story())
+    assert was_done
+    assert len(log.named("request_unfinished")) == 1
+
+
+def test_an_operators_change_that_is_not_decided_is_not_cut_without_an_answer():
+    async def undecided(*question):
+        await asyncio.Event().wait()
+
+    async def story():
+        async with OwnInstance(settings=OPERATOR, stop_grace_s=GRACE_S) as instance:
+            instance.node.control.propose = undecided
+            caller = await instance.connect()
+            order = msgspec.json.encode({"out_of_service": True, "reason": "test"})
+            caller.send("/v1/zones/a", order, key=OPERATOR_KEY)
+            await wait_until(lambda: instance.node.running_requests == 1)
+            return await answer_at_stop(instance, caller)
+
+    answer = asyncio.run(story())
+    assert (answer.status, answer.error()["outcome"]) == (504, "unknown")
+
+
 def test_a_planned_stop_without_a_known_end_does_not_break_off_what_runs():
     async def story():
         released, replica = asyncio.Event(), Replica(serve_one_token)
