--- a/reachlink/entry/tests/test_held_bodies.py
+++ b/reachlink/entry/tests/test_held_bodies.py
@@ -6,6 +6,7 @@
 
 from aiohttp import ClientSession, web
 
+from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._http import error_middleware, read_body
 from reachlink.limits import BufferBudget, BufferKind
 
@@ -20,6 +21,7 @@
         self.node = cast(Any, SimpleNamespace)(
             held=BufferBudget(held_bytes),
             running_requests=0,
+            final_answers=FinalAnswers(lambda: None),
             on_body_refused=lambda request_id, size: self.refused.append(size),
         )
         self.gate = asyncio.Event()
