Tests: the claim of a call that a planned stop breaks off

Its key is completed as unknown before the drain ends, so that a second request with it is not told in_progress for as long as claims are kept.

--- a/reachlink/entry/tests/test_claims.py
+++ b/reachlink/entry/tests/test_claims.py
@@ -171,3 +171,29 @@
     answer, before, after = asyncio.run(story())
     assert (answer.status, before) == (200, [])
     assert [command.outcome for command in after] == ["ran"]
+
+
+def test_a_claim_does_not_stay_open_when_a_planned_stop_breaks_its_call_off():
+    grace_s = 1.0
+
+    async def story():
+        begun = asyncio.Event()
+
+        async def serve_never(request, writer):
+            begun.set()
+            await asyncio.Event().wait()
+
+        async with OwnInstance(Replica(serve_never), stop_grace_s=grace_s) as instance:
+            claims = instance.node.control = SlowClaims()
+            claims.answer.set()
+            caller = await instance.connect()
+            caller.send("/readings/x", headers=KEY_HEADERS)
+            await begun.wait()
+            draining = asyncio.create_task(instance.daemon.drain())
+            answer = await caller.answer()
+            await draining
+            return answer, claims.completed
+
+    answer, completed = asyncio.run(story())
+    assert (answer.status, answer.error()["outcome"]) == (504, "unknown")
+    assert [command.outcome for command in completed] == ["unknown"]
