Queues: a request whose instance stops keeps its age at another one

An instance that takes a request back from a queue tells the owner whether it does so because it stops; the owner keeps the age for the caller's next attempt, as it does for those that it refuses itself. The message has one more field at its end, which older owners ignore.

--- a/reachlink/coordination/_coordinator.py
+++ b/reachlink/coordination/_coordinator.py
@@ -229,7 +229,7 @@
     async def _on_left(self, sender: str, body: bytes) -> bytes:
         left = decode(body, QueueLeft)
         if self._queue_owner is not None:
-            self._queue_owner.leave(left.service, left.request_id)
+            self._queue_owner.leave(left.service, left.request_id, left.instance_stops)
         return b""
 
     def _decide(self, query: PlacementQuery) -> ListedReplica | None:
--- a/reachlink/coordination/_messages.py
+++ b/reachlink/coordination/_messages.py
@@ -26,7 +26,7 @@
 
 
 class QueueLeft(msgspec.Struct, array_like=True, frozen=True):
-    """Removes a request from the queue, as its caller is gone.
+    """Removes a request from the queue, as its caller is gone or its instance stops.
 
     Attributes
     ----------
@@ -34,10 +34,13 @@
         Name of the request's service.
     request_id : str
         Id of the request.
+    instance_stops : bool
+        Whether its instance stops, so that its caller comes back through another one.
     """
 
     service: str
     request_id: str
+    instance_stops: bool = False
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, frozen=True):
--- a/reachlink/coordination/_queue_client.py
+++ b/reachlink/coordination/_queue_client.py
@@ -49,6 +49,8 @@
         one queue; None if each zone has its own.
     clock : callable
         Returns the monotonic time in seconds.
+    is_stopping : callable
+        Returns whether a planned stop of this instance has begun.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         count: Callable[[str], None],
         silent_zones: Callable[[], Set[str]] | None = None,
         clock: Callable[[], float] = steady_time,
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_stopping = is_stopping
         self._selector = selector
         self._name = name
         self._bus = bus
@@ -132,12 +136,14 @@
             self._send_left(owner, query)
             return None
         except asyncio.CancelledError:
-            self._send_left(owner, query)
+            self._send_left(owner, query, self._is_stopping())
             raise
 
-    def _send_left(self, owner: InstanceRecord, query: PlacementQuery) -> None:
+    def _send_left(
+        self, owner: InstanceRecord, query: PlacementQuery, instance_stops: bool = False
+    ) -> None:
         """Tell an owner to drop a request: a place granted to it would stay unused."""
-        left = QueueLeft(query.service, query.request_id)
+        left = QueueLeft(query.service, query.request_id, instance_stops)
         self._bus.send(owner.address, CHANNEL_QUEUE_LEFT, encode(left))
 
     async def _call(self, owner: InstanceRecord, query: PlacementQuery) -> bytes:
--- a/reachlink/coordination/_queue_outcomes.py
+++ b/reachlink/coordination/_queue_outcomes.py
@@ -134,10 +134,14 @@
 
     def record_left(self, queue: ServiceQueue, waiting: QueuedRequest, reason: str) -> None:
         """Record that a request has left the queue without a place, and why."""
-        _, reservation = queue.arrivals.pop(waiting.request_id, (None, None))
-        if reason == "lease" and reservation is not None:
-            self._ledger.registry.restore(reservation, self._clock())
-        if reason in ("gone", "lease"):
+        now, registry = self._clock(), self._ledger.registry
+        query, reservation = queue.arrivals.pop(waiting.request_id, (None, None))
+        if reason in ("lease", "stopping") and reservation is not None:
+            registry.restore(reservation, now)
+        elif reason == "stopping" and query is not None:
+            need = waiting.need_at(now)
+            registry.reserve(query.fingerprint, queue.service, need, Refuse(0.0), now)
+        if reason in ("gone", "lease", "stopping"):
             self._count(queue.service, "left")
         self._log.info(
             "line_left",
--- a/reachlink/coordination/_queue_owner.py
+++ b/reachlink/coordination/_queue_owner.py
@@ -76,6 +76,8 @@
     random : random.Random, optional
         Adds jitter to the retry times of refused requests, and draws the requests for which
         replicas are compared.
+    is_stopping : callable
+        Returns whether a planned stop of this instance has begun.
     """
 
     def __init__(
@@ -89,7 +91,9 @@
         count: Callable[[str, str], None] = lambda service, outcome: None,
         clock: Callable[[], float] = steady_time,
         random: Random | None = None,
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_stopping = is_stopping
         self._name = name
         self._placer = placer
         self._peer_load = peer_load
@@ -151,20 +155,30 @@
         try:
             reply = await self.answer(structs.replace(query, instance=self._name))
         except asyncio.CancelledError:
-            self.leave(query.service, query.request_id)
+            self.leave(query.service, query.request_id, self._is_stopping())
             raise
         # From here on the allocation of the request counts instead of the grant.
         self._peer_load.forget(self._name)
         return reply
 
-    def leave(self, service: str, request_id: str) -> None:
-        """Remove a request from the queue, as its caller is gone."""
+    def leave(self, service: str, request_id: str, instance_stops: bool = False) -> None:
+        """Remove a request from the queue, as its caller is gone or its instance stops.
+
+        Parameters
+        ----------
+        service : str
+            Name of the request's service.
+        request_id : str
+            Id of the request.
+        instance_stops : bool
+            Whether its instance stops: its retry through another one keeps its age.
+        """
         queue = self._queues.get(service)
         if queue is None:
             return
         waiting = queue.requests.leave(request_id, self._clock())
         if waiting is not None:
-            self._outcomes.record_left(queue, waiting, "gone")
+            self._outcomes.record_left(queue, waiting, "stopping" if instance_stops else "gone")
         queue.answer_without_place(request_id, Wait(0.0))
 
     def _service(self, name: str) -> Service | None:
--- a/reachlink/coordination/tests/test_queue_refusals.py
+++ b/reachlink/coordination/tests/test_queue_refusals.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pytest
 from structlog.testing import capture_logs
 
 from reachlink.coordination.tests.test_queue import make_queued_query
@@ -106,6 +107,34 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("at_owner", [False, True], ids=["member", "owner"])
+@pytest.mark.parametrize(("stopping", "ahead"), [(True, 0), (False, 1)], ids=["stops", "gone"])
+def test_a_queued_request_of_a_stopping_instance_keeps_its_age_at_another(
+    at_owner, stopping, ahead
+):
+    async def scenario(sim: Simulation) -> None:
+        first, second = sim.owner if at_owner else sim.others[0], sim.others[1]
+        fill_except(sim, 0)
+        tried = make_queued_query(
+            "tried", hold_s=1.0, first_event_due_in_s=50.0, give_up_in_s=60.0, waited_s=5.0
+        )
+        tried = msgspec.structs.replace(tried, fingerprint=7)
+        waiting = asyncio.ensure_future(first.member.ask(tried))
+        await asyncio.sleep(0.2)
+        await second.member.ask(
+            make_queued_query("older", hold_s=0.0, first_event_due_in_s=50.0, waited_s=3.0)
+        )
+        first.stopping = stopping
+        waiting.cancel()
+        await asyncio.sleep(0.05)
+        back = make_queued_query("back", hold_s=0.0, first_event_due_in_s=50.0, give_up_in_s=60.0)
+        answer = await second.member.ask(msgspec.structs.replace(back, fingerprint=7))
+        assert answer is not None and isinstance(answer.wait_or_refuse, Wait)
+        assert answer.wait_or_refuse.ahead == ahead
+
+    run_scenario(scenario)
+
+
 def make_query_of(
     workspace: str, request_id: str, tokens: int, hold_s: float = 0.5
 ) -> PlacementQuery:
--- a/reachlink/coordination/tests/world.py
+++ b/reachlink/coordination/tests/world.py
@@ -158,6 +158,7 @@
         )
         self.placer = Placer(self.parts)
         self.queue_outcomes: list[str] = []
+        self.stopping = False
         self.queue_owner = self._make_queue_owner() if queues else None
         self.silent_zones: set[str] = set()
         self.over_zones = over_zones
@@ -191,6 +192,7 @@
             lambda: [SERVICE],
             lambda service, outcome: self.queue_outcomes.append(outcome),
             self.clock,
+            is_stopping=lambda: self.stopping,
         )
 
     def _make_queue_client(self, bus: FakeBus, queue_owner: QueueOwner) -> QueueClient:
@@ -203,6 +205,7 @@
             self.outcomes.append,
             (lambda: self.silent_zones) if self.over_zones else None,
             self.clock,
+            is_stopping=lambda: self.stopping,
         )
 
     def clock(self) -> float:
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -248,6 +248,7 @@
             self.directory,
             self._engine_services,
             self.metrics.count_in_line,
+            is_stopping=lambda: self.draining,
         )
 
     def _stand_in_line(self) -> None:
@@ -266,6 +267,7 @@
                 lambda: self.coordinator.ready,
                 lambda outcome: self.metrics.questions.add(1, {"outcome": outcome}),
                 self._reach.silent_zones if self.config.scheduling.over_zones else None,
+                is_stopping=lambda: self.draining,
             )
         )
 
