--- a/reachlink/upstreams/_events.py
+++ b/reachlink/upstreams/_events.py
@@ -25,6 +25,12 @@
     number: int
     data: bytes
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the event consists of comments and empty lines."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 class EventSplitter:
     """Splits a body that arrives in chunks into events.
