Requests: close the connection of a whole answer that is given up

On the platform, a replica whose body never ended was given up after 8 MiB, and its caller was told 502, but the connection stayed open for good, with what had been read ahead: 0.77 MB a call, never freed, beside a descriptor and one of the connections that the replica accepts. The same held for each body that did not come in the time for another attempt, and for each caller that left while a body came in.

Nobody closed an answer whose body could not be read whole. A response that is not closed is not dropped either: the connector holds the connection as one that awaits its answer, and that holds the response.

Reading a body whole closes the answer if it fails or is cancelled.

--- a/reachlink/requests/_answer_body.py
+++ b/reachlink/requests/_answer_body.py
@@ -46,7 +46,7 @@
     on_wait: Callable[[], None] = lambda: None,
     previous_bytes: int = 0,
 ) -> bytes:
-    """Return the whole body of an answer.
+    """Return the whole body of an answer; close the answer if that fails or is cancelled.
 
     Parameters
     ----------
@@ -65,9 +65,19 @@
     UpstreamBrokenError
         If the body exceeds the limit for one answer, or is cut off.
     """
+    reservation = _BufferReservation(buffer, on_wait, previous_bytes)
+    try:
+        return await _read_reserved(answer, reservation)
+    except BaseException:
+        # Nobody else has the answer, and an open connection is never dropped by itself.
+        answer.close()
+        raise
+
+
+async def _read_reserved(answer: RelayAnswer, reservation: "_BufferReservation") -> bytes:
+    """Return the whole body of an answer, with its space reserved as it comes."""
     chunks: list[bytes] = []
     size = 0
-    reservation = _BufferReservation(buffer, on_wait, previous_bytes)
     await reservation.reserve(min(answer.head.length, MAX_BODY_BYTES))
     while data := await read_part(answer):
         chunks.append(data)
