Own interface: give an engine up that sends and does not go on

Its caller got neither the rest nor an error. Little was held, but a processor was busy with it.

Two bounds counted such bytes as an answer that goes on: the detector of stalls took each batch of events for progress, new or not, and there was no bound on bytes between events, only on one event. Only new events are progress now; after 1 MiB without an event, or 10,000 ignored events in a row beside those of a repetition of the whole answer, the connection counts as broken, and the generation as lost after the usual number of resumes.

Of the tests, two were run on the code before: that of comments without end to a whole answer failed (no answer in 4 s), and that of foreign events sent slowly to a stream did not end in 90 s. All 18 pass now.

--- a/reachlink/delivery/_stream.py
+++ b/reachlink/delivery/_stream.py
@@ -69,6 +69,9 @@
         Maximum number of consecutive resumes without a new token after broken connections.
     max_silence_s : float
         Longest time in seconds without a token while the engine has the generation.
+    max_ignored : int
+        Maximum number of ignored events in a row on one connection, beside those of a repetition
+        of the answer from its start.
     generation : str
         Id of the generation from which events are accepted; empty if there is none.
     next_offset : int
@@ -90,6 +93,7 @@
     buffered: bool = False
     max_resumes: int = 4
     max_silence_s: float = 60.0
+    max_ignored: int = 10_000
     generation: str = ""
     next_offset: int = 0
     finished: bool = False
@@ -101,6 +105,8 @@
     # Resumes since the last new token, and how many of them followed a broken connection.
     _resumes: int = field(default=0)
     _breaks: int = field(default=0)
+    # Ignored events since the last new token, or on the present connection if it is newer.
+    _ignored: int = field(default=0)
 
     def bind(self, generation: str) -> None:
         """Accept further events from this generation only."""
@@ -130,10 +136,13 @@
         ready: list[TokenEvent] = []
         gap = False
         for event in events:
-            if self.finished or not self._is_own(event):
-                continue
-            if event.offset < self.next_offset:
+            if self.finished:
+                break
+            if not self._is_own(event):
+                self._ignored += 1
+            elif event.offset < self.next_offset:
                 self.repeats += 1
+                self._ignored += 1
             elif event.offset > self.next_offset:
                 gap = True
                 break
@@ -141,7 +150,10 @@
                 ready.append(event)
                 self.next_offset += 1
                 self.finished = event.final
-        return self._steps_for(ready, gap)
+        steps = self._steps_for(ready, gap)
+        if not steps and self._ignored > self.max_ignored + self.next_offset:
+            return self.on_broken("no new event among many")
+        return steps
 
     def on_broken(self, reason: str) -> list[Step]:
         """Handle a connection that broke or ended early."""
@@ -180,10 +192,11 @@
         if not self.generation:
             return [self._lost(reason)]
         self._resumes += 1
+        self._ignored = 0
         return [Resume(self.generation, self.next_offset)]
 
     def _reset_resumes(self) -> None:
-        self._resumes = self._breaks = 0
+        self._resumes = self._breaks = self._ignored = 0
 
     def _is_own(self, event: TokenEvent) -> bool:
         if event.generation == self.generation and event.request_id == self.request_id:
--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -386,9 +386,10 @@
                     return delivery.on_broken(str(error))
                 if not events:
                     return delivery.on_broken("the stream ended early")
-                rhythm.on_batch(steady_time())
                 steps = delivery.on_events(events)
                 if steps and type(steps[0]) is Forward:
+                    # Repeated and foreign events are no sign that the answer goes on.
+                    rhythm.on_batch(steady_time())
                     if self._timing.note_part(steady_time()):
                         features = self._job.request.features
                         self._node.guard.on_progress(features, self._timing.sound_since)
--- a/reachlink/entry/tests/test_endless_answers.py
+++ b/reachlink/entry/tests/test_endless_answers.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import itertools
+from functools import partial
 
+import msgspec
 import pytest
 
+from reachlink.delivery import Delivery, StallDetector
+from reachlink.entry import _answers
 from reachlink.entry.tests.own_instance import (
     ENGINE_HEAD,
     OwnInstance,
@@ -17,6 +21,7 @@
 from reachlink.testing._endless import (
     ENDLESS_BODIES,
     ENDLESS_HEADS,
+    PIECE_BYTES,
     SENT_MAX_BYTES,
     EndlessBytes,
     send_endlessly,
@@ -191,3 +196,88 @@
 
     asyncio.run(story())
     assert engine.sent < READ_MAX_BYTES
+
+
+def repeated_event(request) -> bytes:
+    return chat_event(request.headers["X-Request-Id"], 0)
+
+
+def foreign_event(request) -> bytes:
+    return chat_event("another", 0)
+
+
+# What an engine repeats without end in place of the next event.
+NO_PROGRESS = {
+    "repeated_events": repeated_event,
+    "foreign_events": foreign_event,
+    "comments": lambda request: b": goes on\n\n",
+    "empty_lines": lambda request: b"\n",
+    "line": lambda request: b"a",
+    "lines": lambda request: b"data: a\n",
+}
+
+
+class StuckEngine(Replica):
+    """Begins generations, and sends without end what does not go on with them."""
+
+    def __init__(self, repeated, pause_s: float = 0.0) -> None:
+        super().__init__(self._serve_stuck, serve_rest=self._serve_stuck)
+        self._repeated = repeated
+        self._pause_s = pause_s
+        self._request = None
+        self.sent = 0
+
+    async def _serve_stuck(self, request, writer):
+        self._request = self._request or request
+        request_id = self._request.headers["X-Request-Id"]
+        writer.write(ENGINE_HEAD + chat_event(request_id, 0))
+        one = self._repeated(self._request)
+        piece = one if self._pause_s else one * (PIECE_BYTES // len(one))
+        while self.sent < SENT_MAX_BYTES:
+            writer.write(piece)
+            self.sent += len(piece)
+            await writer.drain()
+            await asyncio.sleep(self._pause_s)
+
+
+async def ask_engine(engine: Replica, stream: bool):
+    async with OwnInstance(engine) as instance:
+        caller = await instance.connect()
+        caller.send(CHAT, chat_body(stream=stream), b"Reachlink-Repeatable: no\r\n")
+        return await caller.answer()
+
+
+def told(answer, stream: bool) -> dict:
+    """Return the error of an answer whose stream may have begun."""
+    if not stream:
+        assert answer.status == 502
+        return answer.error()
+    assert b"event: error\ndata: " in answer.body
+    data = answer.body.rpartition(b"event: error\ndata: ")[2]
+    return msgspec.json.decode(data)["error"]
+
+
+@pytest.mark.parametrize("stream", [False, True], ids=["whole", "stream"])
+@pytest.mark.parametrize("repeated", NO_PROGRESS)
+def test_an_engine_that_sends_without_going_on_is_given_up_by_its_bytes(
+    monkeypatch, repeated, stream
+):
+    monkeypatch.setattr(_answers, "RESUME_PAUSE_S", 0.01)
+    engine = StuckEngine(NO_PROGRESS[repeated])
+    answer = asyncio.run(ask_engine(engine, stream))
+    assert told(answer, stream)["outcome"] == "ran"
+    assert engine.sent < READ_MAX_BYTES
+
+
+@pytest.mark.parametrize("stream", [False, True], ids=["whole", "stream"])
+@pytest.mark.parametrize("repeated", ["repeated_events", "foreign_events", "comments"])
+def test_an_engine_that_sends_slowly_without_going_on_is_given_up_in_time(
+    monkeypatch, repeated, stream
+):
+    detector = partial(StallDetector, first_token_s=0.05, floor_s=0.05, ceiling_s=0.05)
+    monkeypatch.setattr(_answers, "StallDetector", detector)
+    monkeypatch.setattr(_answers, "RESUME_PAUSE_S", 0.01)
+    monkeypatch.setattr(_answers, "Delivery", partial(Delivery, max_silence_s=0.3))
+    engine = StuckEngine(NO_PROGRESS[repeated], pause_s=0.01)
+    answer = asyncio.run(ask_engine(engine, stream))
+    assert told(answer, stream)["outcome"] == "ran"
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -76,6 +76,8 @@
         self._response = response
         self._generation = generation
         self._incomplete = b""
+        # Bytes since the last event.
+        self._eventless_bytes = 0
         self._ended = False
 
     @property
@@ -116,6 +118,9 @@
                 self._ended = True
                 break
             events.append(_read_event(data))
+        self._eventless_bytes = 0 if events else self._eventless_bytes + len(piece)
+        if self._eventless_bytes > MAX_LINE_BYTES and not self._ended:
+            raise UpstreamBrokenError("no event among many bytes")
         return events
 
 
