Planned stop: a suspended machine gives its final answers in time

Callers of an instance whose machine is suspended within the grace would get their final answers later by the time of the suspension: a closed connection where the process is ended before. Timers of the event loop stand still in a suspension, and the time at which answers are due was slept for in one piece. The relaying instance now looks every 0.1 s; the own interface sets its timers again when it notices the suspension; and what is ended because its answer is due is not given its old deadline back by the same notice.

--- a/reachlink/entry/_final_answers.py
+++ b/reachlink/entry/_final_answers.py
@@ -39,6 +39,11 @@
             if not scope.expired():
                 scope.reschedule(self._loop_time())
 
+    def on_resumed(self) -> None:
+        """Handle the end of a suspension of the machine, during which timers stood still."""
+        if self._due_at is not None:
+            self.set_due(self._due_at)
+
     @asynccontextmanager
     async def scope(self, request: web.Request) -> AsyncIterator[None]:
         """Enclose the handling of a request.
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -309,6 +309,7 @@
     def on_resumed(self, suspended_s: float) -> None:
         """The machine was suspended: requests that wait may be past their time."""
         self.log.warning("machine_resumed", suspended_s=round(suspended_s, 3))
+        self.final_answers.on_resumed()
         self.pump()
 
     def _tell_crashes(self) -> None:
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -20,6 +20,8 @@
 
 # How often a planned stop looks whether requests still run, in seconds.
 DRAIN_POLL_S = 0.05
+# How often a planned stop looks whether the final answers are due, in seconds.
+END_POLL_S = 0.1
 # How long a planned stop waits for a caller that reads nothing of its last answer, in seconds.
 UNREAD_PATIENCE_S = 2.0
 
@@ -124,7 +126,9 @@
         due_at = node.planned_stop.answers_due_at if node.planned_stop is not None else None
         if due_at is None:
             return
-        await asyncio.sleep(max(0.0, due_at - steady_time()))
+        # Step by step: timers stand still while the machine is suspended.
+        while (left_s := due_at - steady_time()) > 0.0:
+            await asyncio.sleep(min(left_s, END_POLL_S))
         log_unfinished(node.log, node.runner.in_progress, steady_time())
         node.runner.end_unanswered()
 
--- a/reachlink/requests/_runner.py
+++ b/reachlink/requests/_runner.py
@@ -76,7 +76,7 @@
         """
         now = asyncio.get_running_loop().time()
         for scope, running in self._running.items():
-            if not scope.expired():
+            if not running.stopped and not scope.expired():
                 left_s = running.request.deadline - self._parts.clock()
                 scope.reschedule(now + max(0.0, left_s))
 
--- a/reachlink/requests/tests/test_stop_limits.py
+++ b/reachlink/requests/tests/test_stop_limits.py
@@ -129,3 +129,17 @@
 
     sink = asyncio.run(story())
     assert sink.ended and sink.body == event(1) + event(2)
+
+
+def test_a_suspension_does_not_keep_a_request_going_whose_answer_is_due():
+    setup = world_with_script("a", "p", script=_silent)
+
+    async def story() -> float:
+        running, _ = await _start(setup, RequestKind.ONCE, RequestStage.SENT)
+        setup.runner.end_unanswered()
+        setup.runner.on_resumed()
+        due_at = steady_time()
+        assert (await _failure(running)).reason == STOPPING
+        return steady_time() - due_at
+
+    assert asyncio.run(story()) < 0.5
