Forced stop: give the final answers also where the process stood still when they were due

Callers of an instance with two signals that stood still for some milliseconds across the time at which final answers are due got a closed connection: the forced stop, which waits until the same time by a poll, woke first and ended the task that gives the answers. It now gives them itself after its wait, and waits 0.2 s for them to be written before it names what is cut.

The new test stalls the event loop across that time; it failed four times of four before (no answer was given), and passes now. The stand-in for a node in the tests has a runner for it; no assertion is changed.

--- a/reachlink/entry/_caller_connections.py
+++ b/reachlink/entry/_caller_connections.py
@@ -209,6 +209,12 @@
             self._log.warning("answers_cut", count=unsent, reason="not read in time")
         self._log.info("caller_connections_finished", open=len(self._connections))
 
+    async def wait(self, patience_s: float) -> None:
+        """Wait for what is being handled, at most `patience_s` seconds."""
+        until = self._clock() + patience_s
+        while self.running_count and self._clock() < until:
+            await asyncio.sleep(FINISH_POLL_S)
+
     async def end(self, patience_s: float) -> None:
         """Wait for what is being handled, and name what is then cut.
 
@@ -219,9 +225,7 @@
         patience_s : float
             Longest wait in seconds.
         """
-        until = self._clock() + patience_s
-        while self.running_count and self._clock() < until:
-            await asyncio.sleep(FINISH_POLL_S)
+        await self.wait(patience_s)
         running = [(c.request, c.began_at) for c in self._connections.values()]
         cut = [(request, began_at) for request, began_at in running if request is not None]
         log_cut_requests(self._log, cut, self._clock())
--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -22,6 +22,8 @@
 DRAIN_POLL_S = 0.05
 # How often a planned stop looks whether the final answers are due, in seconds.
 END_POLL_S = 0.1
+# How long a stop waits for the last final answers to be written, in seconds.
+LAST_WRITES_S = 0.2
 # How long a planned stop waits for a caller that reads nothing of its last answer, in seconds.
 UNREAD_PATIENCE_S = 2.0
 
@@ -137,7 +139,10 @@
         node = self._node
         await self._border.stop_listening()
         # Requests that still run may need another replica, or a newer table, to go on.
-        await node.connections.end(forced_patience_s(node.planned_stop, steady_time()))
+        await node.connections.wait(forced_patience_s(node.planned_stop, steady_time()))
+        # Here as well: after a stall of the process this comes before `_end_in_time`.
+        node.runner.end_unanswered()
+        await node.connections.end(LAST_WRITES_S)
         for task in self._tasks:
             task.cancel()
         await self._border.close()
--- a/reachlink/entry/tests/test_forced_stop.py
+++ b/reachlink/entry/tests/test_forced_stop.py
@@ -1,6 +1,7 @@
 """A second signal waits for what still runs, with all that it needs, and says what it cuts."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -20,7 +21,7 @@
     chat_event,
     wait_until,
 )
-from reachlink.kernel import _lifecycle
+from reachlink.kernel import _lifecycle, steady_time
 
 CHAT = "/v1/chat/completions"
 SHORT_S = 0.3
@@ -31,6 +32,12 @@
     transport = None
 
 
+class _Request(dict[str, str]):
+    path = "/x"
+    protocol = _Protocol()
+    writer = SimpleNamespace(output_size=0)
+
+
 class Gate:
     """A service whose answers wait until they are released."""
 
@@ -165,6 +172,37 @@
     assert not log.named("requests_cut")
 
 
+def test_a_relaying_instance_that_stands_still_when_answers_are_due_does_not_cut_them():
+    async def story():
+        log, answered = EventLog(), asyncio.Event()
+        daemon = cast(Any, RelayDaemon.__new__(RelayDaemon))
+        connections = CallerConnections(lambda: 60.0)
+        connections._log = cast(Any, log)
+        stop = PlannedStop(steady_time(), SHORT_S)
+        daemon.__dict__.update(relay_parts(connections, log, asyncio.create_task(asyncio.sleep(0))))
+        daemon._node.planned_stop = stop
+        daemon._node.runner = SimpleNamespace(in_progress=[], end_unanswered=answered.set)
+        daemon._tasks.append(asyncio.create_task(daemon._end_in_time()))
+
+        async def handle(request):
+            await answered.wait()
+            return SimpleNamespace()
+
+        handling = asyncio.create_task(connections.handle(cast(Any, _Request()), handle))
+        await wait_until(lambda: connections.running_count == 1)
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(SHORT_S / 2)
+        time.sleep(max(0.0, cast(float, stop.answers_due_at) - steady_time()) + 0.01)
+        await asyncio.wait({handling}, timeout=SHORT_S)
+        handling.cancel()
+        await stopping
+        return answered.is_set(), log
+
+    was_answered, log = asyncio.run(story())
+    assert was_answered
+    assert not log.named("requests_cut")
+
+
 def relay_parts(
     connections: CallerConnections, log: EventLog, background: "asyncio.Task[None]"
 ) -> dict[str, Any]:
@@ -185,6 +223,7 @@
         bus=part,
         metrics=part,
         planned_stop=None,
+        runner=SimpleNamespace(in_progress=[], end_unanswered=lambda: None),
     )
     return {
         "_node": node,
