Planned stop: answer what is still being decoded when final answers are due

A request whose body was half read, or that was read whole and waited for a routing table or for the confirmation of a refusal (up to 1 s), was ended by SIGKILL without an answer: the end of the stop looked only at requests that had been decoded. Decoding is broken off at the same time now, as the own interface does it, with 503, not run, and the connection closes.

--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -7,6 +7,7 @@
 
 from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._connection_aborts import ConnectionAbort
+from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._readers import CallerReaders
 from reachlink.entry._settings_confirmation import SettingsConfirmation
 from reachlink.kernel import Registry
@@ -53,6 +54,10 @@
     def connections(self) -> CallerConnections:
         """Connections of callers."""
 
+    @property
+    def final_answers(self) -> FinalAnswers:
+        """Breaks off what is unfinished when a planned stop ends."""
+
     def on_body_refused(self, request_id: str, size: int) -> None:
         """Note that a body was refused, with its bytes so far or as its sender says."""
 
--- a/reachlink/entry/_caller_answers.py
+++ b/reachlink/entry/_caller_answers.py
@@ -2,17 +2,19 @@
 
 import asyncio
 from collections.abc import Awaitable
-from typing import Any
 
 from aiohttp import web
 
+from reachlink.delivery import Outcome
 from reachlink.entry._borders import RelayHost
 from reachlink.entry._caller_sink import CallerSink
 from reachlink.entry._caller_state import is_open
 from reachlink.entry._connection_aborts import ConnectionAbort
-from reachlink.entry.exceptions import RequestRefusedError
+from reachlink.entry._final_answers import set_outcome
+from reachlink.entry.exceptions import RequestError, RequestRefusedError
 from reachlink.requests import (
     INTERNAL_ERROR,
+    STOPPING,
     CallerGoneError,
     CallerRequest,
     RequestFailedError,
@@ -27,32 +29,45 @@
 
 
 async def decoded_or_refused(
-    decoding: Awaitable[CallerRequest], request_id: str, log: Any
+    host: RelayHost,
+    request: web.BaseRequest,
+    decoding: Awaitable[CallerRequest],
+    request_id: str,
 ) -> CallerRequest:
     """Return a decoded request, which surely has not run if that fails.
 
     Parameters
     ----------
+    host : RelayHost
+        What the border serves.
+    request : aiohttp.web.BaseRequest
+        The caller's request.
     decoding : awaitable
         Reads and decodes it.
     request_id : str
         Request id that the caller gave.
-    log : object
-        Logger of the process.
 
     Raises
     ------
     RequestRefusedError
-        If it is refused, or an error occurs that no part expects.
+        If it is refused, a planned stop ends before it is decoded, or an error occurs that no
+        part expects.
     """
+    set_outcome(request, lambda: Outcome.NOT_RUN)
     try:
-        return await decoding
+        async with host.final_answers.scope(request):
+            return await decoding
     except RequestRefusedError:
         raise
+    except RequestError as error:
+        # The rest of a body may not have been read.
+        raise RequestRefusedError(
+            error.status, STOPPING, error.retry_after_s, closes=True
+        ) from error
     except (Exception, asyncio.CancelledError) as error:
         if is_cancelled(error):
             raise
-        log_internal_error(log, request_id, error, may_have_run=False)
+        log_internal_error(host.log, request_id, error, may_have_run=False)
         raise RequestRefusedError(503, INTERNAL_ERROR, INTERNAL_RETRY_S) from error
 
 
--- a/reachlink/entry/_final_answers.py
+++ b/reachlink/entry/_final_answers.py
@@ -33,7 +33,7 @@
         self._scopes: set[asyncio.Timeout] = set()
 
     def set_due(self, due_at: float) -> None:
-        """Break off all requests at `due_at`, in monotonic seconds."""
+        """Break off all requests at `due_at`, in monotonic seconds, also those that come later."""
         self._due_at = due_at
         for scope in self._scopes:
             if not scope.expired():
@@ -45,7 +45,7 @@
             self.set_due(self._due_at)
 
     @asynccontextmanager
-    async def scope(self, request: web.Request) -> AsyncIterator[None]:
+    async def scope(self, request: web.BaseRequest) -> AsyncIterator[None]:
         """Enclose the handling of a request.
 
         Raises
@@ -67,7 +67,7 @@
                 if scope.expired():
                     self._note(request)
 
-    def _note(self, request: web.Request) -> None:
+    def _note(self, request: web.BaseRequest) -> None:
         self._count += 1
         if self._count <= MAX_LOGGED:
             self._log().warning(
@@ -85,7 +85,7 @@
         return asyncio.get_running_loop().time() + self._due_at - steady_time()
 
 
-def set_outcome(request: web.Request, outcome: Callable[[], Outcome]) -> None:
+def set_outcome(request: web.BaseRequest, outcome: Callable[[], Outcome]) -> None:
     """Set what tells whether a request has run, should it be broken off."""
     request[OUTCOME_KEY] = outcome
 
@@ -96,6 +96,6 @@
     return scope is not None and scope.expired()
 
 
-def _outcome(request: web.Request) -> Outcome:
+def _outcome(request: web.BaseRequest) -> Outcome:
     told: Callable[[], Outcome] | None = request.get(OUTCOME_KEY)
     return Outcome.UNKNOWN if told is None else told()
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -19,6 +19,7 @@
 from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._configured_node import ConfiguredNode
 from reachlink.entry._connection_aborts import ConnectionAborts
+from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._held_sight import HeldSight
 from reachlink.entry._isolation import Isolation
 from reachlink.entry._known_controls import KnownControls
@@ -169,6 +170,7 @@
         self._start_complete = asyncio.Event()
         self.not_ready_reason = "starting: no settings yet"
         self.planned_stop: PlannedStop | None = None
+        self.final_answers = FinalAnswers(lambda: self.log)
         self.running_requests = 0
         self.metrics = RelayMetrics(config, self.bus.traffic)
         self.client.on_connect_failed = self.metrics.count_failed_connect
@@ -327,6 +329,7 @@
         self.log.info("draining", running=self.running_requests, grace_s=grace_s)
         if self.planned_stop.answers_due_at is not None:
             self._runner.begin_stop(self.planned_stop.answers_due_at)
+            self.final_answers.set_due(self.planned_stop.answers_due_at)
 
     def zones_in(self, regions: Set[str]) -> frozenset[str]:
         """Return the availability zones of some regions."""
@@ -339,7 +342,7 @@
         Parameters
         ----------
         kind : RequestKind
-            Kind of the request.
+            Kind of the request; of no account where the end of the stop is known.
         deadline : float
             Monotonic time in seconds by which its final answer is given.
         """
@@ -462,6 +465,7 @@
         """The machine was suspended for some time: what was known is that much older."""
         self.log.warning("machine_resumed", suspended_s=round(suspended_s, 3))
         self._runner.on_resumed()
+        self.final_answers.on_resumed()
         self.tracker.notify_listeners()
 
     def _tell_at_once(self) -> None:
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -55,7 +55,7 @@
         self._copy_order = CopyOrder(parts)
         self._pace = ReplicaPace(parts)
         self._retry_policy = RetryPolicy(parts, self._placer)
-        self._stop_limits = StopLimits(parts.clock)
+        self._stop_limits = StopLimits()
         self._outcome_recorder = OutcomeRecorder(parts, self._placer, self._guard)
         self._log: Any = get_logger()
         self._background: set[asyncio.Task[None]] = set()
--- a/reachlink/requests/_stop_limits.py
+++ b/reachlink/requests/_stop_limits.py
@@ -1,7 +1,7 @@
 """Requests that a planned stop of this instance would cut off are ended before that."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 from reachlink.delivery import Outcome
@@ -15,16 +15,9 @@
 
 
 class StopLimits:
-    """Limits that a planned stop of this instance sets to requests.
+    """Limits that a planned stop of this instance sets to requests."""
 
-    Parameters
-    ----------
-    clock : callable
-        Returns the monotonic time in seconds.
-    """
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self._clock = clock
+    def __init__(self) -> None:
         self._answers_due_at: float | None = None
         self._waiting: dict[asyncio.Timeout, CallerRequest] = {}
 
