--- a/reachlink/entry/_final_answers.py
+++ b/reachlink/entry/_final_answers.py
@@ -8,11 +8,10 @@
 from aiohttp import web
 
 from reachlink.delivery import Outcome
+from reachlink.entry._unfinished import MAX_LOGGED
 from reachlink.entry.exceptions import stopping_error
 from reachlink.kernel import steady_time
 
-# Requests that are logged one by one, so that writing does not delay the last answers.
-MAX_LOGGED = 100
 # Keys of a request: what is known of whether it has run, and the scope that it is handled in.
 OUTCOME_KEY, SCOPE_KEY = "outcome", "final_scope"
 
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -4,12 +4,12 @@
 from reachlink.kernel import ReachlinkError
 from reachlink.pacing import Hold
 from reachlink.quarantine import HELD, HeldRequestError
+from reachlink.requests import STOPPING_RETRY_S
 
 # Time to come back where the instance holds as much as it may, in seconds.
 HELD_RETRY_S = 0.3
-# Code of the final answers of an instance that stops, and the time to come back in seconds:
-# another instance is ready.
-STOPPING, STOPPING_RETRY_S = "instance_stopping", 0.05
+# Code of the final answers of an instance that stops.
+INSTANCE_STOPPING = "instance_stopping"
 # Time to come back where nobody confirms the settings, in seconds.
 UNCONFIRMED_RETRY_S = 0.5
 
@@ -20,6 +20,7 @@
     "RequestRefusedError",
     "SettingsUnconfirmedError",
     "held_request",
+    "stopping_error",
 ]
 
 
@@ -123,9 +124,9 @@
     """
     if outcome is Outcome.NOT_RUN:
         message = "this instance stops before the request could end; another one takes it"
-        return RequestError(_NOT_RUN_STATUS, STOPPING, message, outcome, STOPPING_RETRY_S)
+        return RequestError(_NOT_RUN_STATUS, INSTANCE_STOPPING, message, outcome, STOPPING_RETRY_S)
     message = "this instance stops before the answer was whole"
-    return RequestError(504, STOPPING, message, outcome, STOPPING_RETRY_S)
+    return RequestError(504, INSTANCE_STOPPING, message, outcome, STOPPING_RETRY_S)
 
 
 class HeldOverBudgetError(RequestError):
