Forced stop: answer what still comes in until the end of the grace

Cause: the wait of a forced stop ended at the very time at which final answers were due. It closed the connections under what was still read, up to half a second before the process was ended, and named as cut streams that could go on.

Change: where the end is known, it waits until a tenth of a second before it.

--- a/reachlink/entry/_forced_stop.py
+++ b/reachlink/entry/_forced_stop.py
@@ -4,6 +4,9 @@
 
 # How long a forced stop waits for the requests that still run, in seconds.
 FORCED_PATIENCE_S = 60.0
+# Time before the end of the process at which it names what is cut, in seconds. Until then answers
+# that have begun go on, and requests whose bodies still come in are refused.
+NAMING_S = 0.1
 
 
 def forced_patience_s(stop: PlannedStop | None, now: float) -> float:
@@ -16,7 +19,7 @@
     now : float
         Monotonic time in seconds.
     """
-    due_at = stop.answers_due_at if stop is not None else None
-    if due_at is None:
+    ends_at = stop.ends_at if stop is not None else None
+    if ends_at is None:
         return FORCED_PATIENCE_S
-    return max(0.0, min(FORCED_PATIENCE_S, due_at - now))
+    return max(0.0, min(FORCED_PATIENCE_S, ends_at - NAMING_S - now))
--- a/reachlink/entry/_planned_stop.py
+++ b/reachlink/entry/_planned_stop.py
@@ -24,6 +24,11 @@
     begun_at: float
     grace_s: float = 0.0
 
+    @property
+    def ends_at(self) -> float | None:
+        """Monotonic time in seconds at which the process is ended; None if not known."""
+        return self.begun_at + self.grace_s if self.grace_s else None
+
     @property
     def answers_due_at(self) -> float | None:
         """Monotonic time in seconds at which all final answers are due; None if not known."""
