Planned stop: count a signal that was held back during the start from when it came

An instance that got SIGTERM while it started counted its grace from the end of the start, 0.9 to 3.8 s later on a busy machine, so its final answers were due after SIGKILL, and it took requests whose time lay behind it.

Cause: the kernel keeps the signal until the daemon has handlers, and the stop began its clock when it was handled. Nobody tells when a held signal came.

Change: a stop signal that is found held back counts from the earliest time at which it can have come: the start of the process where the libraries were still loading, else the begin of the daemon's start.

--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -28,7 +28,7 @@
 from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._replica_reach import ReplicaReach
 from reachlink.entry.exceptions import RequestError, stopping_error
-from reachlink.kernel import steady_time
+from reachlink.kernel import steady_time, stop_signalled_at
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import BufferBudget, QuotaTracker, RetryBudget
 from reachlink.membership import InstanceRecord, ReplicaDirectory
@@ -156,7 +156,7 @@
     def begin_drain(self) -> None:
         """A planned stop begins."""
         grace_s = self.config.stop_grace_s
-        self.planned_stop = PlannedStop(steady_time(), grace_s)
+        self.planned_stop = PlannedStop(stop_signalled_at(), grace_s)
         self.log.info("draining", running=self.running_requests, grace_s=grace_s)
         due_at = self.planned_stop.answers_due_at
         if due_at is not None:
--- a/reachlink/entry/_planned_stop.py
+++ b/reachlink/entry/_planned_stop.py
@@ -16,7 +16,7 @@
     Attributes
     ----------
     begun_at : float
-        Monotonic time in seconds at which it began.
+        Monotonic time in seconds at which its signal came.
     grace_s : float
         Time in seconds after which the process is ended; 0 if that is not known.
     """
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -37,7 +37,7 @@
 from reachlink.entry._table_in_force import TableInForce
 from reachlink.entry._zone_reach import ZoneReach
 from reachlink.entry._zones_in_force import ZonesInForce
-from reachlink.kernel import steady_time
+from reachlink.kernel import steady_time, stop_signalled_at
 from reachlink.limits import BufferBudget
 from reachlink.membership import InstanceRecord, ReplicaDirectory
 from reachlink.messaging import Bus
@@ -325,7 +325,7 @@
     def begin_drain(self) -> None:
         """A planned stop begins."""
         grace_s = self.config.stop_grace_s
-        self.planned_stop = PlannedStop(steady_time(), grace_s)
+        self.planned_stop = PlannedStop(stop_signalled_at(), grace_s)
         self.log.info("draining", running=self.running_requests, grace_s=grace_s)
         if self.planned_stop.answers_due_at is not None:
             self._runner.begin_stop(self.planned_stop.answers_due_at)
--- a/reachlink/kernel/__init__.py
+++ b/reachlink/kernel/__init__.py
@@ -10,7 +10,7 @@
 from reachlink.kernel._config import load_config
 from reachlink.kernel._counts import parse_count
 from reachlink.kernel._file_watch import FileWatch
-from reachlink.kernel._lifecycle import run_daemon
+from reachlink.kernel._lifecycle import run_daemon, stop_signalled_at
 from reachlink.kernel._loop_gaps import LoopGaps
 from reachlink.kernel._registry import Registry
 from reachlink.kernel._slices import run_in_slices
@@ -38,6 +38,7 @@
     "process_started_at",
     "run_daemon",
     "steady_time",
+    "stop_signalled_at",
     "parse_count",
     "watch_suspensions",
 ]
--- a/reachlink/kernel/_lifecycle.py
+++ b/reachlink/kernel/_lifecycle.py
@@ -9,8 +9,35 @@
 
 import aiomisc
 
+from reachlink.kernel._clock import process_started_at, steady_time
+
 GC_THRESHOLDS = (20_000, 20, 50)
 HELD_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class _HeldStop:
+    """When a signal that was held back during the start came at the earliest."""
+
+    def __init__(self) -> None:
+        self.since: float | None = None
+
+    def note(self, since: float) -> None:
+        """Note a stop signal that is held back, if there is one that was not noted."""
+        if self.since is None and not signal.sigpending().isdisjoint(STOP_SIGNALS):
+            self.since = since
+
+
+_held_stop = _HeldStop()
+
+
+def stop_signalled_at() -> float:
+    """Return when the signal of a planned stop that begins now came, in monotonic seconds.
+
+    For a signal that was held back during the start, the earliest time at which it can have come:
+    the process is ended a fixed time after its signal, not after the stop that it begins.
+    """
+    return steady_time() if _held_stop.since is None else _held_stop.since
 
 
 class Daemon(Protocol):
@@ -48,19 +75,22 @@
     """
     # The stack goes to standard error where a fault of native code ends the process.
     faulthandler.enable()
+    _held_stop.note(process_started_at())
     with aiomisc.entrypoint(log_config=False, pool_size=1) as loop:
         return loop.run_until_complete(_serve(make))
 
 
 async def _serve(make: Callable[[], Daemon]) -> int:
+    begun_at = steady_time()
     daemon = make()
     signals: asyncio.Queue[int] = asyncio.Queue()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, signals.put_nowait, number)
     await daemon.start()
     # A process may have held these back since before its libraries were loaded. A daemon that
     # handles SIGHUP does so since its start.
+    _held_stop.note(begun_at)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
     _tune_garbage_collection()
     failed = await _first_done(signals.get(), daemon.failed())
