--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -23,7 +23,7 @@
 # How often a planned stop looks whether the final answers are due, in seconds.
 END_POLL_S = 0.1
 # How long a stop waits for the last final answers to be written, in seconds.
-LAST_WRITES_S = 0.2
+LAST_WRITES_S = 0.05
 # How long a planned stop waits for a caller that reads nothing of its last answer, in seconds.
 UNREAD_PATIENCE_S = 2.0
 
