--- a/reachlink/entry/_final_answers.py
+++ b/reachlink/entry/_final_answers.py
@@ -23,10 +23,13 @@
     ----------
     log : callable
         Returns the logger of the process.
+    event : str
+        Event that is logged for each of them.
     """
 
-    def __init__(self, log: Callable[[], Any]) -> None:
+    def __init__(self, log: Callable[[], Any], event: str = "request_unfinished") -> None:
         self._log = log
+        self._event = event
         self._count = 0
         self._due_at: float | None = None
         self._scopes: set[asyncio.Timeout] = set()
@@ -70,7 +73,7 @@
         self._count += 1
         if self._count <= MAX_LOGGED:
             self._log().warning(
-                "request_unfinished",
+                self._event,
                 request_id=request.get("request_id", ""),
                 path=request.path,
                 outcome=_outcome(request).value,
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -170,7 +170,8 @@
         self._start_complete = asyncio.Event()
         self.not_ready_reason = "starting: no settings yet"
         self.planned_stop: PlannedStop | None = None
-        self.final_answers = FinalAnswers(lambda: self.log)
+        # For requests that are still being decoded; the others are ended by the runner.
+        self.final_answers = FinalAnswers(lambda: self.log, "request_undecoded")
         self.running_requests = 0
         self.metrics = RelayMetrics(config, self.bus.traffic)
         self.client.on_connect_failed = self.metrics.count_failed_connect
