Front: what all callers together hold is bounded by the memory of the process

What callers saw: with many bodies of legal size at once, most of them stopping just short of their end, an entry instance ended for want of memory.

Cause: each bound was one caller's and the number of callers is theirs. Most deployments had no budget at all (held_bytes 0 unless the platform presses); with one, incomplete bodies, read-ahead, heads and waiting requests were not counted, an incomplete body kept its room for up to 60 s, heads had no time-out, and nothing bounded the connections but the table of descriptors.

Change: one budget always, derived from memory_mb or the machine's memory. reachlink.ingress: a pure table decides which connection closes when connections, heads, unread bytes and requests exceed their share, or the descriptors theirs; a body that stands still for 1 s or cannot end in time at its rate gives way, and only once there is no room; heads have their time-out; small receive buffers and read-ahead. A body is held once (its buffer is taken over without a copy).

--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -5,7 +5,7 @@
 
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._caller_answers import decoded_or_refused, give_answer
-from reachlink.entry._caller_bodies import ask_for_body, body_pieces
+from reachlink.entry._caller_bodies import ask_for_body
 from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._caller_server import CallerListener, CallerServer
 from reachlink.entry._caller_sink import CallerSink
@@ -87,7 +87,6 @@
     "RequestError",
     "RequestRefusedError",
     "ask_for_body",
-    "body_pieces",
     "decoded_or_refused",
     "find_confirmed",
     "give_answer",
--- a/reachlink/entry/_borders.py
+++ b/reachlink/entry/_borders.py
@@ -10,6 +10,7 @@
 from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._readers import CallerReaders
 from reachlink.entry._settings_confirmation import SettingsConfirmation
+from reachlink.ingress import IncomingBodies, IngressLimits
 from reachlink.kernel import Registry
 from reachlink.limits import BufferBudget
 from reachlink.quarantine import Fingerprinter
@@ -46,6 +47,20 @@
     def held(self) -> BufferBudget:
         """Counts what is held for callers."""
 
+    @property
+    def bodies(self) -> IncomingBodies:
+        """Callers' bodies that are arriving."""
+
+    @property
+    def ingress_limits(self) -> IngressLimits:
+        """What the connections of all callers may take."""
+
+    def head_timeout_s(self) -> float:
+        """Return the longest time in seconds in which callers send a head."""
+
+    def on_connection_closed(self, reason: str) -> None:
+        """Note that a connection of a caller is closed to make room, or as it is too slow."""
+
     @property
     def readers(self) -> CallerReaders:
         """Callers that have not read their answers yet."""
--- a/reachlink/entry/_caller_server.py
+++ b/reachlink/entry/_caller_server.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from reachlink.entry._caller_connections import CallerConnections
+from reachlink.ingress import BoundedServer, IngressLimits, listening_socket
 
 # Keep-alive time of the HTTP library in seconds, which must not expire before the idle time.
 SERVER_KEEPALIVE_S = 86400.0
@@ -16,7 +17,7 @@
 CLOSE_TIMEOUT_S = 0.5
 
 
-class CallerServer(web.Server):
+class CallerServer(BoundedServer):
     """HTTP server whose connections rest for as long as the settings in force say.
 
     Parameters
@@ -25,18 +26,22 @@
         Answers requests.
     connections : CallerConnections
         Connections of the server.
+    limits : IngressLimits
+        What all callers together may take.
     **options : object
-        Passed to `aiohttp.web.Server`.
+        Passed to `BoundedServer`.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         connections: CallerConnections,
+        limits: IngressLimits,
         **options: Any,
     ) -> None:
         super().__init__(
             lambda request: connections.handle(request, handler),
+            limits,
             keepalive_timeout=SERVER_KEEPALIVE_S,
             access_log=None,
             # Bodies go to replicas unchanged, beside the field that names their coding.
@@ -82,12 +87,8 @@
     async def start(self, host: str, port: int, listener: socket.socket | None = None) -> None:
         """Listen on an address, or on a socket that listens there already."""
         await self._runner.setup()
-        site: web.BaseSite = (
-            web.SockSite(self._runner, listener, backlog=self._backlog)
-            if listener is not None
-            else web.TCPSite(self._runner, host, port, backlog=self._backlog)
-        )
-        await site.start()
+        listener = listener or listening_socket(host, port)
+        await web.SockSite(self._runner, listener, backlog=self._backlog).start()
 
     async def stop_listening(self) -> None:
         """Accept no new connections; those that are open go on."""
--- a/reachlink/entry/_held_sight.py
+++ b/reachlink/entry/_held_sight.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from reachlink.entry._log_lines import LogLines
 from reachlink.kernel import steady_time
 from reachlink.limits import BufferBudget, BufferKind
-from reachlink.telemetry import Metrics
+from reachlink.telemetry import LogLines, Metrics
 
 # Log lines of one kind a second at the most; those beyond are counted in the next one.
 LINES_PER_S = 5
--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -4,6 +4,7 @@
 import math
 import uuid
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, TypeVar
 
 from aiohttp import web
@@ -19,8 +20,16 @@
     RequestError,
     SettingsUnconfirmedError,
 )
+from reachlink.ingress import (
+    BodyLimits,
+    BodyOverBudgetError,
+    BodyTooLargeError,
+    BodyTooSlowError,
+    IncomingBodies,
+    note_body_read,
+)
 from reachlink.kernel import bearer_key, json_response, steady_time
-from reachlink.limits import UNDECLARED_BYTES, BufferKind, CallerBuffer
+from reachlink.limits import CallerBuffer
 from reachlink.settings import hash_key
 
 REQUEST_HEADER = "X-Request-Id"
@@ -75,6 +84,7 @@
         request_id = f"req-{uuid.uuid4().hex}"
         request["request_id"] = request_id
         held = request["held"] = CallerBuffer(node.held)
+        request["bodies"] = node.bodies
         started_at = steady_time()
         node.running_requests += 1
         try:
@@ -198,25 +208,21 @@
     RequestError
         If it is too large or comes too slowly, or the instance has no room for it.
     """
-    held: CallerBuffer = request["held"]
-    too_large = RequestError(
-        413, "body_too_large", f"the body is larger than {limit} bytes", param="body"
-    )
-    if (request.content_length or 0) > limit:
-        raise too_large
-    announced = UNDECLARED_BYTES if request.content_length is None else request.content_length
-    if request.body_exists and not held.admits(announced):
-        raise HeldOverBudgetError(announced)
-    body = bytearray()
+    if not request.body_exists:
+        return b""
+    bodies: IncomingBodies = request["bodies"]
+    bounds = BodyLimits(limit, BODY_TIMEOUT_S, BODY_TIMEOUT_S)
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            while piece := await request.content.readany():
-                body += piece
-                if len(body) > limit:
-                    raise too_large
-                if not held.reserve(BufferKind.INCOMING, len(piece)):
-                    raise HeldOverBudgetError(len(body))
-    except TimeoutError as error:
-        raise RequestError(408, "body_too_slow", "the body came too slowly") from error
-    held.reclassify(BufferKind.INCOMING, BufferKind.REQUEST)
-    return bytes(body)
+        return await bodies.receive(
+            request.content,
+            request.content_length,
+            request["held"],
+            bounds,
+            partial(note_body_read, request),
+        )
+    except BodyTooLargeError as error:
+        raise RequestError(413, "body_too_large", str(error), param="body") from error
+    except BodyTooSlowError as error:
+        raise RequestError(408, "body_too_slow", str(error)) from error
+    except BodyOverBudgetError as error:
+        raise HeldOverBudgetError(error.size) from error
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -28,6 +28,7 @@
 from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._replica_reach import ReplicaReach
 from reachlink.entry.exceptions import RequestError, stopping_error
+from reachlink.ingress import IncomingBodies
 from reachlink.kernel import steady_time, stop_signalled_at
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import BufferBudget, QuotaTracker, RetryBudget
@@ -71,6 +72,7 @@
         self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
         self.control = ControlClient(self.bus, config.controls)
         self.held = BufferBudget(config.held_bytes)
+        self.bodies = IncomingBodies(self.held)
         self.client = HttpClient(bounded=self.held.limited, name=config.name)
         self.client.pacing.brittle.instances = lambda: len(config.peers) + 1
         self.client.pacing.brittle.slots_at = self._slots_at
--- a/reachlink/entry/_pace_log.py
+++ b/reachlink/entry/_pace_log.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from reachlink.entry._log_lines import LogLines
 from reachlink.kernel import steady_time
 from reachlink.scheduling import PaceChange, PaceSource, differ_by_factor
-from reachlink.telemetry import get_logger
+from reachlink.telemetry import LogLines, get_logger
 
 # By which factor what lasts must change to be logged.
 LOGGED_FACTOR = 1.15
--- a/reachlink/entry/_relay_config.py
+++ b/reachlink/entry/_relay_config.py
@@ -1,5 +1,7 @@
 """Configuration of an entry daemon that relays requests by a routing table."""
 
+from typing import Annotated
+
 import msgspec
 
 from reachlink.entry._config import PlatformSource
@@ -65,6 +67,10 @@
         The availability zones of the deployment, each with its region.
     scheduling : SchedulingSettings
         Which parts of scheduling it asks for.
+    memory_mb : float
+        Memory that the process may take, in MB; 0 for that of the machine.
+    max_descriptors : int
+        Descriptors that the process may open; 0 for the limit that the machine sets.
     """
 
     name: str
@@ -93,3 +99,5 @@
     crashes_kept_s: float = CRASH_RETENTION_S
     zone_regions: dict[str, str] = {}
     scheduling: SchedulingSettings = SchedulingSettings()
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -37,6 +37,7 @@
 from reachlink.entry._table_in_force import TableInForce
 from reachlink.entry._zone_reach import ZoneReach
 from reachlink.entry._zones_in_force import ZonesInForce
+from reachlink.ingress import IncomingBodies, caller_limits
 from reachlink.kernel import steady_time, stop_signalled_at
 from reachlink.limits import BufferBudget
 from reachlink.membership import InstanceRecord, ReplicaDirectory
@@ -74,6 +75,8 @@
         self.fingerprinter = Fingerprinter(config.cluster_secret.encode())
         self.control = ControlClient(self.bus, list(config.seeds))
         self.held = BufferBudget(config.scheduling.held_bytes)
+        self.bodies = IncomingBodies(self.held)
+        self.ingress_limits = caller_limits(config.memory_mb, config.max_descriptors)
         self.client = HttpClient(
             connect_timeout_s=config.connect_timeout_s,
             bounded=self.held.limited,
@@ -307,6 +310,14 @@
                 await self._table.wait_first()
         return self.index
 
+    def head_timeout_s(self) -> float:
+        """Return the longest time in seconds in which callers send a head."""
+        return self._caller_limits.header_timeout_s
+
+    def on_connection_closed(self, reason: str) -> None:
+        """Note that a connection of a caller is closed to make room, or as it is too slow."""
+        self.metrics.count_connection_closed(reason)
+
     @property
     def _caller_limits(self) -> CallerLimits:
         """Limits on requests that are in force."""
--- a/reachlink/entry/tests/test_caller_connections.py
+++ b/reachlink/entry/tests/test_caller_connections.py
@@ -11,6 +11,7 @@
 from reachlink.entry import _caller_connections as caller_connections
 from reachlink.entry._caller_connections import CHECK_INTERVAL_S, LAST_READ_S, QUIET_S
 from reachlink.entry.tests.wire import Wire
+from reachlink.ingress import caller_limits
 from reachlink.testing._virtual_loop import run_virtually
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
@@ -29,7 +30,7 @@
         # Called each time that the idle time in force is looked up.
         self.on_idle_time = lambda: None
         self.connections = CallerConnections(self._idle_s, self.closed.append, self.now)
-        self._server = CallerServer(self._answer, self.connections)
+        self._server = CallerServer(self._answer, self.connections, caller_limits())
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/reachlink/entry/tests/test_held_bodies.py
+++ b/reachlink/entry/tests/test_held_bodies.py
@@ -8,6 +8,7 @@
 
 from reachlink.entry._final_answers import FinalAnswers
 from reachlink.entry._http import error_middleware, read_body
+from reachlink.ingress import IncomingBodies
 from reachlink.limits import BufferBudget, BufferKind
 
 MB = 1 << 20
@@ -20,10 +21,12 @@
         self.refused: list[int] = []
         self.node = cast(Any, SimpleNamespace)(
             held=BufferBudget(held_bytes),
+            bodies=None,
             running_requests=0,
             final_answers=FinalAnswers(lambda: None),
             on_body_refused=lambda request_id, size: self.refused.append(size),
         )
+        self.node.bodies = IncomingBodies(self.node.held)
         self.gate = asyncio.Event()
         self.url = ""
         app = web.Application(middlewares=[error_middleware(self.node)])
--- /dev/null
+++ b/reachlink/ingress/__init__.py
@@ -0,0 +1,50 @@
+"""Servers whose callers together take a bounded part of a process: connections, heads, bodies."""
+
+from reachlink.ingress._connection_table import ConnectionPhase, ConnectionTable
+from reachlink.ingress._incoming_bodies import BodyContent, BodyLimits, IncomingBodies
+from reachlink.ingress._limits import (
+    PROBE_LIMITS,
+    IngressLimits,
+    buffer_bytes,
+    caller_limits,
+    machine_memory_mb,
+)
+from reachlink.ingress._server import (
+    READ_AHEAD_BYTES,
+    BoundedAppRunner,
+    BoundedRequestHandler,
+    BoundedServer,
+    limit_receive_buffer,
+    listening_socket,
+    note_body_read,
+)
+from reachlink.ingress.exceptions import (
+    BodyOverBudgetError,
+    BodyTooLargeError,
+    BodyTooSlowError,
+    IngressError,
+)
+
+__all__ = [
+    "PROBE_LIMITS",
+    "READ_AHEAD_BYTES",
+    "BodyContent",
+    "BodyLimits",
+    "BodyOverBudgetError",
+    "BodyTooLargeError",
+    "BodyTooSlowError",
+    "BoundedAppRunner",
+    "BoundedRequestHandler",
+    "BoundedServer",
+    "ConnectionPhase",
+    "ConnectionTable",
+    "IncomingBodies",
+    "IngressError",
+    "IngressLimits",
+    "buffer_bytes",
+    "caller_limits",
+    "limit_receive_buffer",
+    "listening_socket",
+    "machine_memory_mb",
+    "note_body_read",
+]
--- /dev/null
+++ b/reachlink/ingress/_limits.py
@@ -0,0 +1,95 @@
+"""How much of a process's memory and descriptors its callers may take."""
+
+import os
+import resource
+from dataclasses import dataclass
+
+MB = 1 << 20
+# Memory of a process that serves nobody, in MB.
+PROCESS_MB = 64
+# Shares of the remaining memory for bodies and answers, and for connections and requests. What
+# is left is for what is not counted: objects of decoded bodies, fragmentation of the heap.
+BUFFER_MEMORY_SHARE = 0.45
+CONNECTION_MEMORY_SHARE = 0.3
+# Buffer size on the smallest machine, in MB: the largest request bodies must fit.
+MIN_BUFFER_MB = 13
+# Memory for connections on the smallest machine, in MB.
+MIN_CONNECTION_MB = 4
+# Descriptors that are kept for files, peers and the platform.
+RESERVED_DESCRIPTORS = 256
+# Share of the other descriptors that callers may take; connections to replicas need the rest.
+CALLER_DESCRIPTOR_SHARE = 0.5
+# Smallest number of connections of callers.
+MIN_CONNECTIONS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class IngressLimits:
+    """What the callers of one server may take of their process.
+
+    Attributes
+    ----------
+    max_connections : int
+        Largest number of open connections.
+    connection_bytes : int
+        Memory of all connections and of the requests on them in bytes, without bodies.
+    """
+
+    max_connections: int
+    connection_bytes: int
+
+
+# For servers that only answer short questions: readiness and metrics.
+PROBE_LIMITS = IngressLimits(max_connections=64, connection_bytes=2 * MB)
+
+
+def machine_memory_mb() -> float:
+    """Return the memory of the machine in MB."""
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / MB
+
+
+def machine_descriptors() -> int:
+    """Return the number of descriptors that this process may open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+def buffer_bytes(memory_mb: float = 0.0) -> int:
+    """Return the number of bytes that a process buffers of bodies and answers.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory available to the process, in MB; 0 for that of the machine.
+
+    Examples
+    --------
+    >>> buffer_bytes(264.0) >> 20, buffer_bytes(64.0) >> 20
+    (90, 13)
+    """
+    free_mb = _free_mb(memory_mb)
+    return int(max(MIN_BUFFER_MB, free_mb * BUFFER_MEMORY_SHARE) * MB)
+
+
+def caller_limits(memory_mb: float = 0.0, max_descriptors: int = 0) -> IngressLimits:
+    """Return the limits of a server for callers.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory available to the process, in MB; 0 for that of the machine.
+    max_descriptors : int
+        Descriptors that the process may open; 0 for the limit that the machine sets.
+
+    Examples
+    --------
+    >>> caller_limits(128.0, 4100).max_connections
+    1922
+    """
+    descriptors = min(max_descriptors or machine_descriptors(), machine_descriptors())
+    connections = int((descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE)
+    memory = max(MIN_CONNECTION_MB, _free_mb(memory_mb) * CONNECTION_MEMORY_SHARE)
+    return IngressLimits(max(MIN_CONNECTIONS, connections), int(memory * MB))
+
+
+def _free_mb(memory_mb: float) -> float:
+    return (memory_mb or machine_memory_mb()) - PROCESS_MB
--- a/reachlink/limits/_buffer_budget.py
+++ b/reachlink/limits/_buffer_budget.py
@@ -40,10 +40,19 @@
     ----------
     limit : int
         Maximum number of buffered bytes; 0 for no limit, in which case nothing is counted.
+    caller_share : float
+        Share of the budget that may be buffered for one caller.
+
+    Attributes
+    ----------
+    make_room : callable
+        Called with the buffer of a caller for which there is no room; releases bytes of
+        another one that is of less use, if there is any, and returns whether it did.
     """
 
-    def __init__(self, limit: int = 0) -> None:
+    def __init__(self, limit: int = 0, caller_share: float = CALLER_SHARE) -> None:
         self._limit = limit
+        self._caller_share = caller_share
         self._high_watermark = int(limit * HIGH_WATERMARK_SHARE)
         self._low_watermark = int(limit * LOW_WATERMARK_SHARE)
         self._bytes_by_kind = dict.fromkeys(BufferKind, 0)
@@ -52,6 +61,7 @@
         # Called with True when the high watermark is reached, and with False when usage falls to
         # the low one again.
         self.on_pressure_change: Callable[[bool], None] = lambda under_pressure: None
+        self.make_room: Callable[[CallerBuffer], bool] = lambda asking: False
 
     @property
     def limited(self) -> bool:
@@ -81,7 +91,7 @@
     @property
     def caller_bytes(self) -> int:
         """Maximum number of bytes buffered for one caller."""
-        return int(self._limit * CALLER_SHARE)
+        return int(self._limit * self._caller_share)
 
     @property
     def answer_buffer_bytes(self) -> int:
@@ -159,8 +169,16 @@
         return self._bytes_by_kind[kind]
 
     def admits(self, size: int) -> bool:
-        """Return whether a body may be received; see `BufferBudget.admits`."""
-        return self._budget.admits(size)
+        """Return whether a body may be received; see `BufferBudget.admits`.
+
+        Bodies of other callers that are of less use give way to it.
+        """
+        if size > MAX_SHORT_BYTES and not self.fits_caller_limit(size):
+            return False
+        while not self._budget.admits(size):
+            if not self._budget.make_room(self):
+                return False
+        return True
 
     def fits_caller_limit(self, size: int) -> bool:
         """Return whether `size` more bytes would stay within the limit of one caller."""
@@ -181,8 +199,9 @@
         if not self.fits_caller_limit(size):
             return False
         long = kind is not BufferKind.ANSWER and self._bytes_by_kind[kind] + size > MAX_SHORT_BYTES
-        if not self._budget.has_room(size, long):
-            return False
+        while not self._budget.has_room(size, long):
+            if not self._budget.make_room(self):
+                return False
         self._adjust(kind, size)
         return True
 
--- a/reachlink/scheduling/_settings.py
+++ b/reachlink/scheduling/_settings.py
@@ -5,14 +5,6 @@
 import msgspec
 from msgspec import structs
 
-# Memory of an entry process that buffers nothing for callers, in MB.
-PROCESS_MB = 64
-# Maximum share of the remaining memory that is used for buffers of callers and replicas;
-# connections, requests and the state of replicas need the rest.
-BUFFER_MEMORY_SHARE = 0.45
-# Buffer size on the smallest machine, in MB: the largest request bodies must fit.
-MIN_BUFFER_MB = 13
-
 
 class SchedulingSettings(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
     """Scheduling settings of a deployment.
@@ -58,37 +50,18 @@
     held_bytes: Annotated[int, msgspec.Meta(ge=0)] | None = None
     over_zones: bool | None = None
 
-    def resolve(self, expects_overload: bool, memory_mb: float = 0.0) -> SchedulingSettings:
+    def resolve(self, expects_overload: bool, held_bytes: int = 0) -> SchedulingSettings:
         """Return the scheduling settings of a deployment with the overrides applied.
 
         Parameters
         ----------
         expects_overload : bool
             Whether callers are expected to compete for too little capacity and to read slowly.
-        memory_mb : float
-            Memory available to this process, in MB; 0 if unknown.
+        held_bytes : int
+            Default of `SchedulingSettings.held_bytes`.
         """
-        held_bytes = default_buffer_bytes(memory_mb) if expects_overload else 0
         defaults = SchedulingSettings(
             line=expects_overload, over_zones=expects_overload, held_bytes=held_bytes
         )
         overrides = structs.asdict(self)
         return structs.replace(defaults, **{k: v for k, v in overrides.items() if v is not None})
-
-
-def default_buffer_bytes(memory_mb: float) -> int:
-    """Return the number of bytes that an instance buffers; 0 means unlimited.
-
-    Parameters
-    ----------
-    memory_mb : float
-        Memory available to its process, in MB; 0 if unknown.
-
-    Examples
-    --------
-    >>> default_buffer_bytes(0.0), default_buffer_bytes(264.0) >> 20
-    (0, 90)
-    """
-    if not memory_mb:
-        return 0
-    return int(max(MIN_BUFFER_MB, (memory_mb - PROCESS_MB) * BUFFER_MEMORY_SHARE) * (1 << 20))
