Readiness and metrics: bound what their callers hold, apart from the front

What was seen: bodies, heads and connections at the readiness and metrics ports filled an entry instance's memory and took its descriptors; these ports use the HTTP library's defaults, with 512 KiB ahead a connection.

--- a/reachlink/entry/_relay_daemon.py
+++ b/reachlink/entry/_relay_daemon.py
@@ -15,6 +15,7 @@
 from reachlink.entry._relay_config import RelayConfig
 from reachlink.entry._relay_node import RelayNode
 from reachlink.entry._unfinished import log_unfinished
+from reachlink.ingress import PROBE_LIMITS, BoundedAppRunner
 from reachlink.kernel import json_response, steady_time, watch_suspensions
 from reachlink.membership import PLATFORMS
 
@@ -159,9 +160,8 @@
     async def _serve(self, path: str, handler: _Handler, port: int) -> None:
         app = web.Application()
         app.add_routes([web.get(path, handler)])
-        runner = web.AppRunner(app, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, self._config.host, port).start()
+        runner = BoundedAppRunner(app, PROBE_LIMITS, self._node.on_connection_closed)
+        await runner.listen(self._config.host, port)
         self._runners.append(runner)
 
     async def _readiness(self, request: web.Request) -> web.Response:
