Control: bound what operators' bodies, answers and connections hold

What was seen: tables of legal size that stop short of their end, or come whole at once, filled the memory of a control instance, as did callers that do not read Config.Get; connections took its descriptors.

Cause: `request.read()` up to 16 MiB for each caller without a sum or a time-out, and the HTTP library's defaults for all else. Beside it: the HTTP library keeps the last answer of a connection that rests (120 connections that asked for a table of 0.7 MB: 153 MB, with nothing left in the connections' buffers), on every server.

Change: OperatorBuffers, a middleware, gives each request a CallerBuffer and writes its answer while that counts; read_operator_body reads through IncomingBodies; BoundedAppRunner on both ports. BoundedServer writes whole answers itself and drops them.

--- a/reachlink/control/_config.py
+++ b/reachlink/control/_config.py
@@ -23,6 +23,8 @@
     ``coordinators_up_to`` entry instances all coordinate placement, beyond that
     ``coordinators_per_zone`` of each zone do. ``zones`` are the availability zones of
     the deployment, so that an order about any other is refused; empty for any.
+    ``memory_mb`` and ``max_descriptors`` are what the process may take, in MB and in number;
+    0 for what the machine has.
     """
 
     name: str
@@ -40,6 +42,8 @@
     borders: list[str] = []
     zones: list[str] = []
     metrics_port: int = 0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
     coordinators_up_to: Annotated[int, msgspec.Meta(ge=0)] = CoordinationLimits().all_up_to
     coordinators_per_zone: Annotated[int, msgspec.Meta(ge=1)] = CoordinationLimits().per_zone
 
--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -17,6 +17,7 @@
 from reachlink.control._config import ControlConfig
 from reachlink.control._freshness import RequestFreshness
 from reachlink.control._machine import ControlMachine
+from reachlink.control._operator_bodies import OperatorBuffers
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._proposals import propose_through
 from reachlink.control._protocol import CHANNEL_CONTROL, CHANNEL_LOG, CHANNEL_ROSTER
@@ -24,14 +25,12 @@
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
 from reachlink.control._zone_orders import ZoneOrders
+from reachlink.ingress import PROBE_LIMITS, BoundedAppRunner, IngressLimits, caller_limits
 from reachlink.kernel import LoopGaps, SystemClock, process_started_at
 from reachlink.messaging import Bus, export_traffic
 from reachlink.telemetry import Metrics, get_logger
 
 _SEPARATOR = "@"
-# Largest body that operators may send, in bytes: a routing table of some tens
-# of thousands of routes.
-MAX_BODY_BYTES = 16 << 20
 
 
 class ControlDaemon:
@@ -102,16 +101,18 @@
             self._freshness,
             self._config.zones,
         )
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        buffers = OperatorBuffers(self._config.memory_mb)
+        app = web.Application(middlewares=[buffers.middleware()])
         app.add_routes(handlers.routes())
         app.add_routes([web.get("/healthz", self._health), web.get("/metrics", self._page)])
         for border in self._config.borders:
             app.add_routes(OPERATOR_BORDERS.get(border)(self._operator_tools()))
-        await self._serve(app, self._config.port)
+        limits = caller_limits(self._config.memory_mb, self._config.max_descriptors)
+        await self._serve(app, self._config.port, limits)
         if self._config.metrics_port:
             page = web.Application()
             page.add_routes([web.get("/metrics", self._page)])
-            await self._serve(page, self._config.metrics_port)
+            await self._serve(page, self._config.metrics_port, PROBE_LIMITS)
         self._log.info(
             "control_started",
             node_id=self._identity.node_id,
@@ -158,10 +159,9 @@
             own, self._service, self._server, self._bus, lambda: self._seeds, config.voters
         )
 
-    async def _serve(self, app: web.Application, port: int) -> None:
-        runner = web.AppRunner(app, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, self._config.host, port).start()
+    async def _serve(self, app: web.Application, port: int, limits: IngressLimits) -> None:
+        runner = BoundedAppRunner(app, limits)
+        await runner.listen(self._config.host, port)
         self._runners.append(runner)
 
     async def _run(self) -> None:
--- a/reachlink/control/_operator_http.py
+++ b/reachlink/control/_operator_http.py
@@ -19,6 +19,7 @@
     Result,
 )
 from reachlink.control._freshness import RequestFreshness
+from reachlink.control._operator_bodies import RETRY_S, read_operator_body
 from reachlink.control._protocol import (
     AuditAnswer,
     AuditRequest,
@@ -199,11 +200,7 @@
     async def edit(self, request: web.Request) -> web.StreamResponse:
         """Have an edit accepted by quorum."""
         author = self.authorize(request, write=True)
-        raw = await request.content.read(MAX_EDIT_BYTES + 1)
-        while not request.content.at_eof() and len(raw) <= MAX_EDIT_BYTES:
-            raw += await request.content.read(MAX_EDIT_BYTES + 1 - len(raw))
-        if len(raw) > MAX_EDIT_BYTES:
-            raise OperatorError(413, "body_too_large", "the edit is too large")
+        raw = await read_operator_body(request, MAX_EDIT_BYTES)
         await self._freshness.check(request)
         body = msgspec.json.decode(raw, type=EditBody)
         command = EditCommand(
@@ -252,7 +249,7 @@
     async def members(self, request: web.Request) -> web.StreamResponse:
         """Add, promote or remove a replica of the log."""
         author = self.authorize(request, write=True)
-        body = msgspec.json.decode(await request.read(), type=MembersBody)
+        body = msgspec.json.decode(await read_operator_body(request), type=MembersBody)
         await self._freshness.check(request)
         change = MembersRequest(
             body.action,
@@ -278,7 +275,7 @@
         """Take an availability zone out of service, or back."""
         author = self.authorize(request, write=True)
         zone = request.match_info["zone"]
-        body = msgspec.json.decode(await request.read(), type=ZoneBody)
+        body = msgspec.json.decode(await read_operator_body(request), type=ZoneBody)
         unread_s = await self._freshness.check(request)
         issuer = Issuer(author, request.remote or "", body.reason)
         result = await self._zones.order(zone, body.out_of_service, issuer, unread_s)
@@ -354,4 +351,9 @@
 
 def _error(error: OperatorError) -> web.Response:
     detail = {"code": error.code, "message": error.message, **error.details}
-    return json_response({"error": detail}, error.status)
+    response = json_response({"error": detail}, error.status)
+    if error.code == "held_over_budget":
+        response.headers["Retry-After"] = f"{RETRY_S:.3f}"
+        # The rest of its body is not read.
+        response.force_close()
+    return response
--- a/reachlink/ingress/_server.py
+++ b/reachlink/ingress/_server.py
@@ -199,7 +199,9 @@
             if self._table.is_full and not self._close_others(handler, now):
                 self._note(handler, "request_refused")
                 return self._refuse(request)
-            return await self._handler(request)
+            response = await self._handler(request)
+            await _write_whole(request, response)
+            return response
         finally:
             if not handler.has_queued:
                 self._table.process(handler, 0)
@@ -264,6 +266,22 @@
         self._check_later()
 
 
+async def _write_whole(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Write an answer that is there whole, and drop it.
+
+    The HTTP library keeps the last answer of a connection that rests.
+    """
+    if not isinstance(response, web.Response):
+        return
+    try:
+        await response.prepare(request)
+        await response.write_eof()
+    except ConnectionError:
+        # The HTTP library finds the same, and ends the connection.
+        return
+    response.body = None
+
+
 class BoundedAppRunner(web.AppRunner):
     """Runner of an application whose callers together take a bounded part of the process.
 
--- a/reachlink/testing/_crowd.py
+++ b/reachlink/testing/_crowd.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-# Send buffer of one caller's socket in bytes: what it could send shows what was read.
-SEND_BUFFER_BYTES = 64 << 10
+# Buffers of one caller's socket in bytes: small, so that the server has to hold the rest.
+SOCKET_BYTES = 64 << 10
 # Largest write at once, in bytes.
 WRITE_BYTES = 64 << 10
 # Interval in seconds between two looks at the progress of a crowd.
@@ -82,7 +82,8 @@
         loop = asyncio.get_running_loop()
         sock = socket.socket()
         self._sockets.append(sock)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
         sock.setblocking(False)
         try:
             await loop.sock_connect(sock, self._address)
