Kernel: return large blocks to the system, so that crowds in series do not add up

What was seen: after crowds that come and go still raised the peak from one to the next: 95, 124, 133 MB (bound 128; test_crowds_that_come_and_ go_in_series failed once in the whole set of crowd tests, passed alone).

Cause: the C library raises its bound for blocks that it maps apart with the first large block that is freed (up to 32 MB); bodies then lie in the heap between small blocks and are not returned.

--- a/reachlink/kernel/_lifecycle.py
+++ b/reachlink/kernel/_lifecycle.py
@@ -10,6 +10,7 @@
 import aiomisc
 
 from reachlink.kernel._clock import process_started_at, steady_time
+from reachlink.kernel._heap import return_large_blocks
 
 GC_THRESHOLDS = (20_000, 20, 50)
 HELD_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
@@ -75,6 +76,7 @@
     """
     # The stack goes to standard error where a fault of native code ends the process.
     faulthandler.enable()
+    return_large_blocks()
     _held_stop.note(process_started_at())
     with aiomisc.entrypoint(log_config=False, pool_size=1) as loop:
         return loop.run_until_complete(_serve(make))
