Own interface: bound what callers and operators hold by the memory of the process

What was seen: bodies that stop short of their end, whole bodies at once, tiny chunks, heads and connections filled the memory of an entry instance of the own interface or took its descriptors; edits did so with the key of an operator, at control instances too.

Cause: held_bytes was 0 by default, and the HTTP library's defaults bounded all else, one caller at a time.

Change: held_bytes None (default) is a share of memory_mb, which is the machine's where it is not given; the server is a BoundedAppRunner; requests beyond its room get 503 connections_over_budget, outcome not_run, in the interface's own form.

--- a/reachlink/entry/_config.py
+++ b/reachlink/entry/_config.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from reachlink.ingress import buffer_bytes
 from reachlink.quarantine import CRASH_RETENTION_S, CRASHES_TO_HOLD
 
 
@@ -44,7 +45,8 @@
     their place. ``bootstrap_key_hash`` is the SHA-256 of a key that acts as an
     operator until the settings name one. ``crashes_to_hold`` and ``crashes_kept_s``
     are as in `RelayConfig`. ``held_bytes`` is the most that is held of callers' bodies
-    at one time, in bytes; 0 for any number. ``relay_port`` is as in `RelayConfig`.
+    at one time, in bytes; 0 for any number, None for a share of ``memory_mb``. ``relay_port``,
+    ``memory_mb`` and ``max_descriptors`` are as in `RelayConfig`.
     ``stop_grace_s`` is the time after which the process is ended once a planned stop began,
     in seconds; 0 if that is not known, otherwise more than ``balancer_delay_s``.
     """
@@ -71,9 +73,16 @@
     explain_sample: float = 0.01
     crashes_to_hold: float = CRASHES_TO_HOLD
     crashes_kept_s: float = CRASH_RETENTION_S
-    held_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
+    held_bytes: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
     otlp_endpoint: str = ""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Most that is held of callers' bodies at one time, in bytes; 0 for any number."""
+        return buffer_bytes(self.memory_mb) if self.held_bytes is None else self.held_bytes
+
     def __post_init__(self) -> None:
         if 0.0 < self.stop_grace_s <= self.balancer_delay_s:
             raise ValueError("stop_grace_s must be 0 or more than balancer_delay_s")
--- a/reachlink/entry/_daemon.py
+++ b/reachlink/entry/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import uuid
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -16,7 +17,7 @@
 from reachlink.entry._follower import SettingsFollower
 from reachlink.entry._forced_stop import forced_patience_s
 from reachlink.entry._guardians import CarriedReport
-from reachlink.entry._http import Handler, error_middleware
+from reachlink.entry._http import Handler, error_middleware, error_response
 from reachlink.entry._node import (
     CHANNEL_CARRIED,
     CHANNEL_CRASHES,
@@ -27,7 +28,8 @@
 from reachlink.entry._peer_settings import CHANNEL_SETTINGS
 from reachlink.entry._plain import PlainHandlers
 from reachlink.entry._sinks import SLOW_READER_S
-from reachlink.entry.exceptions import RequestError
+from reachlink.entry.exceptions import RequestError, no_room_error
+from reachlink.ingress import BoundedAppRunner, caller_limits
 from reachlink.kernel import LoopGaps, json_response, steady_time, watch_suspensions
 from reachlink.membership import PLATFORMS, LeavingSource, PlatformUnavailableError
 from reachlink.messaging import decode, encode
@@ -67,7 +69,7 @@
             RequestFreshness(self._gaps),
             settings_confirmed=lambda: self._node.has_confirmed_settings,
         )
-        self._runner: web.AppRunner | None = None
+        self._runner: BoundedAppRunner | None = None
         # The HTTP library closes connections that rest for long.
         self._connections = CallerConnections(lambda: SERVER_KEEPALIVE_S)
         self._tasks: list[asyncio.Task[None]] = []
@@ -95,16 +97,16 @@
             self._every(config.report_interval_s, self._read_reports),
             self._every(config.cache_interval_s, self._read_caches),
         ]
-        self._runner = web.AppRunner(
+        self._runner = BoundedAppRunner(
             self._app(),
-            access_log=None,
+            caller_limits(config.memory_mb, config.max_descriptors),
+            refuse=_no_room,
             handler_cancellation=True,
             shutdown_timeout=CLOSE_TIMEOUT_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
-        await self._runner.setup()
-        await web.TCPSite(self._runner, config.host, config.port).start()
+        await self._runner.listen(config.host, config.port)
         node.log.info("entry_started", address=f"{config.host}:{config.port}")
 
     async def failed(self) -> None:
@@ -364,3 +366,10 @@
         if decision is None:
             return json_response({"error": {"message": "this instance has no such decision"}}, 404)
         return json_response(decision)
+
+
+def _no_room(request: web.BaseRequest) -> web.Response:
+    """Return the answer to a request for which its connection has no room."""
+    response = error_response(no_room_error(), f"req-{uuid.uuid4().hex}")
+    response.force_close()
+    return response
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -71,7 +71,7 @@
         self.random = Random()
         self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
         self.control = ControlClient(self.bus, config.controls)
-        self.held = BufferBudget(config.held_bytes)
+        self.held = BufferBudget(config.buffered_bytes)
         self.bodies = IncomingBodies(self.held)
         self.client = HttpClient(bounded=self.held.limited, name=config.name)
         self.client.pacing.brittle.instances = lambda: len(config.peers) + 1
--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -148,6 +148,17 @@
         self.size = size
 
 
+def no_room_error() -> RequestError:
+    """Return the error of a request for which there is no room beside the others."""
+    return RequestError(
+        503,
+        "connections_over_budget",
+        "this instance handles as many requests as it may",
+        Outcome.NOT_RUN,
+        retry_after_s=HELD_RETRY_S,
+    )
+
+
 def held_request(error: HeldRequestError, sent: bool) -> RequestError:
     """Return the final answer to a held request, which was sent to a replica before or not."""
     if error.whole or sent:
--- a/reachlink/ingress/_server.py
+++ b/reachlink/ingress/_server.py
@@ -293,6 +293,8 @@
         What all callers together may take.
     on_closed : callable
         Called with the reason for which a connection is closed.
+    refuse : callable
+        Returns the answer to a request for which there is no room.
     **options : object
         Passed to `aiohttp.web.AppRunner`.
     """
@@ -302,11 +304,13 @@
         app: web.Application,
         limits: IngressLimits,
         on_closed: Callable[[str], None] = lambda reason: None,
+        refuse: Callable[[web.BaseRequest], web.StreamResponse] = refuse,
         **options: Any,
     ) -> None:
         super().__init__(app, access_log=None, **options)
         self._limits = limits
         self._on_closed = on_closed
+        self._refuse = refuse
 
     async def listen(self, host: str, port: int) -> None:
         """Start the application and listen on an address."""
@@ -319,6 +323,7 @@
             made.request_handler,
             self._limits,
             on_closed=self._on_closed,
+            refuse=self._refuse,
             request_factory=made.request_factory,
             handler_cancellation=made.handler_cancellation,
             loop=made._loop,
--- a/reachlink/testing/_layout.py
+++ b/reachlink/testing/_layout.py
@@ -223,6 +223,8 @@
                 data_folder=str(self._folder / "data" / name),
                 routes=self._routes[zone],
                 bootstrap_key_hash=hash_key(self.operator_key),
+                memory_mb=self._scenario.memory_mb,
+                max_descriptors=self._scenario.max_descriptors,
             )
             plans.append(ProcessPlan(name, "control", zone, "control", port, config, bus_port=bus))
         return plans
@@ -252,6 +254,8 @@
                 digest_interval_s=s.digest_interval_s,
                 report_interval_s=s.report_interval_s,
                 held_bytes=s.held_bytes,
+                memory_mb=s.memory_mb,
+                max_descriptors=s.max_descriptors,
             )
             plans.append(ProcessPlan(name, "entry", zone, "entry", port, config, bus_port=bus))
         return plans
--- a/reachlink/testing/_scenario.py
+++ b/reachlink/testing/_scenario.py
@@ -31,7 +31,9 @@
     client_delay_ms: float = 1.0
     platform_lag_s: float = 2.0
     balancer_delay_s: float = 1.0
-    held_bytes: int = 0  # of callers' bodies, at an entry instance
+    held_bytes: int | None = None  # of callers' bodies, at an entry instance; None for a share
+    memory_mb: float = 0.0  # that each daemon may take; 0 for that of the machine
+    max_descriptors: int = 0  # that each daemon may open; 0 for the limit of the machine
     engine: EngineParameters = msgspec.field(default_factory=EngineParameters)
     policy: str = "forecast"
     weights_bytes_per_s: float = 200e6
