Peers' ports: bound the connections that are open there

What was seen: 3,000 connections with a peer's handshake that say nothing more kept 3,033 descriptors (bound 1,000) at the bus of an entry and of a control instance; connections at the port for relayed ones were not bounded during the half second in which they may claim something, 16 KB each.

Cause: ZeroMQ accepts any number of connections, and so did the relay's listener.

Change: ConnectionMonitor counts accepted and closed connections of the bound socket by its events and shuts down those beyond the limit; 256 unclaimed relayed connections at the most; an entry instance receives messages of 4 MiB at the most (64 before; settings come in pieces of 16 KiB).

Not mended: unfinished messages. 40 of 3 MB each take 185 MB at either (bound 128): the messaging library holds what it has received, and tells neither how much nor of which connection. With a cluster secret only members get that far; silent ones are closed after 3 s by the heartbeats.

--- a/reachlink/control/_daemon.py
+++ b/reachlink/control/_daemon.py
@@ -25,7 +25,13 @@
 from reachlink.control._server import ControlServer
 from reachlink.control._steward import Steward
 from reachlink.control._zone_orders import ZoneOrders
-from reachlink.ingress import PROBE_LIMITS, BoundedAppRunner, IngressLimits, caller_limits
+from reachlink.ingress import (
+    PROBE_LIMITS,
+    BoundedAppRunner,
+    IngressLimits,
+    caller_limits,
+    peer_connections,
+)
 from reachlink.kernel import LoopGaps, SystemClock, process_started_at
 from reachlink.messaging import Bus, export_traffic
 from reachlink.telemetry import Metrics, get_logger
@@ -54,7 +60,12 @@
             loaded.log.snapshot_members = list(identity.founding)
         self._identity = identity
         sender = f"{identity.node_id}{_SEPARATOR}{config.bus_address}"
-        self._bus = Bus(sender, config.cluster_secret.encode(), config.routes)
+        self._bus = Bus(
+            sender,
+            config.cluster_secret.encode(),
+            config.routes,
+            peer_connections(config.max_descriptors),
+        )
         self._machine = ControlMachine()
         self._service = ReplicaService(
             identity.node_id,
--- a/reachlink/entry/_node.py
+++ b/reachlink/entry/_node.py
@@ -28,7 +28,7 @@
 from reachlink.entry._planned_stop import PlannedStop
 from reachlink.entry._replica_reach import ReplicaReach
 from reachlink.entry.exceptions import RequestError, stopping_error
-from reachlink.ingress import IncomingBodies
+from reachlink.ingress import MAX_PEER_MESSAGE_BYTES, IncomingBodies, peer_connections
 from reachlink.kernel import steady_time, stop_signalled_at
 from reachlink.lengths import LengthEstimator
 from reachlink.limits import BufferBudget, QuotaTracker, RetryBudget
@@ -69,7 +69,13 @@
         super().__init__(config)
         self.log = get_logger()
         self.random = Random()
-        self.bus = Bus(config.name, config.cluster_secret.encode(), config.routes)
+        self.bus = Bus(
+            config.name,
+            config.cluster_secret.encode(),
+            config.routes,
+            peer_connections(config.max_descriptors),
+            MAX_PEER_MESSAGE_BYTES,
+        )
         self.control = ControlClient(self.bus, config.controls)
         self.held = BufferBudget(config.buffered_bytes)
         self.bodies = IncomingBodies(self.held)
--- a/reachlink/entry/_relay_node.py
+++ b/reachlink/entry/_relay_node.py
@@ -37,7 +37,12 @@
 from reachlink.entry._table_in_force import TableInForce
 from reachlink.entry._zone_reach import ZoneReach
 from reachlink.entry._zones_in_force import ZonesInForce
-from reachlink.ingress import IncomingBodies, caller_limits
+from reachlink.ingress import (
+    MAX_PEER_MESSAGE_BYTES,
+    IncomingBodies,
+    caller_limits,
+    peer_connections,
+)
 from reachlink.kernel import steady_time, stop_signalled_at
 from reachlink.limits import BufferBudget
 from reachlink.membership import InstanceRecord, ReplicaDirectory
@@ -71,7 +76,12 @@
     def __init__(self, config: RelayConfig) -> None:
         super().__init__(config)
         self.log = get_logger()
-        self.bus = Bus(config.name, config.cluster_secret.encode())
+        self.bus = Bus(
+            config.name,
+            config.cluster_secret.encode(),
+            max_connections=peer_connections(config.max_descriptors),
+            max_message_bytes=MAX_PEER_MESSAGE_BYTES,
+        )
         self.fingerprinter = Fingerprinter(config.cluster_secret.encode())
         self.control = ControlClient(self.bus, list(config.seeds))
         self.held = BufferBudget(config.scheduling.held_bytes)
--- a/reachlink/ingress/__init__.py
+++ b/reachlink/ingress/__init__.py
@@ -3,11 +3,13 @@
 from reachlink.ingress._connection_table import ConnectionPhase, ConnectionTable
 from reachlink.ingress._incoming_bodies import BodyContent, BodyLimits, IncomingBodies
 from reachlink.ingress._limits import (
+    MAX_PEER_MESSAGE_BYTES,
     PROBE_LIMITS,
     IngressLimits,
     buffer_bytes,
     caller_limits,
     machine_memory_mb,
+    peer_connections,
 )
 from reachlink.ingress._server import (
     READ_AHEAD_BYTES,
@@ -26,6 +28,7 @@
 )
 
 __all__ = [
+    "MAX_PEER_MESSAGE_BYTES",
     "PROBE_LIMITS",
     "READ_AHEAD_BYTES",
     "BodyContent",
@@ -47,4 +50,5 @@
     "listening_socket",
     "machine_memory_mb",
     "note_body_read",
+    "peer_connections",
 ]
--- a/reachlink/ingress/_limits.py
+++ b/reachlink/ingress/_limits.py
@@ -19,8 +19,12 @@
 RESERVED_DESCRIPTORS = 256
 # Share of the other descriptors that callers may take; connections to replicas need the rest.
 CALLER_DESCRIPTOR_SHARE = 0.5
-# Smallest number of connections of callers.
+# Share of them that peers may take.
+PEER_DESCRIPTOR_SHARE = 0.3
+# Smallest number of connections of callers, and of peers.
 MIN_CONNECTIONS = 64
+# Largest message of a peer to an entry instance, in bytes. What is large comes in pieces.
+MAX_PEER_MESSAGE_BYTES = 4 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +89,25 @@
     >>> caller_limits(128.0, 4100).max_connections
     1922
     """
-    descriptors = min(max_descriptors or machine_descriptors(), machine_descriptors())
-    connections = int((descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE)
+    connections = _descriptors(max_descriptors, CALLER_DESCRIPTOR_SHARE)
     memory = max(MIN_CONNECTION_MB, _free_mb(memory_mb) * CONNECTION_MEMORY_SHARE)
-    return IngressLimits(max(MIN_CONNECTIONS, connections), int(memory * MB))
+    return IngressLimits(connections, int(memory * MB))
+
+
+def peer_connections(max_descriptors: int = 0) -> int:
+    """Return the largest number of connections that peers may open to a process.
+
+    Parameters
+    ----------
+    max_descriptors : int
+        Descriptors that the process may open; 0 for the limit that the machine sets.
+    """
+    return _descriptors(max_descriptors, PEER_DESCRIPTOR_SHARE)
+
+
+def _descriptors(max_descriptors: int, share: float) -> int:
+    found = min(max_descriptors or machine_descriptors(), machine_descriptors())
+    return max(MIN_CONNECTIONS, int((found - RESERVED_DESCRIPTORS) * share))
 
 
 def _free_mb(memory_mb: float) -> float:
--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -21,6 +21,7 @@
 import zmq
 from zmq.utils import z85
 
+from reachlink.messaging._connection_monitor import ConnectionMonitor
 from reachlink.messaging._traffic import Traffic
 from reachlink.messaging.exceptions import (
     CallFailedError,
@@ -43,6 +44,7 @@
 MAX_RECONNECT_INTERVAL_MS = 1000
 CONNECT_POLL_INTERVAL_S = 0.02
 MAX_MESSAGE_BYTES = 64 << 20
+MAX_CONNECTIONS = 4_096
 
 
 class MessageKind(IntEnum):
@@ -84,10 +86,24 @@
     routes : mapping of str to str, optional
         Replacement addresses to connect to, by address, for instance behind an
         address-translating gateway.
+    max_connections : int
+        Largest number of connections that peers may open to this process.
+    max_message_bytes : int
+        Size of the largest message that is received, in bytes.
     """
 
-    def __init__(self, name: str, secret: bytes, routes: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        secret: bytes,
+        routes: Mapping[str, str] | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
+    ) -> None:
         self._name = name
+        self._max_connections = max_connections
+        self._max_message_bytes = max_message_bytes
+        self._monitor: ConnectionMonitor | None = None
         self._routes = dict(routes or {})
         self._secret_key = z85.encode(hashlib.sha256(secret).digest()) if secret else b""
         self._public_key = zmq.curve_public(self._secret_key) if secret else b""
@@ -114,9 +130,12 @@
         """
         socket = self._make_socket(zmq.ROUTER)
         socket.curve_server = bool(self._secret_key)
+        port = int(address.rpartition(":")[2])
+        self._monitor = ConnectionMonitor(socket, port, self._max_connections, self._loop)
         try:
             socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
+            self._monitor.close()
             raise MessagingError(f"cannot listen on {address}: {error}") from error
         self._router = self._add_reader(socket)
 
@@ -171,6 +190,8 @@
         for peer in self._peers.values():
             self._close_socket(peer)
         self._peers.clear()
+        if self._monitor is not None:
+            self._monitor.close()
         if self._router is not None:
             self._close_socket(self._router)
         self._context.term()
@@ -182,7 +203,7 @@
         socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.setsockopt(zmq.MAXMSGSIZE, self._max_message_bytes)
         socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         if self._secret_key:
--- a/reachlink/reachability/_relay_server.py
+++ b/reachlink/reachability/_relay_server.py
@@ -24,6 +24,8 @@
 
 # Maximum number of relayed connections. Together they hold 24 MB if all ends stop reading.
 MAX_RELAYS = 256
+# Maximum number of connections that have claimed nothing yet; peers claim at once.
+MAX_UNCLAIMED = 256
 # Bytes that one end has not read from which on the other end is not read.
 HIGH_WATER_BYTES = 16 << 10
 # Maximum number of bytes that are read from one end at once.
@@ -76,6 +78,8 @@
         self._starting = asyncio.Lock()
         self._unclaimed: dict[bytes, _ReplicaEnd] = {}
         self._relays: set[_ReplicaEnd] = set()
+        # Connections at the port for claims that have claimed nothing yet.
+        self._claimants: set[_PeerEnd] = set()
         self._is_draining = False
         self._log: Any = get_logger()
         bus.handle(CHANNEL_RELAY, self._on_request)
@@ -185,7 +189,7 @@
                 host, port = self._address
                 try:
                     self._listener = await asyncio.get_running_loop().create_server(
-                        lambda: _PeerEnd(self.claim), host, port
+                        lambda: _PeerEnd(self.claim, self._claimants), host, port
                     )
                 except OSError as error:
                     self._log.error("relay_not_listening", host=host, port=port, reason=str(error))
@@ -291,9 +295,12 @@
 class _PeerEnd(_End):
     """Connection of the peer, which first claims a connection to a replica."""
 
-    def __init__(self, claim: Callable[[bytes], _ReplicaEnd | None]) -> None:
+    def __init__(
+        self, claim: Callable[[bytes], _ReplicaEnd | None], claimants: "set[_PeerEnd]"
+    ) -> None:
         super().__init__()
         self._claim = claim
+        self._claimants = claimants
         self._token = b""
         self._transport: asyncio.Transport | None = None
         self._end: _ReplicaEnd | None = None
@@ -302,6 +309,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        if len(self._claimants) >= MAX_UNCLAIMED:
+            self._transport.abort()
+            return
+        self._claimants.add(self)
         self._transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         set_timeouts(transport.get_extra_info("socket"))
         self._timer = asyncio.get_running_loop().call_later(CLAIM_VALIDITY_S, self._transport.abort)
@@ -317,6 +328,7 @@
     def _join(self, data: bytes) -> None:
         assert self._transport is not None and self._timer is not None
         self._timer.cancel()
+        self._claimants.discard(self)
         end = self._claim(self._token)
         # The peer sends nothing more until it has got the confirmation.
         if end is None or not end.is_open or not data:
@@ -327,6 +339,7 @@
         self._replica = end.join(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._claimants.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._end is not None:
--- a/reachlink/reachability/tests/test_relays.py
+++ b/reachlink/reachability/tests/test_relays.py
@@ -274,3 +274,31 @@
         writer.close()
 
     with_world(work, echo, instances=6)
+
+
+def test_connections_that_claim_nothing_are_bounded_and_a_claim_works_afterwards(monkeypatch):
+    monkeypatch.setattr(relay_server, "MAX_UNCLAIMED", 4)
+    monkeypatch.setattr(relay_server, "CLAIM_VALIDITY_S", 60.0)
+
+    async def work(world: World) -> None:
+        cut, peer = world.instances
+        cut.direct.error = ConnectionRefusedError()
+        reader, writer = await world.open(cut)
+        listener = peer.server._listener
+        assert listener is not None
+        host, port = listener.sockets[0].getsockname()
+        crowd = [await asyncio.open_connection(host, port) for _ in range(6)]
+        for surplus, _ in crowd[4:]:
+            async with asyncio.timeout(10.0):
+                assert await surplus.read() == b""
+        assert len(peer.server._claimants) == 4
+        writer.write(b"on")
+        assert await reader.readexactly(2) == b"on"
+        for _, made in crowd:
+            made.close()
+        await until(lambda: not peer.server._claimants)
+        _, again = await world.open(cut)
+        again.close()
+        writer.close()
+
+    with_world(work, echo)
