Statuses: an answer with an undefined status is broken, on every way

Report: on other systems a replica in trouble sent status 000, and its client got it as an answer.

Checked: calls and streams on the platform's border (real programs), own interface's services and engines, load reports, lists, answers through a peer; with 000, 042, 099, 101, 150, 600, 999, also beside a receipt that says not run. 000 reached no caller here.

A gateway that gets an invalid response answers 502, which makes no promise: the request may have run, whatever a receipt beside it says. Weighed: passing 600 to 999 on, as callers must take them for a 5xx; but not all client libraries do, and retries and counts here would not know them.

--- a/reachlink/membership/_http_platform.py
+++ b/reachlink/membership/_http_platform.py
@@ -8,6 +8,7 @@
 from reachlink.membership.exceptions import PlatformUnavailableError
 
 TIMEOUT_S = 2.0
+_OK = 200
 
 
 @PLATFORMS.register("http-json")
@@ -34,6 +35,8 @@
         try:
             async with self._session.get(self._url) as response:
                 response.raise_for_status()
+                if response.status != _OK:
+                    raise PlatformUnavailableError(f"{self._url}: status {response.status}")
                 return self._pages.read(await read_bounded(response, MAX_PAGE_BYTES)).entries
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise PlatformUnavailableError(f"{self._url}: {error!r}") from error
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -40,6 +40,7 @@
     RelayRequest,
 )
 from reachlink.upstreams._sends import LoggedSend, Send, SendRecord
+from reachlink.upstreams._statuses import check_final
 from reachlink.upstreams.exceptions import (
     AlreadySentError,
     GenerationUnknownError,
@@ -106,6 +107,7 @@
     "UpstreamUnreachableError",
     "digest_prompt",
     "probe",
+    "check_final",
     "read_control",
     "probe_repeatedly",
 ]
--- a/reachlink/upstreams/_chat_engine.py
+++ b/reachlink/upstreams/_chat_engine.py
@@ -21,6 +21,7 @@
 from reachlink.upstreams._conversions import UNREADABLE
 from reachlink.upstreams._http import MAX_LINE_BYTES, HttpClient, read_control
 from reachlink.upstreams._refusals import raise_refusal
+from reachlink.upstreams._statuses import check_final
 from reachlink.upstreams.exceptions import GenerationUnknownError, UpstreamBrokenError
 
 GENERATION_HEADER = "X-Generation-Id"
@@ -259,6 +260,7 @@
     async with client.control(
         "GET", f"http://{replica.address}{LOAD_PATH}", background=True
     ) as response:
+        check_final(response.status)
         response.raise_for_status()
         try:
             return _decode_report(await read_control(response))
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -19,12 +19,12 @@
 )
 from reachlink.upstreams._http import HttpClient
 from reachlink.upstreams._refusals import raise_refusal
+from reachlink.upstreams._statuses import check_final
 from reachlink.upstreams.exceptions import UpstreamBrokenError
 
 MAX_RESPONSE_BYTES = 8 << 20
 _REFUSED_STATUSES = frozenset({429, 503})
 # Statuses below say that an answer is still to come.
-_FIRST_FINAL_STATUS = 200
 _ANY_BYTES = "application/octet-stream"
 
 
@@ -73,8 +73,7 @@
         response.release()
     if len(body) > MAX_RESPONSE_BYTES:
         raise UpstreamBrokenError("the answer is too long")
-    if response.status < _FIRST_FINAL_STATUS:
-        raise UpstreamBrokenError(f"the upstream ended its answer with status {response.status}")
+    check_final(response.status)
     return CallResponse(response.status, _content_type(response), body)
 
 
--- /dev/null
+++ b/reachlink/upstreams/_statuses.py
@@ -0,0 +1,25 @@
+"""Statuses with which an answer may end."""
+
+from reachlink.upstreams.exceptions import UpstreamBrokenError
+
+# Final statuses that HTTP defines classes for (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+
+
+def check_final(status: int) -> None:
+    """Check that a status is one that ends an answer.
+
+    Anything else is an invalid response, of which the request's outcome does not follow.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        If it is not.
+    """
+    if status not in FINAL_STATUSES:
+        raise UpstreamBrokenError(f"the upstream ended its answer with status {status}")
