--- a/reachlink/control/_operator_bodies.py
+++ b/reachlink/control/_operator_bodies.py
@@ -1,6 +1,5 @@
 """Bodies and answers of operators' requests, within the memory that a process has for them."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -14,8 +13,10 @@
     BodyTooLargeError,
     BodyTooSlowError,
     IncomingBodies,
+    answer_bytes,
     buffer_bytes,
     note_body_read,
+    write_read,
 )
 from reachlink.kernel import json_response
 from reachlink.limits import MAX_SHORT_BYTES, BufferBudget, BufferKind, CallerBuffer
@@ -111,19 +112,12 @@
         self, request: web.Request, response: web.StreamResponse, held: CallerBuffer
     ) -> web.StreamResponse:
         """Write an answer while its bytes count, if there is room for it."""
-        size = _size_of(response)
+        size = answer_bytes(response)
         if size > MAX_SHORT_BYTES and not held.reserve(BufferKind.ANSWER, size):
             self._note(request, "no_room", size)
             response = refused_for_room()
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await response.prepare(request)
-                await response.write_eof()
-                await request.writer.drain()
-        except TimeoutError:
+        if not await write_read(request, response, ANSWER_TIMEOUT_S):
             self._note(request, "not_read_in_time", size)
-            if request.transport is not None:
-                request.transport.abort()
         return response
 
     def _note(self, request: web.Request, reason: str, size: int) -> None:
@@ -144,10 +138,3 @@
     response = json_response(body, 503, {"Retry-After": f"{RETRY_S:.3f}"})
     response.force_close()
     return response
-
-
-def _size_of(response: web.StreamResponse) -> int:
-    """Return the size in bytes of an answer that is written at once."""
-    if isinstance(response, web.Response) and isinstance(response.body, bytes):
-        return len(response.body)
-    return 0
--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -26,14 +26,18 @@
     BodyTooLargeError,
     BodyTooSlowError,
     IncomingBodies,
+    answer_bytes,
     note_body_read,
+    write_read,
 )
 from reachlink.kernel import bearer_key, json_response, steady_time
-from reachlink.limits import CallerBuffer
+from reachlink.limits import MAX_SHORT_BYTES, BufferKind, CallerBuffer
 from reachlink.settings import hash_key
 
 REQUEST_HEADER = "X-Request-Id"
 BODY_TIMEOUT_S = 30.0
+# Time in seconds in which a caller must read a long answer.
+ANSWER_TIMEOUT_S = 60.0
 # Hard bound before a workspace is known; settings may say less.
 MAX_BODY_BYTES = 16 << 20
 # Statuses of refusals that rest on something that the settings do not have.
@@ -92,6 +96,7 @@
                 response = await handler(request)
             # Here, since the server closes the connection where a header field cannot be sent.
             await response.prepare(request)
+            await _count_until_read(node, request, response)
             return response
         except HeldOverBudgetError as error:
             node.on_body_refused(request_id, error.size)
@@ -141,6 +146,24 @@
     return middleware
 
 
+async def _count_until_read(
+    node: EntryNode, request: web.Request, response: web.StreamResponse
+) -> None:
+    """Count a long answer for the caller until it has read it."""
+    size = answer_bytes(response)
+    if size <= MAX_SHORT_BYTES:
+        return
+    # It is there already, whether or not there is room for it.
+    request["held"].set_size(BufferKind.ANSWER, size)
+    if not await write_read(request, response, ANSWER_TIMEOUT_S):
+        node.log.info(
+            "reader_closed",
+            request_id=request["request_id"],
+            answer_bytes=size,
+            timeout_s=ANSWER_TIMEOUT_S,
+        )
+
+
 def _log_refusal(node: EntryNode, request_id: str, error: RequestError) -> None:
     """Log a refusal that rests on something that the settings do not have."""
     if error.status not in SETTINGS_REFUSALS:
--- a/reachlink/entry/tests/test_crowds_of_callers.py
+++ b/reachlink/entry/tests/test_crowds_of_callers.py
@@ -70,6 +70,7 @@
     "chats_short_of_their_end": ("entry", lambda d: d.short_of_end(CHAT, 8 * MB), 20),
     "calls_short_of_their_end": ("entry", lambda d: d.short_of_end(CALL, 8 * MB), 20),
     "whole_chats_at_once": ("entry", lambda d: d.whole(CHAT, LONG_CHAT), 40),
+    "answers_that_nobody_reads": ("entry", lambda d: d.whole(CALL, b"x" * (3 * MB)), 60),
     "calls_in_chunks_of_16_bytes": ("entry", lambda d: d.in_chunks(CALL), 200),
     "heads_without_their_end": ("entry", lambda d: d.long_head(), 3_000),
     "connections_without_a_byte": ("entry", lambda d: CrowdCaller(), 3_000),
--- a/reachlink/ingress/__init__.py
+++ b/reachlink/ingress/__init__.py
@@ -1,5 +1,6 @@
 """Servers whose callers together take a bounded part of a process: connections, heads, bodies."""
 
+from reachlink.ingress._answers import answer_bytes, write_read
 from reachlink.ingress._connection_table import ConnectionPhase, ConnectionTable
 from reachlink.ingress._incoming_bodies import BodyContent, BodyLimits, IncomingBodies
 from reachlink.ingress._limits import (
@@ -44,6 +45,7 @@
     "IncomingBodies",
     "IngressError",
     "IngressLimits",
+    "answer_bytes",
     "buffer_bytes",
     "caller_limits",
     "limit_receive_buffer",
@@ -51,4 +53,5 @@
     "machine_memory_mb",
     "note_body_read",
     "peer_connections",
+    "write_read",
 ]
