Ingress: refuse requests that have arrived before their connections are closed

Cause: with no connection of little use left, the one whose bytes passed the limit was closed, also where its request had arrived whole: its caller got a reset in place of 503 with Retry-After, a promise that it can act on.

Change: requests begin only up to 0.9 of the connections' memory; beyond that they are refused with 503, and a connection with a whole request is not closed for room.

--- a/reachlink/ingress/_connection_table.py
+++ b/reachlink/ingress/_connection_table.py
@@ -12,6 +12,8 @@
 REQUEST_BYTES = 24 << 10
 # Memory that a byte of a head takes until the head has arrived; the parser keeps a copy.
 BYTES_PER_HEAD_BYTE = 2
+# Share of the memory beyond which no request begins; what is left is for those that are refused.
+REQUEST_SHARE = 0.9
 # Time in seconds for which a connection is kept in any case while nothing arrives on it.
 MIN_IDLE_S = 1.0
 
@@ -99,6 +101,11 @@
             or self.used_bytes > self._limits.connection_bytes
         )
 
+    @property
+    def admits_request(self) -> bool:
+        """Whether there is room for the requests that have begun."""
+        return self.used_bytes <= self._limits.connection_bytes * REQUEST_SHARE
+
     def count(self, phase: ConnectionPhase) -> int:
         """Return the number of connections in a phase."""
         return len(self._by_phase[phase])
--- a/reachlink/ingress/_server.py
+++ b/reachlink/ingress/_server.py
@@ -196,7 +196,7 @@
         elif not handler.has_queued:
             self._table.process(handler, 0)
         try:
-            if self._table.is_full and not self._close_others(handler, now):
+            if not self._close_others(handler, lambda: self._table.admits_request):
                 self._note(handler, "request_refused")
                 return self._refuse(request)
             response = await self._handler(request)
@@ -209,13 +209,18 @@
             self._table.rest(handler, self._clock())
 
     def _make_room(self, handler: BoundedRequestHandler) -> None:
-        """Close connections until there is room for all others, in the end the given one."""
-        if not self._close_others(handler, self._clock()):
+        """Close connections until there is room for all others, in the end the given one.
+
+        One whose request has arrived is kept: the request is refused.
+        """
+        has_room = self._close_others(handler, lambda: not self._table.is_full)
+        if not has_room and not handler.has_queued:
             self._close(handler, "no_room")
 
-    def _close_others(self, handler: BoundedRequestHandler, now: float) -> bool:
-        """Close connections of little use until there is room; return whether there is."""
-        while self._table.is_full:
+    def _close_others(self, handler: BoundedRequestHandler, is_enough: Callable[[], bool]) -> bool:
+        """Close connections of little use until that is enough; return whether it is."""
+        now = self._clock()
+        while not is_enough():
             other = cast(BoundedRequestHandler | None, self._table.least_useful(now))
             if other is None or other is handler:
                 return False
--- a/reachlink/ingress/tests/test_connection_table.py
+++ b/reachlink/ingress/tests/test_connection_table.py
@@ -41,6 +41,12 @@
     assert table.is_full
 
 
+def test_requests_are_refused_before_connections_are(table):
+    table.add("a", 0.0)
+    table.receive("a", int(0.46 * MB), 0.0)
+    assert not table.admits_request and not table.is_full
+
+
 def test_the_connection_of_least_use_goes_first(table):
     for name in ("head", "body", "fresh", "rested", "running", "ahead"):
         table.add(name, 0.0)
