Bus: find the port of the bound address for the connection limit

Change: the monitor begins once the socket is bound, with the port that it has. A test holds the limit on such an address: surplus connections are closed, and a peer is heard.

--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -130,13 +130,13 @@
         """
         socket = self._make_socket(zmq.ROUTER)
         socket.curve_server = bool(self._secret_key)
-        port = int(address.rpartition(":")[2])
-        self._monitor = ConnectionMonitor(socket, port, self._max_connections, self._loop)
         try:
             socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
-            self._monitor.close()
             raise MessagingError(f"cannot listen on {address}: {error}") from error
+        # The address may have left the choice of the port to the system.
+        port = int(socket.getsockopt_string(zmq.LAST_ENDPOINT).rpartition(":")[2])
+        self._monitor = ConnectionMonitor(socket, port, self._max_connections, self._loop)
         self._router = self._add_reader(socket)
 
     def send(self, address: str, channel: str, body: bytes) -> bool:
--- a/reachlink/messaging/_connection_monitor.py
+++ b/reachlink/messaging/_connection_monitor.py
@@ -24,7 +24,7 @@
     Parameters
     ----------
     listening : zmq.Socket
-        The listening socket, before it is bound.
+        The listening socket.
     port : int
         Port that it is bound to.
     limit : int
--- a/reachlink/messaging/tests/test_bus.py
+++ b/reachlink/messaging/tests/test_bus.py
@@ -93,3 +93,32 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+def test_connections_beyond_their_number_are_closed_and_peers_are_heard():
+    async def scenario():
+        server, client = Bus("b", b"", max_connections=4), Bus("a", b"")
+
+        async def echo(sender: str, body: bytes) -> bytes:
+            return body
+
+        server.handle("c", echo)
+        server.bind("127.0.0.1:*")
+        assert server._monitor is not None
+        address = f"127.0.0.1:{server._monitor._port}"
+        try:
+            assert await client.call(address, "c", b"1", 30.0) == b"1"
+            host, port = address.split(":")
+            crowd = [await asyncio.open_connection(host, int(port)) for _ in range(6)]
+            async with asyncio.timeout(30.0):
+                while server._monitor.refused < 3:
+                    await asyncio.sleep(0.01)
+            assert len(server._monitor) <= 4
+            assert await client.call(address, "c", b"2", 30.0) == b"2"
+            for _, writer in crowd:
+                writer.close()
+        finally:
+            client.close()
+            server.close()
+
+    asyncio.run(scenario())
