Own interface: a request has ended once its answer is written, also if it is unread

Cause: long answers were counted inside the middleware that counts requests.

Change: the middleware holds the caller's bytes around `_answer`, which counts the request and turns errors into responses; an answer whose caller leaves meanwhile is `answer_unread` in the log and no error.

--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -85,67 +85,73 @@
 
     @web.middleware
     async def middleware(request: web.Request, handler: Handler) -> web.StreamResponse:
-        request_id = f"req-{uuid.uuid4().hex}"
-        request["request_id"] = request_id
         held = request["held"] = CallerBuffer(node.held)
         request["bodies"] = node.bodies
-        started_at = steady_time()
-        node.running_requests += 1
         try:
-            async with node.final_answers.scope(request):
-                response = await handler(request)
-            # Here, since the server closes the connection where a header field cannot be sent.
-            await response.prepare(request)
+            response = await _answer(node, request, handler)
             await _count_until_read(node, request, response)
             return response
-        except HeldOverBudgetError as error:
-            node.on_body_refused(request_id, error.size)
-            return _last_response(error, request_id)
-        except web.RequestPayloadError as error:
-            reason = f"the body cannot be read: {error.args[0]}"
-            return _last_response(
-                RequestError(400, "invalid_body", reason, param="body"), request_id
-            )
-        except RequestError as error:
-            if is_broken_off(request):
-                return _last_response(error, request_id)
-            _log_refusal(node, request_id, error)
-            return error_response(error, request_id)
-        except web.HTTPException as error:
-            code = (error.reason or "error").lower().replace(" ", "_")
-            wrapped = RequestError(error.status, code, error.text or error.reason or "")
-            return error_response(wrapped, request_id)
-        except InvalidPositionError as error:
-            return error_response(
-                RequestError(400, "invalid_event_id", str(error), param="Last-Event-ID"),
-                request_id,
-            )
-        except ControlUnavailableError as error:
-            wrapped = RequestError(503, "control_unavailable", str(error), retry_after_s=1.0)
-            return error_response(wrapped, request_id)
-        except OutcomeUnknownError as error:
-            wrapped = RequestError(
-                504, "outcome_unknown", str(error), Outcome.UNKNOWN, retry_after_s=1.0
-            )
-            return error_response(wrapped, request_id)
-        except (asyncio.CancelledError, Exception) as error:
-            if not is_open(request):
-                node.log.info(
-                    "caller_left",
-                    request_id=request_id,
-                    reason=str(error) or type(error).__name__,
-                    ran_ms=round((steady_time() - started_at) * 1000.0),
-                    draining=node.draining,
-                )
-                raise
-            return error_response(unforeseen_error(node.log, request_id, error), request_id)
         finally:
-            node.running_requests -= 1
             held.release()
 
     return middleware
 
 
+async def _answer(node: EntryNode, request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Return the answer of a handler, or of its error."""
+    request_id = f"req-{uuid.uuid4().hex}"
+    request["request_id"] = request_id
+    started_at = steady_time()
+    node.running_requests += 1
+    try:
+        async with node.final_answers.scope(request):
+            response = await handler(request)
+        # Here, since the server closes the connection where a header field cannot be sent.
+        await response.prepare(request)
+        return response
+    except HeldOverBudgetError as error:
+        node.on_body_refused(request_id, error.size)
+        return _last_response(error, request_id)
+    except web.RequestPayloadError as error:
+        reason = f"the body cannot be read: {error.args[0]}"
+        return _last_response(RequestError(400, "invalid_body", reason, param="body"), request_id)
+    except RequestError as error:
+        if is_broken_off(request):
+            return _last_response(error, request_id)
+        _log_refusal(node, request_id, error)
+        return error_response(error, request_id)
+    except web.HTTPException as error:
+        code = (error.reason or "error").lower().replace(" ", "_")
+        wrapped = RequestError(error.status, code, error.text or error.reason or "")
+        return error_response(wrapped, request_id)
+    except InvalidPositionError as error:
+        return error_response(
+            RequestError(400, "invalid_event_id", str(error), param="Last-Event-ID"),
+            request_id,
+        )
+    except ControlUnavailableError as error:
+        wrapped = RequestError(503, "control_unavailable", str(error), retry_after_s=1.0)
+        return error_response(wrapped, request_id)
+    except OutcomeUnknownError as error:
+        wrapped = RequestError(
+            504, "outcome_unknown", str(error), Outcome.UNKNOWN, retry_after_s=1.0
+        )
+        return error_response(wrapped, request_id)
+    except (asyncio.CancelledError, Exception) as error:
+        if not is_open(request):
+            node.log.info(
+                "caller_left",
+                request_id=request_id,
+                reason=str(error) or type(error).__name__,
+                ran_ms=round((steady_time() - started_at) * 1000.0),
+                draining=node.draining,
+            )
+            raise
+        return error_response(unforeseen_error(node.log, request_id, error), request_id)
+    finally:
+        node.running_requests -= 1
+
+
 async def _count_until_read(
     node: EntryNode, request: web.Request, response: web.StreamResponse
 ) -> None:
@@ -155,13 +161,12 @@
         return
     # It is there already, whether or not there is room for it.
     request["held"].set_size(BufferKind.ANSWER, size)
-    if not await write_read(request, response, ANSWER_TIMEOUT_S):
-        node.log.info(
-            "reader_closed",
-            request_id=request["request_id"],
-            answer_bytes=size,
-            timeout_s=ANSWER_TIMEOUT_S,
-        )
+    try:
+        was_read = await write_read(request, response, ANSWER_TIMEOUT_S)
+    except ConnectionError:
+        was_read = False
+    if not was_read:
+        node.log.info("answer_unread", request_id=request["request_id"], answer_bytes=size)
 
 
 def _log_refusal(node: EntryNode, request_id: str, error: RequestError) -> None:
