Platform: reading of bodies and its refusals move out of the translating folder

Change: entry.receive_body (asks for a body, reads it, refuses it) and control.refused_body; the border names the request and calls them.

--- a/reachlink/control/__init__.py
+++ b/reachlink/control/__init__.py
@@ -28,7 +28,7 @@
 from reachlink.control._daemon import ControlDaemon, found_cluster, founding_id
 from reachlink.control._freshness import RequestFreshness
 from reachlink.control._machine import ControlMachine
-from reachlink.control._operator_bodies import RETRY_S, OperatorBuffers, read_operator_body
+from reachlink.control._operator_bodies import OperatorBuffers, read_operator_body, refused_body
 from reachlink.control._operator_http import OperatorHandlers
 from reachlink.control._protocol import StatusAnswer, StatusRequest, WatchRequest
 from reachlink.control._publishing import OPERATOR_BORDERS, OperatorTools, TablePublisher
@@ -54,9 +54,9 @@
 
 __all__ = [
     "OPERATOR_BORDERS",
-    "RETRY_S",
     "OperatorBuffers",
     "read_operator_body",
+    "refused_body",
     "PublishCommand",
     "PublishResult",
     "PublishStatus",
--- a/reachlink/control/_operator_bodies.py
+++ b/reachlink/control/_operator_bodies.py
@@ -138,3 +138,16 @@
     response = json_response(body, 503, {"Retry-After": f"{RETRY_S:.3f}"})
     response.force_close()
     return response
+
+
+def refused_body(request: web.Request, error: OperatorError) -> web.Response:
+    """Return the answer to a request whose body was not read, for borders of their own form."""
+    get_logger().info(
+        "operator_body_refused", path=request.path, source=request.remote, reason=error.code
+    )
+    response = json_response({"error": error.message}, error.status)
+    if error.status == 503:
+        response.headers["Retry-After"] = f"{RETRY_S:.3f}"
+        # The rest of the body is not read.
+        response.force_close()
+    return response
--- a/reachlink/entry/__init__.py
+++ b/reachlink/entry/__init__.py
@@ -5,7 +5,7 @@
 
 from reachlink.entry._borders import CALLER_BORDERS, CallerBorder, RelayHost
 from reachlink.entry._caller_answers import decoded_or_refused, give_answer
-from reachlink.entry._caller_bodies import ask_for_body
+from reachlink.entry._caller_bodies import receive_body
 from reachlink.entry._caller_connections import CallerConnections
 from reachlink.entry._caller_server import CallerListener, CallerServer
 from reachlink.entry._caller_sink import CallerSink
@@ -16,7 +16,12 @@
 from reachlink.entry._relay_daemon import RelayDaemon
 from reachlink.entry._relay_node import RelayNode
 from reachlink.entry._route_lookup import find_confirmed, log_refusal, table_wait_s
-from reachlink.entry.exceptions import EntryError, RequestError, RequestRefusedError
+from reachlink.entry.exceptions import (
+    HELD_RETRY_S,
+    EntryError,
+    RequestError,
+    RequestRefusedError,
+)
 
 if TYPE_CHECKING:
     from reachlink.entry._daemon import EntryDaemon
@@ -58,6 +63,7 @@
 
 
 __all__ = [
+    "HELD_RETRY_S",
     "CALLER_BORDERS",
     "CallerBorder",
     "CallerConnections",
@@ -86,7 +92,7 @@
     "ReplicaLoad",
     "RequestError",
     "RequestRefusedError",
-    "ask_for_body",
+    "receive_body",
     "decoded_or_refused",
     "find_confirmed",
     "give_answer",
