Ingress: keep little of what is no HTTP, and read nothing behind it

What callers saw: an instance that other callers send bytes which are no HTTP ends for want of memory. test_endless_callers[no_http] failed once in each of two runs of all tests: 14.1 and 14.5 MB in place of 12.6.

Cause: the HTTP library answers bytes that it cannot parse with an error whose message repeats all of them, escaped, in four times their size or more; its traceback refers to the bytes and, through the frame, to itself, so that they stay until the garbage collector runs. Each further piece made one more such error while the answer to the first waited for its turn, without a bound behind a request in progress. The answer and the log repeated it once more.

Change: BoundedRequestHandler keeps 100 characters of the reason, breaks the cycle, reads nothing behind it, answers 400 briefly, and logs request_malformed, five lines a second at the most.

--- a/reachlink/ingress/_server.py
+++ b/reachlink/ingress/_server.py
@@ -3,9 +3,11 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any, cast
 
 from aiohttp import StreamReader, web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from reachlink.ingress._connection_table import ConnectionPhase, ConnectionTable
 from reachlink.ingress._limits import IngressLimits
@@ -29,6 +31,8 @@
 CHECK_INTERVAL_S = 0.5
 # Memory that a request takes in bytes which waits behind another one on its connection.
 QUEUED_REQUEST_BYTES = 2 << 10
+# Largest part in characters of the reason for which a request is malformed that is kept.
+MAX_REASON_CHARACTERS = 100
 # Time in seconds after which a request that finds no room may come again.
 RETRY_S = 0.3
 # Log lines about closed connections a second at the most.
@@ -55,7 +59,7 @@
         Passed to `aiohttp.web.RequestHandler`.
     """
 
-    __slots__ = ("_content", "_fed_before", "_received", "_server")
+    __slots__ = ("_content", "_fed_before", "_is_malformed", "_received", "_server")
 
     def __init__(self, server: "BoundedServer", **options: Any) -> None:
         super().__init__(server, **options)
@@ -65,6 +69,7 @@
         self._fed_before = 0
         # The body that is arriving, if one is.
         self._content: StreamReader | None = None
+        self._is_malformed = False
 
     @property
     def has_queued(self) -> bool:
@@ -73,13 +78,47 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes; no bytes at all mean that reading goes on after a pause."""
+        if self._is_malformed:
+            # The connection ends with the answer that says so.
+            return
         queued = len(self._messages)
         super().data_received(data)
+        self._note_malformed()
         if data and self.transport is not None:
             self._received += len(data)
             added = max(0, len(self._messages) - max(1, queued))
             self._server.on_received(self, len(data) + added * QUEUED_REQUEST_BYTES)
 
+    def _note_malformed(self) -> None:
+        """Keep only the start of the reason if the received bytes are no request.
+
+        The HTTP library's reason repeats all of them, in several times their size.
+        """
+        error = getattr(self._messages[-1][0], "exc", None) if self._messages else None
+        if not isinstance(error, HttpProcessingError):
+            return
+        self._is_malformed = True
+        # Its traceback refers to the bytes, and to itself.
+        error.__traceback__ = None
+        reason = error.message.partition("\n")[0][:MAX_REASON_CHARACTERS]
+        short = type(self._messages[-1][0])(HTTPStatus.BAD_REQUEST, None, reason)
+        self._messages[-1] = (short, self._messages[-1][1])
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to a request that failed, or that is malformed."""
+        if status != HTTPStatus.BAD_REQUEST:
+            return super().handle_error(request, status, exc, message)
+        self._server.note_malformed(message or "")
+        response = web.Response(status=status, text=message)
+        response.force_close()
+        return response
+
     def begin_request(self, content: StreamReader) -> None:
         """Note that a request begins to be handled whose body may still be arriving."""
         self._content = content
@@ -183,6 +222,12 @@
         if not handler.has_queued:
             self._table.process(handler, handler.unparsed_bytes)
 
+    def note_malformed(self, error: str) -> None:
+        """Note that a connection ends as what was received is no request."""
+        self._on_closed("malformed")
+        if self._lines.admit():
+            self._log.info("request_malformed", error=error, unlogged=self._lines.skipped())
+
     async def _admit(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a request, if there is room for it."""
         handler = cast(BoundedRequestHandler, request.protocol)
--- a/reachlink/ingress/tests/test_server.py
+++ b/reachlink/ingress/tests/test_server.py
@@ -128,3 +128,35 @@
             await until(lambda: made[0].body is None)
 
     play(work)
+
+
+NO_HTTP = b"\x00\xff" * (32 << 10)
+
+
+def test_bytes_that_are_no_request_are_answered_briefly_with_400():
+    async def work() -> None:
+        async with Served() as served:
+            answer = await (await served.connect(NO_HTTP)).read()
+            assert answer.split(b" ", 2)[1] == b"400"
+            assert len(answer) <= 1 << 10
+            assert served.closed == ["malformed"]
+
+    play(work)
+
+
+def test_bytes_that_are_no_request_behind_one_that_runs_are_not_kept():
+    async def work() -> None:
+        async with Served() as served:
+            reader = await served.connect(CALL)
+            await until(lambda: served.running == 1)
+            (handler,) = served.server.connections
+            for _ in range(20):
+                handler.data_received(NO_HTTP)
+            kept = [message for message, _ in handler._messages]
+            assert len(repr(kept)) <= 1 << 10
+            served.gate.set()
+            assert await status(reader) == 200
+            await reader.readexactly(len(b"done"))
+            assert await status(reader) == 400
+
+    play(work)
