Ingress: the type of the HTTP library's error by its name

Change: the library's error type is named. No change of behaviour. Result: mypy passes; pytest reachlink/ingress 19 passed; the no_http and malformed cases of test_crowds_at_the_front and test_endless_callers pass.

--- a/reachlink/ingress/_server.py
+++ b/reachlink/ingress/_server.py
@@ -8,6 +8,7 @@
 
 from aiohttp import StreamReader, web
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web_protocol import _ErrInfo
 
 from reachlink.ingress._connection_table import ConnectionPhase, ConnectionTable
 from reachlink.ingress._limits import IngressLimits
@@ -94,15 +95,15 @@
 
         The HTTP library's reason repeats all of them, in several times their size.
         """
-        error = getattr(self._messages[-1][0], "exc", None) if self._messages else None
-        if not isinstance(error, HttpProcessingError):
+        error, payload = self._messages[-1] if self._messages else (None, None)
+        if not isinstance(error, _ErrInfo) or payload is None:
             return
         self._is_malformed = True
         # Its traceback refers to the bytes, and to itself.
-        error.__traceback__ = None
+        error.exc.__traceback__ = None
         reason = error.message.partition("\n")[0][:MAX_REASON_CHARACTERS]
-        short = type(self._messages[-1][0])(HTTPStatus.BAD_REQUEST, None, reason)
-        self._messages[-1] = (short, self._messages[-1][1])
+        short = HttpProcessingError(code=HTTPStatus.BAD_REQUEST, message=reason)
+        self._messages[-1] = (_ErrInfo(HTTPStatus.BAD_REQUEST, short, reason), payload)
 
     def handle_error(
         self,
