Own interface: count the values of a chat before it is decoded

What callers saw: an instance to which others send chats of legal size that hold many short JSON values ends for want of memory.

Cause: a body counts by its bytes.

--- a/reachlink/entry/_chat.py
+++ b/reachlink/entry/_chat.py
@@ -22,7 +22,7 @@
     MAX_BODY_BYTES,
     REQUEST_HEADER,
     find_in_settings,
-    read_body,
+    read_json_body,
     require_workspace,
 )
 from reachlink.entry._jobs import AnswerJob
@@ -94,7 +94,7 @@
             position = node.positions.decode(last_event)
             return await self._resume(request, workspace, position)
         set_outcome(request, lambda: Outcome.NOT_RUN)
-        raw = await read_body(request, MAX_BODY_BYTES)
+        raw = await read_json_body(request, MAX_BODY_BYTES)
         body = parse_body(raw, request.path)
         service = await self._service_of(body.model)
         policy = node.tree.policy(service.name, workspace, node.zone)
--- a/reachlink/entry/_http.py
+++ b/reachlink/entry/_http.py
@@ -21,12 +21,16 @@
     SettingsUnconfirmedError,
 )
 from reachlink.ingress import (
+    FEW_JSON_VALUES,
+    JSON_VALUE_BYTES,
+    MAX_JSON_VALUES,
     BodyLimits,
     BodyOverBudgetError,
     BodyTooLargeError,
     BodyTooSlowError,
     IncomingBodies,
     answer_bytes,
+    count_json_values,
     note_body_read,
     write_read,
 )
@@ -254,3 +258,22 @@
         raise RequestError(408, "body_too_slow", str(error)) from error
     except BodyOverBudgetError as error:
         raise HeldOverBudgetError(error.size) from error
+
+
+async def read_json_body(request: web.Request, limit: int) -> bytes:
+    """Read a body that is to be decoded, if there is room for its decoded values as well.
+
+    Raises
+    ------
+    RequestError
+        As `read_body`, or if it has too many values.
+    """
+    raw = await read_body(request, limit)
+    values = count_json_values(raw)
+    if values > MAX_JSON_VALUES:
+        reason = f"{values} values, the limit is {MAX_JSON_VALUES}"
+        raise RequestError(400, "invalid_body", reason, param="body")
+    size = values * JSON_VALUE_BYTES
+    if values > FEW_JSON_VALUES and not request["held"].reserve(BufferKind.REQUEST, size):
+        raise HeldOverBudgetError(size)
+    return raw
--- a/reachlink/entry/tests/test_crowds_of_callers.py
+++ b/reachlink/entry/tests/test_crowds_of_callers.py
@@ -66,11 +66,36 @@
 LONG_CHAT = json.dumps(
     {"model": "explain", "max_tokens": 5, "messages": [{"role": "user", "content": "x" * (2 * MB)}]}
 ).encode()
+
+
+def chat_of(message: bytes, more: bytes = b"") -> bytes:
+    return b'{"model":"explain","max_tokens":5,"messages":[%b]%b}' % (message, more)
+
+
+def many(value: bytes) -> bytes:
+    return value * (7 * MB // len(value))
+
+
+MESSAGE = b'{"role":"user","content":"x"}'
+CHAT_OF_MANY_PARTS = chat_of(b'{"role":"user","content":[%b{}]}' % many(b"{},"))
+CHAT_OF_MANY_MESSAGES = chat_of(many(MESSAGE + b",") + MESSAGE)
+CHAT_OF_MANY_UNREAD_VALUES = chat_of(MESSAGE, b',"more":[%b[]]' % many(b"[],"))
+CHAT_OF_MANY_FIELDS = chat_of(MESSAGE, b"".join(b',"%x":1' % n for n in range(600_000)))
+CHAT_OF_SOME_VALUES = chat_of(b'{"role":"user","content":[%b{}]}' % (b"{}," * 5_000))
 # What each caller sends to which instance, and how many there are.
 CROWDS = {
     "chats_short_of_their_end": ("entry", lambda d: d.short_of_end(CHAT, 8 * MB), 20),
     "calls_short_of_their_end": ("entry", lambda d: d.short_of_end(CALL, 8 * MB), 20),
     "whole_chats_at_once": ("entry", lambda d: d.whole(CHAT, LONG_CHAT), 40),
+    "chats_of_many_parts": ("entry", lambda d: d.whole(CHAT, CHAT_OF_MANY_PARTS), 20),
+    "chats_of_many_messages": ("entry", lambda d: d.whole(CHAT, CHAT_OF_MANY_MESSAGES), 20),
+    "chats_of_many_unread_values": (
+        "entry",
+        lambda d: d.whole(CHAT, CHAT_OF_MANY_UNREAD_VALUES),
+        20,
+    ),
+    "chats_of_many_fields": ("entry", lambda d: d.whole(CHAT, CHAT_OF_MANY_FIELDS), 20),
+    "chats_of_some_values_each": ("entry", lambda d: d.whole(CHAT, CHAT_OF_SOME_VALUES), 600),
     "answers_that_nobody_reads": ("entry", lambda d: d.whole(CALL, b"x" * (3 * MB)), 60),
     "calls_in_chunks_of_16_bytes": ("entry", lambda d: d.in_chunks(CALL), 200),
     "heads_without_their_end": ("entry", lambda d: d.long_head(), 3_000),
--- a/reachlink/ingress/__init__.py
+++ b/reachlink/ingress/__init__.py
@@ -3,6 +3,12 @@
 from reachlink.ingress._answers import answer_bytes, write_read
 from reachlink.ingress._connection_table import ConnectionPhase, ConnectionTable
 from reachlink.ingress._incoming_bodies import BodyContent, BodyLimits, IncomingBodies
+from reachlink.ingress._json_values import (
+    FEW_JSON_VALUES,
+    JSON_VALUE_BYTES,
+    MAX_JSON_VALUES,
+    count_json_values,
+)
 from reachlink.ingress._limits import (
     MAX_PEER_MESSAGE_BYTES,
     PROBE_LIMITS,
@@ -29,6 +35,9 @@
 )
 
 __all__ = [
+    "FEW_JSON_VALUES",
+    "JSON_VALUE_BYTES",
+    "MAX_JSON_VALUES",
     "MAX_PEER_MESSAGE_BYTES",
     "PROBE_LIMITS",
     "READ_AHEAD_BYTES",
@@ -48,6 +57,7 @@
     "answer_bytes",
     "buffer_bytes",
     "caller_limits",
+    "count_json_values",
     "limit_receive_buffer",
     "listening_socket",
     "machine_memory_mb",
