Routing: a published table of many short elements ends at the first that is no route

What callers saw: a control instance to which a client sends a table of legal size whose routes are millions of empty or one-digit elements ends for want of memory.

Cause: the outline of a table keeps the text of each route as an object of its own, sixty bytes or more for an element of two, before the first is looked at.

Change: the check of a published table decodes its routes by their type first, which ends at the first fault. Instances that read accepted tables do as before.

--- a/reachlink/routing/_formats.py
+++ b/reachlink/routing/_formats.py
@@ -41,6 +41,10 @@
 class TableFormat(Protocol):
     """Decoder of documents of one format."""
 
+    @property
+    def encoded_route(self) -> type[Any]:
+        """Type of a route as it is encoded, for `msgspec`."""
+
     def outline(self, document: bytes) -> TableOutline:
         """Decode everything except the routes, and locate the routes.
 
@@ -96,8 +100,12 @@
         InvalidTableError
             If the table is invalid; names the field.
         """
-        table_format = TABLE_FORMATS.get(self.format)
-        outline = table_format.outline(self.document.encode())
+        table_format, document = TABLE_FORMATS.get(self.format), self.document.encode()
+        # Ends at the first route that is none. An outline holds all of them, however short.
+        routes_of = list[table_format.encoded_route]  # type: ignore[name-defined]
+        shape = msgspec.defstruct("Shape", [("routes", routes_of, [])])
+        decode_or_raise(msgspec.json.Decoder(shape).decode, document)
+        outline = table_format.outline(document)
         routes = [table_format.route(f"routes[{i}]", w) for i, w in enumerate(outline.routes)]
         table = replace(outline.table, routes=tuple(routes))
         check_table(table)
@@ -151,6 +159,8 @@
 class _NativeFormat:
     """The project's own JSON format, whose fields are those of `RoutingTable`."""
 
+    encoded_route = Route
+
     def __init__(self) -> None:
         self._outline = msgspec.json.Decoder(_NativeOutline).decode
         self._route = msgspec.json.Decoder(Route).decode
