Ingress: what all doors may take together fits into the descriptors

What callers saw: an instance to which callers, peers and probes come at once may run out of descriptors: connections to replicas then fail, and so do ordinary calls.

Cause: callers got half of the descriptors beyond 256 and peers 0.3; calls take as many towards replicas as they take here, and readiness, metrics and relayed connections up to 384. Together more than there are: 1,415 of 1,000, 4,815 + 630 of 4,100.

Change: 512 are reserved; callers get 0.4 and peers 0.2 of the rest: 1,435 and 717 of 4,100, which is more than proper callers and the largest number of daemons open.

--- a/reachlink/ingress/_limits.py
+++ b/reachlink/ingress/_limits.py
@@ -15,12 +15,14 @@
 MIN_BUFFER_MB = 13
 # Memory for connections on the smallest machine, in MB.
 MIN_CONNECTION_MB = 4
-# Descriptors that are kept for files, peers and the platform.
-RESERVED_DESCRIPTORS = 256
-# Share of the other descriptors that callers may take; connections to replicas need the rest.
-CALLER_DESCRIPTOR_SHARE = 0.5
+# Descriptors that are kept for files, readiness and metrics, relayed connections that wait to be
+# claimed, and the platform.
+RESERVED_DESCRIPTORS = 512
+# Share of the other descriptors that callers may take. Connections to replicas need as many: one
+# for each call.
+CALLER_DESCRIPTOR_SHARE = 0.4
 # Share of them that peers may take.
-PEER_DESCRIPTOR_SHARE = 0.3
+PEER_DESCRIPTOR_SHARE = 0.2
 # Smallest number of connections of callers, and of peers.
 MIN_CONNECTIONS = 64
 # Largest message of a peer to an entry instance, in bytes. What is large comes in pieces.
@@ -87,7 +89,7 @@
     Examples
     --------
     >>> caller_limits(128.0, 4100).max_connections
-    1922
+    1435
     """
     connections = _descriptors(max_descriptors, CALLER_DESCRIPTOR_SHARE)
     memory = max(MIN_CONNECTION_MB, _free_mb(memory_mb) * CONNECTION_MEMORY_SHARE)
