Ingress: without a told memory, that of the process's control group counts

Cause: where no memory_mb is given, the budget came from the memory of the whole machine. A process that a service manager limits by a control group ends long before.

Change: the least of the machine's memory and the limits of the groups (version 2) that the process is in.

Result: pytest reachlink/ingress passes; test_the_memory_is_what_the_control_groups_leave could not run before, as the function took no folder. Checked with files of the test only: the machine at hand has no such limit. Version 1 is not read.

--- a/reachlink/ingress/_limits.py
+++ b/reachlink/ingress/_limits.py
@@ -1,10 +1,16 @@
 """How much of a process's memory and descriptors its callers may take."""
 
+import contextlib
 import os
 import resource
+from collections.abc import Iterator
 from dataclasses import dataclass
+from pathlib import Path
 
 MB = 1 << 20
+# Control groups (version 2) of the machine, and the one of this process.
+GROUPS = Path("/sys/fs/cgroup")
+OWN_GROUP = Path("/proc/self/cgroup")
 # Memory of a process that serves nobody, in MB.
 PROCESS_MB = 64
 # Shares of the remaining memory for bodies and answers, and for connections and requests. What
@@ -49,9 +55,34 @@
 PROBE_LIMITS = IngressLimits(max_connections=64, connection_bytes=2 * MB)
 
 
-def machine_memory_mb() -> float:
-    """Return the memory of the machine in MB."""
-    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / MB
+def machine_memory_mb(groups: Path = GROUPS, own_group: Path = OWN_GROUP) -> float:
+    """Return the memory of the machine in MB, or what control groups leave of it.
+
+    Parameters
+    ----------
+    groups : pathlib.Path
+        Folder of the control groups.
+    own_group : pathlib.Path
+        File that names the group of this process.
+    """
+    found = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return min([found, *_group_limits(groups, own_group)]) / MB
+
+
+def _group_limits(groups: Path, own_group: Path) -> Iterator[int]:
+    """Yield the limits in bytes of the control groups (version 2) that this process is in."""
+    try:
+        group = groups / own_group.read_text().partition("0::/")[2].partition("\n")[0]
+    except OSError:
+        # A machine without control groups.
+        return
+    while True:
+        with contextlib.suppress(OSError, ValueError):
+            # Without a limit there is no such file, or a word in it.
+            yield int((group / "memory.max").read_text())
+        if group == groups:
+            return
+        group = group.parent
 
 
 def machine_descriptors() -> int:
