Logs: cut off values of more than 512 characters

What operators saw: callers choose request ids, hosts and paths of up to the length of a head, and each line about their request repeated them: 3,000 calls with ids of 7.8 KB wrote 24 MB of log.

Change: a processor cuts off string values beyond 512 characters, but not tracebacks.

--- a/reachlink/telemetry/_logs.py
+++ b/reachlink/telemetry/_logs.py
@@ -2,12 +2,15 @@
 
 import logging
 import sys
+from collections.abc import Mapping, MutableMapping
 from typing import Any
 
 import structlog
 
 from reachlink.telemetry._output import BoundedOutput
 
+# Largest part of a value in characters that is written.
+MAX_VALUE_CHARACTERS = 512
 _KEY_ORDER = ["timestamp", "level", "event", "instance", "availability_zone"]
 
 
@@ -25,6 +28,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _shorten,
             structlog.processors.format_exc_info,
             structlog.processors.LogfmtRenderer(key_order=_KEY_ORDER, drop_missing=True),
         ],
@@ -35,6 +39,14 @@
     structlog.contextvars.bind_contextvars(**context)
 
 
+def _shorten(logger: Any, method: str, event: MutableMapping[str, Any]) -> Mapping[str, Any]:
+    """Cut long values off: callers choose request ids, hosts and paths."""
+    for key, value in event.items():
+        if isinstance(value, str) and len(value) > MAX_VALUE_CHARACTERS:
+            event[key] = f"{value[:MAX_VALUE_CHARACTERS]}..."
+    return event
+
+
 def _make_output(stream: Any) -> Any:
     """Return a `BoundedOutput` that writes to the descriptor of a stream.
 
