Tests: messages of strangers at the bus, where the cluster has a secret

Change: a test with the own fleet, whose cluster has a secret: 200 callers that greet and send 3 MB of a message, at an entry and at a control instance. It passed before as well (a guard).

Result: pytest reachlink/entry/tests/test_crowds_of_callers.py -k strangers: 2 passed.

--- a/reachlink/entry/tests/test_crowds_of_callers.py
+++ b/reachlink/entry/tests/test_crowds_of_callers.py
@@ -138,3 +138,22 @@
                 check_processes(fleet)
 
     asyncio.run(work())
+
+
+# Messages of 3 MB without their end, from callers that do not know the cluster's secret.
+GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(16) + bytes(32)
+UNFINISHED = b"\x02" + (3 * MB).to_bytes(8, "big") + b"x" * (3 * MB - KEPT_BACK_BYTES)
+
+
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_messages_of_strangers_at_the_bus_fill_no_memory(tmp_path, role):
+    async def work() -> None:
+        async with Fleet(scenario(), tmp_path) as fleet:
+            entry = fleet.layout.entries[0].name
+            plan = fleet.layout.entries[0] if role == "entry" else fleet.layout.controls[0]
+            caller = CrowdCaller((GREETING, UNFINISHED), reply_before_last=True)
+            async with crowd_at(("127.0.0.1", plan.bus_port), caller, 200):
+                await fleet.wait_for(lambda: is_served(fleet, entry, 5), 30.0, "a small call")
+                check_processes(fleet)
+
+    asyncio.run(work())
