--- a/reachlink/ingress/_json_values.py
+++ b/reachlink/ingress/_json_values.py
@@ -1,7 +1,7 @@
 """How many values a JSON text has: decoded, short ones take much more than their text."""
 
 # Largest number of values of a request body. Ordinary ones have a few for each message.
-MAX_JSON_VALUES = 100_000
+MAX_JSON_VALUES = 1 << 17
 # Memory that a decoded value takes in bytes, beside its text.
 JSON_VALUE_BYTES = 128
 # Number of values up to which what they take is not worth counting.
