Ingress: drop what comes behind a request to upgrade or to connect

What callers saw: as with the other crowds, a process to which callers send CONNECT, or a request with Upgrade, and many bytes behind it ends for want of memory.

Cause: the HTTP library keeps what comes behind such a request for the protocol that it would change to, a whole read of up to 256 KB a connection, until the answer is written; all connections are read before the first answer is due. The bytes counted as processed once the request began.

Change: beyond 8 KiB they are dropped, nothing more is read, and the connection ends with the answer. No server here upgrades; what a proper caller pipelines fits.

--- a/reachlink/ingress/_server.py
+++ b/reachlink/ingress/_server.py
@@ -60,7 +60,7 @@
         Passed to `aiohttp.web.RequestHandler`.
     """
 
-    __slots__ = ("_content", "_fed_before", "_is_malformed", "_received", "_server")
+    __slots__ = ("_content", "_fed_before", "_reads_no_more", "_received", "_server")
 
     def __init__(self, server: "BoundedServer", **options: Any) -> None:
         super().__init__(server, **options)
@@ -70,7 +70,7 @@
         self._fed_before = 0
         # The body that is arriving, if one is.
         self._content: StreamReader | None = None
-        self._is_malformed = False
+        self._reads_no_more = False
 
     @property
     def has_queued(self) -> bool:
@@ -79,12 +79,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes; no bytes at all mean that reading goes on after a pause."""
-        if self._is_malformed:
-            # The connection ends with the answer that says so.
+        if self._reads_no_more:
+            # The connection ends with the answers to what has come.
             return
         queued = len(self._messages)
         super().data_received(data)
         self._note_malformed()
+        self._drop_tail()
         if data and self.transport is not None:
             self._received += len(data)
             added = max(0, len(self._messages) - max(1, queued))
@@ -98,13 +99,23 @@
         error, payload = self._messages[-1] if self._messages else (None, None)
         if not isinstance(error, _ErrInfo) or payload is None:
             return
-        self._is_malformed = True
+        self._reads_no_more = True
         # Its traceback refers to the bytes, and to itself.
         error.exc.__traceback__ = None
         reason = error.message.partition("\n")[0][:MAX_REASON_CHARACTERS]
         short = HttpProcessingError(code=HTTPStatus.BAD_REQUEST, message=reason)
         self._messages[-1] = (_ErrInfo(HTTPStatus.BAD_REQUEST, short, reason), payload)
 
+    def _drop_tail(self) -> None:
+        """End the connection after its request if much came behind one to upgrade or connect.
+
+        No server here does either, and a proper caller waits for the answer.
+        """
+        if len(self._message_tail) > READ_AHEAD_BYTES:
+            self._message_tail = b""
+            self._reads_no_more = True
+            self.close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/reachlink/ingress/tests/test_server.py
+++ b/reachlink/ingress/tests/test_server.py
@@ -160,3 +160,20 @@
             assert await status(reader) == 400
 
     play(work)
+
+
+def test_what_comes_behind_a_request_to_upgrade_is_not_kept_and_the_request_is_answered():
+    upgrade = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+
+    async def work() -> None:
+        async with Served() as served:
+            reader = await served.connect(upgrade + b"x" * (32 << 10))
+            await until(lambda: served.running == 1)
+            (handler,) = served.server.connections
+            assert not handler._message_tail
+            served.gate.set()
+            assert await status(reader) == 200
+            assert await reader.read() == b"done"
+            assert await status(await served.connect(upgrade + CALL)) == 200
+
+    play(work)
