Messaging: a peer that sends without end does not hold up all else

What callers saw: a process whose bus receives messages faster than it drops them answers nobody.

Cause: whenever a socket became readable, all of its messages were read before anything else got its turn; there is no end to that while more come.

Change: 200 messages a turn, then the rest in the next one.

Result: test_a_peer_that_sends_without_end_does_not_hold_up_all_else fails before (10,000 messages read without a turn for others) and passes; pytest reachlink/messaging 6 passed. Found by reading, while short messages at the bus were played; a process that stands still was not seen in a play.

--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -34,6 +34,8 @@
 """Receives the name of the sender and a body; returns the body of the answer to a call."""
 
 HIGH_WATER_MARK = 1000
+# Messages read at a turn, so that a peer that sends without end does not hold up all else.
+MESSAGES_PER_TURN = 200
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
 # Without this timeout, a connection attempt during a network partition waits for a TCP
@@ -260,12 +262,16 @@
         return True
 
     def _read_all(self, bus_socket: _BusSocket) -> None:
-        while not bus_socket.socket.closed:
+        for _ in range(MESSAGES_PER_TURN):
+            if bus_socket.socket.closed:
+                return
             try:
                 frames = bus_socket.socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
             self._process_message(bus_socket, frames)
+        # The descriptor is edge-triggered: it does not tell again of those that are left.
+        self._loop.call_soon(self._read_all, bus_socket)
 
     def _process_message(self, bus_socket: _BusSocket, frames: list[bytes]) -> None:
         *route, raw, body = frames
--- a/reachlink/messaging/tests/test_bus.py
+++ b/reachlink/messaging/tests/test_bus.py
@@ -5,9 +5,39 @@
 import pytest
 
 from reachlink.messaging import Bus, CallTimeoutError, PeerUnreachableError
+from reachlink.messaging._bus import _BusSocket
 from reachlink.testing._ports import free_ports
 
 
+class EndlessSocket:
+    """A socket on which there is always one more message."""
+
+    closed = False
+
+    def __init__(self) -> None:
+        self.read = 0
+
+    def recv_multipart(self, flags: int) -> list[bytes]:
+        self.read += 1
+        assert self.read <= 10_000, "nothing else gets its turn"
+        return [b"peer", b"no header", b""]
+
+
+def test_a_peer_that_sends_without_end_does_not_hold_up_all_else():
+    async def scenario():
+        bus, socket = Bus("a", b""), EndlessSocket()
+        turns = []
+        asyncio.get_running_loop().call_soon(lambda: turns.append(socket.read))
+        bus._read_all(_BusSocket(socket, -1))
+        await asyncio.sleep(0)
+        socket.closed = True
+        assert turns and turns[0] < 1_000
+        assert bus.traffic.dropped >= turns[0]
+        bus.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_call_whose_connection_is_closed_fails_and_is_not_cancelled():
     async def scenario():
         client, server = Bus("a", b""), Bus("b", b"")
