Messaging: few messages of a peer wait to be read

What callers saw: a control instance whose bus gets many short messages from many connections ends for want of memory.

Cause: a thousand messages of each connection wait in the messaging library, which needs 200 bytes or more for one of few. Bytes without a greeting are read as such messages, by the first version of the protocol.

Evidence, failing before (memory_mb = 128): short_messages_at_the_bus_of_control, 600 connections that send 1 MB of "x": 183 MB.

Change: 100 wait for the listening socket; more stay at the sender, whose own queue holds a thousand. Answers on sockets towards peers are as before.

Result: pytest platform/reachlink_platform/tests/test_crowds_at_the_bus.py -k "short_messages or nothing": 4 passed.

--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -34,6 +34,8 @@
 """Receives the name of the sender and a body; returns the body of the answer to a call."""
 
 HIGH_WATER_MARK = 1000
+# Messages of one peer that wait to be read. More wait at the peer, which has its own limit.
+RECEIVE_HIGH_WATER_MARK = 100
 # Messages read at a turn, so that a peer that sends without end does not hold up all else.
 MESSAGES_PER_TURN = 200
 HEARTBEAT_MS = 1000
@@ -202,7 +204,8 @@
         socket: zmq.Socket[bytes] = self._context.socket(kind)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
-        socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+        waiting = RECEIVE_HIGH_WATER_MARK if kind == zmq.ROUTER else HIGH_WATER_MARK
+        socket.setsockopt(zmq.RCVHWM, waiting)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.MAXMSGSIZE, self._max_message_bytes)
