Messaging: peers of one name, or of the old protocol, neither end a process nor keep connections

What callers saw: a process to whose bus a few hundred connections send some short messages under one name ends by an assertion of ZeroMQ ("!_io_error", signal 6). With messages of the protocol's first version its connections stay open for good after their senders have gone, up to the limit of connections; after that no peer can connect.

Cause: ZeroMQ reads the first peer of a name; what others send fills their queue, and it stops reading them. If such a connection breaks, it is neither closed nor forgotten, and its next heartbeat ends the process. Peers of the old protocol have no heartbeat and repeat a name by chance.

Change: the listening socket has an authentication domain, with which ZeroMQ refuses the old versions, and no limit on messages that wait.

Tried: a later peer takes the name over, with a limit of 100 and without one: the same assertion.

Reached only without a cluster secret, by whoever reaches the bus.

--- a/reachlink/messaging/_bus.py
+++ b/reachlink/messaging/_bus.py
@@ -34,10 +34,11 @@
 """Receives the name of the sender and a body; returns the body of the answer to a call."""
 
 HIGH_WATER_MARK = 1000
-# Messages of one peer that wait to be read. More wait at the peer, which has its own limit.
-RECEIVE_HIGH_WATER_MARK = 100
+# Any number of messages of peers may wait to be read. ZeroMQ stops reading a connection that has
+# reached a limit; if it then breaks, its next heartbeat ends the process by an assertion.
+RECEIVE_HIGH_WATER_MARK = 0
 # Messages read at a turn, so that a peer that sends without end does not hold up all else.
-MESSAGES_PER_TURN = 200
+MESSAGES_PER_TURN = 500
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
 # Without this timeout, a connection attempt during a network partition waits for a TCP
@@ -49,6 +50,7 @@
 CONNECT_POLL_INTERVAL_S = 0.02
 MAX_MESSAGE_BYTES = 64 << 20
 MAX_CONNECTIONS = 4_096
+ZAP_DOMAIN = b"reachlink"
 
 
 class MessageKind(IntEnum):
@@ -134,6 +136,9 @@
         """
         socket = self._make_socket(zmq.ROUTER)
         socket.curve_server = bool(self._secret_key)
+        # Nobody authenticates without a secret, but peers of the protocol's older versions are
+        # refused: they have no heartbeats, and whoever repeats a name is kept and never read.
+        socket.zap_domain = ZAP_DOMAIN
         try:
             socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
