Logs: tell a refusal that its replica does not confirm from other answers

A request that had run was told 503, and its caller sent it again. The log of its send said outcome=answered status=503, as it does for an answer that promises nothing, and what callers got counts as delivered; so nobody could tell a status that was passed on from an answer of the instance's own, made after an attempt that it took for not run.

request_sent now has the outcome unconfirmed_refusal for 408, 421, 429 and 503 where the replica does not say that it has not run the request.

The behaviour towards callers is unchanged.

--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -40,10 +40,11 @@
     RelayRequest,
 )
 from reachlink.upstreams._sends import LoggedSend, Send, SendRecord
-from reachlink.upstreams._statuses import check_final
+from reachlink.upstreams._statuses import NOT_RUN_STATUSES, check_final
 from reachlink.upstreams.exceptions import (
     AlreadySentError,
     GenerationUnknownError,
+    UnconfirmedRefusalError,
     UpstreamBackoffError,
     UpstreamBrittleError,
     UpstreamBrokenError,
@@ -57,6 +58,7 @@
 __all__ = [
     "BRITTLE_HEADER",
     "LIMIT_HEADER",
+    "NOT_RUN_STATUSES",
     "RELAY_ADAPTERS",
     "AnswerHead",
     "Continuation",
@@ -97,6 +99,7 @@
     "ServiceAdapter",
     "TokenEvent",
     "TokenStream",
+    "UnconfirmedRefusalError",
     "UpstreamBrittleError",
     "UpstreamBrokenError",
     "UpstreamError",
--- a/reachlink/upstreams/_relay.py
+++ b/reachlink/upstreams/_relay.py
@@ -9,6 +9,7 @@
 from reachlink.upstreams._base import LoadReport, LoadSample, Replica
 from reachlink.upstreams._features import RequestFeatures
 from reachlink.upstreams._sends import SendRecord
+from reachlink.upstreams._statuses import NOT_RUN_STATUSES
 
 Headers = list[tuple[str, str]]
 """Header fields in order of arrival; a name may occur more than once."""
@@ -180,6 +181,11 @@
         """Whether the status is a success (2xx)."""
         return 200 <= self.status < 300
 
+    @property
+    def is_unconfirmed_refusal(self) -> bool:
+        """Whether the status promises that the request has not run, and the replica does not."""
+        return self.status in NOT_RUN_STATUSES and not self.not_run
+
 
 class RelayAnswer(ABC):
     """A replica's answer, with a body that is read as it arrives."""
--- a/reachlink/upstreams/_sends.py
+++ b/reachlink/upstreams/_sends.py
@@ -8,7 +8,16 @@
 from types import TracebackType
 from typing import Any, Self
 
-from reachlink.upstreams.exceptions import AlreadySentError, UpstreamRefusedError
+from reachlink.upstreams._statuses import NOT_RUN_STATUSES
+from reachlink.upstreams.exceptions import (
+    AlreadySentError,
+    UnconfirmedRefusalError,
+    UpstreamRefusedError,
+)
+
+# Outcome of a send whose answer promises by its status that the request has not run, while the
+# replica does not say so.
+UNCONFIRMED = "unconfirmed_refusal"
 
 
 @dataclass(slots=True)
@@ -154,6 +163,8 @@
             return
         if isinstance(error, UpstreamRefusedError):
             self.note_answer(error.status, not_run=True)
+        if isinstance(error, UnconfirmedRefusalError):
+            self.note_answer(error.status)
         send = self._record.sends[-1]
         send.not_run = self._not_run
         if self._record.count > 1 or not self._may_repeat:
@@ -177,6 +188,8 @@
     def _outcome(self, error: BaseException | None) -> str:
         if self._not_run:
             return "not_run"
+        if self._status in NOT_RUN_STATUSES:
+            return UNCONFIRMED
         if error is None:
             return "answered"
         return "cancelled" if isinstance(error, asyncio.CancelledError) else "broken"
--- a/reachlink/upstreams/_statuses.py
+++ b/reachlink/upstreams/_statuses.py
@@ -1,9 +1,12 @@
-"""Statuses with which an answer may end."""
+"""Statuses with which an answer may end, and what they promise."""
 
 from reachlink.upstreams.exceptions import UpstreamBrokenError
 
 # Final statuses that HTTP defines classes for (RFC 9110, section 15).
 FINAL_STATUSES = range(200, 600)
+# Statuses that tell a caller that its request has not run and never will, so that even one that
+# may run once is sent again.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def check_final(status: int) -> None:
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AlreadySentError",
     "GenerationUnknownError",
+    "UnconfirmedRefusalError",
     "UpstreamBrittleError",
     "UpstreamBrokenError",
     "UpstreamError",
@@ -15,6 +16,9 @@
     "UpstreamUnreachableError",
 ]
 
+# Error code of an upstream that takes no requests because it is leaving.
+LEAVING_CODE = "leaving"
+
 
 class UpstreamError(ReachlinkError):
     """Base class of the errors of the upstream adapters."""
@@ -85,7 +89,7 @@
     @property
     def leaving(self) -> bool:
         """Whether the upstream refused the request because it is leaving."""
-        return self.code == "leaving"
+        return self.code == LEAVING_CODE
 
     @property
     def final(self) -> bool:
@@ -101,5 +105,31 @@
     """The request may run once, was sent before and may have run; it was not sent again."""
 
 
+class UnconfirmedRefusalError(UpstreamBrokenError):
+    """The answer has the status of a refusal, but does not say that the request has not run.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer.
+    code : str
+        Error code of the upstream, such as ``leaving``; empty if it gave none.
+    message : str
+        Error message of the upstream.
+    """
+
+    def __init__(self, status: int, code: str = "", message: str = "") -> None:
+        detail = f" ({code}: {message})" if code else ""
+        super().__init__(f"status {status} does not say that the request has not run{detail}")
+        self.status = status
+        self.code = code
+        self.message = message
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the upstream says that it is leaving."""
+        return self.code == LEAVING_CODE
+
+
 class GenerationUnknownError(UpstreamError):
     """The engine does not know the generation, or no longer knows it."""
--- a/reachlink/upstreams/tests/test_sends.py
+++ b/reachlink/upstreams/tests/test_sends.py
@@ -15,6 +15,7 @@
     LoggedSend,
     Send,
     SendRecord,
+    UnconfirmedRefusalError,
     UpstreamBrokenError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
@@ -105,6 +106,7 @@
         (None, "answered", 200),
         (UpstreamBrokenError("reset"), "broken", 0),
         (UpstreamRefusedError(503, "full", ""), "not_run", 503),
+        (UnconfirmedRefusalError(503), "unconfirmed_refusal", 503),
         (asyncio.CancelledError(), "cancelled", 0),
     ],
 )
@@ -114,6 +116,17 @@
     assert (line["outcome"], line["status"], line["replica"]) == (outcome, status, "r1")
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_an_answer_whose_status_promises_more_than_its_replica_is_told_apart(status):
+    with capture_logs() as lines:
+        for not_run in (False, True):
+            record = SendRecord()
+            with LoggedSend(get_logger(), "id-1", "r1", record, False) as send:
+                record.add(Send("h:1", 1))
+                send.note_answer(status, not_run)
+    assert [line["outcome"] for line in lines] == ["unconfirmed_refusal", "not_run"]
+
+
 def test_what_may_be_repeated_is_logged_from_its_second_send_on():
     record = SendRecord()
     assert logged(record, may_repeat=True) == []
