Requests: no status that promises "not run" for a request that may have run

Callers saw: a submission (non_idempotent) or a stream that a replica had run was answered 503, 429 or 408.

Cause: two contracts meet at the instance. Between replica and instance only a field of its own, or 421, says "not run"; between instance and caller the status does. Whole answers of replicas were passed on with whatever status they had, for calls and for streams that did not begin.

Now RequestDispatcher.open, through which each first send of both runners goes, discards such an answer of a request that may not be repeated, and the attempt ends as a kind of its own (unconfirmed_refusal): it may have run, so it is not sent again, and its caller gets 502 without a receipt. It is evidence against the replica, as any failure after a run, but not a sign that it crashed. The request that may be repeated gets the replica's status, body and Retry-After unchanged: its status decides nothing for it.

Ways weighed: in the adapter alone (a peer's answers pass it, too, but it does not know what may be repeated); at the one place that writes whole answers (retry policy, health and log would take the attempt for a success); 502 for requests that may be repeated as well (they lose the replica's pause and text and gain nothing). A continuation of a stream is left alone: its caller has a status already.

--- a/reachlink/requests/_attempts.py
+++ b/reachlink/requests/_attempts.py
@@ -20,6 +20,8 @@
     NOT_RUN = HoldReason.REFUSING.value
     BROKEN = "broken"
     FAILED = "failed"
+    # The replica answered like one that refuses, but did not say that the request has not run.
+    UNCONFIRMED_REFUSAL = "unconfirmed_refusal"
     SLOW = "slow"
 
 
--- a/reachlink/requests/_request_dispatcher.py
+++ b/reachlink/requests/_request_dispatcher.py
@@ -27,6 +27,7 @@
     RelayAdapter,
     RelayAnswer,
     Replica,
+    UnconfirmedRefusalError,
     UpstreamHeldBackError,
     UpstreamUnreachableError,
 )
@@ -230,7 +231,8 @@
         UpstreamUnreachableError
             If no connection could be made.
         UpstreamBrokenError
-            If the connection failed after the request was sent, or in any other way.
+            If the connection failed after the request was sent, or in any other way; an
+            `UnconfirmedRefusalError` if the answer must not be passed on.
         """
         parts = self._parts
         await self._guard.admit(request.relay.features, request.request_id)
@@ -263,8 +265,27 @@
         if answer.head.load is not None:
             self._pace.note_load(replica, answer.head.load, now)
         self._outcome_recorder.record_leaving(replica, answer.head, now)
+        # The caller of a stream that resumes has a status already.
+        if continuation is None:
+            self._check_refusal(request, replica, answer)
         return answer
 
+    def _check_refusal(self, request: CallerRequest, replica: Replica, answer: RelayAnswer) -> None:
+        """Discard an answer whose status would promise more than the replica does.
+
+        Requests that may be repeated get it as it is: it does not decide whether they are.
+
+        Raises
+        ------
+        UnconfirmedRefusalError
+            If the request may run once and may have run.
+        """
+        head = answer.head
+        if head.is_unconfirmed_refusal and not request.route.may_repeat:
+            answer.close()
+            self._outcome_recorder.record_answer(replica, succeeded=False)
+            raise UnconfirmedRefusalError(head.status)
+
     def _logged_send(self, request: CallerRequest, replica: Replica) -> LoggedSend:
         record, may_repeat = request.relay.record, request.route.may_repeat
         # A stream is sent again where it resumes.
--- a/reachlink/requests/_streams.py
+++ b/reachlink/requests/_streams.py
@@ -26,6 +26,7 @@
     MovedMemory,
     RelayAnswer,
     Replica,
+    UnconfirmedRefusalError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamHeldBackError,
@@ -136,6 +137,8 @@
             return pacing_failure(error)
         except UpstreamUnreachableError:
             return AttemptFailure.UNREACHABLE
+        except UnconfirmedRefusalError:
+            return AttemptFailure.UNCONFIRMED_REFUSAL
         except UpstreamBrokenError:
             return AttemptFailure.BROKEN
         try:
@@ -346,7 +349,7 @@
             answer = await self._dispatcher.open(
                 self._request, replica, continuation, self._replicas.backup
             )
-        except UpstreamHeldBackError:
+        except (UpstreamHeldBackError, UnconfirmedRefusalError):
             self._working.end(replica.name)
             raise
         except UpstreamUnreachableError as error:
--- a/reachlink/requests/_whole_answers.py
+++ b/reachlink/requests/_whole_answers.py
@@ -9,6 +9,7 @@
 from reachlink.requests._request_dispatcher import RequestDispatcher
 from reachlink.upstreams import (
     Replica,
+    UnconfirmedRefusalError,
     UpstreamBrokenError,
     UpstreamHeldBackError,
     UpstreamUnreachableError,
@@ -95,6 +96,8 @@
         except UpstreamUnreachableError as error:
             self._dispatcher.outcomes.record_unreachable(replica, error)
             return AttemptFailure.UNREACHABLE
+        except UnconfirmedRefusalError:
+            return AttemptFailure.UNCONFIRMED_REFUSAL
         except UpstreamBrokenError:
             self._dispatcher.outcomes.record_broken(request, replica, sent_at)
             return AttemptFailure.BROKEN
