Own interface: a plain service's 429 or 503 alone is no word that it has not run

Callers saw: a call that may run once (Reachlink-Repeatable: no) ran up to three times, sent again by the product itself, and was told 503 with the outcome not_run.

Cause: the adapter took the statuses 429 and 503 of any service for "did not run". A service that fails after a run gives them, too, and so does a proxy on the way; HTTP gives neither that meaning. 408 and 421 were passed on, which promises the caller the same.

Now a service says so by X-Fleet-Not-Run, a field like the ones by which it names a limit; 421 needs none (RFC 9110, section 15.5.20). Without it such an answer ends a call that may run once with 502, outcome unknown, and its key stays claimed; one that may repeat goes to another replica as before and is told unknown if none serves it. It counts as a failure of the replica; a leaving one is still noticed. Other statuses are passed on unchanged, whatever the fields say.

Ways weighed: the error code of the body (free text of any service); Retry-After (a wish for a pause, given after a run as well); a setting of the service that lets its statuses count (not built: an operator's service that cannot set a field gets 502 where it got another replica). The stand-ins refuse with the field now; two tests whose refusals had none send it, one of them without as well.

--- a/reachlink/entry/_plain.py
+++ b/reachlink/entry/_plain.py
@@ -41,6 +41,7 @@
     RequestFeatures,
     SendRecord,
     ServiceAdapter,
+    UnconfirmedRefusalError,
     UpstreamBrokenError,
     UpstreamHeldBackError,
     UpstreamRefusedError,
@@ -254,8 +255,11 @@
             health.on_success(steady_time())
             return answer
         except UpstreamRefusedError as error:
-            if error.leaving:
-                node.directory.mark_leaving(replica.name, LeavingSource.REFUSAL, steady_time())
+            self._note_leaving(replica, error.leaving)
+            raise
+        except UnconfirmedRefusalError as error:
+            self._note_leaving(replica, error.leaving)
+            health.on_failure(steady_time(), node.random)
             raise
         except TimeoutError as error:
             health.on_failure(steady_time(), node.random)
@@ -271,6 +275,11 @@
         finally:
             node.ledger.finish(flight, ended=False)
 
+    def _note_leaving(self, replica: Replica, leaving: bool) -> None:
+        """Record that a replica says with a refusal that it is leaving."""
+        if leaving:
+            self._node.directory.mark_leaving(replica.name, LeavingSource.REFUSAL, steady_time())
+
     async def _choose_in_time(
         self, service: ServiceInfo, excluded: set[str], until: float, repeatable: bool
     ) -> Replica:
--- a/reachlink/entry/tests/test_calls_that_run_once.py
+++ b/reachlink/entry/tests/test_calls_that_run_once.py
@@ -14,9 +14,11 @@
 
 
 def whole(status: bytes, request_id: str) -> bytes:
-    """Return a whole answer, which names its request if that is given."""
-    name = b"X-Request-Id: %b\r\n" % request_id.encode() if request_id else b""
-    return b"HTTP/1.1 %b\r\n%bContent-Length: 2\r\n\r\n{}" % (status, name)
+    """Return a whole answer, which names its request if that is given; refusals are confirmed."""
+    fields = b"X-Request-Id: %b\r\n" % request_id.encode() if request_id else b""
+    if status == FULL:
+        fields += b"X-Fleet-Not-Run: 1\r\n"
+    return b"HTTP/1.1 %b\r\n%bContent-Length: 2\r\n\r\n{}" % (status, fields)
 
 
 def ids(replica: Replica) -> list[str]:
--- a/reachlink/entry/tests/test_unusual_answers.py
+++ b/reachlink/entry/tests/test_unusual_answers.py
@@ -97,9 +97,14 @@
     assert (answer.status, answer.error()["code"]) == (502, "upstream_broken")
 
 
-def test_an_unreadable_refusal_is_not_a_failure_of_the_instance():
+@pytest.mark.parametrize(
+    ("field", "told"),
+    [(b"X-Fleet-Not-Run: 1\r\n", (503, "not_run")), (b"", (502, "unknown"))],
+    ids=["confirmed", "unconfirmed"],
+)
+def test_an_unreadable_refusal_is_not_a_failure_of_the_instance(field, told):
     body = b'{"error": {"details": ' + DEEP
-    head = b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n" % len(body)
+    head = b"HTTP/1.1 503 Busy\r\n%bContent-Length: %d\r\n\r\n" % (field, len(body))
 
     async def story():
         async with OwnInstance(answering(head + body)) as instance:
@@ -108,7 +113,7 @@
             return await caller.answer()
 
     answer = asyncio.run(story())
-    assert (answer.status, answer.error()["outcome"]) == (503, "not_run")
+    assert (answer.status, answer.error()["outcome"]) == told
 
 
 def test_an_event_without_text_is_not_a_failure_of_the_instance():
--- a/reachlink/testing/engine.py
+++ b/reachlink/testing/engine.py
@@ -28,6 +28,7 @@
     prompt_text,
     token_text,
 )
+from reachlink.upstreams import NOT_RUN_HEADER
 
 KEEPALIVE_S = 75.0
 # Exit code of an engine that ends under a prompt.
@@ -359,7 +360,9 @@
 def refusal(status: int, code: str, message: str, wait_s: float = 0.0) -> web.Response:
     """Return an error that says that nothing was run; above 0 it asks for a backoff."""
     body = {"error": {"code": code, "message": message, "type": "refused"}}
-    headers = {"Retry-After": str(wait_s)} if wait_s else None
+    headers = {NOT_RUN_HEADER: "1"}
+    if wait_s:
+        headers["Retry-After"] = str(wait_s)
     return json_response(body, status, headers)
 
 
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -25,6 +25,7 @@
 from reachlink.upstreams._loads import LoadDecoder
 from reachlink.upstreams._pacing_recorder import BRITTLE_HEADER, LIMIT_HEADER, PacingRecorder
 from reachlink.upstreams._prompts import PromptDigest, digest_prompt
+from reachlink.upstreams._refusals import NOT_RUN_HEADER
 from reachlink.upstreams._relay import (
     RELAY_ADAPTERS,
     AnswerHead,
@@ -58,6 +59,7 @@
 __all__ = [
     "BRITTLE_HEADER",
     "LIMIT_HEADER",
+    "NOT_RUN_HEADER",
     "NOT_RUN_STATUSES",
     "RELAY_ADAPTERS",
     "AnswerHead",
--- a/reachlink/upstreams/_plain_service.py
+++ b/reachlink/upstreams/_plain_service.py
@@ -18,13 +18,11 @@
     touch,
 )
 from reachlink.upstreams._http import HttpClient
-from reachlink.upstreams._refusals import raise_refusal
-from reachlink.upstreams._statuses import check_final
+from reachlink.upstreams._refusals import raise_call_refusal
+from reachlink.upstreams._statuses import NOT_RUN_STATUSES, check_final
 from reachlink.upstreams.exceptions import UpstreamBrokenError
 
 MAX_RESPONSE_BYTES = 8 << 20
-_REFUSED_STATUSES = frozenset({429, 503})
-# Statuses below say that an answer is still to come.
 _ANY_BYTES = "application/octet-stream"
 
 
@@ -32,8 +30,8 @@
 class PlainServiceAdapter(ServiceAdapter):
     """Adapter to services that answer each HTTP request with one complete body.
 
-    Statuses 429 and 503 mean that the service did not run the call; an answer with any
-    other status is returned as it is.
+    An answer is returned as it is, unless its status would promise the caller that the call has
+    not run: only the service itself can confirm that.
     """
 
     def __init__(self, client: HttpClient) -> None:
@@ -49,8 +47,8 @@
             request.method, url, headers, request.body, request.record
         )
         check_request(response, request.request_id)
-        if response.status in _REFUSED_STATUSES:
-            await raise_refusal(response)
+        if response.status in NOT_RUN_STATUSES:
+            await raise_call_refusal(response)
         return await _read_response(response)
 
     async def touch(self, replica: Replica) -> None:
