Own interface: an engine's error alone is no word that it has not run

Callers saw: a generation that may run once ran at each engine in turn after 404, 409, 429 or 503, and was told not_run; one that was answered 400, 413 or 422 was told not_run as well.

Now the engine says so by X-Fleet-Not-Run (or 421). Without it, what may have run is looked for at the engine, as after a lost connection, and delivered if it is there; else a request that may run once ends with 502, outcome unknown. 400, 413 and 422 keep status, code and message: they promise nothing, and their caller has to mend the request; only the outcome becomes unknown. Such an answer counts as a failure of the engine, but not as a sign that it crashed; a leaving one is still noticed.

--- a/reachlink/entry/_answers.py
+++ b/reachlink/entry/_answers.py
@@ -36,9 +36,11 @@
     Replica,
     TokenEvent,
     TokenStream,
+    UnconfirmedRefusalError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamHeldBackError,
+    UpstreamInvalidError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
@@ -205,6 +207,12 @@
             self._note_refusal(replica, error)
             await self._not_run(attempt, error.message)
             return None
+        except UpstreamInvalidError as error:
+            raise RequestError(error.status, error.code, error.message, Outcome.UNKNOWN) from error
+        except UnconfirmedRefusalError as error:
+            health.on_failure(steady_time(), self._node.random)
+            self._note_leaving(replica, error.leaving)
+            return await self._after_broken_dispatch(attempt, replica, str(error))
         except UpstreamBrokenError as error:
             health.on_failure(steady_time(), self._node.random)
             self._note_broken(replica)
@@ -267,11 +275,15 @@
         return replica
 
     def _note_refusal(self, replica: Replica, error: UpstreamRefusedError) -> None:
-        if error.leaving:
-            self._node.directory.mark_leaving(replica.name, LeavingSource.REFUSAL, steady_time())
+        self._note_leaving(replica, error.leaving)
         if error.final:
             raise RequestError(error.status, error.code, error.message, Outcome.NOT_RUN)
 
+    def _note_leaving(self, replica: Replica, leaving: bool) -> None:
+        """Record that a replica says with a refusal that it is leaving."""
+        if leaving:
+            self._node.directory.mark_leaving(replica.name, LeavingSource.REFUSAL, steady_time())
+
     async def _not_run(self, attempt: int, reason: str) -> None:
         """The attempt did not run: try elsewhere within the budget."""
         await self._before_retry(attempt, reason)
--- a/reachlink/upstreams/_base.py
+++ b/reachlink/upstreams/_base.py
@@ -235,9 +235,11 @@
         UpstreamUnreachableError
             If no connection could be made; nothing was dispatched.
         UpstreamRefusedError
-            If the engine refused the request and did not run it.
+            If the engine refused the request and states that it did not run it.
+        UpstreamInvalidError
+            If the engine takes the request for an invalid one; it may have run.
         UpstreamBrokenError
-            If the connection failed after dispatch; the request may have run.
+            If the connection or the engine failed after dispatch; the request may have run.
         """
 
     @abstractmethod
--- a/reachlink/upstreams/_refusals.py
+++ b/reachlink/upstreams/_refusals.py
@@ -4,9 +4,11 @@
 import msgspec
 
 from reachlink.upstreams._conversions import UNREADABLE
+from reachlink.upstreams._statuses import NOT_RUN_STATUSES
 from reachlink.upstreams.exceptions import (
     UnconfirmedRefusalError,
     UpstreamBrokenError,
+    UpstreamInvalidError,
     UpstreamRefusedError,
 )
 
@@ -14,8 +16,8 @@
 # not run it later.
 NOT_RUN_HEADER = "X-Fleet-Not-Run"
 MAX_ERROR_BYTES = 64 << 10
-# Statuses that mean that the upstream did not run the request.
-REFUSED_STATUSES = frozenset({400, 404, 409, 413, 422, 429, 503})
+# Statuses of a request that no replica takes.
+_INVALID_STATUSES = frozenset({400, 413, 422})
 # The upstream does not serve the target at all, so that even a request that may run once may be
 # sent elsewhere (RFC 9110, section 15.5.20).
 _MISDIRECTED = 421
@@ -54,12 +56,28 @@
 
 
 async def raise_refusal(response: aiohttp.ClientResponse) -> None:
-    """Raise the upstream error for an error response to a dispatched request."""
+    """Raise the upstream error for an error response to a dispatched request.
+
+    Raises
+    ------
+    UpstreamRefusedError
+        If the upstream confirms that it has not run the request.
+    UpstreamInvalidError
+        If no replica takes the request.
+    UnconfirmedRefusalError
+        If the status promises that it has not run, and the upstream does not confirm it.
+    UpstreamBrokenError
+        If the upstream failed in another way.
+    """
     detail = await _read_detail(response)
-    if response.status in REFUSED_STATUSES:
-        code = str(detail.code or response.status)
-        raise UpstreamRefusedError(response.status, code, detail.message)
-    raise UpstreamBrokenError(f"upstream failed with status {response.status}: {detail.message}")
+    status, code = response.status, str(detail.code or response.status)
+    if _is_confirmed(response):
+        raise UpstreamRefusedError(status, code, detail.message)
+    if status in _INVALID_STATUSES:
+        raise UpstreamInvalidError(status, code, detail.message)
+    if status in NOT_RUN_STATUSES:
+        raise UnconfirmedRefusalError(status, code, detail.message)
+    raise UpstreamBrokenError(f"upstream failed with status {status}: {detail.message}")
 
 
 def _is_confirmed(response: aiohttp.ClientResponse) -> bool:
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -9,6 +9,7 @@
     "UpstreamBrittleError",
     "UpstreamBrokenError",
     "UpstreamError",
+    "UpstreamInvalidError",
     "UpstreamRefusedError",
     "UpstreamBackoffError",
     "UpstreamHeldBackError",
@@ -97,6 +98,26 @@
         return self.status in (400, 413, 422)
 
 
+class UpstreamInvalidError(UpstreamError):
+    """The upstream takes the request for an invalid one, and does not say that it has not run.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer.
+    code : str
+        Error code of the upstream.
+    message : str
+        Error message of the upstream.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(f"{status} {code}: {message}")
+        self.status = status
+        self.code = code
+        self.message = message
+
+
 class UpstreamBrokenError(UpstreamError):
     """The connection failed after dispatch; the request may have run."""
 
