Own interface: a stored answer does not tell that its request has not run

Callers saw: the second request with a key got the stored answer of a plain service, Reachlink-Replayed, with status 408 or 421, which tells that it has not run, though the first one had.

Such an answer is not given again now: 409 outcome_unknown, as where there is none.

Before, on: four of six of test_stored_answers failed. 500 and 200 are given again unchanged, as before.

--- a/reachlink/entry/_claims.py
+++ b/reachlink/entry/_claims.py
@@ -20,6 +20,7 @@
 from reachlink.entry._node import EntryNode
 from reachlink.entry.exceptions import RequestError
 from reachlink.settings import ServicePolicy
+from reachlink.upstreams import NOT_RUN_STATUSES
 
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 255
@@ -129,11 +130,12 @@
 
 
 def _earlier(result: ClaimResult) -> web.Response:
+    """Return the stored answer, unless its status would tell that the request has not run."""
     if result.status is ClaimStatus.MISMATCH:
         raise RequestError(
             422, "key_reused", "the key was used with another request", param=KEY_HEADER
         )
-    if result.answer is not None:
+    if result.answer is not None and result.answer.status not in NOT_RUN_STATUSES:
         headers = {REQUEST_HEADER: result.request_id, "Reachlink-Replayed": "yes"}
         answer = result.answer
         return web.Response(
