Errors: a final answer cannot promise more than its outcome says

Both interfaces build their own final answers from a status and an outcome, and nothing kept 503 and "unknown" apart but the care of each place (17 of them make 503, 429 or 408). RequestFailedError and RequestError now refuse such a pair, and after_dispatch takes the promise from each of the four statuses, not from 503 alone.

No place was found that builds such a pair; this guards those to come. test_promised_statuses: on the code before, the pairs could be built and 408, 421 and 429 kept their status after an attempt that may have run.

--- a/reachlink/entry/exceptions.py
+++ b/reachlink/entry/exceptions.py
@@ -5,6 +5,7 @@
 from reachlink.pacing import Hold
 from reachlink.quarantine import HELD, HeldRequestError
 from reachlink.requests import STOPPING_RETRY_S
+from reachlink.upstreams import NOT_RUN_STATUSES, check_promise
 
 # Time to come back where the instance holds as much as it may, in seconds.
 HELD_RETRY_S = 0.3
@@ -45,6 +46,11 @@
         When a retry makes sense, in seconds.
     param : str, optional
         Path of the field that is wrong.
+
+    Raises
+    ------
+    ValueError
+        If the status promises more than the outcome says.
     """
 
     def __init__(
@@ -56,6 +62,7 @@
         retry_after_s: float | None = None,
         param: str | None = None,
     ) -> None:
+        check_promise(status, outcome is Outcome.NOT_RUN)
         super().__init__(message)
         self.status = status
         self.code = code
@@ -101,12 +108,13 @@
     Returns
     -------
     RequestError
-        The error without the promise that the request has not run; status 503 is one, too.
+        The error without the promise that the request has not run, be it by its outcome or by its
+        status.
     """
     if error.outcome is not Outcome.NOT_RUN:
         return error
     status, code = error.status, error.code
-    if status == _NOT_RUN_STATUS:
+    if status in NOT_RUN_STATUSES:
         status, code = 502, "upstream_failed"
     return RequestError(
         status, code, error.message, Outcome.UNKNOWN, error.retry_after_s, error.param
--- a/reachlink/requests/exceptions.py
+++ b/reachlink/requests/exceptions.py
@@ -2,6 +2,7 @@
 
 from reachlink.delivery import Outcome
 from reachlink.kernel import ReachlinkError
+from reachlink.upstreams import check_promise
 
 __all__ = ["CallerGoneError", "RequestFailedError", "RequestsError", "StreamCutError"]
 
@@ -16,7 +17,7 @@
     Parameters
     ----------
     status : int
-        HTTP status; 429 and 503 guarantee that the request did not run.
+        HTTP status; those in `NOT_RUN_STATUSES` guarantee that the request did not run.
     reason : str
         Short code for logs and metrics, for example ``no_replica``.
     outcome : Outcome
@@ -25,6 +26,11 @@
         Time in seconds after which the caller should retry.
     message : str, optional
         Message in the body of the answer; `reason` if empty.
+
+    Raises
+    ------
+    ValueError
+        If the status guarantees more than the outcome says.
     """
 
     def __init__(
@@ -35,6 +41,7 @@
         retry_after_s: float | None = None,
         message: str = "",
     ) -> None:
+        check_promise(status, outcome is Outcome.NOT_RUN)
         super().__init__(f"{status} {reason}")
         self.message = message or reason
         self.status = status
--- a/reachlink/upstreams/__init__.py
+++ b/reachlink/upstreams/__init__.py
@@ -41,7 +41,7 @@
     RelayRequest,
 )
 from reachlink.upstreams._sends import LoggedSend, Send, SendRecord
-from reachlink.upstreams._statuses import NOT_RUN_STATUSES, check_final
+from reachlink.upstreams._statuses import NOT_RUN_STATUSES, check_final, check_promise
 from reachlink.upstreams.exceptions import (
     AlreadySentError,
     GenerationUnknownError,
@@ -115,6 +115,7 @@
     "digest_prompt",
     "probe",
     "check_final",
+    "check_promise",
     "read_control",
     "probe_repeatedly",
 ]
