Upstreams: one list of the statuses of invalid requests, told apart in the log

The statuses of requests that no replica takes stood twice since. An engine's 400, 413 or 422 without the word that it has not run is logged as answered, with its status, and not as broken with status 0.

--- a/reachlink/upstreams/_refusals.py
+++ b/reachlink/upstreams/_refusals.py
@@ -6,6 +6,7 @@
 from reachlink.upstreams._conversions import UNREADABLE
 from reachlink.upstreams._statuses import NOT_RUN_STATUSES
 from reachlink.upstreams.exceptions import (
+    INVALID_STATUSES,
     UnconfirmedRefusalError,
     UpstreamBrokenError,
     UpstreamInvalidError,
@@ -16,8 +17,6 @@
 # not run it later.
 NOT_RUN_HEADER = "X-Fleet-Not-Run"
 MAX_ERROR_BYTES = 64 << 10
-# Statuses of a request that no replica takes.
-_INVALID_STATUSES = frozenset({400, 413, 422})
 # The upstream does not serve the target at all, so that even a request that may run once may be
 # sent elsewhere (RFC 9110, section 15.5.20).
 _MISDIRECTED = 421
@@ -73,7 +72,7 @@
     status, code = response.status, str(detail.code or response.status)
     if _is_confirmed(response):
         raise UpstreamRefusedError(status, code, detail.message)
-    if status in _INVALID_STATUSES:
+    if status in INVALID_STATUSES:
         raise UpstreamInvalidError(status, code, detail.message)
     if status in NOT_RUN_STATUSES:
         raise UnconfirmedRefusalError(status, code, detail.message)
--- a/reachlink/upstreams/_sends.py
+++ b/reachlink/upstreams/_sends.py
@@ -12,6 +12,7 @@
 from reachlink.upstreams.exceptions import (
     AlreadySentError,
     UnconfirmedRefusalError,
+    UpstreamInvalidError,
     UpstreamRefusedError,
 )
 
@@ -163,7 +164,7 @@
             return
         if isinstance(error, UpstreamRefusedError):
             self.note_answer(error.status, not_run=True)
-        if isinstance(error, UnconfirmedRefusalError):
+        if isinstance(error, UnconfirmedRefusalError | UpstreamInvalidError):
             self.note_answer(error.status)
         send = self._record.sends[-1]
         send.not_run = self._not_run
@@ -190,7 +191,7 @@
             return "not_run"
         if self._status in NOT_RUN_STATUSES:
             return UNCONFIRMED
-        if error is None:
+        if error is None or isinstance(error, UpstreamInvalidError):
             return "answered"
         return "cancelled" if isinstance(error, asyncio.CancelledError) else "broken"
 
--- a/reachlink/upstreams/exceptions.py
+++ b/reachlink/upstreams/exceptions.py
@@ -19,6 +19,8 @@
 
 # Error code of an upstream that takes no requests because it is leaving.
 LEAVING_CODE = "leaving"
+# Statuses of a request that no replica takes.
+INVALID_STATUSES = frozenset({400, 413, 422})
 
 
 class UpstreamError(ReachlinkError):
@@ -95,7 +97,7 @@
     @property
     def final(self) -> bool:
         """Whether another replica would refuse the request as well."""
-        return self.status in (400, 413, 422)
+        return self.status in INVALID_STATUSES
 
 
 class UpstreamInvalidError(UpstreamError):
--- a/reachlink/upstreams/tests/test_sends.py
+++ b/reachlink/upstreams/tests/test_sends.py
@@ -17,6 +17,7 @@
     SendRecord,
     UnconfirmedRefusalError,
     UpstreamBrokenError,
+    UpstreamInvalidError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
@@ -107,6 +108,7 @@
         (UpstreamBrokenError("reset"), "broken", 0),
         (UpstreamRefusedError(503, "full", ""), "not_run", 503),
         (UnconfirmedRefusalError(503), "unconfirmed_refusal", 503),
+        (UpstreamInvalidError(400, "too_long", ""), "answered", 400),
         (asyncio.CancelledError(), "cancelled", 0),
     ],
 )
